--- /dev/null
+++ b/src/cli/intentCommands.ts
@@ -0,0 +1,176 @@
+import { Command, Option } from "clipanion";
+import { readFile, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import type { PublishError } from "../configuration/commands/publish.js";
+import { checkTogether } from "../configuration/queries/checkTogether.js";
+import type { WorkerFacts } from "../configuration/queries/checkTogether.js";
+import { collectIntents } from "../configuration/queries/collect.js";
+import type { FileProblem } from "../configuration/queries/collect.js";
+import { explain } from "../configuration/queries/settings.js";
+import type { Snapshot, Statement } from "../configuration/types.js";
+import type { JobRecord } from "../scheduling/types.js";
+import { BaseCommand, EntryCommand, ExitCode } from "./base.js";
+import { send } from "./client.js";
+
+const baseFile = ".catkinswitch.json";
+
+const problemLine = (problem: FileProblem): string => `${problem.file}:${problem.line}: ${problem.detail}`;
+
+const readBaseVersion = async (tree: string): Promise<number> => {
+    try {
+        const { baseVersion } = JSON.parse(await readFile(join(tree, baseFile), "utf8")) as { baseVersion: number; };
+        return baseVersion;
+    }
+    catch {
+        return 0;
+    }
+};
+
+/** Checks a tree of statements without publishing it. */
+export class CheckCommand extends BaseCommand {
+    static override paths = [["check"]];
+    static override usage = Command.Usage({
+        description: "Check the statements of intent below a directory",
+        examples: [["Check the examples", "catkinswitch check examples"]],
+    });
+
+    tree = Option.String({ name: "directory" });
+    fleet = Option.String("--fleet", { description: "JSON file with the workers to check guarantees against" });
+
+    override async execute(): Promise<number> {
+        const collected = await collectIntents(this.tree);
+        const facts = this.fleet === undefined
+            ? undefined
+            : JSON.parse(await readFile(this.fleet, "utf8")) as WorkerFacts[];
+        const problems = [...collected.problems, ...checkTogether(collected.intents, facts)];
+        const summary = `${collected.intents.length} statements, ${problems.length} problems`;
+        this.print({ statements: collected.intents.length, problems }, [...problems.map(problemLine), summary]);
+        return problems.length === 0 ? ExitCode.Ok : ExitCode.BadInput;
+    }
+}
+
+const describeError = (error: PublishError): string[] => {
+    switch (error.kind) {
+        case "problems":
+            return error.problems.map(problemLine);
+        case "conflicts":
+            return [
+                `refused: version ${error.version} holds changes that this publish would undo`,
+                ...error.conflicts.map(conflict =>
+                    `  ${conflict.name}: changed by ${conflict.changedBy} in version ${conflict.changedInVersion}; ${conflict.detail}`
+                ),
+                `take these changes into your checkout, then publish with --base ${error.version}`,
+            ];
+        case "raced":
+            return ["refused: another publish came first; publish again"];
+        case "unavailable":
+            return [`not published: ${error.detail}`];
+        case "unknown":
+            return [`it is not known whether this was published: ${error.detail}`];
+    }
+};
+
+/** Publishes a tree of statements as the next version. */
+export class PublishCommand extends EntryCommand {
+    static override paths = [["publish"]];
+    static override usage = Command.Usage({
+        description: "Publish the statements of intent below a directory",
+        examples: [["Publish as the operations team", "catkinswitch publish intents --as operations"]],
+    });
+
+    tree = Option.String({ name: "directory" });
+    publisher = Option.String("--as", { required: true, description: "Who publishes" });
+    base = Option.String("--base", { description: `Version this checkout is based on, default from ${baseFile}` });
+
+    override async execute(): Promise<number> {
+        const collected = await collectIntents(this.tree);
+        const problems = [...collected.problems, ...checkTogether(collected.intents, undefined)];
+        if (problems.length > 0) {
+            this.print({ problems }, problems.map(problemLine));
+            return ExitCode.BadInput;
+        }
+        const baseVersion = this.base === undefined ? await readBaseVersion(this.tree) : Number(this.base);
+        const body = { baseVersion, publisher: this.publisher, intents: collected.intents };
+        const answer = await send(`${this.entry}/v1/configurations`, { method: "POST", body });
+        if (answer.status !== 200) {
+            return this.refuse(answer.body as { error?: PublishError; detail: string; });
+        }
+        const snapshot = answer.body as Snapshot;
+        await writeFile(join(this.tree, baseFile), `${JSON.stringify({ baseVersion: snapshot.version })}\n`);
+        this.print(snapshot, [`version ${snapshot.version} accepted with ${snapshot.statements.length} statements`]);
+        return ExitCode.Ok;
+    }
+
+    private refuse(problem: { error?: PublishError; detail: string; }): number {
+        this.print(problem, problem.error === undefined ? [problem.detail] : describeError(problem.error));
+        return problem.error?.kind === "problems" ? ExitCode.BadInput : ExitCode.Refused;
+    }
+}
+
+const settingsOf = (statement: Statement): string =>
+    JSON.stringify({
+        calls: statement.calls,
+        jobs: statement.jobs,
+        guarantee: statement.guarantee,
+        availabilityZonesOut: statement.availabilityZonesOut,
+    });
+
+const explainLines = (statement: Statement): string[] => [
+    `${statement.name}  (${statement.provenance.file}:${statement.provenance.line})`,
+    `  reason:  ${statement.reason}`,
+    `  owner:   ${statement.owner}`,
+    `  changed: version ${statement.provenance.changedInVersion} by ${statement.provenance.changedBy}, ${
+        new Date(statement.provenance.changedAtMs).toISOString()
+    }`,
+    `  states:  ${settingsOf(statement)}`,
+];
+
+/** Tells which statement stands behind a setting or a decision. */
+export class ExplainCommand extends EntryCommand {
+    static override paths = [["explain"]];
+    static override usage = Command.Usage({
+        description: "Show which statement, by whom and why, stands behind a customer, service, zone, statement or job",
+        examples: [
+            ["Why is zone-a out", "catkinswitch explain zone-a"],
+            ["Why did a job run where it ran", "catkinswitch explain job:weddings.plan-7"],
+        ],
+    });
+
+    subject = Option.String({ name: "subject" });
+
+    override async execute(): Promise<number> {
+        const answer = await send(`${this.entry}/v1/configurations`);
+        const snapshot = answer.body as Snapshot;
+        const lines: string[] = [];
+        let subject = this.subject;
+        if (subject.startsWith("job:")) {
+            const decision = await this.explainJob(subject.slice("job:".length));
+            lines.push(...decision.lines);
+            subject = decision.subject;
+        }
+        const statements = explain(snapshot, subject);
+        lines.push(...statements.flatMap(explainLines));
+        this.print(
+            { version: snapshot.version, statements },
+            lines.length > 0 ? lines : [`no statement mentions "${subject}"`],
+        );
+        return lines.length > 0 ? ExitCode.Ok : ExitCode.Refused;
+    }
+
+    private async explainJob(jobId: string): Promise<{ lines: string[]; subject: string; }> {
+        const answer = await send(`${this.entry}/v1/jobs/${encodeURIComponent(jobId)}`);
+        if (answer.status !== 200) {
+            throw new Error(`no job "${jobId}"`);
+        }
+        const record = answer.body as JobRecord;
+        const { placement } = record;
+        const lines = [`${jobId}: ${record.state}, ${record.reason}`];
+        if (placement !== undefined) {
+            const workers = placement.members.map(member => member.worker).join(", ");
+            lines.push(`  placed on ${workers} (${placement.class}) under version ${placement.configurationVersion}`);
+        }
+        const unit = placement?.guaranteeUnit;
+        const name = unit?.slice(unit.indexOf("/") + 1, unit.lastIndexOf("#"));
+        return { lines, subject: name ?? record.spec.customer };
+    }
+}
--- /dev/null
+++ b/src/cli/workCommands.ts
@@ -0,0 +1,120 @@
+import { Command, Option } from "clipanion";
+import { readFile } from "node:fs/promises";
+import type { JobRecord } from "../scheduling/types.js";
+import { parseJsonWithComments } from "../utils/jsonWithComments.js";
+import { EntryCommand, ExitCode } from "./base.js";
+import { send } from "./client.js";
+import type { CliAnswer } from "./client.js";
+
+interface Problem {
+    title: string;
+    detail: string;
+    outcome?: string;
+}
+
+const isOk = (answer: CliAnswer): boolean => answer.status < 300;
+
+const problemLines = (answer: CliAnswer): string[] => {
+    const problem = answer.body as Problem;
+    return [`${problem.outcome ?? "error"}: ${problem.title}: ${problem.detail}`];
+};
+
+/** Sends one call through a router. */
+export class CallCommand extends EntryCommand {
+    static override paths = [["call"]];
+    static override usage = Command.Usage({
+        description: "Call a service for a customer",
+        examples: [["Book once", "catkinswitch call funeral-parlours booking --key order-17 --body '{\"doves\":12}'"]],
+    });
+
+    customer = Option.String({ name: "customer" });
+    service = Option.String({ name: "service" });
+    key = Option.String("--key", { description: "Idempotency key" });
+    deadlineMs = Option.String("--deadline-ms", { description: "Time the call may take" });
+    body = Option.String("--body", "{}", { description: "JSON body" });
+
+    override async execute(): Promise<number> {
+        const path = `/v1/customers/${encodeURIComponent(this.customer)}/services/${
+            encodeURIComponent(this.service)
+        }/calls`;
+        const headers = {
+            ...(this.key === undefined ? {} : { "idempotency-key": this.key }),
+            ...(this.deadlineMs === undefined ? {} : { "deadline-ms": this.deadlineMs }),
+        };
+        const answer = await send(`${this.entry}${path}`, { method: "POST", body: JSON.parse(this.body), headers });
+        const result = answer.body as { result?: unknown; };
+        this.print(answer.body, isOk(answer) ? [`done: ${JSON.stringify(result.result)}`] : problemLines(answer));
+        return isOk(answer) ? ExitCode.Ok : ExitCode.Refused;
+    }
+}
+
+const jobLine = (record: JobRecord): string => {
+    const where = record.placement?.members.map(member => `${member.worker}×${member.taskCount}`).join(" ");
+    return `${record.spec.id}: ${record.state} (${record.reason})${where === undefined ? "" : ` on ${where}`}`;
+};
+
+/** Submits a job. */
+export class SubmitCommand extends EntryCommand {
+    static override paths = [["submit"]];
+    static override usage = Command.Usage({
+        description: "Submit a job described in a JSON file with comments",
+        examples: [["Submit", "catkinswitch submit train.jsonc --key night-17"]],
+    });
+
+    file = Option.String({ name: "file" });
+    key = Option.String("--key", { description: "Idempotency key" });
+
+    override async execute(): Promise<number> {
+        const parsed = parseJsonWithComments(await readFile(this.file, "utf8"));
+        if (!parsed.ok) {
+            this.print(parsed.error, [`${this.file}:${parsed.error.line}: ${parsed.error.detail}`]);
+            return ExitCode.BadInput;
+        }
+        const headers = this.key === undefined ? undefined : { "idempotency-key": this.key };
+        const answer = await send(`${this.entry}/v1/jobs`, { method: "POST", body: parsed.value.value, headers });
+        this.print(answer.body, isOk(answer) ? [jobLine(answer.body as JobRecord)] : problemLines(answer));
+        return isOk(answer) ? ExitCode.Ok : ExitCode.Refused;
+    }
+}
+
+abstract class JobCommand extends EntryCommand {
+    jobId = Option.String({ name: "job" });
+
+    protected async sendForJob(method: "GET" | "DELETE"): Promise<number> {
+        const answer = await send(`${this.entry}/v1/jobs/${encodeURIComponent(this.jobId)}`, { method });
+        this.print(answer.body, isOk(answer) ? [jobLine(answer.body as JobRecord)] : problemLines(answer));
+        return isOk(answer) ? ExitCode.Ok : ExitCode.Refused;
+    }
+}
+
+/** Shows a job. */
+export class StatusCommand extends JobCommand {
+    static override paths = [["status"]];
+    static override usage = Command.Usage({ description: "Show the state of a job and where it runs" });
+
+    override execute(): Promise<number> {
+        return this.sendForJob("GET");
+    }
+}
+
+/** Cancels a job. */
+export class CancelCommand extends JobCommand {
+    static override paths = [["cancel"]];
+    static override usage = Command.Usage({ description: "Cancel a job" });
+
+    override execute(): Promise<number> {
+        return this.sendForJob("DELETE");
+    }
+}
+
+/** Shows the state of a process. */
+export class DumpCommand extends EntryCommand {
+    static override paths = [["dump"]];
+    static override usage = Command.Usage({ description: "Show the whole state of a router or scheduler as JSON" });
+
+    override async execute(): Promise<number> {
+        const answer = await send(`${this.entry}/v1/dump`);
+        this.context.stdout.write(`${JSON.stringify(answer.body, undefined, 2)}\n`);
+        return isOk(answer) ? ExitCode.Ok : ExitCode.Refused;
+    }
+}
--- /dev/null
+++ b/src/node/entryNode.ts
@@ -0,0 +1,114 @@
+import { randomUUID } from "node:crypto";
+import { createConfigurationFollower } from "../configuration/follower.js";
+import type { ConfigurationFollower } from "../configuration/follower.js";
+import { createPeers } from "../peers/peers.js";
+import type { Peers } from "../peers/peers.js";
+import type { PeerHandlers } from "../peers/server.js";
+import type { Heartbeat, Role } from "../peers/types.js";
+import { createPlatformClient } from "../platform/client.js";
+import { createRelayedPlatform, performRelay } from "../platform/relay.js";
+import type { PlatformClient, Vm, VmList } from "../platform/types.js";
+import { VmKind } from "../platform/types.js";
+import { createTimerService } from "../utils/timer.js";
+import type { TimerService } from "../utils/timer.js";
+import { createLog } from "./logs.js";
+import type { Log } from "./logs.js";
+import { createMetrics } from "./metrics.js";
+import type { Metrics } from "./metrics.js";
+import type { DaemonSettings } from "./settings.js";
+
+/** What both daemons of an entry VM are built on. */
+export interface EntryNode {
+    processId: string;
+    timer: TimerService;
+    log: Log;
+    metrics: Metrics;
+    platform: PlatformClient;
+    follower: ConfigurationFollower;
+    peers: Peers;
+    /** Endpoint VMs as last listed. */
+    endpoints(): Vm[];
+    /** Reads the platform's list and passes it on. */
+    refreshVms(): Promise<void>;
+    /** Marks the process as stopping and tells the peers. */
+    announceStop(): Promise<void>;
+    isStopping(): boolean;
+    describeSelf(): Heartbeat;
+    /** Handlers that both daemons serve alike. */
+    handlers: Pick<PeerHandlers, "heartbeat" | "fetchSnapshot" | "offerSnapshot" | "relay">;
+    close(): Promise<void>;
+}
+
+/** Creates the parts that both daemons share. */
+export const createEntryNode = (role: Role, settings: DaemonSettings): EntryNode => {
+    const timer = createTimerService();
+    const log = createLog(role, settings.vm, settings.logLevel);
+    const metrics = createMetrics(role, settings.vm, settings.metrics);
+    const processId = randomUUID();
+    const direct = createPlatformClient({ address: settings.platformAddress, vmName: settings.vm });
+    const platform = createRelayedPlatform(direct, () => relays());
+    const follower = createConfigurationFollower(platform, timer);
+    let vmList: VmList = { revision: 0, vms: [] };
+    let stopping = false;
+
+    const describeSelf = (): Heartbeat => ({
+        vm: settings.vm,
+        role,
+        availabilityZone: settings.availabilityZone,
+        processId,
+        configurationVersion: follower.current().version,
+        platformReachable: platform.isDirect(),
+        stopping,
+    });
+
+    const peers = createPeers({ role, timer, follower, describeSelf, seeds: settings.peerSeeds });
+    const relays = () =>
+        peers.live()
+            .filter(view => view.heartbeat?.platformReachable === true)
+            .flatMap(view => peers.clientOf(view.vm) ?? []);
+
+    const refreshVms = async (): Promise<void> => {
+        const listed = await platform.listVms();
+        if (listed.ok && listed.value.revision > vmList.revision) {
+            vmList = listed.value;
+            peers.update(vmList);
+        }
+    };
+
+    follower.subscribe(snapshot => log("info", "configuration taken over", { version: snapshot.version }));
+
+    return {
+        processId,
+        timer,
+        log,
+        metrics,
+        platform,
+        follower,
+        peers,
+        endpoints: () => vmList.vms.filter(vm => vm.kind === VmKind.Endpoint),
+        refreshVms,
+        announceStop: async () => {
+            stopping = true;
+            await peers.announce();
+        },
+        isStopping: () => stopping,
+        describeSelf,
+        handlers: {
+            heartbeat: async heartbeat => {
+                peers.heard(heartbeat);
+                return describeSelf();
+            },
+            fetchSnapshot: async () => ({ snapshot: follower.current() }),
+            offerSnapshot: async snapshot => {
+                follower.offer(snapshot);
+                return {};
+            },
+            relay: request => performRelay(direct, request),
+        },
+        close: async () => {
+            peers.close();
+            metrics.close();
+            await platform.close();
+        },
+    };
+};
--- /dev/null
+++ b/src/node/logs.ts
@@ -0,0 +1,22 @@
+import { ROARR, Roarr } from "roarr";
+
+/** Levels in ascending order of severity. */
+const levels = ["debug", "info", "warn", "error"] as const;
+
+/** Severity of a log line. */
+export type LogLevel = typeof levels[number];
+
+/** Writes one structured log line. */
+export type Log = (level: LogLevel, message: string, fields?: Record<string, unknown>) => void;
+
+/** Creates a log that writes JSON lines to standard error, at or above a level. */
+export const createLog = (daemon: string, vm: string, lowest: string): Log => {
+    ROARR.write = line => process.stderr.write(`${line}\n`);
+    const logger = Roarr.child({ daemon, vm });
+    const threshold = levels.indexOf(lowest as LogLevel);
+    return (level, message, fields = {}) => {
+        if (levels.indexOf(level) >= threshold) {
+            logger[level](JSON.parse(JSON.stringify(fields)), message);
+        }
+    };
+};
--- /dev/null
+++ b/src/node/metrics.ts
@@ -0,0 +1,32 @@
+import { StatsD } from "hot-shots";
+
+/** Sends counts and times to a StatsD server; without one, does nothing. */
+export interface Metrics {
+    increment(name: string, tags?: Record<string, string>): void;
+    timing(name: string, durationMs: number, tags?: Record<string, string>): void;
+    gauge(name: string, value: number): void;
+    close(): void;
+}
+
+/** Creates the metrics of a daemon. */
+export const createMetrics = (
+    daemon: string,
+    vm: string,
+    target: { host: string; port: number; } | undefined,
+): Metrics => {
+    const client = new StatsD({
+        host: target?.host ?? "127.0.0.1",
+        port: target?.port ?? 8125,
+        mock: target === undefined,
+        prefix: `catkinswitch.${daemon}.`,
+        globalTags: { vm },
+        maxBufferSize: target === undefined ? 0 : 1_000,
+        errorHandler: () => {},
+    });
+    return {
+        increment: (name, tags = {}) => client.increment(name, 1, tags),
+        timing: (name, durationMs, tags = {}) => client.timing(name, durationMs, tags),
+        gauge: (name, value) => client.gauge(name, value),
+        close: () => client.close(() => {}),
+    };
+};
--- /dev/null
+++ b/src/node/settings.ts
@@ -0,0 +1,127 @@
+import { readFile } from "node:fs/promises";
+import { compileCheck, describeProblem } from "../configuration/schema.js";
+import { parseJsonWithComments } from "../utils/jsonWithComments.js";
+import { fail, succeed } from "../utils/result.js";
+import type { Result } from "../utils/result.js";
+
+/** Settings that every daemon has. */
+export interface DaemonSettings {
+    /** Name of the entry VM. */
+    vm: string;
+    availabilityZone: string;
+    /** Address for callers and operators. */
+    http: { host: string; port: number; };
+    /** Address for peers. */
+    peer: { host: string; port: number; };
+    platformAddress: string;
+    /** Peers known before the platform's list was read, by name of the VM. @default {} */
+    peerSeeds: Record<string, string>;
+    /** StatsD address for metrics. @default no metrics are sent */
+    metrics?: { host: string; port: number; };
+    /** Lowest level that is logged: debug, info, warn or error. @default "info" */
+    logLevel: string;
+}
+
+/** Settings of the scheduler daemon. */
+export interface SchedulerSettings extends DaemonSettings {
+    /** Tasks stop this long after their last renewal. @default 6000 */
+    taskLeaseMs: number;
+    /** Time between renewals. @default 1500 */
+    renewMs: number;
+    /** Holds expire after this time. @default 3000 */
+    holdMs: number;
+    /** Time that a checkpoint may take. @default 1200 */
+    checkpointGraceMs: number;
+    /** Time between planning rounds. @default 200 */
+    planMs: number;
+}
+
+/** Settings of the router daemon. */
+export interface RouterSettings extends DaemonSettings {
+    /** Connections to one endpoint at most. @default 8 */
+    connectionsPerEndpoint: number;
+    /** Calls that wait at most. @default 256 */
+    maxQueued: number;
+    /** Time that a stop waits for calls in progress. @default 20000 */
+    drainMs: number;
+}
+
+/** Why settings could not be used. */
+export interface SettingsError {
+    file: string;
+    problems: string[];
+}
+
+const port = { type: "integer", minimum: 0, maximum: 65_535 };
+const address = {
+    type: "object",
+    additionalProperties: false,
+    required: ["host", "port"],
+    properties: { host: { type: "string" }, port },
+};
+const durationMs = (defaultMs: number): object => ({
+    type: "integer",
+    minimum: 1,
+    maximum: 3_600_000,
+    default: defaultMs,
+});
+const count = (defaultCount: number): object => ({
+    type: "integer",
+    minimum: 1,
+    maximum: 1_000_000,
+    default: defaultCount,
+});
+
+const daemonProperties = {
+    vm: { type: "string", minLength: 1 },
+    availabilityZone: { type: "string", minLength: 1 },
+    http: address,
+    peer: address,
+    platformAddress: { type: "string", pattern: "^http://" },
+    peerSeeds: { type: "object", additionalProperties: { type: "string" }, default: {} },
+    metrics: address,
+    logLevel: { enum: ["debug", "info", "warn", "error"], default: "info" },
+};
+
+const settingsSchema = (properties: object): object => ({
+    type: "object",
+    additionalProperties: false,
+    required: ["vm", "availabilityZone", "http", "peer", "platformAddress"],
+    properties: { ...daemonProperties, ...properties },
+});
+
+/** Schema of the scheduler daemon's settings. */
+export const schedulerSettingsSchema = settingsSchema({
+    taskLeaseMs: durationMs(6_000),
+    renewMs: durationMs(1_500),
+    holdMs: durationMs(3_000),
+    checkpointGraceMs: durationMs(1_200),
+    planMs: durationMs(200),
+});
+
+/** Schema of the router daemon's settings. */
+export const routerSettingsSchema = settingsSchema({
+    connectionsPerEndpoint: count(8),
+    maxQueued: count(256),
+    drainMs: durationMs(20_000),
+});
+
+/** Reads and checks a settings file; unknown fields are errors. */
+export const loadSettings = async <Settings>(
+    file: string,
+    schema: object,
+): Promise<Result<Settings, SettingsError>> => {
+    const text = await readFile(file, "utf8").catch((error: unknown) => fail({ file, problems: [String(error)] }));
+    if (typeof text !== "string") {
+        return text;
+    }
+    const parsed = parseJsonWithComments(text);
+    if (!parsed.ok) {
+        return fail({ file, problems: [`line ${parsed.error.line}: ${parsed.error.detail}`] });
+    }
+    const check = await compileCheck(schema);
+    const problems = check(parsed.value.value).map(problem =>
+        `line ${parsed.value.lineOf(problem.path)}: ${describeProblem(problem)}`
+    );
+    return problems.length > 0 ? fail({ file, problems }) : succeed(parsed.value.value as Settings);
+};
--- /dev/null
+++ b/src/peers/service.ts
@@ -0,0 +1,46 @@
+import type { MethodDefinition } from "@grpc/grpc-js";
+import type { Snapshot } from "../configuration/types.js";
+import type {
+    Empty,
+    Heartbeat,
+    InboxNotice,
+    RelayReply,
+    RelayRequest,
+    SnapshotReply,
+    SnapshotRequest,
+    ZoneReport,
+} from "./types.js";
+
+/** Request and reply type of every method between peers. */
+export interface PeerMethods {
+    heartbeat: { request: Heartbeat; reply: Heartbeat; };
+    fetchSnapshot: { request: SnapshotRequest; reply: SnapshotReply; };
+    offerSnapshot: { request: Snapshot; reply: Empty; };
+    reportZone: { request: ZoneReport; reply: Empty; };
+    noticeInbox: { request: InboxNotice; reply: Empty; };
+    relay: { request: RelayRequest; reply: RelayReply; };
+}
+
+const encode = (message: unknown): Buffer => Buffer.from(JSON.stringify(message));
+
+const define = <Name extends keyof PeerMethods>(
+    name: Name,
+): MethodDefinition<PeerMethods[Name]["request"], PeerMethods[Name]["reply"]> => ({
+    path: `/catkinswitch.Peer/${name}`,
+    requestStream: false,
+    responseStream: false,
+    requestSerialize: encode,
+    requestDeserialize: bytes => JSON.parse(bytes.toString("utf8")) as PeerMethods[Name]["request"],
+    responseSerialize: encode,
+    responseDeserialize: bytes => JSON.parse(bytes.toString("utf8")) as PeerMethods[Name]["reply"],
+});
+
+/** gRPC definition of the service between peers, with JSON messages. */
+export const peerService = {
+    heartbeat: define("heartbeat"),
+    fetchSnapshot: define("fetchSnapshot"),
+    offerSnapshot: define("offerSnapshot"),
+    reportZone: define("reportZone"),
+    noticeInbox: define("noticeInbox"),
+    relay: define("relay"),
+};
--- /dev/null
+++ b/src/platform/client.ts
@@ -0,0 +1,93 @@
+import { Pool } from "undici";
+import type { Dispatcher } from "undici";
+import { fail, succeed } from "../utils/result.js";
+import type { Result } from "../utils/result.js";
+import { PlatformErrorKind } from "./types.js";
+import type { CommitReceipt, PlatformClient, PlatformError, Row, Transaction, VmList } from "./types.js";
+
+/** Options of {@link createPlatformClient}. */
+export interface PlatformClientOptions {
+    /** Base address, for example `http://127.0.0.1:7000`. */
+    address: string;
+    /** Name of the calling VM, sent with every request. */
+    vmName: string;
+    /** Time after which a request counts as unanswered. @default 1500 */
+    timeoutMs?: number;
+    /** Open connections at most. @default 4 */
+    connections?: number;
+}
+
+const defaultTimeoutMs = 1_500;
+const defaultConnections = 4;
+const httpConflict = 409;
+
+interface Answer {
+    status: number;
+    body: unknown;
+}
+
+const isConnectFailure = (error: unknown): boolean => {
+    const code = (error as { code?: string; }).code;
+    return code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT";
+};
+
+const toPlatformError = (error: unknown): PlatformError => ({
+    kind: isConnectFailure(error) ? PlatformErrorKind.Unavailable : PlatformErrorKind.NoAnswer,
+    detail: String(error),
+});
+
+const toResult = <Value>(answer: Answer): Result<Value, PlatformError> => {
+    if (answer.status === httpConflict) {
+        return fail({ kind: PlatformErrorKind.Conflict, keys: (answer.body as { keys: string[]; }).keys });
+    }
+    if (answer.status !== 200) {
+        return fail({ kind: PlatformErrorKind.Unavailable, detail: `the platform answered ${answer.status}` });
+    }
+    return succeed(answer.body as Value);
+};
+
+/** Creates the client of the platform's table and VM list over HTTP/JSON. */
+export const createPlatformClient = (options: PlatformClientOptions): PlatformClient => {
+    const timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
+    const pool = new Pool(options.address, {
+        connections: options.connections ?? defaultConnections,
+        connect: { timeout: timeoutMs },
+    });
+
+    const send = async <Value>(
+        method: Dispatcher.HttpMethod,
+        path: string,
+        body?: unknown,
+    ): Promise<Result<Value, PlatformError>> => {
+        try {
+            const response = await pool.request({
+                method,
+                path,
+                headers: { "content-type": "application/json", "x-vm": options.vmName },
+                body: body === undefined ? undefined : JSON.stringify(body),
+                signal: AbortSignal.timeout(timeoutMs),
+            });
+            return toResult<Value>({ status: response.statusCode, body: await response.body.json() });
+        }
+        catch (error) {
+            return fail(toPlatformError(error));
+        }
+    };
+
+    return {
+        read: async <Value>(key: string) => {
+            const rows = await send<{ rows: Row<Value>[]; }>("GET", `/v1/table/rows?key=${encodeURIComponent(key)}`);
+            return rows.ok ? succeed(rows.value.rows.at(0)) : rows;
+        },
+        scan: async <Value>(prefix: string) => {
+            const rows = await send<{ rows: Row<Value>[]; }>(
+                "GET",
+                `/v1/table/rows?prefix=${encodeURIComponent(prefix)}`,
+            );
+            return rows.ok ? succeed(rows.value.rows) : rows;
+        },
+        commit: (transaction: Transaction) => send<CommitReceipt>("POST", "/v1/table/transactions", transaction),
+        listVms: () => send<VmList>("GET", "/v1/vms"),
+        close: () => pool.destroy(),
+    };
+};
--- /dev/null
+++ b/src/scheduling/ledger.ts
@@ -0,0 +1,193 @@
+import type { Shape } from "../configuration/types.js";
+import type { Fleet } from "./fleet.js";
+import { addScaled, atMost, noResources, resourcesPerTask } from "./resources.js";
+import { AllocationClass } from "./types.js";
+import type { JobSpec, Member, Resources, Worker } from "./types.js";
+
+/** Resources that a placed job uses. */
+export interface Allocation {
+    job: JobSpec;
+    attempt: number;
+    members: Member[];
+    class: AllocationClass;
+    guaranteeUnit?: string;
+    startedAtMs: number;
+    /** Time of the last checkpoint, or of the start. */
+    checkpointedAtMs: number;
+    /** Set once it has been asked to make room. */
+    leaving: boolean;
+}
+
+/** A location kept for one guaranteed gang; lent to borrowers while it is idle. */
+export interface Home {
+    /** `customer/name#index`. */
+    unit: string;
+    customer: string;
+    shape: Shape;
+    /** Empty while no location could be found. */
+    members: Member[];
+    holdsWithZoneOut: boolean;
+}
+
+/** Accelerators promised to a waiting job while victims make room. */
+export interface Claim {
+    jobId: string;
+    shape: Shape;
+    members: Member[];
+    class: AllocationClass;
+    guaranteeUnit?: string;
+    /** Estimated time at which its members are free. */
+    readyAtMs: number;
+    /** Whether jobs that end in time or can be moved may use it until then. */
+    backfill: boolean;
+}
+
+/** Book of who uses what; pure bookkeeping without decisions. */
+export interface Ledger {
+    fleet: Fleet;
+    allocations: Map<string, Allocation>;
+    homes: Map<string, Home>;
+    claims: Map<string, Claim>;
+    allocate(allocation: Allocation): void;
+    deallocate(jobId: string): void;
+    setHome(home: Home): void;
+    setClaim(claim: Claim): void;
+    dropClaim(jobId: string): void;
+    /** What no job uses. */
+    free(worker: Worker): Resources;
+    /** What no job uses and no claim other than the job's own reserves. */
+    unclaimed(worker: Worker, jobId: string): Resources;
+    /** What lies outside all homes other than the given unit's. */
+    outsideHomes(worker: Worker, exceptUnit?: string): Resources;
+    /** What remains of the free resources if idle homes are left alone. */
+    spare(worker: Worker): Resources;
+    /** Borrowed allocations with tasks on a worker. */
+    borrowersOn(workerName: string): Allocation[];
+    /** Accelerators in use by a customer. */
+    acceleratorsUsedBy(customer: string): number;
+}
+
+type Book = Map<string, Resources>;
+
+const post = (book: Book, members: readonly Member[], perTask: Resources, sign: 1 | -1): void => {
+    for (const member of members) {
+        book.set(
+            member.worker,
+            addScaled(book.get(member.worker) ?? noResources(), perTask, sign * member.taskCount),
+        );
+    }
+};
+
+const subtract = (left: Resources, right: Resources | undefined): Resources =>
+    right === undefined ? left : addScaled(left, right, -1);
+
+/** Creates an empty ledger over a fleet. */
+export const createLedger = (fleet: Fleet): Ledger => {
+    const allocations = new Map<string, Allocation>();
+    const homes = new Map<string, Home>();
+    const claims = new Map<string, Claim>();
+    const used: Book = new Map();
+    const borrowed: Book = new Map();
+    const homed: Book = new Map();
+    const claimed: Book = new Map();
+    const borrowers = new Map<string, Set<Allocation>>();
+    const usedByCustomer = new Map<string, number>();
+
+    const postAllocation = (allocation: Allocation, sign: 1 | -1): void => {
+        const perTask = resourcesPerTask(allocation.job.shape);
+        const { customer, shape } = allocation.job;
+        post(used, allocation.members, perTask, sign);
+        const accelerators = sign * shape.taskCount * shape.acceleratorsPerTask;
+        usedByCustomer.set(customer, (usedByCustomer.get(customer) ?? 0) + accelerators);
+        if (allocation.class === AllocationClass.Borrowed) {
+            post(borrowed, allocation.members, perTask, sign);
+            postBorrowers(allocation, sign);
+        }
+    };
+
+    const postBorrowers = (allocation: Allocation, sign: 1 | -1): void => {
+        for (const member of allocation.members) {
+            const present = borrowers.get(member.worker) ?? new Set();
+            borrowers.set(member.worker, present);
+            if (sign === 1) {
+                present.add(allocation);
+            }
+            else {
+                present.delete(allocation);
+            }
+        }
+    };
+
+    const deallocate = (jobId: string): void => {
+        const allocation = allocations.get(jobId);
+        if (allocation !== undefined) {
+            allocations.delete(jobId);
+            postAllocation(allocation, -1);
+        }
+    };
+
+    const dropClaim = (jobId: string): void => {
+        const claim = claims.get(jobId);
+        if (claim !== undefined) {
+            claims.delete(jobId);
+            post(claimed, claim.members, resourcesPerTask(claim.shape), -1);
+        }
+    };
+
+    const free = (worker: Worker): Resources => subtract(worker.capacity, used.get(worker.name));
+
+    const homePart = (unit: string | undefined, worker: Worker): Resources => {
+        const home = unit === undefined ? undefined : homes.get(unit);
+        const member = home?.members.find(candidate => candidate.worker === worker.name);
+        return home === undefined || member === undefined
+            ? noResources()
+            : addScaled(noResources(), resourcesPerTask(home.shape), member.taskCount);
+    };
+
+    const claimPart = (jobId: string, worker: Worker): Resources => {
+        const claim = claims.get(jobId);
+        const member = claim?.members.find(candidate => candidate.worker === worker.name);
+        return claim === undefined || member === undefined
+            ? noResources()
+            : addScaled(noResources(), resourcesPerTask(claim.shape), member.taskCount);
+    };
+
+    const outsideHomes = (worker: Worker, exceptUnit?: string): Resources =>
+        addScaled(subtract(worker.capacity, homed.get(worker.name)), homePart(exceptUnit, worker), 1);
+
+    return {
+        fleet,
+        allocations,
+        homes,
+        claims,
+        allocate: allocation => {
+            deallocate(allocation.job.id);
+            allocations.set(allocation.job.id, allocation);
+            postAllocation(allocation, 1);
+        },
+        deallocate,
+        setHome: home => {
+            const previous = homes.get(home.unit);
+            if (previous !== undefined) {
+                post(homed, previous.members, resourcesPerTask(previous.shape), -1);
+            }
+            homes.set(home.unit, home);
+            post(homed, home.members, resourcesPerTask(home.shape), 1);
+        },
+        setClaim: claim => {
+            dropClaim(claim.jobId);
+            claims.set(claim.jobId, claim);
+            post(claimed, claim.members, resourcesPerTask(claim.shape), 1);
+        },
+        dropClaim,
+        free,
+        unclaimed: (worker, jobId) => {
+            const others = subtract(claimed.get(worker.name) ?? noResources(), claimPart(jobId, worker));
+            return addScaled(free(worker), others, -1);
+        },
+        outsideHomes,
+        spare: worker => atMost(free(worker), subtract(outsideHomes(worker), borrowed.get(worker.name))),
+        borrowersOn: workerName => [...borrowers.get(workerName) ?? []],
+        acceleratorsUsedBy: customer => usedByCustomer.get(customer) ?? 0,
+    };
+};
--- /dev/null
+++ b/src/scheduling/plan.ts
@@ -0,0 +1,273 @@
+import { Urgency } from "../configuration/types.js";
+import { findBorrowedPlacement } from "./borrowed.js";
+import { findPlacement, fitsEmptyFleet } from "./fit.js";
+import type { Candidate } from "./fit.js";
+import { findGuaranteedOption } from "./guaranteed.js";
+import type { Allocation, Claim, Ledger } from "./ledger.js";
+import { orderQueue, rankOf } from "./order.js";
+import type { QueuedJob } from "./order.js";
+import { findMove, findReservation } from "./reservation.js";
+import { acceleratorsOf, addScaled, resourcesPerTask, tasksThatFit } from "./resources.js";
+import type { RunTimeModel } from "./runTimes.js";
+import { AllocationClass } from "./types.js";
+import type { JobSpec, Member, Resources, Worker } from "./types.js";
+import { chooseVictims, totalLostWork } from "./victims.js";
+
+/** Kinds of decisions of one planning round. */
+export enum DecisionKind {
+    Place = "place",
+    /** Borrowers have to make room for a job. */
+    Reclaim = "reclaim",
+    /** The job can never run. */
+    Reject = "reject",
+}
+
+/** One decision; the ledger already reflects it. */
+export type Decision =
+    | { kind: DecisionKind.Place; job: QueuedJob; members: Member[]; class: AllocationClass; guaranteeUnit?: string; }
+    | { kind: DecisionKind.Reclaim; job: QueuedJob; victims: Allocation[]; }
+    | { kind: DecisionKind.Reject; job: QueuedJob; reason: string; };
+
+/** What a planning round works on. */
+export interface PlanInput {
+    ledger: Ledger;
+    queue: readonly QueuedJob[];
+    runTimes: RunTimeModel;
+    nowMs: number;
+    /** Accelerators that a customer may use at most. @default no limit */
+    maxAcceleratorsOf?: (customer: string) => number;
+}
+
+/** Decides what to place, whom to ask for room and what can never run. */
+export type PlanRound = (input: PlanInput) => Decision[];
+
+/** Blocked jobs for which room is kept at the same time. */
+const maxReservations = 3;
+/** Jobs looked at in one round after the first that had to wait. */
+const maxBlockedPerRound = 200;
+
+const place = (
+    input: PlanInput,
+    job: QueuedJob,
+    members: Member[],
+    allocationClass: AllocationClass,
+    guaranteeUnit?: string,
+): Decision => {
+    const { ledger, nowMs } = input;
+    ledger.dropClaim(job.spec.id);
+    ledger.allocate({
+        job: job.spec,
+        attempt: job.attempts + 1,
+        members,
+        class: allocationClass,
+        guaranteeUnit,
+        startedAtMs: nowMs,
+        checkpointedAtMs: nowMs,
+        leaving: false,
+    });
+    return { kind: DecisionKind.Place, job, members, class: allocationClass, guaranteeUnit };
+};
+
+const reclaim = (input: PlanInput, job: QueuedJob, victims: Allocation[], claim: Claim): Decision[] => {
+    input.ledger.setClaim(claim);
+    const asked = victims.filter(victim => !victim.leaving);
+    asked.forEach(victim => {
+        victim.leaving = true;
+    });
+    return asked.length === 0 ? [] : [{ kind: DecisionKind.Reclaim, job, victims: asked }];
+};
+
+const hasRoom = (ledger: Ledger, claim: Claim): boolean => {
+    const perTask = resourcesPerTask(claim.shape);
+    return claim.members.every(member => {
+        const worker = ledger.fleet.workers.get(member.worker);
+        return worker !== undefined && tasksThatFit(perTask, ledger.free(worker)) >= member.taskCount;
+    });
+};
+
+const isUsable = (ledger: Ledger, claim: Claim): boolean =>
+    claim.members.every(member => ledger.fleet.workers.get(member.worker)?.usable === true);
+
+const planGuaranteed = (input: PlanInput, job: QueuedJob): Decision[] | undefined => {
+    const { ledger, nowMs } = input;
+    const option = findGuaranteedOption(ledger, job.spec, nowMs);
+    if (option === undefined) {
+        return undefined;
+    }
+    if (option.victims.length > 0 && mayBorrowInstead(job.spec)) {
+        const members = findBorrowedPlacement(ledger, job.spec, nowMs + input.runTimes.estimateMs(job.spec));
+        if (members !== undefined) {
+            return [place(input, job, members, AllocationClass.Borrowed)];
+        }
+    }
+    const home = ledger.homes.get(option.unit);
+    if (home !== undefined && option.home !== undefined) {
+        ledger.setHome({ ...home, members: option.home });
+    }
+    if (option.victims.length === 0) {
+        return [place(input, job, option.members, AllocationClass.Guaranteed, option.unit)];
+    }
+    const claim = {
+        jobId: job.spec.id,
+        shape: job.spec.shape,
+        members: option.members,
+        class: AllocationClass.Guaranteed,
+        guaranteeUnit: option.unit,
+        readyAtMs: nowMs,
+        backfill: false,
+    };
+    return reclaim(input, job, option.victims, claim);
+};
+
+const mayBorrowInstead = (job: JobSpec): boolean => job.checkpointable && job.urgency !== Urgency.Urgent;
+
+const planBorrowed = (input: PlanInput, job: QueuedJob): Decision[] | undefined => {
+    const endsAtMs = input.nowMs + input.runTimes.estimateMs(job.spec);
+    const members = findBorrowedPlacement(input.ledger, job.spec, endsAtMs);
+    return members === undefined ? undefined : [place(input, job, members, AllocationClass.Borrowed)];
+};
+
+const claimFor = (job: JobSpec, members: Member[], readyAtMs: number, backfill: boolean): Claim => ({
+    jobId: job.id,
+    shape: job.shape,
+    members,
+    class: AllocationClass.Borrowed,
+    readyAtMs,
+    backfill,
+});
+
+const availableFrom =
+    (ledger: Ledger, job: JobSpec, isAllowed: (allocation: Allocation) => boolean) => (worker: Worker): Resources => {
+        let available = ledger.unclaimed(worker, job.id);
+        for (const allocation of ledger.borrowersOn(worker.name).filter(isAllowed)) {
+            const taskCount = allocation.members.find(member => member.worker === worker.name)?.taskCount ?? 0;
+            available = addScaled(available, resourcesPerTask(allocation.job.shape), taskCount);
+        }
+        return available;
+    };
+
+/** Urgent work takes over from borrowers that are less urgent and lose little. */
+const planUrgent = (input: PlanInput, job: QueuedJob): Decision[] | undefined => {
+    const { ledger, nowMs, runTimes } = input;
+    const rank = rankOf(job.spec, runTimes, nowMs);
+    const isAllowed = (allocation: Allocation): boolean =>
+        allocation.class === AllocationClass.Borrowed
+        && allocation.job.checkpointable
+        && allocation.job.urgency !== Urgency.Urgent
+        && rankOf(allocation.job, runTimes, nowMs) > rank;
+    const found = new Map<Candidate, Allocation[]>();
+    const costOf = (candidate: Candidate): number | undefined => {
+        const victims = chooseVictims(ledger, job.spec.shape, candidate.members, job.spec.id, nowMs, isAllowed);
+        if (victims === undefined) {
+            return undefined;
+        }
+        found.set(candidate, victims);
+        return totalLostWork(victims, nowMs);
+    };
+    const best = findPlacement(job.spec.shape, ledger.fleet, availableFrom(ledger, job.spec, isAllowed), costOf);
+    const victims = best === undefined ? undefined : found.get(best);
+    if (best === undefined || victims === undefined) {
+        return undefined;
+    }
+    return reclaim(input, job, victims, claimFor(job.spec, best.members, nowMs, false));
+};
+
+/** Keeps room for a blocked job and moves small borrowers out of its way where that pays. */
+const planReservation = (input: PlanInput, job: QueuedJob): Decision[] => {
+    const { ledger, nowMs, runTimes } = input;
+    const reservation = findReservation(ledger, job.spec, runTimes, nowMs);
+    const waitMs = reservation === undefined ? runTimes.estimateMs(job.spec) : reservation.readyAtMs - nowMs;
+    const move = findMove(ledger, job.spec, runTimes, waitMs, nowMs);
+    if (move !== undefined) {
+        return reclaim(input, job, move.victims, claimFor(job.spec, move.members, nowMs, false));
+    }
+    if (reservation !== undefined) {
+        ledger.setClaim(claimFor(job.spec, reservation.members, reservation.readyAtMs, true));
+    }
+    return [];
+};
+
+/** Evicts backfilled borrowers once nothing else stands in the way of a reservation. */
+const planClaimed = (input: PlanInput, job: QueuedJob, claim: Claim): Decision[] | undefined => {
+    const { ledger, nowMs } = input;
+    if (hasRoom(ledger, claim)) {
+        return [place(input, job, claim.members, claim.class, claim.guaranteeUnit)];
+    }
+    if (!claim.backfill) {
+        return [];
+    }
+    const isAllowed = (allocation: Allocation): boolean =>
+        allocation.class === AllocationClass.Borrowed
+        && allocation.job.checkpointable
+        && allocation.startedAtMs >= job.spec.submittedAtMs;
+    const victims = chooseVictims(ledger, claim.shape, claim.members, claim.jobId, nowMs, isAllowed);
+    return victims === undefined ? undefined : reclaim(input, job, victims, { ...claim, backfill: false });
+};
+
+const exceedsLimit = (input: PlanInput, job: JobSpec): boolean => {
+    const limit = input.maxAcceleratorsOf?.(job.customer) ?? Number.POSITIVE_INFINITY;
+    return input.ledger.acceleratorsUsedBy(job.customer) + acceleratorsOf(job.shape) > limit;
+};
+
+const planWaiting = (input: PlanInput, job: QueuedJob): Decision[] | undefined => {
+    const claim = input.ledger.claims.get(job.spec.id);
+    if (claim !== undefined && isUsable(input.ledger, claim)) {
+        const decided = planClaimed(input, job, claim);
+        if (decided !== undefined) {
+            return decided;
+        }
+    }
+    if (claim !== undefined) {
+        input.ledger.dropClaim(job.spec.id);
+    }
+    const urgent = rankOf(job.spec, input.runTimes, input.nowMs) === 0;
+    return planGuaranteed(input, job)
+        ?? planBorrowed(input, job)
+        ?? (urgent ? planUrgent(input, job) : undefined);
+};
+
+const dropStaleClaims = (input: PlanInput): void => {
+    const waiting = new Set(input.queue.map(job => job.spec.id));
+    for (const jobId of [...input.ledger.claims.keys()]) {
+        if (!waiting.has(jobId)) {
+            input.ledger.dropClaim(jobId);
+        }
+    }
+};
+
+const rejectionOf = (input: PlanInput, job: JobSpec): string | undefined => {
+    if (!fitsEmptyFleet(job.shape, input.ledger.fleet)) {
+        return "the shape is larger than any place with its adjacency";
+    }
+    const limit = input.maxAcceleratorsOf?.(job.customer) ?? Number.POSITIVE_INFINITY;
+    return acceleratorsOf(job.shape) > limit ? "the shape is larger than the customer's limit" : undefined;
+};
+
+/** Plans one round over the whole queue. */
+export const planRound: PlanRound = input => {
+    dropStaleClaims(input);
+    const decisions: Decision[] = [];
+    let reservations = 0;
+    let blocked = 0;
+    for (const job of orderQueue(input.queue, input.runTimes, input.nowMs)) {
+        const reason = rejectionOf(input, job.spec);
+        if (reason !== undefined) {
+            decisions.push({ kind: DecisionKind.Reject, job, reason });
+            continue;
+        }
+        if (job.notBeforeMs > input.nowMs || exceedsLimit(input, job.spec) || blocked >= maxBlockedPerRound) {
+            continue;
+        }
+        const decided = planWaiting(input, job);
+        if (decided !== undefined) {
+            decisions.push(...decided);
+            continue;
+        }
+        blocked += 1;
+        if (reservations < maxReservations) {
+            reservations += 1;
+            decisions.push(...planReservation(input, job));
+        }
+    }
+    return decisions;
+};
--- /dev/null
+++ b/src/scheduling/reservation.ts
@@ -0,0 +1,146 @@
+import { freeAccelerators, isMuchSmaller } from "./borrowed.js";
+import { findPlacement, fitIntoDomain } from "./fit.js";
+import type { Candidate } from "./fit.js";
+import type { Domain } from "./fleet.js";
+import type { Allocation, Ledger } from "./ledger.js";
+import { rankOf } from "./order.js";
+import { acceleratorsOf, addScaled, noResources, resourcesPerTask } from "./resources.js";
+import type { RunTimeModel } from "./runTimes.js";
+import { AllocationClass } from "./types.js";
+import type { JobSpec, Member, Resources, Worker } from "./types.js";
+import { chooseVictims, totalLostWork } from "./victims.js";
+
+/** Where and when a blocked job can start if nothing new is placed there. */
+export interface Reservation {
+    members: Member[];
+    readyAtMs: number;
+}
+
+/** Time that a job must have run before it can be moved for a larger one. */
+const minRunBeforeMoveMs = 60_000;
+/** A move must gain this many times the accelerator time that it loses. */
+const moveGainFactor = 2;
+
+const endOf = (allocation: Allocation, runTimes: RunTimeModel, nowMs: number): number =>
+    Math.max(nowMs, allocation.startedAtMs + runTimes.estimateMs(allocation.job));
+
+const freeWith = (ledger: Ledger, job: JobSpec, gone: readonly Allocation[]): (worker: Worker) => Resources => {
+    const freed = new Map<string, Resources>();
+    for (const allocation of gone) {
+        for (const member of allocation.members) {
+            const known = freed.get(member.worker) ?? noResources();
+            freed.set(member.worker, addScaled(known, resourcesPerTask(allocation.job.shape), member.taskCount));
+        }
+    }
+    return worker => addScaled(ledger.unclaimed(worker, job.id), freed.get(worker.name) ?? noResources(), 1);
+};
+
+const reserveIn = (
+    ledger: Ledger,
+    job: JobSpec,
+    domain: Domain,
+    ends: readonly { allocation: Allocation; endsAtMs: number; }[],
+    nowMs: number,
+): Reservation | undefined => {
+    const names = new Set(domain.workers.map(worker => worker.name));
+    const local = ends.filter(entry => entry.allocation.members.some(member => names.has(member.worker)));
+    // binary search, since every further end only adds room
+    let low = 0;
+    let high = local.length;
+    let found: { candidate: Candidate; endings: number; } | undefined;
+    while (low <= high) {
+        const endings = Math.floor((low + high) / 2);
+        const gone = local.slice(0, endings).map(entry => entry.allocation);
+        const candidate = fitIntoDomain(job.shape, domain, freeWith(ledger, job, gone));
+        if (candidate === undefined) {
+            low = endings + 1;
+        }
+        else {
+            found = { candidate, endings };
+            high = endings - 1;
+        }
+    }
+    if (found === undefined) {
+        return undefined;
+    }
+    const readyAtMs = found.endings === 0 ? nowMs : local[found.endings - 1].endsAtMs;
+    return { members: found.candidate.members, readyAtMs };
+};
+
+/** Finds the domain that will have room for a blocked job first, by estimated run times. */
+export const findReservation = (
+    ledger: Ledger,
+    job: JobSpec,
+    runTimes: RunTimeModel,
+    nowMs: number,
+): Reservation | undefined => {
+    const ends = [...ledger.allocations.values()].map(allocation => ({
+        allocation,
+        endsAtMs: endOf(allocation, runTimes, nowMs),
+    }));
+    ends.sort((left, right) => left.endsAtMs - right.endsAtMs);
+    let best: Reservation | undefined;
+    for (const domain of ledger.fleet.domains(job.shape.adjacency)) {
+        const reservation = reserveIn(ledger, job, domain, ends, nowMs);
+        if (reservation !== undefined && (best === undefined || reservation.readyAtMs < best.readyAtMs)) {
+            best = reservation;
+        }
+    }
+    return best;
+};
+
+/** Borrowers to move so that a blocked job can start now, and where it starts. */
+export interface MovePlan {
+    members: Member[];
+    victims: Allocation[];
+}
+
+const isMovable = (job: JobSpec, allocation: Allocation, runTimes: RunTimeModel, nowMs: number): boolean =>
+    allocation.class === AllocationClass.Borrowed
+    && allocation.job.checkpointable
+    && rankOf(allocation.job, runTimes, nowMs) >= rankOf(job, runTimes, nowMs)
+    && isMuchSmaller(allocation.job, job)
+    && nowMs - allocation.startedAtMs >= minRunBeforeMoveMs;
+
+/** What borrowers leave behind once they have moved away. */
+const availableIfMoved = (
+    ledger: Ledger,
+    job: JobSpec,
+    isAllowed: (allocation: Allocation) => boolean,
+): (worker: Worker) => Resources =>
+worker => {
+    const movable = ledger.borrowersOn(worker.name).filter(isAllowed);
+    return freeWith(ledger, job, movable)(worker);
+};
+
+/**
+ * Finds checkpointable borrowers whose move joins free accelerators for a blocked job.
+ *
+ * They move only if there is room for them elsewhere and the wait saved is worth more than the work lost.
+ */
+export const findMove = (
+    ledger: Ledger,
+    job: JobSpec,
+    runTimes: RunTimeModel,
+    waitMs: number,
+    nowMs: number,
+): MovePlan | undefined => {
+    const spareAccelerators = freeAccelerators(ledger) - acceleratorsOf(job.shape);
+    if (spareAccelerators < 0) {
+        return undefined;
+    }
+    const isAllowed = (allocation: Allocation): boolean => isMovable(job, allocation, runTimes, nowMs);
+    const plans = new Map<Candidate, MovePlan>();
+    const gain = waitMs * acceleratorsOf(job.shape);
+    const costOf = (candidate: Candidate): number | undefined => {
+        const victims = chooseVictims(ledger, job.shape, candidate.members, job.id, nowMs, isAllowed);
+        if (victims === undefined) {
+            return undefined;
+        }
+        plans.set(candidate, { members: candidate.members, victims });
+        const lost = totalLostWork(victims, nowMs);
+        return lost * moveGainFactor <= gain ? lost : undefined;
+    };
+    const found = findPlacement(job.shape, ledger.fleet, availableIfMoved(ledger, job, isAllowed), costOf);
+    return found === undefined ? undefined : plans.get(found);
+};
--- /dev/null
+++ b/standins/platform.ts
@@ -0,0 +1,128 @@
+/** Stand-in of the platform: a transactional table and a lagging VM list, with switches for faults. Not the product. */
+import { parseArgs } from "node:util";
+import type { CommitReceipt, Row, Transaction, Vm, VmList } from "../src/platform/types.js";
+import { createJsonServer, listen } from "../src/utils/http.js";
+import type { JsonAnswer, JsonRequest } from "../src/utils/http.js";
+
+/** Faults that can be switched on while the stand-in runs. */
+export interface PlatformSwitches {
+    /** Refuses everything. */
+    down: boolean;
+    /** Delays every answer. */
+    slowMs: number;
+    /** Number of coming commits that take effect without an answer. */
+    loseAnswers: number;
+    /** VMs whose requests are dropped. */
+    cutVms: string[];
+    /** Delay after which changes of the VM list become visible. */
+    listLagMs: number;
+}
+
+const switches: PlatformSwitches = { down: false, slowMs: 0, loseAnswers: 0, cutVms: [], listLagMs: 500 };
+const rows = new Map<string, Row>();
+const counts = { reads: 0, writes: 0, conflicts: 0, answersLost: 0 };
+let lastVersion = 0;
+let vmList: VmList = { revision: 0, vms: [] };
+let visibleVmList: VmList = vmList;
+
+const versionOf = (key: string): number => rows.get(key)?.version ?? 0;
+
+const commit = (transaction: Transaction): JsonAnswer => {
+    const failed = transaction.conditions.filter(condition => versionOf(condition.key) !== condition.version);
+    if (failed.length > 0) {
+        counts.conflicts += 1;
+        return { status: 409, body: { keys: failed.map(condition => condition.key) } };
+    }
+    const receipt: CommitReceipt = { versions: {} };
+    for (const write of transaction.writes) {
+        lastVersion += 1;
+        counts.writes += 1;
+        if (write.value === undefined || write.value === null) {
+            rows.delete(write.key);
+        }
+        else {
+            rows.set(write.key, { key: write.key, version: lastVersion, value: write.value });
+        }
+        receipt.versions[write.key] = lastVersion;
+    }
+    return { status: 200, body: receipt };
+};
+
+const readRows = (query: URLSearchParams): JsonAnswer => {
+    counts.reads += 1;
+    const key = query.get("key");
+    if (key !== null) {
+        const row = rows.get(key);
+        return { status: 200, body: { rows: row === undefined ? [] : [row] } };
+    }
+    const prefix = query.get("prefix") ?? "";
+    const found = [...rows.values()].filter(row => row.key.startsWith(prefix));
+    found.sort((left, right) => left.key < right.key ? -1 : 1);
+    return { status: 200, body: { rows: found } };
+};
+
+const changeVms = (vms: Vm[]): JsonAnswer => {
+    vmList = { revision: vmList.revision + 1, vms };
+    const changed = vmList;
+    setTimeout(() => {
+        visibleVmList = changed;
+    }, switches.listLagMs);
+    return { status: 200, body: vmList };
+};
+
+const neverAnswer = (): Promise<JsonAnswer> => new Promise(() => {});
+
+const sleep = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
+
+const answerAdmin = (request: JsonRequest): JsonAnswer => {
+    switch (request.path) {
+        case "/admin/switches":
+            Object.assign(switches, request.body);
+            return { status: 200, body: switches };
+        case "/admin/vms":
+            return changeVms((request.body as { vms: Vm[]; }).vms);
+        default:
+            return { status: 200, body: { counts, vmList, rowCount: rows.size } };
+    }
+};
+
+const answer = async (request: JsonRequest): Promise<JsonAnswer> => {
+    if (request.path.startsWith("/admin/")) {
+        return answerAdmin(request);
+    }
+    if (switches.cutVms.includes(String(request.headers["x-vm"]))) {
+        return neverAnswer();
+    }
+    if (switches.down) {
+        return { status: 503, body: { detail: "switched off" } };
+    }
+    if (switches.slowMs > 0) {
+        await sleep(switches.slowMs);
+    }
+    if (request.path === "/v1/vms") {
+        return { status: 200, body: visibleVmList };
+    }
+    if (request.path === "/v1/table/rows") {
+        return readRows(request.query);
+    }
+    if (request.path !== "/v1/table/transactions") {
+        return { status: 404, body: { detail: "no such path" } };
+    }
+    const committed = commit(request.body as Transaction);
+    if (committed.status === 200 && switches.loseAnswers > 0) {
+        switches.loseAnswers -= 1;
+        counts.answersLost += 1;
+        return neverAnswer();
+    }
+    return committed;
+};
+
+const main = async (): Promise<void> => {
+    const { values } = parseArgs({ options: { port: { type: "string", default: "0" } } });
+    const server = createJsonServer(answer, { maxBodyBytes: 8_000_000 });
+    const port = await listen(server, "127.0.0.1", Number(values.port));
+    process.stdout.write(`${JSON.stringify({ listening: port })}\n`);
+    process.on("SIGTERM", () => process.exit(0));
+};
+
+void main();
--- /dev/null
+++ b/standins/worker/main.ts
@@ -0,0 +1,188 @@
+/** Stand-in of the platform's workers: one process serves many workers, each on a port of its own. Not the product. */
+import { createServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { parseArgs } from "node:util";
+import { createRandom } from "../../src/utils/random.js";
+import type { HoldRequest, RenewRequest, StartRequest, WorkerReport } from "../../src/workers/types.js";
+import { AnswerFault, createCallTable } from "./calls.js";
+import type { CallRequest, CallTable } from "./calls.js";
+import { createTaskTable } from "./tasks.js";
+import type { TaskTable } from "./tasks.js";
+import { createSwitches } from "./types.js";
+import type { RecordEvent, WorkerEvent, WorkerSwitches } from "./types.js";
+
+interface StandinWorker {
+    report: Omit<WorkerReport, "tasks" | "leaving">;
+    tasks: TaskTable;
+    calls: CallTable;
+    switches: WorkerSwitches;
+}
+
+const stepPeriodMs = 20;
+const maxEvents = 2_000_000;
+const events: WorkerEvent[] = [];
+
+const createWorker = (index: number, zone: string, firstNumber: number): StandinWorker => {
+    const name = `worker-${zone}-${index}`;
+    const rack = `rack-${zone}-${Math.floor(index / 8)}`;
+    const capacity = { accelerators: 8, cores: 64, memoryGb: 250 };
+    const switches = createSwitches();
+    const record: RecordEvent = event => {
+        if (events.length < maxEvents) {
+            const leaving = switches.leaving ? { leaving: true } : {};
+            events.push({ atMs: Date.now(), worker: name, availabilityZone: zone, ...leaving, ...event });
+        }
+    };
+    return {
+        report: { name, availabilityZone: zone, rack, capacity },
+        tasks: createTaskTable(capacity, switches, record),
+        calls: createCallTable(switches, record, createRandom(firstNumber + index)),
+        switches,
+    };
+};
+
+const readJson = async (message: IncomingMessage): Promise<unknown> => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of message) {
+        chunks.push(chunk as Buffer);
+    }
+    return chunks.length === 0 ? undefined : JSON.parse(Buffer.concat(chunks).toString("utf8"));
+};
+
+const send = (response: ServerResponse, status: number, body: unknown, headers: Record<string, string> = {}): void => {
+    const text = JSON.stringify(body);
+    response.writeHead(status, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(text),
+        ...headers,
+    });
+    response.end(text);
+};
+
+const sendRefusal = (response: ServerResponse, refusal: string | undefined): void =>
+    refusal === undefined ? send(response, 200, {}) : send(response, 409, { detail: refusal });
+
+const answerCall = async (worker: StandinWorker, request: CallRequest, response: ServerResponse): Promise<void> => {
+    const answer = await worker.calls.run(request);
+    if (worker.switches.lateMs > 0) {
+        await new Promise(resolve => setTimeout(resolve, worker.switches.lateMs));
+    }
+    const headers = {
+        "request-id": request.requestId,
+        "slots-busy": String(worker.calls.busySlots()),
+        ...(worker.switches.leaving ? { leaving: "true" } : {}),
+    };
+    const fault = worker.calls.nextFault();
+    if (fault === AnswerFault.Lost) {
+        return;
+    }
+    if (fault === AnswerFault.Crossed) {
+        send(response, 200, { requestId: "another", result: { echo: "another caller's" } }, {
+            ...headers,
+            "request-id": "another",
+        });
+        return;
+    }
+    if (fault === AnswerFault.CutShort) {
+        const text = JSON.stringify(answer.body);
+        const cut = text.slice(0, Math.floor(text.length / 2));
+        response.writeHead(answer.status, { ...headers, "content-length": Buffer.byteLength(cut) });
+        response.end(cut);
+        return;
+    }
+    send(response, answer.status, answer.body, headers);
+};
+
+const answerTasks = async (
+    worker: StandinWorker,
+    path: string,
+    body: unknown,
+    response: ServerResponse,
+): Promise<void> => {
+    switch (path) {
+        case "/v1/holds":
+            return sendRefusal(response, worker.tasks.hold(body as HoldRequest));
+        case "/v1/holds/release":
+            worker.tasks.release(body as HoldRequest);
+            return send(response, 200, {});
+        case "/v1/tasks/start":
+            return sendRefusal(response, worker.tasks.start(body as StartRequest));
+        case "/v1/tasks/renew": {
+            const { gangs, leaseMs } = body as { gangs: RenewRequest[]; leaseMs: number; };
+            return send(response, 200, { tasks: worker.tasks.renew(gangs, leaseMs), leaving: worker.switches.leaving });
+        }
+        case "/v1/tasks/checkpoint": {
+            const saved = worker.tasks.checkpoint((body as { gangs: RenewRequest[]; }).gangs);
+            return saved === undefined ? undefined : send(response, 200, { tasks: saved });
+        }
+        case "/v1/tasks/stop":
+            worker.tasks.stop((body as { gangs: { jobId: string; attempt: number; }[]; }).gangs);
+            return send(response, 200, {});
+        default:
+            return send(response, 404, { detail: "no such path" });
+    }
+};
+
+const answer = async (worker: StandinWorker, message: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const body = await readJson(message);
+    const path = message.url ?? "/";
+    if (path === "/admin/switches") {
+        Object.assign(worker.switches, body);
+        return send(response, 200, worker.switches);
+    }
+    if (path === "/admin/events") {
+        return send(response, 200, events);
+    }
+    if (worker.switches.paused) {
+        return undefined;
+    }
+    if (path === "/v1/worker") {
+        return send(response, 200, {
+            ...worker.report,
+            leaving: worker.switches.leaving,
+            tasks: worker.tasks.reports(),
+        });
+    }
+    if (path === "/v1/calls") {
+        return answerCall(worker, body as CallRequest, response);
+    }
+    if (path === "/v1/calls/fence") {
+        return send(response, 200, { state: worker.calls.fence((body as CallRequest).requestId) });
+    }
+    return answerTasks(worker, path, body, response);
+};
+
+const listenWorker = (worker: StandinWorker): Promise<number> =>
+    new Promise(resolve => {
+        const server = createServer((message, response) => {
+            answer(worker, message, response).catch(() => response.destroy());
+        });
+        server.keepAliveTimeout = 60_000;
+        server.listen(0, "127.0.0.1", () => resolve((server.address() as { port: number; }).port));
+    });
+
+const main = async (): Promise<void> => {
+    const { values } = parseArgs({
+        options: {
+            zone: { type: "string", default: "zone-a" },
+            count: { type: "string", default: "8" },
+            seed: { type: "string", default: "1" },
+        },
+    });
+    const workers = Array.from(
+        Array(Number(values.count)).keys(),
+        index => createWorker(index, values.zone, Number(values.seed) * 1_000),
+    );
+    const ports = await Promise.all(workers.map(listenWorker));
+    setInterval(() => workers.forEach(worker => worker.tasks.step()), stepPeriodMs);
+    process.stdout.write(
+        `${
+            JSON.stringify({
+                workers: workers.map((worker, index) => ({ name: worker.report.name, port: ports[index] })),
+            })
+        }\n`,
+    );
+    process.on("SIGTERM", () => process.exit(0));
+};
+
+void main();
