--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from "node:crypto";
-import { callsSettingOf, zonesOutOf } from "../configuration/queries/settings.js";
+import { zonesOutOf } from "../configuration/queries/settings.js";
 import { currentVersionKey } from "../configuration/types.js";
-import type { CallsStatement, CurrentVersion } from "../configuration/types.js";
+import type { CurrentVersion } from "../configuration/types.js";
 import { startPeerServer } from "../peers/server.js";
 import { Role } from "../peers/types.js";
 import { chooseOfTwo } from "../routing/choose.js";
@@ -10,12 +10,12 @@
 import { createEndpoints } from "../routing/endpoints.js";
 import { createInFlightLimits } from "../routing/limits.js";
 import { createRetryBudget } from "../routing/retryBudget.js";
-import { Outcome } from "../routing/types.js";
 import type { Call, CallAnswer } from "../routing/types.js";
 import { createWaitingLine } from "../routing/waitingLine.js";
-import { closeGracefully, createJsonServer, listen, problemAnswer } from "../utils/http.js";
-import type { JsonAnswer, JsonRequest } from "../utils/http.js";
+import { closeGracefully, createJsonServer, listen } from "../utils/http.js";
+import type { JsonAnswer } from "../utils/http.js";
 import { createEntryNode } from "./entryNode.js";
+import { createRouterHttp, notRunAnswer, toHttpAnswer } from "./routerHttp.js";
 import type { Daemon } from "./scheduler.js";
 import type { RouterSettings } from "./settings.js";
 
@@ -23,46 +23,6 @@
 const vmRefreshMs = 1_000;
 /** Time for the balancer to notice that this VM takes no new requests. */
 const balancerLeaveMs = 500;
-const maxDeadlineMs = 600_000;
-
-interface CallAddress {
-    customer: string;
-    service: string;
-}
-
-const addressPattern = /^\/v1\/customers\/([^/]+)\/services\/([^/]+)\/calls$/;
-
-const parseAddress = (path: string): CallAddress | undefined => {
-    const match = addressPattern.exec(path);
-    return match === null
-        ? undefined
-        : { customer: decodeURIComponent(match[1]), service: decodeURIComponent(match[2]) };
-};
-
-const notRun = (status: number, title: string, detail: string): JsonAnswer =>
-    problemAnswer({ title, status, detail, outcome: Outcome.NotRun }, { outcome: Outcome.NotRun });
-
-const deadlineOf = (request: JsonRequest, setting: CallsStatement): number | undefined => {
-    const given = request.headers["deadline-ms"];
-    if (given === undefined) {
-        return setting.deadlineMs;
-    }
-    const deadlineMs = Number(given);
-    return Number.isInteger(deadlineMs) && deadlineMs > 0 && deadlineMs <= maxDeadlineMs ? deadlineMs : undefined;
-};
-
-const toHttp = (answer: CallAnswer): JsonAnswer => {
-    const headers = {
-        outcome: answer.outcome,
-        ...(answer.retryAfterSeconds === undefined ? {} : { "retry-after": String(answer.retryAfterSeconds) }),
-    };
-    if (answer.outcome === Outcome.Done) {
-        return { status: 200, body: { outcome: answer.outcome, result: answer.result }, headers };
-    }
-    const { status, outcome } = answer;
-    const title = outcome === Outcome.NotRun ? "the call did not run" : "it is not known whether the call ran";
-    return problemAnswer({ title, status, detail: answer.detail ?? title, outcome }, headers);
-};
 
 /** Starts the router daemon. */
 export const startRouter = async (settings: RouterSettings): Promise<Daemon> => {
@@ -114,44 +74,20 @@
     const serve = async (call: Call, maxInFlight: number): Promise<JsonAnswer> => {
         const leave = limits.tryEnter(call.customer, call.service, maxInFlight);
         if (leave === undefined) {
-            return notRun(429, "too many calls", `the customer has ${maxInFlight} calls in progress here`);
+            return notRunAnswer(429, "too many calls", `the customer has ${maxInFlight} calls in progress here`);
         }
         const startedAtMs = timer.nowMs();
         counts.calls += 1;
         try {
             const answer = await (call.atMostOnce ? runOnce(onceRunner, call) : runCall(runner, call, randomUUID()));
             count(answer, startedAtMs);
-            return toHttp(answer);
+            return toHttpAnswer(answer);
         }
         finally {
             leave();
         }
     };
 
-    const answerCall = async (request: JsonRequest, address: CallAddress): Promise<JsonAnswer> => {
-        if (refusing) {
-            const refusal = notRun(503, "stopping", "this VM is leaving; use another");
-            return { ...refusal, headers: { ...refusal.headers, connection: "close" } };
-        }
-        const setting = callsSettingOf(follower.current(), address.customer, address.service);
-        if (setting === undefined) {
-            const { customer, service } = address;
-            return notRun(404, "unknown service", `no statement allows "${customer}" to call "${service}"`);
-        }
-        const { urgency, atMostOnce, maxInFlight } = setting.value;
-        const key = request.headers["idempotency-key"]?.toString();
-        if (atMostOnce && (key === undefined || key === "")) {
-            return notRun(400, "key missing", "calls that may run at most once need an Idempotency-Key header");
-        }
-        const deadlineMs = deadlineOf(request, setting.value);
-        if (deadlineMs === undefined) {
-            return notRun(400, "bad deadline", `Deadline-Ms must be a whole number from 1 to ${maxDeadlineMs}`);
-        }
-        const deadlineAtMs = timer.nowMs() + deadlineMs;
-        const { body, callerGone } = request;
-        return serve({ ...address, key, body, urgency, atMostOnce, deadlineAtMs, callerGone }, maxInFlight);
-    };
-
     const dump = (): unknown => ({
         self: node.describeSelf(),
         configuration: { version: follower.current().version },
@@ -173,23 +109,14 @@
         cpuMs: Math.round(process.cpuUsage().user / 1_000 + process.cpuUsage().system / 1_000),
     });
 
-    const answerReady = (): JsonAnswer =>
-        node.isStopping() ? { status: 503, body: { ready: false } } : { status: 200, body: { ready: true } };
-
-    const answer = async (request: JsonRequest): Promise<JsonAnswer> => {
-        const address = parseAddress(request.path);
-        if (address !== undefined && request.method === "POST") {
-            return answerCall(request, address);
-        }
-        switch (request.path) {
-            case "/v1/dump":
-                return { status: 200, body: dump() };
-            case "/v1/ready":
-                return answerReady();
-            default:
-                return notRun(404, "not found", request.path);
-        }
-    };
+    const answer = createRouterHttp({
+        follower,
+        timer,
+        serve,
+        isReady: () => !node.isStopping(),
+        isRefusing: () => refusing,
+        dump,
+    });
 
     const poll = async (): Promise<void> => {
         const row = await platform.read<CurrentVersion>(currentVersionKey);
--- a/src/scheduling/borrowed.ts
+++ b/src/scheduling/borrowed.ts
@@ -1,5 +1,5 @@
 import { Adjacency } from "../configuration/types.js";
-import { findPlacement } from "./fit.js";
+import { avoidingFailures, findPlacement } from "./fit.js";
 import type { Candidate } from "./fit.js";
 import type { Claim, Ledger } from "./ledger.js";
 import { acceleratorsOf, resourcesPerTask } from "./resources.js";
@@ -91,7 +91,7 @@
 
 /** Finds free resources for a job where it does the least damage. */
 export const findBorrowedPlacement = (ledger: Ledger, job: JobSpec, endsAtMs: number): Member[] | undefined => {
-    const available = withBackfill(ledger, job, endsAtMs);
+    const available = avoidingFailures(job, withBackfill(ledger, job, endsAtMs));
     const costOf = (candidate: Candidate): number => damageOf(ledger, job, candidate);
     const whole = findPlacement(job.shape, ledger.fleet, available, costOf);
     if (job.shape.adjacency !== Adjacency.AvailabilityZone) {
--- a/src/scheduling/commands/submitJob.ts
+++ b/src/scheduling/commands/submitJob.ts
@@ -92,6 +92,7 @@
         reason: "submitted",
         cancelRequested: false,
         failures: 0,
+        failedOn: [],
     });
     if (inserted.ok) {
         return inserted;
--- a/src/scheduling/fit.ts
+++ b/src/scheduling/fit.ts
@@ -1,11 +1,17 @@
 import type { Shape } from "../configuration/types.js";
 import type { Domain, Fleet } from "./fleet.js";
-import { resourcesPerTask, tasksThatFit } from "./resources.js";
-import type { Member, Resources, Worker } from "./types.js";
+import { noResources, resourcesPerTask, tasksThatFit } from "./resources.js";
+import type { JobSpec, Member, Resources, Worker } from "./types.js";
 
 /** Resources of a worker that a placement may use. */
 export type Available = (worker: Worker) => Resources;
 
+/** Leaves out the workers on which a job failed. */
+export const avoidingFailures = (job: JobSpec, available: Available): Available => {
+    const avoid = new Set(job.avoid);
+    return avoid.size === 0 ? available : worker => avoid.has(worker.name) ? noResources() : available(worker);
+};
+
 /** One way to place a gang. */
 export interface Candidate {
     domain: Domain;
@@ -78,13 +84,12 @@
     return best;
 };
 
-/** Whether a gang could run if every worker were empty. */
-export const fitsEmptyFleet = (shape: Shape, fleet: Fleet): boolean => {
+/** Whether a gang could run if every worker, other than those to avoid, were empty. */
+export const fitsEmptyFleet = (shape: Shape, fleet: Fleet, avoid: ReadonlySet<string> = new Set()): boolean => {
     const perTask = resourcesPerTask(shape);
+    const tasksOn = (worker: Worker): number =>
+        avoid.has(worker.name) ? 0 : Math.min(shape.taskCount, tasksThatFit(perTask, worker.capacity));
     return fleet.domains(shape.adjacency).some(domain =>
-        domain.workers.reduce(
-            (sum, worker) => sum + Math.min(shape.taskCount, tasksThatFit(perTask, worker.capacity)),
-            0,
-        ) >= shape.taskCount
+        domain.workers.reduce((sum, worker) => sum + tasksOn(worker), 0) >= shape.taskCount
     );
 };
--- a/src/scheduling/guaranteed.ts
+++ b/src/scheduling/guaranteed.ts
@@ -1,4 +1,4 @@
-import { findPlacement, fitIntoDomain } from "./fit.js";
+import { avoidingFailures, findPlacement, fitIntoDomain } from "./fit.js";
 import type { Candidate } from "./fit.js";
 import type { Domain } from "./fleet.js";
 import type { Allocation, Home, Ledger } from "./ledger.js";
@@ -38,7 +38,7 @@
 ): Member[] | undefined => {
     const workers = home.flatMap(member => ledger.fleet.workers.get(member.worker) ?? []);
     const domain: Domain = { name: "home", workers };
-    const room = (worker: Worker): Resources => addScaled(partOf(home, perTask, worker), occupied(worker), -1);
+    const room = avoidingFailures(job, worker => addScaled(partOf(home, perTask, worker), occupied(worker), -1));
     const onFree = fitIntoDomain(job.shape, domain, worker => atMost(room(worker), ledger.unclaimed(worker, job.id)));
     return (onFree ?? fitIntoDomain(job.shape, domain, room))?.members;
 };
@@ -83,7 +83,7 @@
         options.set(candidate, { ...option, home: candidate.members });
         return totalLostWork(option.victims, nowMs) + candidate.leftoverTasks;
     };
-    const available = (worker: Worker): Resources => ledger.outsideHomes(worker, home.unit);
+    const available = avoidingFailures(job, worker => ledger.outsideHomes(worker, home.unit));
     const found = findPlacement(home.shape, ledger.fleet, available, costOf);
     return found === undefined ? undefined : options.get(found);
 };
--- a/src/scheduling/plan.ts
+++ b/src/scheduling/plan.ts
@@ -1,6 +1,6 @@
 import { Urgency } from "../configuration/types.js";
 import { findBorrowedPlacement } from "./borrowed.js";
-import { findPlacement, fitsEmptyFleet } from "./fit.js";
+import { avoidingFailures, findPlacement, fitsEmptyFleet } from "./fit.js";
 import type { Candidate } from "./fit.js";
 import { findGuaranteedOption } from "./guaranteed.js";
 import type { Allocation, Claim, Ledger } from "./ledger.js";
@@ -164,7 +164,8 @@
         found.set(candidate, victims);
         return totalLostWork(victims, nowMs);
     };
-    const best = findPlacement(job.spec.shape, ledger.fleet, availableFrom(ledger, job.spec, isAllowed), costOf);
+    const available = avoidingFailures(job.spec, availableFrom(ledger, job.spec, isAllowed));
+    const best = findPlacement(job.spec.shape, ledger.fleet, available, costOf);
     const victims = best === undefined ? undefined : found.get(best);
     if (best === undefined || victims === undefined) {
         return undefined;
@@ -187,14 +188,22 @@
     return [];
 };
 
-/** Evicts backfilled borrowers once nothing else stands in the way of a reservation. */
+/** Waits for victims on their way out; evicts backfilled borrowers once nothing else stands in the way. */
 const planClaimed = (input: PlanInput, job: QueuedJob, claim: Claim): Decision[] | undefined => {
     const { ledger, nowMs } = input;
     if (hasRoom(ledger, claim)) {
         return [place(input, job, claim.members, claim.class, claim.guaranteeUnit)];
     }
     if (!claim.backfill) {
-        return [];
+        const onTheirWay = chooseVictims(
+            ledger,
+            claim.shape,
+            claim.members,
+            claim.jobId,
+            nowMs,
+            other => other.leaving,
+        );
+        return onTheirWay === undefined ? undefined : [];
     }
     const isAllowed = (allocation: Allocation): boolean =>
         allocation.class === AllocationClass.Borrowed
@@ -243,13 +252,23 @@
     return acceleratorsOf(job.shape) > limit ? "the shape is larger than the customer's limit" : undefined;
 };
 
+/** A job that could run nowhere else may go back to where it failed. */
+const forgive = (ledger: Ledger, job: QueuedJob): QueuedJob => {
+    const { avoid, shape } = job.spec;
+    return avoid === undefined || fitsEmptyFleet(shape, ledger.fleet, new Set(avoid))
+        ? job
+        : { ...job, spec: { ...job.spec, avoid: undefined } };
+};
+
 /** Plans one round over the whole queue. */
 export const planRound: PlanRound = input => {
     dropStaleClaims(input);
     const decisions: Decision[] = [];
     let reservations = 0;
     let blocked = 0;
-    for (const job of orderQueue(input.queue, input.runTimes, input.nowMs)) {
+    for (
+        const job of orderQueue(input.queue, input.runTimes, input.nowMs).map(queued => forgive(input.ledger, queued))
+    ) {
         const reason = rejectionOf(input, job.spec);
         if (reason !== undefined) {
             decisions.push({ kind: DecisionKind.Reject, job, reason });
--- a/src/scheduling/planningState.ts
+++ b/src/scheduling/planningState.ts
@@ -30,6 +30,8 @@
     queue(): QueuedJob[];
     /** Replaces the workers; allocations and homes are carried over. */
     setWorkers(workers: readonly Worker[]): void;
+    /** Lets borrowers be asked again whose eviction did not succeed. */
+    forgetFailedEvictions(): void;
     /** Fits homes to the guarantees of a snapshot; returns the units without a place. */
     applyGuarantees(snapshot: Snapshot): string[];
 }
@@ -109,6 +111,11 @@
         previous.claims.forEach(claim => ledger.setClaim(claim));
     };
 
+    const avoidOf = (tracked: TrackedJob): string[] | undefined => {
+        const { failedOn } = tracked.stored.record;
+        return failedOn.length === 0 ? undefined : failedOn;
+    };
+
     const isWaiting = (tracked: TrackedJob): boolean =>
         !tracked.busy && tracked.stored.record.state === JobState.Queued && !tracked.stored.record.cancelRequested;
 
@@ -119,11 +126,16 @@
         forget,
         queue: () =>
             [...jobs.values()].filter(isWaiting).map(tracked => ({
-                spec: tracked.stored.record.spec,
+                spec: { ...tracked.stored.record.spec, avoid: avoidOf(tracked) },
                 attempts: tracked.stored.record.attempts,
                 notBeforeMs: tracked.notBeforeMs,
             })),
         setWorkers,
+        forgetFailedEvictions: () => {
+            for (const allocation of ledger.allocations.values()) {
+                allocation.leaving &&= jobs.get(allocation.job.id)?.busy === true;
+            }
+        },
         applyGuarantees: snapshot => {
             const units = syncHomes(ledger, homesOf(snapshot.statements));
             jobs.forEach(tracked => {
--- a/src/scheduling/reservation.ts
+++ b/src/scheduling/reservation.ts
@@ -1,5 +1,5 @@
 import { freeAccelerators, isMuchSmaller } from "./borrowed.js";
-import { findPlacement, fitIntoDomain } from "./fit.js";
+import { avoidingFailures, findPlacement, fitIntoDomain } from "./fit.js";
 import type { Candidate } from "./fit.js";
 import type { Domain } from "./fleet.js";
 import type { Allocation, Ledger } from "./ledger.js";
@@ -51,7 +51,7 @@
     while (low <= high) {
         const endings = Math.floor((low + high) / 2);
         const gone = local.slice(0, endings).map(entry => entry.allocation);
-        const candidate = fitIntoDomain(job.shape, domain, freeWith(ledger, job, gone));
+        const candidate = fitIntoDomain(job.shape, domain, avoidingFailures(job, freeWith(ledger, job, gone)));
         if (candidate === undefined) {
             low = endings + 1;
         }
@@ -141,6 +141,7 @@
         const lost = totalLostWork(victims, nowMs);
         return lost * moveGainFactor <= gain ? lost : undefined;
     };
-    const found = findPlacement(job.shape, ledger.fleet, availableIfMoved(ledger, job, isAllowed), costOf);
+    const available = avoidingFailures(job, availableIfMoved(ledger, job, isAllowed));
+    const found = findPlacement(job.shape, ledger.fleet, available, costOf);
     return found === undefined ? undefined : plans.get(found);
 };
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -47,6 +47,8 @@
     submittedAtMs: number;
     /** Wall-clock time by which it should be finished. */
     deadlineAtMs?: number;
+    /** Workers on which it failed and is not placed again. */
+    avoid?: string[];
     /** Description of the work, passed on to the workers unread. */
     work?: unknown;
 }
@@ -96,6 +98,8 @@
     cancelRequested: boolean;
     /** Placements whose tasks failed. */
     failures: number;
+    /** Workers of those placements. */
+    failedOn: string[];
     /** Unique per write, so that a writer can recognise its own write. */
     writeId: string;
     /** Wall-clock time of completion, once it ended. */
--- a/src/scheduling/workerHealth.ts
+++ b/src/scheduling/workerHealth.ts
@@ -10,8 +10,6 @@
     /** The job itself is to blame; its failures no longer count against any worker. */
     clearBlame(jobId: string): void;
     isEjected(worker: string): boolean;
-    /** Whether the job already failed on the worker. */
-    hasFailedOn(jobId: string, worker: string): boolean;
     ejected(): string[];
 }
 
@@ -30,7 +28,6 @@
         recordSuccess: workers => workers.forEach(worker => blamed.delete(worker)),
         clearBlame: jobId => blamed.forEach(jobs => jobs.delete(jobId)),
         isEjected,
-        hasFailedOn: (jobId, worker) => blamed.get(worker)?.has(jobId) === true,
         ejected: () => [...blamed.keys()].filter(isEjected),
     };
 };
--- a/standins/worker/tasks.ts
+++ b/standins/worker/tasks.ts
@@ -47,6 +47,12 @@
     progressMs: task.progressMs,
 });
 
+const fits = (tasks: readonly Task[], request: HoldRequest, capacity: Resources): boolean =>
+    (Object.keys(capacity) as (keyof Resources)[]).every(dimension => {
+        const used = tasks.reduce((sum, task) => sum + task.taskCount * task.resources[dimension], 0);
+        return used + request.taskCount * request.resourcesPerTask[dimension] <= capacity[dimension];
+    });
+
 /** Creates the tasks of one worker. */
 export const createTaskTable = (capacity: Resources, switches: WorkerSwitches, record: RecordEvent): TaskTable => {
     let tasks: Task[] = [];
@@ -57,14 +63,6 @@
 
     const isFenced = (gang: GangKey): boolean => (fencedAttempts.get(gang.jobId) ?? 0) >= gang.attempt;
 
-    const used = (dimension: keyof Resources): number =>
-        tasks.reduce((sum, task) => sum + task.taskCount * task.resources[dimension], 0);
-
-    const fits = (request: HoldRequest): boolean =>
-        (Object.keys(capacity) as (keyof Resources)[]).every(dimension =>
-            used(dimension) + request.taskCount * request.resourcesPerTask[dimension] <= capacity[dimension]
-        );
-
     const lapse = (nowMs: number): void => {
         const lapsed = tasks.filter(task => task.expiresAtMs <= nowMs);
         tasks = tasks.filter(task => task.expiresAtMs > nowMs);
@@ -101,7 +99,7 @@
         if (switches.leaving || isFenced(request)) {
             return switches.leaving ? "the worker is leaving" : "the attempt was stopped";
         }
-        if (!fits(request)) {
+        if (!fits(tasks, request, capacity)) {
             return "not enough free resources";
         }
         const task = {
