test: soak real processes under random faults from a seed

Change: 'npm run soak' kills, freezes, cuts, stops and restarts processes, spoils answers and moves zones, then checks every point from the stand-ins' records.

--- /dev/null
+++ b/tools/soak.ts
@@ -0,0 +1,150 @@
+/** Runs real processes under load while killing, freezing, cutting and restarting at random from a seed. */
+import { fileURLToPath } from "node:url";
+import { parseArgs } from "node:util";
+import { collectIntents } from "../src/configuration/queries/collect.js";
+import type { SourcedIntent } from "../src/configuration/queries/collect.js";
+import type { Snapshot } from "../src/configuration/types.js";
+import { createRandom } from "../src/utils/random.js";
+import { sendJson, startLocalCluster, waitUntil } from "./localCluster.js";
+import type { LocalCluster } from "./localCluster.js";
+import { checkAll } from "./soak/checks.js";
+import { sampleVersions, startFaults } from "./soak/faults.js";
+import type { FaultContext } from "./soak/faults.js";
+import { startLoad } from "./soak/load.js";
+import { createSoakRecord } from "./soak/record.js";
+import type { SoakRecord } from "./soak/record.js";
+
+const settleTimeoutMs = 60_000;
+const samplePeriodMs = 400;
+const faultPeriodMs = 1_200;
+const readyPeriodMs = 100;
+
+const sleep = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
+
+const zoneOutIntent = (zone: string): SourcedIntent => ({
+    intent: { name: "zone-out", owner: "operations", reason: "soak run", availabilityZonesOut: [zone] },
+    file: "zone.intent.jsonc",
+    line: 1,
+});
+
+const createPublisher = (cluster: LocalCluster, record: SoakRecord, intents: SourcedIntent[]) => {
+    let baseVersion = 0;
+    return async (zoneOut: string | undefined): Promise<boolean> => {
+        for (const scheduler of cluster.schedulers()) {
+            const body = {
+                baseVersion,
+                publisher: "soak",
+                intents: zoneOut === undefined ? intents : [...intents, zoneOutIntent(zoneOut)],
+            };
+            const answer = await sendJson<Snapshot>(`${scheduler.httpAddress}/v1/configurations`, body).catch(() =>
+                undefined
+            );
+            if (answer?.status === 200) {
+                baseVersion = answer.body.version;
+                record.accepted.push({ version: baseVersion, atMs: Date.now() });
+                return true;
+            }
+            const current = await sendJson<Snapshot>(`${scheduler.httpAddress}/v1/configurations`).catch(() =>
+                undefined
+            );
+            baseVersion = Math.max(baseVersion, current?.body.version ?? 0);
+        }
+        return false;
+    };
+};
+
+/** Follows the readiness of routers as the platform's balancer does. */
+const startBalancer = (cluster: LocalCluster, unavailable: ReadonlySet<string>) => {
+    const notReady = new Set<string>();
+    const timer = setInterval(() => {
+        for (const router of cluster.routers()) {
+            sendJson(`${router.httpAddress}/v1/ready`).then(
+                answer => answer.status === 200 ? notReady.delete(router.vm) : notReady.add(router.vm),
+                () => notReady.add(router.vm),
+            );
+        }
+    }, readyPeriodMs);
+    return {
+        ready: () =>
+            cluster.routers().filter(router => !notReady.has(router.vm) && !unavailable.has(`${router.vm}/hidden`)),
+        stop: () => clearInterval(timer),
+    };
+};
+
+const readEnded = async (cluster: LocalCluster): Promise<Set<string>> => {
+    const answer = await sendJson<{ rows: { key: string; }[]; }>(
+        `${cluster.platformAddress}/v1/table/rows?prefix=ended/`,
+    );
+    return new Set(answer.body.rows.map(row => row.key.slice("ended/".length)));
+};
+
+const settle = async (cluster: LocalCluster, record: SoakRecord): Promise<Set<string>> => {
+    await waitUntil("all jobs end", settleTimeoutMs, async () => {
+        const ended = await readEnded(cluster);
+        return record.jobs.every(job => ended.has(job.id));
+    }).catch(() => {});
+    return readEnded(cluster);
+};
+
+const report = (record: SoakRecord, reports: ReturnType<typeof checkAll>, seed: number): number => {
+    const outcomes: Record<string, number> = {};
+    record.calls.forEach(call => {
+        outcomes[call.outcome] = (outcomes[call.outcome] ?? 0) + 1;
+    });
+    process.stdout.write(
+        `seed ${seed}: ${record.calls.length} calls ${JSON.stringify(outcomes)}, ${record.jobs.length} jobs\n`,
+    );
+    process.stdout.write(`faults ${JSON.stringify(record.faults)}\n`);
+    for (const point of reports) {
+        const verdict = point.violations.length === 0 ? "ok " : "BAD";
+        process.stdout.write(
+            `${verdict} ${point.point}: ${point.checked} checked, ${point.violations.length} violations\n`,
+        );
+        point.violations.slice(0, 10).forEach(violation => process.stdout.write(`      ${violation}\n`));
+    }
+    return reports.reduce((sum, point) => sum + point.violations.length, 0);
+};
+
+const main = async (): Promise<void> => {
+    const { values } = parseArgs({
+        options: {
+            seed: { type: "string", default: "1" },
+            seconds: { type: "string", default: "120" },
+            log: { type: "string" },
+        },
+    });
+    const seed = Number(values.seed);
+    const random = createRandom(seed);
+    const record = createSoakRecord();
+    const cluster = await startLocalCluster({ seed, workersPerZone: 4 });
+    const examples = await collectIntents(fileURLToPath(new URL("../../examples", import.meta.url)));
+    const unavailable = new Set<string>();
+    const publish = createPublisher(cluster, record, examples.intents);
+    const context: FaultContext = { cluster, record, random, unavailable, publish };
+    await waitUntil("the first publish is accepted", 15_000, () => publish(undefined));
+    await sleep(2_000);
+
+    const balancer = startBalancer(cluster, unavailable);
+    const sampler = setInterval(() => void sampleVersions(context), samplePeriodMs);
+    const stopLoad = startLoad(cluster, balancer.ready, record, random);
+    const stopFaults = startFaults(context, faultPeriodMs);
+    await sleep(Number(values.seconds) * 1_000);
+    await stopFaults();
+    await stopLoad();
+    const ended = await settle(cluster, record);
+    clearInterval(sampler);
+    balancer.stop();
+    const violations = report(record, checkAll(record, await cluster.events(), ended), seed);
+    if (values.log !== undefined) {
+        const { writeFile } = await import("node:fs/promises");
+        const logs = cluster.daemons.flatMap(daemon => daemon.log.map(line => `${daemon.vm}/${daemon.role} ${line}`));
+        await writeFile(
+            values.log,
+            [...logs, ...(await cluster.events()).map(event => JSON.stringify(event))].join("\n"),
+        );
+    }
+    await cluster.stop();
+    process.exitCode = violations === 0 ? 0 : 1;
+};
+
+void main();
--- /dev/null
+++ b/tools/soak/checks.ts
@@ -0,0 +1,235 @@
+/** Checks what must always hold, from the stand-ins' records and what callers saw. */
+import { Outcome } from "../../src/routing/types.js";
+import type { WorkerEvent } from "../../standins/worker/types.js";
+import { wasDisturbed } from "./record.js";
+import type { SoakRecord } from "./record.js";
+
+/** Findings about one point. */
+export interface PointReport {
+    point: string;
+    checked: number;
+    violations: string[];
+}
+
+const taskLeaseMs = 6_000;
+const checkSlackMs = 1_000;
+/** "A few seconds" of the brief. */
+const fewSecondsMs = 5_000;
+const configurationMs = 8_000;
+
+const groupBy = <Item>(items: readonly Item[], keyOf: (item: Item) => string): Map<string, Item[]> => {
+    const groups = new Map<string, Item[]>();
+    for (const item of items) {
+        const group = groups.get(keyOf(item)) ?? [];
+        group.push(item);
+        groups.set(keyOf(item), group);
+    }
+    return groups;
+};
+
+const checkAtMostOnce = (record: SoakRecord, events: readonly WorkerEvent[]): PointReport => {
+    const starts = groupBy(events.filter(event => event.kind === "callStarted"), event => event.key ?? "");
+    const keys = new Set(record.calls.filter(call => call.atMostOnce).map(call => call.key));
+    const violations = [...keys].filter(key => (starts.get(key)?.length ?? 0) > 1);
+    return {
+        point: "a booking runs at most once",
+        checked: keys.size,
+        violations: violations.map(key => `${key} ran ${starts.get(key)?.length} times`),
+    };
+};
+
+const checkNotRun = (record: SoakRecord, events: readonly WorkerEvent[]): PointReport => {
+    const started = new Set(events.filter(event => event.kind === "callStarted").map(event => event.key));
+    const byKey = groupBy(record.calls, call => call.key);
+    const notRun = [...byKey].filter(([, calls]) => calls.every(call => call.outcome === Outcome.NotRun));
+    return {
+        point: "\"not run\" is true",
+        checked: notRun.length,
+        violations: notRun.filter(([key]) => started.has(key)).map(([key]) =>
+            `${key} was said not to have run but ran`
+        ),
+    };
+};
+
+const checkOwnAnswer = (record: SoakRecord): PointReport => {
+    const done = record.calls.filter(call => call.outcome === Outcome.Done);
+    return {
+        point: "the caller gets the whole answer to its own request",
+        checked: done.length,
+        violations: done.filter(call => call.echo !== call.key).map(call =>
+            `${call.key} was answered with ${call.echo}`
+        ),
+    };
+};
+
+interface Run {
+    worker: string;
+    fromMs: number;
+    untilMs: number;
+    finished: boolean;
+}
+
+const endKinds = ["taskFinished", "taskFailed", "taskStopped", "taskLapsed"];
+
+const runsOf = (events: readonly WorkerEvent[]): Run[] => {
+    const runs: Run[] = [];
+    for (const start of events.filter(event => event.kind === "taskRunning")) {
+        const end = events.find(event =>
+            event.worker === start.worker && event.atMs >= start.atMs && endKinds.includes(event.kind)
+        );
+        const finished = end?.kind === "taskFinished";
+        runs.push({ worker: start.worker, fromMs: start.atMs, untilMs: end?.atMs ?? Infinity, finished });
+    }
+    return runs;
+};
+
+/** Time for which some members ran while another one did not, other than after it had finished. */
+const partialMs = (runs: readonly Run[], members: number): number => {
+    const firstStart = Math.min(...runs.map(run => run.fromMs));
+    const lastStart = Math.max(...runs.map(run => run.fromMs));
+    const lastEnd = Math.max(...runs.map(run => run.untilMs));
+    const brokenAt = Math.min(...runs.filter(run => !run.finished).map(run => run.untilMs));
+    if (runs.length < members) {
+        return lastEnd - firstStart;
+    }
+    return Math.max(lastStart - firstStart, Number.isFinite(brokenAt) ? lastEnd - brokenAt : 0);
+};
+
+const checkGangs = (events: readonly WorkerEvent[]): PointReport => {
+    const gangs = groupBy(
+        events.filter(event => event.jobId !== undefined),
+        event => `${event.jobId}#${event.attempt}`,
+    );
+    const violations: string[] = [];
+    for (const [gang, own] of gangs) {
+        const runs = runsOf(own);
+        const members = own.find(event => event.kind === "taskReady")?.members ?? 0;
+        const longest = runs.length === 0 ? 0 : partialMs(runs, members);
+        if (longest > taskLeaseMs + checkSlackMs) {
+            violations.push(`${gang}: ${runs.length} of ${members} members ran; partial for ${longest} ms`);
+        }
+    }
+    return { point: "no gang runs partially (longer than a lease)", checked: gangs.size, violations };
+};
+
+const checkOneAttempt = (events: readonly WorkerEvent[]): PointReport => {
+    const jobs = groupBy(events.filter(event => event.jobId !== undefined), event => event.jobId ?? "");
+    const violations: string[] = [];
+    for (const [job, own] of jobs) {
+        const attempts = [...groupBy(own, event => String(event.attempt)).values()]
+            .map(runsOf)
+            .filter(runs => runs.length > 0)
+            .map(runs => ({
+                fromMs: Math.min(...runs.map(run => run.fromMs)),
+                untilMs: Math.max(...runs.map(run => run.untilMs)),
+            }))
+            .sort((left, right) => left.fromMs - right.fromMs);
+        attempts.slice(1).forEach((attempt, index) => {
+            if (attempt.fromMs < attempts[index].untilMs) {
+                violations.push(
+                    `${job}: an attempt started ${attempts[index].untilMs - attempt.fromMs} ms before the last ended`,
+                );
+            }
+        });
+    }
+    return { point: "one attempt of a job at a time", checked: jobs.size, violations };
+};
+
+const checkZonesOut = (record: SoakRecord, events: readonly WorkerEvent[]): PointReport => {
+    const late = record.zonesOut.flatMap(note =>
+        events.filter(event =>
+            event.availabilityZone === note.zone
+            && ["taskReady", "taskRunning"].includes(event.kind)
+            && event.atMs > note.acceptedAtMs + fewSecondsMs
+            && event.atMs < note.returnedAtMs
+        )
+    );
+    return {
+        point: "no task starts in a zone that is out",
+        checked: record.zonesOut.length,
+        violations: late.map(event => `${event.jobId} ${event.kind} on ${event.worker}`),
+    };
+};
+
+const checkLeaving = (record: SoakRecord, events: readonly WorkerEvent[]): PointReport => {
+    const late = record.leaving.flatMap(note =>
+        events.filter(event =>
+            event.worker === note.worker
+            && ["taskReady", "callStarted"].includes(event.kind)
+            && event.atMs > note.fromMs + fewSecondsMs
+            && event.atMs < note.untilMs
+        )
+    );
+    return {
+        point: "a leaving endpoint gets no new work",
+        checked: record.leaving.length,
+        violations: late.map(event => `${event.kind} on ${event.worker}`),
+    };
+};
+
+const checkGraceful = (record: SoakRecord): PointReport => {
+    const cutOff = record.calls.filter(call => call.outcome === "cutOff" && !call.routerDisturbed);
+    const badExits = record.gracefulExits.filter(exit => exit.code !== 0);
+    return {
+        point: "a planned stop cuts off no request",
+        checked: record.gracefulExits.length,
+        violations: [
+            ...cutOff.map(call => `${call.key} was cut off by ${call.router}`),
+            ...badExits.map(exit => `${exit.process} ended with ${exit.code}`),
+        ],
+    };
+};
+
+const isSlow = (record: SoakRecord, note: { process: string; atMs: number; version: number; }): boolean => {
+    const due = record.accepted.filter(entry => entry.atMs + configurationMs < note.atMs).map(entry => entry.version);
+    const [vm, role] = note.process.split("/");
+    return note.version < Math.max(0, ...due)
+        && !wasDisturbed(record, `${vm}/${role}`, note.atMs - configurationMs, note.atMs);
+};
+
+const checkConfiguration = (record: SoakRecord): PointReport => {
+    const violations: string[] = [];
+    for (const [process, notes] of groupBy(record.versions, note => note.process)) {
+        notes.slice(1).forEach((note, index) => {
+            if (note.version < notes[index].version) {
+                violations.push(`${process} went back from ${notes[index].version} to ${note.version}`);
+            }
+        });
+    }
+    violations.push(
+        ...record.versions.filter(note => isSlow(record, note)).map(note =>
+            `${note.process} still had version ${note.version}`
+        ),
+    );
+    return {
+        point: "an accepted configuration is in force within 8 s and never reverts",
+        checked: record.versions.length,
+        violations,
+    };
+};
+
+const checkJobsEnd = (record: SoakRecord, ended: ReadonlySet<string>): PointReport => ({
+    point: "every accepted job ends; guaranteed ones are not held up for good",
+    checked: record.jobs.length,
+    violations: record.jobs.filter(job => !ended.has(job.id)).map(job =>
+        `${job.id}${job.guaranteed ? " (guaranteed)" : ""}`
+    ),
+});
+
+/** Checks every point. */
+export const checkAll = (
+    record: SoakRecord,
+    events: readonly WorkerEvent[],
+    ended: ReadonlySet<string>,
+): PointReport[] => [
+    checkJobsEnd(record, ended),
+    checkGangs(events),
+    checkOneAttempt(events),
+    checkZonesOut(record, events),
+    checkOwnAnswer(record),
+    checkNotRun(record, events),
+    checkAtMostOnce(record, events),
+    checkLeaving(record, events),
+    checkGraceful(record),
+    checkConfiguration(record),
+];
