--- /dev/null
+++ b/bench/placementRun.ts
@@ -0,0 +1,445 @@
+/** Replays a workload through the planner's decision code in virtual time. */
+import { fitIntoDomain } from "../src/scheduling/fit.js";
+import { createFleet } from "../src/scheduling/fleet.js";
+import { homesOf, repairHomes, syncHomes } from "../src/scheduling/homes.js";
+import { createLedger } from "../src/scheduling/ledger.js";
+import type { Allocation, Ledger } from "../src/scheduling/ledger.js";
+import type { QueuedJob } from "../src/scheduling/order.js";
+import { DecisionKind } from "../src/scheduling/plan.js";
+import type { Decision, PlanRound } from "../src/scheduling/plan.js";
+import { acceleratorsOf } from "../src/scheduling/resources.js";
+import { createRunTimeModel } from "../src/scheduling/runTimes.js";
+import { createWorkerHealth } from "../src/scheduling/workerHealth.js";
+import { createRandom } from "../src/utils/random.js";
+import { JobClass } from "./workload.js";
+import type { Arrival, Workload, WorldEvent } from "./workload.js";
+
+/** What one job went through. */
+export interface JobOutcome {
+    class: JobClass;
+    accelerators: number;
+    /** Time from submission to the first start; `undefined` if it never started. */
+    waitMs?: number;
+    /** Time from submission to the end. */
+    completionMs?: number;
+    runTimeMs: number;
+    /** Time from which its customer's guarantee was unused until it started, for guaranteed jobs. */
+    guaranteeWaitMs?: number;
+    rejected: boolean;
+    cancelled: boolean;
+    neverFits: boolean;
+}
+
+/** Figures of one run. */
+export interface RunResult {
+    jobs: JobOutcome[];
+    /** Time-weighted share of free accelerators that the largest waiting shape cannot use. */
+    fragmentation: number;
+    /** Useful work during the zone move, as a share of what the remaining zones could do. */
+    zoneMoveWork: number;
+    /** Accelerator hours of work that was thrown away. */
+    lostAcceleratorHours: number;
+    utilisation: number;
+    rounds: number;
+    planMs: number;
+    slowestRoundMs: number;
+}
+
+interface Running {
+    arrival: Arrival;
+    allocation: Allocation;
+    startedAtMs: number;
+    endsAtMs: number;
+    failing: boolean;
+    leavesAtMs?: number;
+}
+
+interface Timed {
+    atMs: number;
+    run: () => void;
+}
+
+const planDelayMs = 100;
+const startDelayMs = 150;
+const graceMs = 1_200;
+const restartMs = 15_000;
+const failAfterMs = 20_000;
+const idleRoundMs = 60_000;
+
+const createAgenda = () => {
+    const heap: Timed[] = [];
+    const swap = (left: number, right: number): void => {
+        [heap[left], heap[right]] = [heap[right], heap[left]];
+    };
+    const push = (atMs: number, run: () => void): void => {
+        heap.push({ atMs, run });
+        for (let child = heap.length - 1; child > 0;) {
+            const parent = (child - 1) >> 1;
+            if (heap[parent].atMs <= heap[child].atMs) {
+                break;
+            }
+            swap(parent, child);
+            child = parent;
+        }
+    };
+    const pop = (): Timed | undefined => {
+        if (heap.length === 0) {
+            return undefined;
+        }
+        swap(0, heap.length - 1);
+        const first = heap.pop();
+        for (let parent = 0;;) {
+            const children = [2 * parent + 1, 2 * parent + 2].filter(child => child < heap.length);
+            const least = children.sort((left, right) => heap[left].atMs - heap[right].atMs)[0];
+            if (least === undefined || heap[parent].atMs <= heap[least].atMs) {
+                return first;
+            }
+            swap(parent, least);
+            parent = least;
+        }
+    };
+    return { push, pop };
+};
+
+/** Whole gangs of a shape that the free accelerators would hold, counted by emptying domains greedily. */
+const usableBy = (ledger: Ledger, arrival: Arrival): number => {
+    const size = acceleratorsOf(arrival.spec.shape);
+    let usable = 0;
+    for (const domain of ledger.fleet.domains(arrival.spec.shape.adjacency)) {
+        const candidate = fitIntoDomain(arrival.spec.shape, domain, worker => ledger.free(worker));
+        usable += candidate === undefined ? 0 : size * (1 + Math.floor(candidate.leftoverTasks / arrival.spec.shape.taskCount));
+    }
+    return usable;
+};
+
+/** Replays one workload under one policy. */
+export const replay = (workload: Workload, plan: PlanRound, seed: number, reclaims: boolean): RunResult => {
+    const random = createRandom(seed + 1);
+    const agenda = createAgenda();
+    const fleet = createFleet(workload.workers.map(worker => ({ ...worker })));
+    const ledger = createLedger(fleet);
+    const runTimes = createRunTimeModel();
+    const health = createWorkerHealth();
+    const queue = new Map<string, QueuedJob>();
+    const arrivals = new Map<string, Arrival>();
+    const progress = new Map<string, number>();
+    const running = new Map<string, Running>();
+    const outcomes = new Map<string, JobOutcome>();
+    const zonesOut = new Set<string>();
+    const broken = new Set<string>();
+    const failures = new Map<string, number>();
+    const result = { rounds: 0, planMs: 0, slowestRoundMs: 0, lostMs: 0 };
+    const area = { fragmentedMs: 0, fragmentMs: 0, busyMs: 0, windowBusyMs: 0, windowLostMs: 0 };
+    let nowMs = 0;
+    let planScheduled = false;
+    let idleScheduled = false;
+    let openJobs = 0;
+
+    syncHomes(ledger, homesOf(workload.statements));
+
+    const inWindow = (): boolean => nowMs >= workload.zoneMove.fromMs && nowMs <= workload.zoneMove.untilMs;
+
+    const busyAccelerators = (outsideZone: string | undefined): number => {
+        let busy = 0;
+        for (const entry of running.values()) {
+            const zone = fleet.workers.get(entry.allocation.members[0].worker)?.availabilityZone;
+            busy += zone === outsideZone ? 0 : acceleratorsOf(entry.arrival.spec.shape);
+        }
+        return busy;
+    };
+
+    const freeTotal = (): number => {
+        let free = 0;
+        for (const worker of fleet.workers.values()) {
+            free += worker.usable ? ledger.free(worker).accelerators : 0;
+        }
+        return free;
+    };
+
+    const measureFragments = (elapsedMs: number): void => {
+        let largest: Arrival | undefined;
+        for (const id of queue.keys()) {
+            const arrival = arrivals.get(id);
+            const size = arrival === undefined ? 0 : acceleratorsOf(arrival.spec.shape);
+            if (arrival !== undefined && !arrival.neverFits && size > (largest === undefined ? 16 : acceleratorsOf(largest.spec.shape))) {
+                largest = arrival;
+            }
+        }
+        const free = freeTotal();
+        if (largest !== undefined && free > 0) {
+            area.fragmentMs += elapsedMs * (1 - Math.min(1, usableBy(ledger, largest) / free)) * free;
+        }
+        area.fragmentedMs += elapsedMs * workload.workers.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
+    };
+
+    const advanceTo = (atMs: number): void => {
+        const elapsedMs = atMs - nowMs;
+        if (elapsedMs > 0 && nowMs < workload.endMs) {
+            measureFragments(elapsedMs);
+            area.busyMs += elapsedMs * busyAccelerators(undefined);
+            if (inWindow()) {
+                area.windowBusyMs += elapsedMs * busyAccelerators(workload.zoneMove.zone);
+            }
+        }
+        nowMs = atMs;
+    };
+
+    const lose = (entry: Running, lostMs: number): void => {
+        const lost = lostMs * acceleratorsOf(entry.arrival.spec.shape);
+        result.lostMs += lost;
+        if (inWindow()) {
+            area.windowLostMs += lost;
+        }
+    };
+
+    const roundWhenIdle = (): void => {
+        idleScheduled = false;
+        if (!planScheduled) {
+            round();
+        }
+    };
+
+    const requestPlan = (): void => {
+        if (!planScheduled) {
+            planScheduled = true;
+            agenda.push(nowMs + planDelayMs, round);
+        }
+    };
+
+    const enqueue = (arrival: Arrival, attempts: number, avoid: string[] | undefined): void => {
+        queue.set(arrival.spec.id, { spec: { ...arrival.spec, avoid }, attempts, notBeforeMs: 0 });
+        requestPlan();
+    };
+
+    const release = (entry: Running): void => {
+        running.delete(entry.arrival.spec.id);
+        ledger.deallocate(entry.arrival.spec.id);
+        requestPlan();
+    };
+
+    const complete = (entry: Running): void => {
+        if (running.get(entry.arrival.spec.id) !== entry || entry.leavesAtMs !== undefined) {
+            return;
+        }
+        release(entry);
+        openJobs -= 1;
+        runTimes.observe(entry.arrival.spec, entry.arrival.actualRunTimeMs);
+        health.recordSuccess(entry.allocation.members.map(member => member.worker));
+        const outcome = outcomes.get(entry.arrival.spec.id);
+        if (outcome !== undefined) {
+            outcome.completionMs = nowMs - entry.arrival.atMs;
+        }
+    };
+
+    const failRun = (entry: Running): void => {
+        if (running.get(entry.arrival.spec.id) !== entry) {
+            return;
+        }
+        const workers = entry.allocation.members.map(member => member.worker);
+        release(entry);
+        health.recordFailure(entry.arrival.spec.id, workers, nowMs);
+        lose(entry, failAfterMs);
+        failures.set(entry.arrival.spec.id, (failures.get(entry.arrival.spec.id) ?? 0) + 1);
+        enqueue(entry.arrival, entry.allocation.attempt, workers);
+    };
+
+    const leave = (entry: Running): void => {
+        if (running.get(entry.arrival.spec.id) !== entry) {
+            return;
+        }
+        const { arrival } = entry;
+        const ranMs = Math.max(0, nowMs - entry.startedAtMs);
+        const saves = arrival.spec.checkpointable && !arrival.ignoresCheckpoint;
+        progress.set(arrival.spec.id, (progress.get(arrival.spec.id) ?? 0) + (saves ? ranMs : 0));
+        lose(entry, (saves ? 0 : ranMs) + restartMs);
+        release(entry);
+        enqueue(arrival, entry.allocation.attempt, undefined);
+    };
+
+    /** A job that ignores its checkpoint goes on unless the eviction is mandatory. */
+    const refuseToLeave = (entry: Running): void => {
+        entry.leavesAtMs = undefined;
+        const allocation = ledger.allocations.get(entry.arrival.spec.id);
+        if (allocation !== undefined) {
+            allocation.leaving = false;
+            allocation.job = { ...allocation.job, checkpointable: false };
+        }
+        if (nowMs >= entry.endsAtMs) {
+            complete(entry);
+        }
+        requestPlan();
+    };
+
+    const evict = (jobId: string, mandatory: boolean): void => {
+        const entry = running.get(jobId);
+        if (entry === undefined || entry.leavesAtMs !== undefined) {
+            return;
+        }
+        const takesMs = entry.arrival.ignoresCheckpoint ? graceMs : 200 + random() * (graceMs - 200);
+        entry.leavesAtMs = nowMs + takesMs;
+        const refuses = !mandatory && (entry.arrival.ignoresCheckpoint || !entry.arrival.spec.checkpointable);
+        agenda.push(entry.leavesAtMs, () => refuses ? refuseToLeave(entry) : leave(entry));
+    };
+
+    const startJob = (decision: Decision & { kind: DecisionKind.Place; }): void => {
+        const { id } = decision.job.spec;
+        const arrival = arrivals.get(id);
+        const allocation = ledger.allocations.get(id);
+        if (arrival === undefined || allocation === undefined) {
+            return;
+        }
+        queue.delete(id);
+        const outcome = outcomes.get(id);
+        if (outcome !== undefined) {
+            outcome.waitMs ??= nowMs + startDelayMs - arrival.atMs;
+        }
+        const remainingMs = arrival.actualRunTimeMs - (progress.get(id) ?? 0) + (decision.job.attempts > 0 ? restartMs : 0);
+        const startedAtMs = nowMs + startDelayMs;
+        const failing = decision.members.some(member => broken.has(member.worker));
+        const entry = { arrival, allocation, startedAtMs, endsAtMs: startedAtMs + remainingMs, failing };
+        running.set(id, entry);
+        if (failing) {
+            agenda.push(startedAtMs + failAfterMs, () => failRun(entry));
+        }
+        else {
+            agenda.push(entry.endsAtMs, () => complete(entry));
+        }
+    };
+
+    const carryOut = (decision: Decision): void => {
+        switch (decision.kind) {
+            case DecisionKind.Place:
+                return startJob(decision);
+            case DecisionKind.Reclaim:
+                return decision.victims.forEach(victim => evict(victim.job.id, decision.mandatory));
+            case DecisionKind.Reject: {
+                queue.delete(decision.job.spec.id);
+                openJobs -= 1;
+                const outcome = outcomes.get(decision.job.spec.id);
+                if (outcome !== undefined) {
+                    outcome.rejected = true;
+                }
+            }
+        }
+    };
+
+    const refreshUsable = (): void => {
+        for (const worker of fleet.workers.values()) {
+            worker.usable = !zonesOut.has(worker.availabilityZone) && !health.isEjected(worker.name, nowMs);
+        }
+        repairHomes(ledger);
+    };
+
+    const evictFromZonesOut = (): void => {
+        for (const entry of [...running.values()]) {
+            const zone = fleet.workers.get(entry.allocation.members[0].worker)?.availabilityZone ?? "";
+            if (zonesOut.has(zone) && entry.arrival.spec.checkpointable) {
+                evict(entry.arrival.spec.id, true);
+            }
+        }
+    };
+
+    const round = (): void => {
+        planScheduled = false;
+        refreshUsable();
+        if (reclaims) {
+            evictFromZonesOut();
+        }
+        const beganMs = performance.now();
+        const decisions = plan({ ledger, queue: [...queue.values()], runTimes, nowMs });
+        const tookMs = performance.now() - beganMs;
+        result.rounds += 1;
+        result.planMs += tookMs;
+        result.slowestRoundMs = Math.max(result.slowestRoundMs, tookMs);
+        decisions.forEach(carryOut);
+        if (queue.size > 0 && !idleScheduled) {
+            idleScheduled = true;
+            agenda.push(nowMs + idleRoundMs, roundWhenIdle);
+        }
+    };
+
+    const cancelWave = (share: number): void => {
+        for (const id of [...queue.keys(), ...running.keys()]) {
+            if (random() < share) {
+                const entry = running.get(id);
+                if (entry !== undefined) {
+                    release(entry);
+                }
+                queue.delete(id);
+                openJobs -= 1;
+                const outcome = outcomes.get(id);
+                if (outcome !== undefined) {
+                    outcome.cancelled = true;
+                }
+            }
+        }
+    };
+
+    const change = (event: WorldEvent): void => {
+        switch (event.kind) {
+            case "zoneOut":
+                zonesOut.add(event.zone);
+                // work in the zone goes on elsewhere under every policy
+                running.forEach(entry => {
+                    const zone = fleet.workers.get(entry.allocation.members[0].worker)?.availabilityZone;
+                    if (zone === event.zone && entry.arrival.spec.checkpointable) {
+                        evict(entry.arrival.spec.id, true);
+                    }
+                });
+                break;
+            case "zoneIn":
+                zonesOut.delete(event.zone);
+                break;
+            case "workerBreaks":
+                broken.add(event.worker);
+                break;
+            case "workerMended":
+                broken.delete(event.worker);
+                break;
+            case "cancelWave":
+                cancelWave(event.share);
+        }
+        requestPlan();
+    };
+
+    const arrive = (arrival: Arrival): void => {
+        openJobs += 1;
+        arrivals.set(arrival.spec.id, arrival);
+        outcomes.set(arrival.spec.id, {
+            class: arrival.class,
+            accelerators: acceleratorsOf(arrival.spec.shape),
+            runTimeMs: arrival.actualRunTimeMs,
+            rejected: false,
+            cancelled: false,
+            neverFits: arrival.neverFits,
+        });
+        enqueue(arrival, 0, undefined);
+    };
+
+    workload.arrivals.forEach(arrival => agenda.push(arrival.atMs, () => arrive(arrival)));
+    workload.events.forEach(event => agenda.push(event.atMs, () => change(event)));
+    const limitMs = workload.endMs * 4;
+    for (let next = agenda.pop(); next !== undefined && next.atMs < limitMs; next = agenda.pop()) {
+        advanceTo(next.atMs);
+        next.run();
+        if (openJobs === 0 && nowMs > workload.endMs) {
+            break;
+        }
+    }
+
+    const total = workload.workers.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
+    const remaining = workload.workers
+        .filter(worker => worker.availabilityZone !== workload.zoneMove.zone)
+        .reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
+    const windowMs = workload.zoneMove.untilMs - workload.zoneMove.fromMs;
+    return {
+        jobs: [...outcomes.values()],
+        fragmentation: area.fragmentMs / Math.max(1, area.fragmentedMs),
+        zoneMoveWork: (area.windowBusyMs - area.windowLostMs) / (windowMs * remaining),
+        lostAcceleratorHours: result.lostMs / 3_600_000,
+        utilisation: area.busyMs / (workload.endMs * total),
+        rounds: result.rounds,
+        planMs: result.planMs,
+        slowestRoundMs: result.slowestRoundMs,
+    };
+};
--- /dev/null
+++ b/bench/workload.ts
@@ -0,0 +1,252 @@
+/** Seeded lists of arrivals and faults that stand for the users' mixes. */
+import { Adjacency, Urgency } from "../src/configuration/types.js";
+import type { Shape, Statement } from "../src/configuration/types.js";
+import type { JobSpec, Worker } from "../src/scheduling/types.js";
+import { createRandom, pickOne } from "../src/utils/random.js";
+import type { Random } from "../src/utils/random.js";
+
+/** Classes that completion times are reported by. */
+export enum JobClass {
+    Urgent = "urgent",
+    Small = "small",
+    Medium = "medium",
+    Large = "large",
+}
+
+/** A job as it arrives, with what only the work itself knows. */
+export interface Arrival {
+    atMs: number;
+    spec: JobSpec;
+    class: JobClass;
+    actualRunTimeMs: number;
+    ignoresCheckpoint: boolean;
+    /** It can never run, because its shape is too large. */
+    neverFits: boolean;
+}
+
+/** A change of the surroundings. */
+export type WorldEvent =
+    | { kind: "zoneOut"; atMs: number; zone: string; }
+    | { kind: "zoneIn"; atMs: number; zone: string; }
+    | { kind: "workerBreaks"; atMs: number; worker: string; }
+    | { kind: "workerMended"; atMs: number; worker: string; }
+    | { kind: "cancelWave"; atMs: number; share: number; };
+
+/** Size and habits of one user. */
+export interface Profile {
+    name: string;
+    zones: number;
+    workersPerZone: number;
+    /** Accelerators of a worker by its index within the zone. */
+    acceleratorsOf: (index: number) => number;
+    customers: number;
+    jobsPerDay: number;
+    days: number;
+    /** Weights of urgent, small, medium and large jobs. */
+    weights: Record<JobClass, number>;
+    largeShapes: Shape[];
+    meanHours: Record<JobClass, number>;
+}
+
+/** Everything that happens in one run. */
+export interface Workload {
+    workers: Worker[];
+    statements: Statement[];
+    arrivals: Arrival[];
+    events: WorldEvent[];
+    /** Time during which a zone is out. */
+    zoneMove: { fromMs: number; untilMs: number; zone: string; };
+    endMs: number;
+}
+
+const hourMs = 3_600_000;
+const dayMs = 24 * hourMs;
+
+/** A shape with one core and one GB for each task. */
+export const shapeOf = (taskCount: number, acceleratorsPerTask: number, adjacency: Adjacency): Shape => ({
+    taskCount,
+    acceleratorsPerTask,
+    coresPerTask: 1,
+    memoryGbPerTask: 1,
+    adjacency,
+});
+
+const createWorkers = (profile: Profile): Worker[] => {
+    const workers: Worker[] = [];
+    for (let zone = 0; zone < profile.zones; zone++) {
+        for (let index = 0; index < profile.workersPerZone; index++) {
+            workers.push({
+                name: `worker-${zone}-${String(index).padStart(3, "0")}`,
+                availabilityZone: `zone-${zone}`,
+                rack: `rack-${zone}-${Math.floor(index / 8)}`,
+                capacity: { accelerators: profile.acceleratorsOf(index), cores: 64, memoryGb: 130 },
+                usable: true,
+            });
+        }
+    }
+    return workers;
+};
+
+const guarantee = (customer: number, shape: Shape, count: number): Statement => ({
+    name: `guarantee-${customer}`,
+    owner: "bench",
+    reason: "bench",
+    customer: `customer-${customer}`,
+    guarantee: { shape, count, holdsWithZoneOut: true },
+    provenance: { file: "bench", line: 1, changedInVersion: 1, changedBy: "bench", changedAtMs: 0 },
+});
+
+/** Half of the customers hold guarantees, together about a third of all accelerators. */
+const createStatements = (profile: Profile, total: number): Statement[] => {
+    const holders = Math.floor(profile.customers / 2);
+    const units = Math.max(1, Math.floor(total * 0.3 / (16 * holders)));
+    return Array.from(Array(holders).keys(), customer => guarantee(customer, shapeOf(16, 1, Adjacency.Rack), units));
+};
+
+const exponential = (random: Random, mean: number): number => -Math.log(1 - random()) * mean;
+
+/** Declared run times are wrong by a factor between a fifth and five. */
+const declaredFrom = (random: Random, actualMs: number): number => actualMs * Math.exp((random() * 2 - 1) * Math.log(5));
+
+const drawClass = (random: Random, profile: Profile): JobClass => {
+    let draw = random();
+    for (const jobClass of Object.values(JobClass)) {
+        draw -= profile.weights[jobClass];
+        if (draw < 0) {
+            return jobClass;
+        }
+    }
+    return JobClass.Small;
+};
+
+const shapeFor = (random: Random, profile: Profile, jobClass: JobClass): Shape => {
+    switch (jobClass) {
+        case JobClass.Urgent:
+            return shapeOf(16, 1, Adjacency.Rack);
+        case JobClass.Small:
+            return shapeOf(1, pickOne(random, [1, 2, 4]), Adjacency.Worker);
+        case JobClass.Medium:
+            return pickOne(random, [shapeOf(8, 1, Adjacency.Worker), shapeOf(12, 1, Adjacency.Rack), shapeOf(16, 1, Adjacency.Rack)]);
+        case JobClass.Large:
+            return pickOne(random, profile.largeShapes);
+    }
+};
+
+const createArrival = (random: Random, profile: Profile, index: number, atMs: number): Arrival => {
+    const jobClass = drawClass(random, profile);
+    const neverFits = random() < 0.01;
+    const actualRunTimeMs = 60_000 + exponential(random, profile.meanHours[jobClass] * hourMs);
+    const holders = Math.floor(profile.customers / 2);
+    const customer = jobClass === JobClass.Urgent
+        ? Math.floor(random() * holders)
+        : holders + Math.floor(random() * (profile.customers - holders));
+    const urgency = jobClass === JobClass.Urgent ? Urgency.Urgent : random() < 0.5 ? Urgency.Normal : Urgency.MayWait;
+    return {
+        atMs,
+        class: jobClass,
+        actualRunTimeMs,
+        neverFits,
+        ignoresCheckpoint: random() < 0.1,
+        spec: {
+            id: `job-${index}`,
+            customer: `customer-${customer}`,
+            service: jobClass,
+            shape: neverFits ? shapeOf(96, 8, Adjacency.Rack) : shapeFor(random, profile, jobClass),
+            urgency,
+            declaredRunTimeMs: declaredFrom(random, actualRunTimeMs),
+            checkpointable: random() < 0.85,
+            submittedAtMs: atMs,
+        },
+    };
+};
+
+/** Arrivals come singly and, a fifth of them, in bursts of ten. */
+const createArrivals = (random: Random, profile: Profile): Arrival[] => {
+    const arrivals: Arrival[] = [];
+    const total = profile.jobsPerDay * profile.days;
+    const meanGapMs = profile.days * dayMs / (total * 0.8 + total * 0.02);
+    let atMs = 0;
+    while (arrivals.length < total) {
+        atMs += exponential(random, meanGapMs);
+        const count = random() < 0.025 ? 10 : 1;
+        for (let copy = 0; copy < count; copy++) {
+            arrivals.push(createArrival(random, profile, arrivals.length, atMs));
+        }
+    }
+    return arrivals;
+};
+
+/** A backlog of small work that may wait, so that the remaining zones have enough to do during a zone move. */
+const createBacklog = (random: Random, profile: Profile, atMs: number, accelerators: number): Arrival[] => {
+    const backlog: Arrival[] = [];
+    for (let index = 0; index * 4 < accelerators; index++) {
+        const arrival = createArrival(random, { ...profile, weights: { urgent: 0, small: 1, medium: 0, large: 0 } }, index, atMs);
+        arrival.spec.id = `backlog-${index}`;
+        arrival.spec.urgency = Urgency.MayWait;
+        arrival.spec.checkpointable = true;
+        arrival.neverFits = false;
+        arrival.spec.shape = shapeOf(1, 4, Adjacency.Worker);
+        arrival.actualRunTimeMs = 2 * hourMs;
+        backlog.push(arrival);
+    }
+    return backlog;
+};
+
+/** Builds the run of a profile for a seed. */
+export const createWorkload = (profile: Profile, seed: number): Workload => {
+    const random = createRandom(seed);
+    const workers = createWorkers(profile);
+    const total = workers.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
+    const zoneMove = { fromMs: 0.55 * profile.days * dayMs, untilMs: 0.55 * profile.days * dayMs + 2 * hourMs, zone: "zone-1" };
+    const backlog = createBacklog(random, profile, zoneMove.fromMs - hourMs / 2, total * 0.6);
+    const arrivals = [...createArrivals(random, profile), ...backlog].sort((left, right) => left.atMs - right.atMs);
+    const broken = pickOne(random, workers.filter(worker => worker.capacity.accelerators > 0)).name;
+    const events: WorldEvent[] = [
+        { kind: "workerBreaks", atMs: 0.2 * profile.days * dayMs, worker: broken },
+        { kind: "workerMended", atMs: 0.4 * profile.days * dayMs, worker: broken },
+        { kind: "zoneOut", atMs: zoneMove.fromMs, zone: zoneMove.zone },
+        { kind: "zoneIn", atMs: zoneMove.untilMs, zone: zoneMove.zone },
+        { kind: "cancelWave", atMs: 0.8 * profile.days * dayMs, share: 0.3 },
+    ];
+    return { workers, statements: createStatements(profile, total), arrivals, events, zoneMove, endMs: profile.days * dayMs };
+};
+
+const todayWeights = { urgent: 0.08, small: 0.55, medium: 0.27, large: 0.1 };
+
+/** The dove company today: many short jobs, large ones over racks. */
+export const doveProfile: Profile = {
+    name: "dove today",
+    zones: 3,
+    workersPerZone: 10,
+    acceleratorsOf: () => 8,
+    customers: 4,
+    jobsPerDay: 380,
+    days: 2,
+    weights: todayWeights,
+    largeShapes: [shapeOf(32, 1, Adjacency.Rack), shapeOf(48, 1, Adjacency.AvailabilityZone)],
+    meanHours: { urgent: 0.3, small: 1.2, medium: 1.2, large: 1.5 },
+};
+
+/** The coop company today: fewer, longer jobs. */
+export const coopProfile: Profile = {
+    ...doveProfile,
+    name: "coop today",
+    jobsPerDay: 200,
+    weights: { urgent: 0.08, small: 0.5, medium: 0.32, large: 0.1 },
+    largeShapes: [shapeOf(32, 1, Adjacency.Rack), shapeOf(64, 1, Adjacency.AvailabilityZone)],
+    meanHours: { urgent: 0.5, small: 2.5, medium: 2.2, large: 2.5 },
+};
+
+/** The size of the letter: 770 workers of which 200 have 8 accelerators each, 36 customers, gangs to 64. */
+export const targetProfile: Profile = {
+    name: "target size",
+    zones: 6,
+    workersPerZone: 128,
+    acceleratorsOf: index => index < 33 ? 8 : 0,
+    customers: 36,
+    jobsPerDay: 710,
+    days: 1,
+    weights: { urgent: 0.1, small: 0.35, medium: 0.35, large: 0.2 },
+    largeShapes: [shapeOf(32, 1, Adjacency.Rack), shapeOf(64, 1, Adjacency.Rack), shapeOf(64, 1, Adjacency.AvailabilityZone)],
+    meanHours: { urgent: 1, small: 4, medium: 4, large: 2.8 },
+};
--- a/src/scheduling/jobExecutor.ts
+++ b/src/scheduling/jobExecutor.ts
@@ -36,8 +36,12 @@
 export interface JobExecutor {
     /** Places a job whose allocation the ledger already holds. */
     place(tracked: TrackedJob, placement: Omit<Placement, "placedAtMs" | "planner">): Promise<void>;
-    /** Saves the job's progress if it can, stops it and puts it back into the queue. */
-    evict(tracked: TrackedJob, reason: string): Promise<void>;
+    /**
+     * Saves the job's progress if it can, stops it and puts it back into the queue.
+     *
+     * A job that does not save its progress goes on unless the eviction is mandatory.
+     */
+    evict(tracked: TrackedJob, reason: string, mandatory: boolean): Promise<void>;
     /** Stops whatever is left of the job's tasks and puts it back into the queue. */
     requeue(tracked: TrackedJob, reason: string, change?: JobChange): Promise<void>;
     /** Ends the job and stops whatever is left of its tasks. */
@@ -155,7 +159,7 @@
         onEvent({ jobId: spec.id, kind: "requeued", detail: reason });
     };
 
-    const evictNow = async (tracked: TrackedJob, reason: string): Promise<void> => {
+    const evictNow = async (tracked: TrackedJob, reason: string, mandatory: boolean): Promise<void> => {
         const { placement, spec, progressMs } = tracked.stored.record;
         if (placement === undefined) {
             return;
@@ -164,7 +168,12 @@
         const savedMs = spec.checkpointable
             ? await checkpointGang(gang, placement.members, findWorker, times)
             : undefined;
-        await requeueNow(tracked, reason, { progressMs: savedMs ?? progressMs });
+        if (savedMs === undefined) {
+            tracked.ignoresCheckpoint = true;
+        }
+        if (savedMs !== undefined || mandatory) {
+            await requeueNow(tracked, reason, { progressMs: savedMs ?? progressMs });
+        }
     };
 
     const endNow = async (tracked: TrackedJob, ended: JobState, reason: string): Promise<void> => {
@@ -182,7 +191,7 @@
 
     return {
         place: (tracked, placement) => exclusively(tracked, () => placeNow(tracked, placement)),
-        evict: (tracked, reason) => exclusively(tracked, () => evictNow(tracked, reason)),
+        evict: (tracked, reason, mandatory) => exclusively(tracked, () => evictNow(tracked, reason, mandatory)),
         requeue: (tracked, reason, changes = {}) => exclusively(tracked, () => requeueNow(tracked, reason, changes)),
         end: (tracked, ended, reason) => exclusively(tracked, () => endNow(tracked, ended, reason)),
         refresh,
--- a/src/scheduling/ledger.ts
+++ b/src/scheduling/ledger.ts
@@ -38,6 +38,8 @@
     guaranteeUnit?: string;
     /** Estimated time at which its members are free. */
     readyAtMs: number;
+    /** Time since which the same members are claimed. */
+    madeAtMs: number;
     /** Whether jobs that end in time or can be moved may use it until then. */
     backfill: boolean;
 }
--- a/src/scheduling/plan.ts
+++ b/src/scheduling/plan.ts
@@ -1,4 +1,4 @@
-import { Urgency } from "../configuration/types.js";
+import { Adjacency, Urgency } from "../configuration/types.js";
 import { findBorrowedPlacement } from "./borrowed.js";
 import { avoidingFailures, findPlacement, fitsEmptyFleet } from "./fit.js";
 import type { Candidate } from "./fit.js";
@@ -25,7 +25,13 @@
 /** One decision; the ledger already reflects it. */
 export type Decision =
     | { kind: DecisionKind.Place; job: QueuedJob; members: Member[]; class: AllocationClass; guaranteeUnit?: string; }
-    | { kind: DecisionKind.Reclaim; job: QueuedJob; victims: Allocation[]; }
+    | {
+        kind: DecisionKind.Reclaim;
+        job: QueuedJob;
+        victims: Allocation[];
+        /** Whether victims are stopped even if they cannot save their progress. */
+        mandatory: boolean;
+    }
     | { kind: DecisionKind.Reject; job: QueuedJob; reason: string; };
 
 /** What a planning round works on. */
@@ -43,6 +49,8 @@
 
 /** Blocked jobs for which room is kept at the same time. */
 const maxReservations = 3;
+/** Accelerators from which on a job on one worker gets a reservation. */
+const minReservedAccelerators = 8;
 /** Jobs looked at in one round after the first that had to wait. */
 const maxBlockedPerRound = 200;
 
@@ -68,13 +76,19 @@
     return { kind: DecisionKind.Place, job, members, class: allocationClass, guaranteeUnit };
 };
 
-const reclaim = (input: PlanInput, job: QueuedJob, victims: Allocation[], claim: Claim): Decision[] => {
+const reclaim = (
+    input: PlanInput,
+    job: QueuedJob,
+    victims: Allocation[],
+    claim: Claim,
+    mandatory: boolean,
+): Decision[] => {
     input.ledger.setClaim(claim);
     const asked = victims.filter(victim => !victim.leaving);
     asked.forEach(victim => {
         victim.leaving = true;
     });
-    return asked.length === 0 ? [] : [{ kind: DecisionKind.Reclaim, job, victims: asked }];
+    return asked.length === 0 ? [] : [{ kind: DecisionKind.Reclaim, job, victims: asked, mandatory }];
 };
 
 const hasRoom = (ledger: Ledger, claim: Claim): boolean => {
@@ -114,9 +128,10 @@
         class: AllocationClass.Guaranteed,
         guaranteeUnit: option.unit,
         readyAtMs: nowMs,
+        madeAtMs: nowMs,
         backfill: false,
     };
-    return reclaim(input, job, option.victims, claim);
+    return reclaim(input, job, option.victims, claim, true);
 };
 
 const mayBorrowInstead = (job: JobSpec): boolean => job.checkpointable && job.urgency !== Urgency.Urgent;
@@ -127,12 +142,16 @@
     return members === undefined ? undefined : [place(input, job, members, AllocationClass.Borrowed)];
 };
 
-const claimFor = (job: JobSpec, members: Member[], readyAtMs: number, backfill: boolean): Claim => ({
+const isSamePlace = (claim: Claim | undefined, members: readonly Member[]): boolean =>
+    claim !== undefined && JSON.stringify(claim.members) === JSON.stringify(members);
+
+const claimFor = (input: PlanInput, job: JobSpec, members: Member[], readyAtMs: number, backfill: boolean): Claim => ({
     jobId: job.id,
     shape: job.shape,
     members,
     class: AllocationClass.Borrowed,
     readyAtMs,
+    madeAtMs: input.nowMs,
     backfill,
 });
 
@@ -170,20 +189,22 @@
     if (best === undefined || victims === undefined) {
         return undefined;
     }
-    return reclaim(input, job, victims, claimFor(job.spec, best.members, nowMs, false));
+    return reclaim(input, job, victims, claimFor(input, job.spec, best.members, nowMs, false), true);
 };
 
 /** Keeps room for a blocked job and moves small borrowers out of its way where that pays. */
-const planReservation = (input: PlanInput, job: QueuedJob): Decision[] => {
+const planReservation = (input: PlanInput, job: QueuedJob, previous: Claim | undefined): Decision[] => {
     const { ledger, nowMs, runTimes } = input;
     const reservation = findReservation(ledger, job.spec, runTimes, nowMs);
     const waitMs = reservation === undefined ? runTimes.estimateMs(job.spec) : reservation.readyAtMs - nowMs;
     const move = findMove(ledger, job.spec, runTimes, waitMs, nowMs);
     if (move !== undefined) {
-        return reclaim(input, job, move.victims, claimFor(job.spec, move.members, nowMs, false));
+        return reclaim(input, job, move.victims, claimFor(input, job.spec, move.members, nowMs, false), false);
     }
     if (reservation !== undefined) {
-        ledger.setClaim(claimFor(job.spec, reservation.members, reservation.readyAtMs, true));
+        const claim = claimFor(input, job.spec, reservation.members, reservation.readyAtMs, true);
+        const madeAtMs = isSamePlace(previous, reservation.members) ? previous?.madeAtMs : undefined;
+        ledger.setClaim({ ...claim, madeAtMs: madeAtMs ?? nowMs });
     }
     return [];
 };
@@ -208,9 +229,9 @@
     const isAllowed = (allocation: Allocation): boolean =>
         allocation.class === AllocationClass.Borrowed
         && allocation.job.checkpointable
-        && allocation.startedAtMs >= job.spec.submittedAtMs;
+        && allocation.startedAtMs >= claim.madeAtMs;
     const victims = chooseVictims(ledger, claim.shape, claim.members, claim.jobId, nowMs, isAllowed);
-    return victims === undefined ? undefined : reclaim(input, job, victims, { ...claim, backfill: false });
+    return victims === undefined ? undefined : reclaim(input, job, victims, { ...claim, backfill: false }, false);
 };
 
 const exceedsLimit = (input: PlanInput, job: JobSpec): boolean => {
@@ -252,6 +273,10 @@
     return acceleratorsOf(job.shape) > limit ? "the shape is larger than the customer's limit" : undefined;
 };
 
+/** Small jobs find a place as soon as anything ends; only larger ones can be starved by them. */
+const needsReservation = (job: JobSpec): boolean =>
+    acceleratorsOf(job.shape) >= minReservedAccelerators || job.shape.adjacency !== Adjacency.Worker;
+
 /** A job that could run nowhere else may go back to where it failed. */
 const forgive = (ledger: Ledger, job: QueuedJob): QueuedJob => {
     const { avoid, shape } = job.spec;
@@ -277,15 +302,16 @@
         if (job.notBeforeMs > input.nowMs || exceedsLimit(input, job.spec) || blocked >= maxBlockedPerRound) {
             continue;
         }
+        const previous = input.ledger.claims.get(job.spec.id);
         const decided = planWaiting(input, job);
         if (decided !== undefined) {
             decisions.push(...decided);
             continue;
         }
         blocked += 1;
-        if (reservations < maxReservations) {
+        if (reservations < maxReservations && needsReservation(job.spec)) {
             reservations += 1;
-            decisions.push(...planReservation(input, job));
+            decisions.push(...planReservation(input, job, previous));
         }
     }
     return decisions;
--- a/src/scheduling/planner.ts
+++ b/src/scheduling/planner.ts
@@ -75,7 +75,12 @@
 };
 
 const refreshWorkers = (term: PlannerTerm): void =>
-    term.state.setWorkers(term.views.workers(term.follower.current(), term.health.isEjected));
+    term.state.setWorkers(
+        term.views.workers(
+            term.follower.current(),
+            worker => term.health.isEjected(worker, term.timer.wallClockMs()),
+        ),
+    );
 
 const applyConfiguration = (loaded: LoadedTerm, force: boolean): void => {
     const { term } = loaded;
@@ -132,7 +137,7 @@
             for (const victim of decision.victims) {
                 const evicted = term.state.jobs.get(victim.job.id);
                 if (evicted !== undefined) {
-                    void term.executor.evict(evicted, `makes room for ${id}`);
+                    void term.executor.evict(evicted, `makes room for ${id}`, decision.mandatory);
                 }
             }
             return;
@@ -186,7 +191,7 @@
     };
 
     const decide = (term: PlannerTerm): void => {
-        term.state.forgetFailedEvictions();
+        term.state.noteFailedEvictions();
         const decisions = options.plan({
             ledger: term.state.ledger(),
             queue: term.state.queue(),
--- a/src/scheduling/plannerTerm.ts
+++ b/src/scheduling/plannerTerm.ts
@@ -65,7 +65,7 @@
         const { record } = tracked.stored;
         const movable = record.state === JobState.Placed && record.spec.checkpointable && !tracked.busy;
         if (movable && isOnLeavingWorker(term, tracked)) {
-            void term.executor.evict(tracked, "its workers are leaving");
+            void term.executor.evict(tracked, "its workers are leaving", true);
         }
     }
 };
@@ -94,7 +94,7 @@
 
 const afterFailure = (term: PlannerTerm, tracked: TrackedJob, gang: GangReport): void => {
     const { spec, failures, failedOn } = tracked.stored.record;
-    term.health.recordFailure(spec.id, gang.workers);
+    term.health.recordFailure(spec.id, gang.workers, term.timer.wallClockMs());
     if (failures + 1 < maxFailures) {
         const change = { failures: failures + 1, failedOn: [...failedOn, ...gang.workers] };
         void term.executor.requeue(tracked, "its tasks failed", change);
--- a/src/scheduling/planningState.ts
+++ b/src/scheduling/planningState.ts
@@ -14,6 +14,8 @@
     stored: StoredJob;
     /** A change of the job is under way. */
     busy: boolean;
+    /** It did not save its progress when asked to; set until the planner changes. */
+    ignoresCheckpoint?: boolean;
     /** Earliest wall-clock time of the next placement. */
     notBeforeMs: number;
     /** Wall-clock time since which no worker reports the job's tasks. */
@@ -30,8 +32,8 @@
     queue(): QueuedJob[];
     /** Replaces the workers; allocations and homes are carried over. */
     setWorkers(workers: readonly Worker[]): void;
-    /** Lets borrowers be asked again whose eviction did not succeed. */
-    forgetFailedEvictions(): void;
+    /** Lets borrowers be asked again whose eviction did not succeed, at their true price. */
+    noteFailedEvictions(): void;
     /** Fits homes to the guarantees of a snapshot; returns the units without a place. */
     applyGuarantees(snapshot: Snapshot): string[];
 }
@@ -131,9 +133,13 @@
                 notBeforeMs: tracked.notBeforeMs,
             })),
         setWorkers,
-        forgetFailedEvictions: () => {
+        noteFailedEvictions: () => {
             for (const allocation of ledger.allocations.values()) {
-                allocation.leaving &&= jobs.get(allocation.job.id)?.busy === true;
+                const tracked = jobs.get(allocation.job.id);
+                allocation.leaving &&= tracked?.busy === true;
+                if (tracked?.ignoresCheckpoint === true) {
+                    allocation.job = { ...allocation.job, checkpointable: false };
+                }
             }
         },
         applyGuarantees: snapshot => {
--- a/src/scheduling/queries/dumpPlanner.ts
+++ b/src/scheduling/queries/dumpPlanner.ts
@@ -37,6 +37,6 @@
         })),
         homes: [...ledger.homes.values()].map(home => ({ unit: home.unit, workers: namesOf(home.members) })),
         claims: [...ledger.claims.values()].map(claim => ({ jobId: claim.jobId, workers: namesOf(claim.members) })),
-        ejectedWorkers: term.health.ejected(),
+        ejectedWorkers: term.health.ejected(nowMs),
     };
 };
--- a/src/scheduling/reservation.ts
+++ b/src/scheduling/reservation.ts
@@ -21,8 +21,15 @@
 /** A move must gain this many times the accelerator time that it loses. */
 const moveGainFactor = 2;
 
+/** Share of its running time so far that an overdue job is expected to need in addition. */
+const overdueShare = 0.3;
+
+/** Expected end of an allocation; the longer a job is overdue, the longer it is expected to go on. */
 const endOf = (allocation: Allocation, runTimes: RunTimeModel, nowMs: number): number =>
-    Math.max(nowMs, allocation.startedAtMs + runTimes.estimateMs(allocation.job));
+    Math.max(
+        nowMs + overdueShare * (nowMs - allocation.startedAtMs),
+        allocation.startedAtMs + runTimes.estimateMs(allocation.job),
+    );
 
 const freeWith = (ledger: Ledger, job: JobSpec, gone: readonly Allocation[]): (worker: Worker) => Resources => {
     const freed = new Map<string, Resources>();
--- a/tools/soak/load.ts
+++ b/tools/soak/load.ts
@@ -1,5 +1,5 @@
 /** Callers and submitters of a soak run. */
-import { Outcome } from "../../src/routing/types.js";
+import type { Outcome } from "../../src/routing/types.js";
 import { pickOne } from "../../src/utils/random.js";
 import type { Random } from "../../src/utils/random.js";
 import { sendJson } from "../localCluster.js";
--- a/tools/soak/record.ts
+++ b/tools/soak/record.ts
@@ -1,5 +1,5 @@
 /** What the driver of a soak run notes, for the checks at the end. */
-import { Outcome } from "../../src/routing/types.js";
+import type { Outcome } from "../../src/routing/types.js";
 
 /** One call as its caller saw it. */
 export interface CallNote {
