fix: let guarantees go before borrowers' claims

Cause: a guaranteed job saw what borrowers had claimed as taken, found no victims and waited (189 s in one seed) though its unit was unused; rounds stopped after 200 blocked jobs, so small ones behind them waited for nothing. Change: guarantees count only other guarantees' claims and drop overlapping ones; a round remembers which places are full in place of the limit.

--- a/bench/baselines.ts
+++ b/bench/baselines.ts
@@ -2,9 +2,9 @@
 import { fitIntoDomain, fitsEmptyFleet } from "../src/scheduling/fit.js";
 import type { Available } from "../src/scheduling/fit.js";
 import type { Ledger } from "../src/scheduling/ledger.js";
+import type { QueuedJob } from "../src/scheduling/order.js";
 import { DecisionKind } from "../src/scheduling/plan.js";
 import type { Decision, PlanInput, PlanRound } from "../src/scheduling/plan.js";
-import type { QueuedJob } from "../src/scheduling/order.js";
 import { addScaled, atMost, noResources, resourcesPerTask } from "../src/scheduling/resources.js";
 import { AllocationClass } from "../src/scheduling/types.js";
 import type { Member } from "../src/scheduling/types.js";
@@ -32,7 +32,11 @@
     return { kind: DecisionKind.Place, job, members, class: AllocationClass.Borrowed };
 };
 
-const inOrder = (input: PlanInput, tryPlace: (job: QueuedJob) => Member[] | undefined, blocks: (job: QueuedJob) => string | undefined) => {
+const inOrder = (
+    input: PlanInput,
+    tryPlace: (job: QueuedJob) => Member[] | undefined,
+    blocks: (job: QueuedJob) => string | undefined,
+) => {
     const decisions: Decision[] = [];
     const blocked = new Set<string>();
     const queue = [...input.queue].sort((left, right) => left.spec.submittedAtMs - right.spec.submittedAtMs);
--- a/bench/placementRun.ts
+++ b/bench/placementRun.ts
@@ -107,7 +107,9 @@
     let usable = 0;
     for (const domain of ledger.fleet.domains(arrival.spec.shape.adjacency)) {
         const candidate = fitIntoDomain(arrival.spec.shape, domain, worker => ledger.free(worker));
-        usable += candidate === undefined ? 0 : size * (1 + Math.floor(candidate.leftoverTasks / arrival.spec.shape.taskCount));
+        usable += candidate === undefined
+            ? 0
+            : size * (1 + Math.floor(candidate.leftoverTasks / arrival.spec.shape.taskCount));
     }
     return usable;
 };
@@ -161,7 +163,10 @@
         for (const id of queue.keys()) {
             const arrival = arrivals.get(id);
             const size = arrival === undefined ? 0 : acceleratorsOf(arrival.spec.shape);
-            if (arrival !== undefined && !arrival.neverFits && size > (largest === undefined ? 16 : acceleratorsOf(largest.spec.shape))) {
+            if (
+                arrival !== undefined && !arrival.neverFits
+                && size > (largest === undefined ? 16 : acceleratorsOf(largest.spec.shape))
+            ) {
                 largest = arrival;
             }
         }
@@ -169,7 +174,8 @@
         if (largest !== undefined && free > 0) {
             area.fragmentMs += elapsedMs * (1 - Math.min(1, usableBy(ledger, largest) / free)) * free;
         }
-        area.fragmentedMs += elapsedMs * workload.workers.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
+        area.fragmentedMs += elapsedMs
+            * workload.workers.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
     };
 
     const advanceTo = (atMs: number): void => {
@@ -293,7 +299,8 @@
         if (outcome !== undefined) {
             outcome.waitMs ??= nowMs + startDelayMs - arrival.atMs;
         }
-        const remainingMs = arrival.actualRunTimeMs - (progress.get(id) ?? 0) + (decision.job.attempts > 0 ? restartMs : 0);
+        const remainingMs = arrival.actualRunTimeMs - (progress.get(id) ?? 0)
+            + (decision.job.attempts > 0 ? restartMs : 0);
         const startedAtMs = nowMs + startDelayMs;
         const failing = decision.members.some(member => broken.has(member.worker));
         const entry = { arrival, allocation, startedAtMs, endsAtMs: startedAtMs + remainingMs, failing };
--- a/bench/workload.ts
+++ b/bench/workload.ts
@@ -106,7 +106,8 @@
 const exponential = (random: Random, mean: number): number => -Math.log(1 - random()) * mean;
 
 /** Declared run times are wrong by a factor between a fifth and five. */
-const declaredFrom = (random: Random, actualMs: number): number => actualMs * Math.exp((random() * 2 - 1) * Math.log(5));
+const declaredFrom = (random: Random, actualMs: number): number =>
+    actualMs * Math.exp((random() * 2 - 1) * Math.log(5));
 
 const drawClass = (random: Random, profile: Profile): JobClass => {
     let draw = random();
@@ -126,7 +127,11 @@
         case JobClass.Small:
             return shapeOf(1, pickOne(random, [1, 2, 4]), Adjacency.Worker);
         case JobClass.Medium:
-            return pickOne(random, [shapeOf(8, 1, Adjacency.Worker), shapeOf(12, 1, Adjacency.Rack), shapeOf(16, 1, Adjacency.Rack)]);
+            return pickOne(random, [
+                shapeOf(8, 1, Adjacency.Worker),
+                shapeOf(12, 1, Adjacency.Rack),
+                shapeOf(16, 1, Adjacency.Rack),
+            ]);
         case JobClass.Large:
             return pickOne(random, profile.largeShapes);
     }
@@ -180,7 +185,12 @@
 const createBacklog = (random: Random, profile: Profile, atMs: number, accelerators: number): Arrival[] => {
     const backlog: Arrival[] = [];
     for (let index = 0; index * 4 < accelerators; index++) {
-        const arrival = createArrival(random, { ...profile, weights: { urgent: 0, small: 1, medium: 0, large: 0 } }, index, atMs);
+        const arrival = createArrival(
+            random,
+            { ...profile, weights: { urgent: 0, small: 1, medium: 0, large: 0 } },
+            index,
+            atMs,
+        );
         arrival.spec.id = `backlog-${index}`;
         arrival.spec.urgency = Urgency.MayWait;
         arrival.spec.checkpointable = true;
@@ -197,7 +207,11 @@
     const random = createRandom(seed);
     const workers = createWorkers(profile);
     const total = workers.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
-    const zoneMove = { fromMs: 0.55 * profile.days * dayMs, untilMs: 0.55 * profile.days * dayMs + 2 * hourMs, zone: "zone-1" };
+    const zoneMove = {
+        fromMs: 0.55 * profile.days * dayMs,
+        untilMs: 0.55 * profile.days * dayMs + 2 * hourMs,
+        zone: "zone-1",
+    };
     const backlog = createBacklog(random, profile, zoneMove.fromMs - hourMs / 2, total * 0.6);
     const arrivals = [...createArrivals(random, profile), ...backlog].sort((left, right) => left.atMs - right.atMs);
     const broken = pickOne(random, workers.filter(worker => worker.capacity.accelerators > 0)).name;
@@ -208,7 +222,14 @@
         { kind: "zoneIn", atMs: zoneMove.untilMs, zone: zoneMove.zone },
         { kind: "cancelWave", atMs: 0.8 * profile.days * dayMs, share: 0.3 },
     ];
-    return { workers, statements: createStatements(profile, total), arrivals, events, zoneMove, endMs: profile.days * dayMs };
+    return {
+        workers,
+        statements: createStatements(profile, total),
+        arrivals,
+        events,
+        zoneMove,
+        endMs: profile.days * dayMs,
+    };
 };
 
 const todayWeights = { urgent: 0.08, small: 0.55, medium: 0.27, large: 0.1 };
@@ -247,6 +268,10 @@
     jobsPerDay: 710,
     days: 1,
     weights: { urgent: 0.1, small: 0.35, medium: 0.35, large: 0.2 },
-    largeShapes: [shapeOf(32, 1, Adjacency.Rack), shapeOf(64, 1, Adjacency.Rack), shapeOf(64, 1, Adjacency.AvailabilityZone)],
+    largeShapes: [
+        shapeOf(32, 1, Adjacency.Rack),
+        shapeOf(64, 1, Adjacency.Rack),
+        shapeOf(64, 1, Adjacency.AvailabilityZone),
+    ],
     meanHours: { urgent: 1, small: 4, medium: 4, large: 2.8 },
 };
--- a/src/scheduling/guaranteed.ts
+++ b/src/scheduling/guaranteed.ts
@@ -39,7 +39,11 @@
     const workers = home.flatMap(member => ledger.fleet.workers.get(member.worker) ?? []);
     const domain: Domain = { name: "home", workers };
     const room = avoidingFailures(job, worker => addScaled(partOf(home, perTask, worker), occupied(worker), -1));
-    const onFree = fitIntoDomain(job.shape, domain, worker => atMost(room(worker), ledger.unclaimed(worker, job.id)));
+    const onFree = fitIntoDomain(
+        job.shape,
+        domain,
+        worker => atMost(room(worker), ledger.unclaimedByGuarantees(worker, job.id)),
+    );
     return (onFree ?? fitIntoDomain(job.shape, domain, room))?.members;
 };
 
@@ -67,8 +71,9 @@
     if (members === undefined) {
         return undefined;
     }
+    const available = (worker: Worker): Resources => ledger.unclaimedByGuarantees(worker, job.id);
     const isBorrower = (allocation: Allocation): boolean => allocation.class === AllocationClass.Borrowed;
-    const victims = chooseVictims(ledger, job.shape, members, job.id, nowMs, isBorrower);
+    const victims = chooseVictims(ledger, job.shape, members, available, nowMs, isBorrower);
     return victims === undefined ? undefined : { unit: home.unit, home: undefined, members, victims };
 };
 
--- a/src/scheduling/ledger.ts
+++ b/src/scheduling/ledger.ts
@@ -59,6 +59,8 @@
     free(worker: Worker): Resources;
     /** What no job uses and no claim other than the job's own reserves. */
     unclaimed(worker: Worker, jobId: string): Resources;
+    /** What no job uses and no other guaranteed job claims. */
+    unclaimedByGuarantees(worker: Worker, jobId: string): Resources;
     /** What lies outside all homes other than the given unit's. */
     outsideHomes(worker: Worker, exceptUnit?: string): Resources;
     /** What remains of the free resources if idle homes are left alone. */
@@ -92,6 +94,7 @@
     const borrowed: Book = new Map();
     const homed: Book = new Map();
     const claimed: Book = new Map();
+    const claimedByGuarantees: Book = new Map();
     const borrowers = new Map<string, Set<Allocation>>();
     const usedByCustomer = new Map<string, number>();
 
@@ -128,11 +131,19 @@
         }
     };
 
+    const postClaim = (claim: Claim, sign: 1 | -1): void => {
+        const perTask = resourcesPerTask(claim.shape);
+        post(claimed, claim.members, perTask, sign);
+        if (claim.class === AllocationClass.Guaranteed) {
+            post(claimedByGuarantees, claim.members, perTask, sign);
+        }
+    };
+
     const dropClaim = (jobId: string): void => {
         const claim = claims.get(jobId);
         if (claim !== undefined) {
             claims.delete(jobId);
-            post(claimed, claim.members, resourcesPerTask(claim.shape), -1);
+            postClaim(claim, -1);
         }
     };
 
@@ -146,14 +157,16 @@
             : addScaled(noResources(), resourcesPerTask(home.shape), member.taskCount);
     };
 
-    const claimPart = (jobId: string, worker: Worker): Resources => {
-        const claim = claims.get(jobId);
+    const claimPart = (claim: Claim | undefined, worker: Worker): Resources => {
         const member = claim?.members.find(candidate => candidate.worker === worker.name);
         return claim === undefined || member === undefined
             ? noResources()
             : addScaled(noResources(), resourcesPerTask(claim.shape), member.taskCount);
     };
 
+    const othersIn = (book: Book, worker: Worker, own: Claim | undefined): Resources =>
+        subtract(book.get(worker.name) ?? noResources(), claimPart(own, worker));
+
     const outsideHomes = (worker: Worker, exceptUnit?: string): Resources =>
         addScaled(subtract(worker.capacity, homed.get(worker.name)), homePart(exceptUnit, worker), 1);
 
@@ -179,13 +192,15 @@
         setClaim: claim => {
             dropClaim(claim.jobId);
             claims.set(claim.jobId, claim);
-            post(claimed, claim.members, resourcesPerTask(claim.shape), 1);
+            postClaim(claim, 1);
         },
         dropClaim,
         free,
-        unclaimed: (worker, jobId) => {
-            const others = subtract(claimed.get(worker.name) ?? noResources(), claimPart(jobId, worker));
-            return addScaled(free(worker), others, -1);
+        unclaimed: (worker, jobId) => addScaled(free(worker), othersIn(claimed, worker, claims.get(jobId)), -1),
+        unclaimedByGuarantees: (worker, jobId) => {
+            const own = claims.get(jobId);
+            const counted = own?.class === AllocationClass.Guaranteed ? own : undefined;
+            return addScaled(free(worker), othersIn(claimedByGuarantees, worker, counted), -1);
         },
         outsideHomes,
         spare: worker => atMost(free(worker), subtract(outsideHomes(worker), borrowed.get(worker.name))),
--- a/src/scheduling/plan.ts
+++ b/src/scheduling/plan.ts
@@ -51,8 +51,6 @@
 const maxReservations = 3;
 /** Accelerators from which on a job on one worker gets a reservation. */
 const minReservedAccelerators = 8;
-/** Jobs looked at in one round after the first that had to wait. */
-const maxBlockedPerRound = 200;
 
 const place = (
     input: PlanInput,
@@ -76,6 +74,16 @@
     return { kind: DecisionKind.Place, job, members, class: allocationClass, guaranteeUnit };
 };
 
+/** A guarantee goes before what borrowers have claimed in the same place. */
+const dropOverlappingClaims = (ledger: Ledger, claim: Claim): void => {
+    const workers = new Set(claim.members.map(member => member.worker));
+    for (const other of [...ledger.claims.values()]) {
+        if (other.class === AllocationClass.Borrowed && other.members.some(member => workers.has(member.worker))) {
+            ledger.dropClaim(other.jobId);
+        }
+    }
+};
+
 const reclaim = (
     input: PlanInput,
     job: QueuedJob,
@@ -83,6 +91,9 @@
     claim: Claim,
     mandatory: boolean,
 ): Decision[] => {
+    if (claim.class === AllocationClass.Guaranteed) {
+        dropOverlappingClaims(input.ledger, claim);
+    }
     input.ledger.setClaim(claim);
     const asked = victims.filter(victim => !victim.leaving);
     asked.forEach(victim => {
@@ -136,7 +147,23 @@
 
 const mayBorrowInstead = (job: JobSpec): boolean => job.checkpointable && job.urgency !== Urgency.Urgent;
 
-const planBorrowed = (input: PlanInput, job: QueuedJob): Decision[] | undefined => {
+/** Jobs that need the same place: within a round, where one finds none, the others find none either. */
+const placeKey = (job: JobSpec): string => JSON.stringify([job.shape, job.avoid, job.checkpointable]);
+
+const planBorrowed = (input: PlanInput, job: QueuedJob, full: Set<string>): Decision[] | undefined => {
+    const key = placeKey(job.spec);
+    const mayEndInTime = !job.spec.checkpointable;
+    if (full.has(key) && !mayEndInTime) {
+        return undefined;
+    }
+    const decided = findAndPlace(input, job);
+    if (decided === undefined) {
+        full.add(key);
+    }
+    return decided;
+};
+
+const findAndPlace = (input: PlanInput, job: QueuedJob): Decision[] | undefined => {
     const endsAtMs = input.nowMs + input.runTimes.estimateMs(job.spec);
     const members = findBorrowedPlacement(input.ledger, job.spec, endsAtMs);
     return members === undefined ? undefined : [place(input, job, members, AllocationClass.Borrowed)];
@@ -174,9 +201,10 @@
         && allocation.job.checkpointable
         && allocation.job.urgency !== Urgency.Urgent
         && rankOf(allocation.job, runTimes, nowMs) > rank;
+    const unclaimed = (worker: Worker): Resources => ledger.unclaimed(worker, job.spec.id);
     const found = new Map<Candidate, Allocation[]>();
     const costOf = (candidate: Candidate): number | undefined => {
-        const victims = chooseVictims(ledger, job.spec.shape, candidate.members, job.spec.id, nowMs, isAllowed);
+        const victims = chooseVictims(ledger, job.spec.shape, candidate.members, unclaimed, nowMs, isAllowed);
         if (victims === undefined) {
             return undefined;
         }
@@ -212,6 +240,10 @@
 /** Waits for victims on their way out; evicts backfilled borrowers once nothing else stands in the way. */
 const planClaimed = (input: PlanInput, job: QueuedJob, claim: Claim): Decision[] | undefined => {
     const { ledger, nowMs } = input;
+    const available = (worker: Worker): Resources =>
+        claim.class === AllocationClass.Guaranteed
+            ? ledger.unclaimedByGuarantees(worker, claim.jobId)
+            : ledger.unclaimed(worker, claim.jobId);
     if (hasRoom(ledger, claim)) {
         return [place(input, job, claim.members, claim.class, claim.guaranteeUnit)];
     }
@@ -220,7 +252,7 @@
             ledger,
             claim.shape,
             claim.members,
-            claim.jobId,
+            available,
             nowMs,
             other => other.leaving,
         );
@@ -230,7 +262,7 @@
         allocation.class === AllocationClass.Borrowed
         && allocation.job.checkpointable
         && allocation.startedAtMs >= claim.madeAtMs;
-    const victims = chooseVictims(ledger, claim.shape, claim.members, claim.jobId, nowMs, isAllowed);
+    const victims = chooseVictims(ledger, claim.shape, claim.members, available, nowMs, isAllowed);
     return victims === undefined ? undefined : reclaim(input, job, victims, { ...claim, backfill: false }, false);
 };
 
@@ -239,7 +271,7 @@
     return input.ledger.acceleratorsUsedBy(job.customer) + acceleratorsOf(job.shape) > limit;
 };
 
-const planWaiting = (input: PlanInput, job: QueuedJob): Decision[] | undefined => {
+const planWaiting = (input: PlanInput, job: QueuedJob, full: Set<string>): Decision[] | undefined => {
     const claim = input.ledger.claims.get(job.spec.id);
     if (claim !== undefined && isUsable(input.ledger, claim)) {
         const decided = planClaimed(input, job, claim);
@@ -252,7 +284,7 @@
     }
     const urgent = rankOf(job.spec, input.runTimes, input.nowMs) === 0;
     return planGuaranteed(input, job)
-        ?? planBorrowed(input, job)
+        ?? planBorrowed(input, job, full)
         ?? (urgent ? planUrgent(input, job) : undefined);
 };
 
@@ -290,7 +322,7 @@
     dropStaleClaims(input);
     const decisions: Decision[] = [];
     let reservations = 0;
-    let blocked = 0;
+    const full = new Set<string>();
     for (
         const job of orderQueue(input.queue, input.runTimes, input.nowMs).map(queued => forgive(input.ledger, queued))
     ) {
@@ -299,16 +331,15 @@
             decisions.push({ kind: DecisionKind.Reject, job, reason });
             continue;
         }
-        if (job.notBeforeMs > input.nowMs || exceedsLimit(input, job.spec) || blocked >= maxBlockedPerRound) {
+        if (job.notBeforeMs > input.nowMs || exceedsLimit(input, job.spec)) {
             continue;
         }
         const previous = input.ledger.claims.get(job.spec.id);
-        const decided = planWaiting(input, job);
+        const decided = planWaiting(input, job, full);
         if (decided !== undefined) {
             decisions.push(...decided);
             continue;
         }
-        blocked += 1;
         if (reservations < maxReservations && needsReservation(job.spec)) {
             reservations += 1;
             decisions.push(...planReservation(input, job, previous));
--- a/src/scheduling/reservation.ts
+++ b/src/scheduling/reservation.ts
@@ -139,8 +139,9 @@
     const isAllowed = (allocation: Allocation): boolean => isMovable(job, allocation, runTimes, nowMs);
     const plans = new Map<Candidate, MovePlan>();
     const gain = waitMs * acceleratorsOf(job.shape);
+    const unclaimed = (worker: Worker): Resources => ledger.unclaimed(worker, job.id);
     const costOf = (candidate: Candidate): number | undefined => {
-        const victims = chooseVictims(ledger, job.shape, candidate.members, job.id, nowMs, isAllowed);
+        const victims = chooseVictims(ledger, job.shape, candidate.members, unclaimed, nowMs, isAllowed);
         if (victims === undefined) {
             return undefined;
         }
--- a/src/scheduling/victims.ts
+++ b/src/scheduling/victims.ts
@@ -1,4 +1,5 @@
 import type { Shape } from "../configuration/types.js";
+import type { Available } from "./fit.js";
 import type { Allocation, Ledger } from "./ledger.js";
 import { acceleratorsOf, addScaled, resourcesPerTask } from "./resources.js";
 import type { Member, Resources } from "./types.js";
@@ -20,7 +21,7 @@
 const isCovered = (missing: Resources): boolean =>
     missing.accelerators <= 0 && missing.cores <= 0 && missing.memoryGb <= 0;
 
-const deficitsOf = (ledger: Ledger, shape: Shape, members: readonly Member[], jobId: string): Deficit[] => {
+const deficitsOf = (ledger: Ledger, shape: Shape, members: readonly Member[], available: Available): Deficit[] => {
     const perTask = resourcesPerTask(shape);
     const deficits: Deficit[] = [];
     for (const member of members) {
@@ -33,7 +34,7 @@
             perTask,
             member.taskCount,
         );
-        const missing = addScaled(needed, ledger.unclaimed(worker, jobId), -1);
+        const missing = addScaled(needed, available(worker), -1);
         if (!isCovered(missing)) {
             deficits.push({ worker: member.worker, missing });
         }
@@ -56,17 +57,18 @@
 /**
  * Chooses borrowers to stop so that a gang fits on the given members, least lost work first.
  *
+ * @param available resources that the gang may use without stopping anyone
  * @returns `undefined` when even stopping every allowed borrower makes too little room
  */
 export const chooseVictims = (
     ledger: Ledger,
     shape: Shape,
     members: readonly Member[],
-    jobId: string,
+    available: Available,
     nowMs: number,
     isAllowed: (allocation: Allocation) => boolean,
 ): Allocation[] | undefined => {
-    let deficits = deficitsOf(ledger, shape, members, jobId);
+    let deficits = deficitsOf(ledger, shape, members, available);
     const candidates = new Set(
         deficits.flatMap(deficit => ledger.borrowersOn(deficit.worker)).filter(isAllowed),
     );
