--- a/bench/placementRun.ts
+++ b/bench/placementRun.ts
@@ -1,4 +1,5 @@
 /** Replays a workload through the planner's decision code in virtual time. */
+import TinyQueue from "tinyqueue";
 import { fitIntoDomain } from "../src/scheduling/fit.js";
 import { createFleet } from "../src/scheduling/fleet.js";
 import { homesOf, repairHomes, syncHomes } from "../src/scheduling/homes.js";
@@ -11,7 +12,7 @@
 import { createRunTimeModel } from "../src/scheduling/runTimes.js";
 import { createWorkerHealth } from "../src/scheduling/workerHealth.js";
 import { createRandom } from "../src/utils/random.js";
-import { JobClass } from "./workload.js";
+import type { JobClass } from "./workload.js";
 import type { Arrival, Workload, WorldEvent } from "./workload.js";
 
 /** What one job went through. */
@@ -66,41 +67,6 @@
 const failAfterMs = 20_000;
 const idleRoundMs = 60_000;
 
-const createAgenda = () => {
-    const heap: Timed[] = [];
-    const swap = (left: number, right: number): void => {
-        [heap[left], heap[right]] = [heap[right], heap[left]];
-    };
-    const push = (atMs: number, run: () => void): void => {
-        heap.push({ atMs, run });
-        for (let child = heap.length - 1; child > 0;) {
-            const parent = (child - 1) >> 1;
-            if (heap[parent].atMs <= heap[child].atMs) {
-                break;
-            }
-            swap(parent, child);
-            child = parent;
-        }
-    };
-    const pop = (): Timed | undefined => {
-        if (heap.length === 0) {
-            return undefined;
-        }
-        swap(0, heap.length - 1);
-        const first = heap.pop();
-        for (let parent = 0;;) {
-            const children = [2 * parent + 1, 2 * parent + 2].filter(child => child < heap.length);
-            const least = children.sort((left, right) => heap[left].atMs - heap[right].atMs)[0];
-            if (least === undefined || heap[parent].atMs <= heap[least].atMs) {
-                return first;
-            }
-            swap(parent, least);
-            parent = least;
-        }
-    };
-    return { push, pop };
-};
-
 /** Whole gangs of a shape that the free accelerators would hold, counted by emptying domains greedily. */
 const usableBy = (ledger: Ledger, arrival: Arrival): number => {
     const size = acceleratorsOf(arrival.spec.shape);
@@ -117,7 +83,8 @@
 /** Replays one workload under one policy. */
 export const replay = (workload: Workload, plan: PlanRound, seed: number, reclaims: boolean): RunResult => {
     const random = createRandom(seed + 1);
-    const agenda = createAgenda();
+    const agenda = new TinyQueue<Timed>([], (left, right) => left.atMs - right.atMs);
+    const at = (atMs: number, run: () => void): void => agenda.push({ atMs, run });
     const fleet = createFleet(workload.workers.map(worker => ({ ...worker })));
     const ledger = createLedger(fleet);
     const runTimes = createRunTimeModel();
@@ -208,7 +175,7 @@
     const requestPlan = (): void => {
         if (!planScheduled) {
             planScheduled = true;
-            agenda.push(nowMs + planDelayMs, round);
+            at(nowMs + planDelayMs, round);
         }
     };
 
@@ -284,7 +251,7 @@
         const takesMs = entry.arrival.ignoresCheckpoint ? graceMs : 200 + random() * (graceMs - 200);
         entry.leavesAtMs = nowMs + takesMs;
         const refuses = !mandatory && (entry.arrival.ignoresCheckpoint || !entry.arrival.spec.checkpointable);
-        agenda.push(entry.leavesAtMs, () => refuses ? refuseToLeave(entry) : leave(entry));
+        at(entry.leavesAtMs, () => refuses ? refuseToLeave(entry) : leave(entry));
     };
 
     const startJob = (decision: Decision & { kind: DecisionKind.Place; }): void => {
@@ -306,10 +273,10 @@
         const entry = { arrival, allocation, startedAtMs, endsAtMs: startedAtMs + remainingMs, failing };
         running.set(id, entry);
         if (failing) {
-            agenda.push(startedAtMs + failAfterMs, () => failRun(entry));
+            at(startedAtMs + failAfterMs, () => failRun(entry));
         }
         else {
-            agenda.push(entry.endsAtMs, () => complete(entry));
+            at(entry.endsAtMs, () => complete(entry));
         }
     };
 
@@ -361,7 +328,7 @@
         decisions.forEach(carryOut);
         if (queue.size > 0 && !idleScheduled) {
             idleScheduled = true;
-            agenda.push(nowMs + idleRoundMs, roundWhenIdle);
+            at(nowMs + idleRoundMs, roundWhenIdle);
         }
     };
 
@@ -423,8 +390,8 @@
         enqueue(arrival, 0, undefined);
     };
 
-    workload.arrivals.forEach(arrival => agenda.push(arrival.atMs, () => arrive(arrival)));
-    workload.events.forEach(event => agenda.push(event.atMs, () => change(event)));
+    workload.arrivals.forEach(arrival => at(arrival.atMs, () => arrive(arrival)));
+    workload.events.forEach(event => at(event.atMs, () => change(event)));
     const limitMs = workload.endMs * 4;
     for (let next = agenda.pop(); next !== undefined && next.atMs < limitMs; next = agenda.pop()) {
         advanceTo(next.atMs);
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -14,6 +14,7 @@
 import { createWaitingLine } from "../routing/waitingLine.js";
 import { closeGracefully, createJsonServer, listen } from "../utils/http.js";
 import type { JsonAnswer } from "../utils/http.js";
+import { createPauseDetector } from "../utils/pauseDetector.js";
 import { createEntryNode } from "./entryNode.js";
 import { createRouterHttp, notRunAnswer, toHttpAnswer } from "./routerHttp.js";
 import type { Daemon } from "./scheduler.js";
@@ -39,13 +40,20 @@
         zonesOut = zonesOutOf(snapshot);
     });
 
+    const pause = createPauseDetector({
+        timer,
+        onResume: async () => {
+            await Promise.all([poll(), refresh()]);
+        },
+    });
+
     const runner = {
         timer,
         endpoints,
         line,
         budget,
         choose: (avoid: ReadonlySet<string>) =>
-            chooseOfTwo({
+            pause.isStale() ? undefined : chooseOfTwo({
                 endpoints: endpoints.eligible(zonesOut),
                 availabilityZone: settings.availabilityZone,
                 nowMs: timer.nowMs(),
@@ -147,6 +155,7 @@
         refusing = true;
         await Promise.race([closeGracefully(server), timer.sleep(settings.drainMs)]);
         stops.forEach(unsubscribe => unsubscribe());
+        pause.stop();
         await endpoints.close();
         await peerServer.close();
         await node.close();
--- a/src/routing/attemptRecord.ts
+++ b/src/routing/attemptRecord.ts
@@ -89,6 +89,7 @@
 /** Records an attempt before it is made, unless the key already has one. */
 export const claimAttempt = async (
     platform: PlatformClient,
+    timer: TimerService,
     call: Call,
     router: string,
 ): Promise<Result<Claim, ClaimError>> => {
@@ -99,7 +100,7 @@
         return inserted;
     }
     if (inserted.error.kind !== PlatformErrorKind.Conflict) {
-        abandon(platform, key, record);
+        abandon(platform, timer, key, record);
         return fail({ kind: "unavailable", detail: inserted.error.detail });
     }
     const existing = await platform.read<AttemptRecord>(key);
@@ -115,10 +116,10 @@
 };
 
 /** A write without an answer may still land; its attempt is never made, so the record is corrected later. */
-const abandon = (platform: PlatformClient, key: string, record: AttemptRecord): void => {
+const abandon = (platform: PlatformClient, timer: TimerService, key: string, record: AttemptRecord): void => {
     const correct = async (): Promise<void> => {
         for (let attempt = 0; attempt < abandonAttempts; attempt++) {
-            await new Promise(resolve => setTimeout(resolve, abandonPeriodMs).unref());
+            await timer.sleep(abandonPeriodMs);
             const row = await platform.read<AttemptRecord>(key);
             if (
                 row.ok && row.value?.value.attemptId === record.attemptId
--- a/src/routing/commands/runOnce.ts
+++ b/src/routing/commands/runOnce.ts
@@ -52,7 +52,7 @@
 /** Runs a call at most once: its attempt is recorded before it is sent, and a repeated key answers from the record. */
 export const runOnce = async (runner: OnceRunner, call: Call): Promise<CallAnswer> => {
     for (;;) {
-        const claimed = await claimAttempt(runner.platform, call, runner.router);
+        const claimed = await claimAttempt(runner.platform, runner.timer, call, runner.router);
         if (claimed.ok) {
             const answer = await runner.run(call, claimed.value.record.attemptId);
             await settle(runner, claimed.value, answer);
--- a/src/scheduling/gang.ts
+++ b/src/scheduling/gang.ts
@@ -1,5 +1,6 @@
 import type { Result } from "../utils/result.js";
 import { fail, succeed } from "../utils/result.js";
+import type { TimerService } from "../utils/timer.js";
 import type { GangKey, TaskReport, WorkerClient, WorkerError } from "../workers/types.js";
 import { resourcesPerTask } from "./resources.js";
 import type { JobSpec, Member } from "./types.js";
@@ -146,9 +147,6 @@
         Infinity,
     );
 
-const timeoutAfter = (delayMs: number): Promise<undefined> =>
-    new Promise(resolve => setTimeout(() => resolve(undefined), delayMs));
-
 /**
  * Asks all members to save their progress and waits no longer than the grace.
  *
@@ -158,7 +156,8 @@
     gang: { jobId: string; attempt: number; },
     members: readonly Member[],
     findWorker: FindWorker,
-    times: GangTimes,
+    graceMs: number,
+    timer: TimerService,
 ): Promise<number | undefined> => {
     let lowestMs = Infinity;
     const asked = askAll(members, findWorker, async client => {
@@ -166,7 +165,7 @@
         lowestMs = Math.min(lowestMs, answer.ok ? lowestCheckpoint(answer.value.tasks, gang.jobId) : Infinity);
         return answer;
     });
-    const answers = await Promise.race([asked, timeoutAfter(times.checkpointGraceMs)]);
+    const answers = await Promise.race([asked, timer.sleep(graceMs)]);
     const saved = answers !== undefined && firstFailure(answers) === undefined;
     return saved && lowestMs !== Infinity ? lowestMs : undefined;
 };
--- a/src/scheduling/jobExecutor.ts
+++ b/src/scheduling/jobExecutor.ts
@@ -53,6 +53,20 @@
 const describePlatformError = (error: PlatformError): string =>
     error.kind === PlatformErrorKind.Conflict ? `changed meanwhile: ${error.keys.join(", ")}` : error.detail;
 
+/** Runs one change of a job at a time; further ones are left out. */
+const exclusively = async (tracked: TrackedJob, task: () => Promise<void>): Promise<void> => {
+    if (tracked.busy) {
+        return;
+    }
+    tracked.busy = true;
+    try {
+        await task();
+    }
+    finally {
+        tracked.busy = false;
+    }
+};
+
 /** Creates the executor of decisions. */
 export const createJobExecutor = (options: JobExecutorOptions): JobExecutor => {
     const { state, platform, timer, times, findWorker, onEvent } = options;
@@ -88,19 +102,6 @@
         return fail(detail);
     };
 
-    const exclusively = async (tracked: TrackedJob, task: () => Promise<void>): Promise<void> => {
-        if (tracked.busy) {
-            return;
-        }
-        tracked.busy = true;
-        try {
-            await task();
-        }
-        finally {
-            tracked.busy = false;
-        }
-    };
-
     const giveUpPlacement = (spec: JobSpec, detail: string): void => {
         state.ledger().deallocate(spec.id);
         onEvent({ jobId: spec.id, kind: "notPlaced", detail });
@@ -166,7 +167,7 @@
         }
         const gang = { jobId: spec.id, attempt: placement.attempt };
         const savedMs = spec.checkpointable
-            ? await checkpointGang(gang, placement.members, findWorker, times)
+            ? await checkpointGang(gang, placement.members, findWorker, times.checkpointGraceMs, timer)
             : undefined;
         if (savedMs === undefined) {
             tracked.ignoresCheckpoint = true;
--- a/standins/worker/tasks.ts
+++ b/standins/worker/tasks.ts
@@ -54,7 +54,12 @@
     });
 
 /** Creates the tasks of one worker. */
-export const createTaskTable = (capacity: Resources, switches: WorkerSwitches, record: RecordEvent): TaskTable => {
+export const createTaskTable = (
+    capacity: Resources,
+    switches: WorkerSwitches,
+    record: RecordEvent,
+    nowMs: () => number = Date.now,
+): TaskTable => {
     let tasks: Task[] = [];
     const fencedAttempts = new Map<string, number>();
 
@@ -63,18 +68,18 @@
 
     const isFenced = (gang: GangKey): boolean => (fencedAttempts.get(gang.jobId) ?? 0) >= gang.attempt;
 
-    const lapse = (nowMs: number): void => {
-        const lapsed = tasks.filter(task => task.expiresAtMs <= nowMs);
-        tasks = tasks.filter(task => task.expiresAtMs > nowMs);
+    const lapse = (atMs: number): void => {
+        const lapsed = tasks.filter(task => task.expiresAtMs <= atMs);
+        tasks = tasks.filter(task => task.expiresAtMs > atMs);
         lapsed.forEach(task => note("taskLapsed", task));
     };
 
-    const advance = (task: Task, nowMs: number): void => {
+    const advance = (task: Task, atMs: number): void => {
         if (task.state !== TaskState.Running) {
             return;
         }
-        task.progressMs += nowMs - task.lastStepMs;
-        task.lastStepMs = nowMs;
+        task.progressMs += atMs - task.lastStepMs;
+        task.lastStepMs = atMs;
         if (task.work.fails || switches.failEverything) {
             task.state = TaskState.Failed;
             note("taskFailed", task);
@@ -86,9 +91,8 @@
     };
 
     const step = (): void => {
-        const nowMs = Date.now();
-        lapse(nowMs);
-        tasks.forEach(task => advance(task, nowMs));
+        lapse(nowMs());
+        tasks.forEach(task => advance(task, nowMs()));
     };
 
     const hold = (request: HoldRequest): string | undefined => {
@@ -110,7 +114,7 @@
             checkpointedMs: 0,
             progressMs: 0,
             work: {},
-            expiresAtMs: Date.now() + request.holdMs,
+            expiresAtMs: nowMs() + request.holdMs,
             lastStepMs: 0,
         };
         tasks.push(task);
@@ -133,17 +137,17 @@
             work: (request.work ?? {}) as Work,
             checkpointedMs: request.resumeFromMs,
             progressMs: request.resumeFromMs,
-            expiresAtMs: Date.now() + request.leaseMs,
+            expiresAtMs: nowMs() + request.leaseMs,
         });
         note("taskReady", task);
         return undefined;
     };
 
     const renewTask = (task: Task, release: boolean, leaseMs: number): void => {
-        task.expiresAtMs = Date.now() + leaseMs;
+        task.expiresAtMs = nowMs() + leaseMs;
         if (release && task.state === TaskState.Ready) {
             task.state = TaskState.Running;
-            task.lastStepMs = Date.now();
+            task.lastStepMs = nowMs();
             note("taskRunning", task);
         }
     };
--- /dev/null
+++ b/test/calls.test.ts
@@ -0,0 +1,180 @@
+import { assert } from "chai";
+import fc from "fast-check";
+import { runCall } from "../src/routing/commands/runCall.js";
+import { runOnce } from "../src/routing/commands/runOnce.js";
+import { createRetryBudget } from "../src/routing/retryBudget.js";
+import { Outcome } from "../src/routing/types.js";
+import type { CallAnswer } from "../src/routing/types.js";
+import { createVirtualTimer } from "../src/utils/virtualTimer.js";
+import type { VirtualTimer } from "../src/utils/virtualTimer.js";
+import { Behaviour, buildCall, createScriptedEndpoint, createScriptedRunner } from "./fixtures/calls.js";
+import type { ScriptedEndpoint } from "./fixtures/calls.js";
+import { CommitFault, createFakePlatform, faultsFrom } from "./fixtures/platform.js";
+import type { FakePlatform } from "./fixtures/platform.js";
+
+const longTimeMs = 120_000;
+
+const behaviours = fc.array(fc.constantFrom(...Object.values(Behaviour)), { minLength: 1, maxLength: 5 });
+const commitFaults = fc.array(fc.constantFrom(...Object.values(CommitFault)), { maxLength: 6 });
+
+const createEndpoints = (scripts: readonly (readonly Behaviour[])[], timer: VirtualTimer): ScriptedEndpoint[] =>
+    scripts.map((script, index) => createScriptedEndpoint(`endpoint-${index}`, script, timer));
+
+const runsOf = (endpoints: readonly ScriptedEndpoint[]): number => endpoints.reduce((sum, endpoint) => sum + endpoint.ran.length, 0);
+
+const createRouter = (name: string, endpoints: readonly ScriptedEndpoint[], platform: FakePlatform, timer: VirtualTimer) => {
+    const runner = createScriptedRunner(endpoints, timer);
+    return (change = {}): Promise<CallAnswer> => {
+        const call = buildCall({ deadlineAtMs: timer.nowMs() + 1_000, ...change });
+        return runOnce({ platform, timer, router: name, run: (own, attemptId) => runCall(runner, own, attemptId) }, call);
+    };
+};
+
+describe("the outcome of a call", () => {
+    it("is \"not run\" only if it did not run and does not run later", async () => {
+        await fc.assert(
+            fc.asyncProperty(fc.array(behaviours, { minLength: 1, maxLength: 3 }), fc.boolean(), async (scripts, atMostOnce) => {
+                const timer = createVirtualTimer();
+                const endpoints = createEndpoints(scripts, timer);
+                const call = buildCall({ atMostOnce });
+                const answered = runCall(createScriptedRunner(endpoints, timer), call, "call");
+                await timer.advance(longTimeMs);
+                const answer = await answered;
+                if (answer.outcome === Outcome.NotRun) {
+                    assert.equal(runsOf(endpoints), 0);
+                }
+                if (answer.outcome === Outcome.Done) {
+                    assert.isAtLeast(runsOf(endpoints), 1);
+                }
+            }),
+            { seed: 5, numRuns: 300 },
+        );
+    });
+
+    it("is \"not run\" when no endpoint has room before the deadline", async () => {
+        const timer = createVirtualTimer();
+        const endpoints = createEndpoints([[Behaviour.Busy]], timer);
+        const answered = runCall(createScriptedRunner(endpoints, timer), buildCall(), "call");
+        await timer.advance(2_000);
+        assert.equal((await answered).outcome, Outcome.NotRun);
+    });
+
+    it("is \"unknown\" when the answer of a call that may run once is lost", async () => {
+        const timer = createVirtualTimer();
+        const endpoints = createEndpoints([[Behaviour.AnswerLost], [Behaviour.Done]], timer);
+        const answered = runCall(createScriptedRunner(endpoints, timer), buildCall(), "call");
+        await timer.advance(2_000);
+        assert.equal((await answered).outcome, Outcome.Unknown);
+        assert.equal(runsOf(endpoints), 1);
+    });
+
+    it("is \"done\" elsewhere when the request was lost on its way and fenced", async () => {
+        const timer = createVirtualTimer();
+        const endpoints = createEndpoints([[Behaviour.ArrivesLate], [Behaviour.Done]], timer);
+        const answered = runCall(createScriptedRunner(endpoints, timer), buildCall(), "call");
+        await timer.advance(longTimeMs);
+        assert.equal((await answered).outcome, Outcome.Done);
+        assert.equal(runsOf(endpoints), 1);
+    });
+});
+
+describe("a call that may run at most once", () => {
+    it("runs at most once, whatever is lost and however often it is sent", async () => {
+        await fc.assert(
+            fc.asyncProperty(
+                fc.array(behaviours, { minLength: 1, maxLength: 3 }),
+                commitFaults,
+                fc.array(fc.integer({ min: 0, max: 400 }), { minLength: 1, maxLength: 4 }),
+                async (scripts, faults, sendAtMs) => {
+                    const timer = createVirtualTimer();
+                    const platform = createFakePlatform();
+                    platform.faultOf = faultsFrom(faults);
+                    const endpoints = createEndpoints(scripts, timer);
+                    const answers = sendAtMs.map(async (atMs, index) => {
+                        await timer.sleep(atMs);
+                        return createRouter(`router-${index}`, endpoints, platform, timer)();
+                    });
+                    await timer.advance(longTimeMs);
+                    const outcomes = (await Promise.all(answers)).map(answer => answer.outcome);
+                    // a run that failed or whose answer was lost must not be followed by another
+                    assert.isAtMost(runsOf(endpoints), 1);
+                    if (outcomes.every(outcome => outcome === Outcome.NotRun)) {
+                        assert.equal(runsOf(endpoints), 0);
+                    }
+                },
+            ),
+            { seed: 7, numRuns: 300 },
+        );
+    });
+
+    it("is answered again from its record", async () => {
+        const timer = createVirtualTimer();
+        const platform = createFakePlatform();
+        const endpoints = createEndpoints([[Behaviour.Done]], timer);
+        const first = createRouter("one", endpoints, platform, timer)();
+        await timer.advance(2_000);
+        const second = createRouter("two", endpoints, platform, timer)();
+        await timer.advance(2_000);
+        assert.deepEqual((await second).result, (await first).result);
+        assert.equal(runsOf(endpoints), 1);
+    });
+
+    it("is refused when its key comes with another body", async () => {
+        const timer = createVirtualTimer();
+        const platform = createFakePlatform();
+        const send = createRouter("one", createEndpoints([[Behaviour.Done]], timer), platform, timer);
+        void send();
+        await timer.advance(2_000);
+        const second = send({ body: { doves: 99 } });
+        await timer.advance(2_000);
+        assert.equal((await second).status, 422);
+    });
+
+    it("is refused as not run while the platform is down, and runs once afterwards", async () => {
+        const timer = createVirtualTimer();
+        const platform = createFakePlatform();
+        const endpoints = createEndpoints([[Behaviour.Done]], timer);
+        const send = createRouter("one", endpoints, platform, timer);
+        platform.down = true;
+        const during = send();
+        await timer.advance(2_000);
+        assert.equal((await during).outcome, Outcome.NotRun);
+        platform.down = false;
+        const after = send();
+        await timer.advance(2_000);
+        assert.equal((await after).outcome, Outcome.Done);
+        assert.equal(runsOf(endpoints), 1);
+    });
+
+    it("is not sent by a router that was frozen until after the deadline", async () => {
+        const timer = createVirtualTimer();
+        const platform = createFakePlatform();
+        const endpoints = createEndpoints([[Behaviour.Done]], timer);
+        const commit = platform.commit.bind(platform);
+        platform.commit = async transaction => {
+            const committed = await commit(transaction);
+            await timer.sleep(5_000);
+            return committed;
+        };
+        const answered = createRouter("one", endpoints, platform, timer)();
+        await timer.advance(longTimeMs);
+        assert.equal((await answered).outcome, Outcome.NotRun);
+        assert.equal(runsOf(endpoints), 0);
+    });
+});
+
+describe("retries", () => {
+    it("stay within a share of the first attempts when everything fails", async () => {
+        const timer = createVirtualTimer();
+        const endpoints = createEndpoints([[Behaviour.Fails], [Behaviour.Fails], [Behaviour.Fails]], timer);
+        const runner = createScriptedRunner(endpoints, timer);
+        runner.budget = createRetryBudget();
+        const calls = 500;
+        for (let index = 0; index < calls; index++) {
+            void runCall(runner, buildCall({ atMostOnce: false, deadlineAtMs: timer.nowMs() + 1_000 }), `call-${index}`);
+            await timer.advance(20);
+        }
+        const sent = endpoints.reduce((sum, endpoint) => sum + endpoint.sent, 0);
+        assert.isAtMost(sent / calls, 1.25);
+    });
+});
--- a/tools/soak/checks.ts
+++ b/tools/soak/checks.ts
@@ -2,6 +2,7 @@
 import { Outcome } from "../../src/routing/types.js";
 import type { WorkerEvent } from "../../standins/worker/types.js";
 import { wasDisturbed } from "./record.js";
+import { groupBy, partialMs, runsOf } from "./gangRuns.js";
 import type { SoakRecord } from "./record.js";
 
 /** Findings about one point. */
@@ -17,16 +18,6 @@
 const fewSecondsMs = 5_000;
 const configurationMs = 8_000;
 
-const groupBy = <Item>(items: readonly Item[], keyOf: (item: Item) => string): Map<string, Item[]> => {
-    const groups = new Map<string, Item[]>();
-    for (const item of items) {
-        const group = groups.get(keyOf(item)) ?? [];
-        group.push(item);
-        groups.set(keyOf(item), group);
-    }
-    return groups;
-};
-
 const checkAtMostOnce = (record: SoakRecord, events: readonly WorkerEvent[]): PointReport => {
     const starts = groupBy(events.filter(event => event.kind === "callStarted"), event => event.key ?? "");
     const keys = new Set(record.calls.filter(call => call.atMostOnce).map(call => call.key));
@@ -62,39 +53,6 @@
     };
 };
 
-interface Run {
-    worker: string;
-    fromMs: number;
-    untilMs: number;
-    finished: boolean;
-}
-
-const endKinds = ["taskFinished", "taskFailed", "taskStopped", "taskLapsed"];
-
-const runsOf = (events: readonly WorkerEvent[]): Run[] => {
-    const runs: Run[] = [];
-    for (const start of events.filter(event => event.kind === "taskRunning")) {
-        const end = events.find(event =>
-            event.worker === start.worker && event.atMs >= start.atMs && endKinds.includes(event.kind)
-        );
-        const finished = end?.kind === "taskFinished";
-        runs.push({ worker: start.worker, fromMs: start.atMs, untilMs: end?.atMs ?? Infinity, finished });
-    }
-    return runs;
-};
-
-/** Time for which some members ran while another one did not, other than after it had finished. */
-const partialMs = (runs: readonly Run[], members: number): number => {
-    const firstStart = Math.min(...runs.map(run => run.fromMs));
-    const lastStart = Math.max(...runs.map(run => run.fromMs));
-    const lastEnd = Math.max(...runs.map(run => run.untilMs));
-    const brokenAt = Math.min(...runs.filter(run => !run.finished).map(run => run.untilMs));
-    if (runs.length < members) {
-        return lastEnd - firstStart;
-    }
-    return Math.max(lastStart - firstStart, Number.isFinite(brokenAt) ? lastEnd - brokenAt : 0);
-};
-
 const checkGangs = (events: readonly WorkerEvent[]): PointReport => {
     const gangs = groupBy(
         events.filter(event => event.jobId !== undefined),
