fix: keep a frozen planner from emptying the inbox

Cause: a planner that resumed after a freeze deleted inbox entries before it noticed that it had been replaced, so the new planner never saw those jobs.

--- a/src/configuration/schema.ts
+++ b/src/configuration/schema.ts
@@ -131,11 +131,16 @@
     return createCheck(ajv.compile(schema));
 };
 
-/** Compiles the check of one statement of intent. */
-export const compileIntentCheck = (): Promise<Check> => compileCheck(intentSchema);
+const compileOnce = (schema: object): () => Promise<Check> => {
+    let compiled: Promise<Check> | undefined;
+    return () => compiled ??= compileCheck(schema);
+};
+
+/** Compiles the check of one statement of intent on first use. */
+export const compileIntentCheck = compileOnce(intentSchema);
 
-/** Compiles the check of a submitted job. */
-export const compileJobRequestCheck = (): Promise<Check> => compileCheck(jobRequestSchema);
+/** Compiles the check of a submitted job on first use. */
+export const compileJobRequestCheck = compileOnce(jobRequestSchema);
 
 /** Renders a problem as `field: expectation`. */
 export const describeProblem = (problem: SchemaProblem): string =>
--- a/src/scheduling/inbox.ts
+++ b/src/scheduling/inbox.ts
@@ -1,4 +1,4 @@
-import type { PlatformClient } from "../platform/types.js";
+import type { Condition, PlatformClient } from "../platform/types.js";
 import { hasEnded, readActiveJobs, readJob } from "./jobTable.js";
 import type { StoredJob } from "./jobTable.js";
 
@@ -31,8 +31,16 @@
     return active.ok;
 };
 
-/** Reads the jobs that the inbox names, passes them on and empties the inbox. */
-export const takeInbox = async (platform: PlatformClient, take: (stored: StoredJob) => void): Promise<void> => {
+/**
+ * Reads the jobs that the inbox names, passes them on and empties the inbox.
+ *
+ * @param guard keeps a process that is no longer the planner from emptying it
+ */
+export const takeInbox = async (
+    platform: PlatformClient,
+    guard: Condition,
+    take: (stored: StoredJob) => void,
+): Promise<void> => {
     const inbox = await platform.scan<unknown>(inboxPrefix);
     if (!inbox.ok || inbox.value.length === 0) {
         return;
@@ -43,7 +51,7 @@
         : await readFew(platform, ids, take);
     if (taken) {
         await platform.commit({
-            conditions: inbox.value.map(row => ({ key: row.key, version: row.version })),
+            conditions: [guard, ...inbox.value.map(row => ({ key: row.key, version: row.version }))],
             writes: inbox.value.map(row => ({ key: row.key })),
         });
     }
--- a/src/scheduling/leadership.ts
+++ b/src/scheduling/leadership.ts
@@ -45,6 +45,8 @@
     isPlanner(): boolean;
     /** Identifies the planner's holds; differs after every takeover. */
     plannerId(): string;
+    /** Condition that holds as long as no other process has become the planner. */
+    epochGuard(): Condition;
     /** Conditions under which a decision of this planner may be recorded. */
     guards(): Condition[];
     /** Whether the platform answered the latest read. */
@@ -155,12 +157,15 @@
         }
     };
 
+    const epochGuard = (): Condition => ({ key: epochKey, version: epoch?.version ?? 0 });
+
     return {
         plannerVm: () => lease?.value.vm === "" ? undefined : lease?.value.vm,
         isPlanner: () => !resigned && reachable && isOwn(lease) && isOwn(epoch),
         plannerId: () => `${vm}/${epoch?.value.epoch ?? 0}`,
+        epochGuard,
         guards: () => [
-            { key: epochKey, version: epoch?.version ?? 0 },
+            epochGuard(),
             { key: currentVersionKey, version: follower.rowVersion() },
         ],
         platformReachable: () => reachable,
--- a/src/scheduling/planner.ts
+++ b/src/scheduling/planner.ts
@@ -215,7 +215,7 @@
             return;
         }
         const { term } = current;
-        await takeInbox(platform, stored => takeInJob(term, stored));
+        await takeInbox(platform, leadership.epochGuard(), stored => takeInJob(term, stored));
         refreshWorkers(term);
         applyConfiguration(current, false);
         void recordFleet(current);
--- a/test/calls.test.ts
+++ b/test/calls.test.ts
@@ -20,33 +20,46 @@
 const createEndpoints = (scripts: readonly (readonly Behaviour[])[], timer: VirtualTimer): ScriptedEndpoint[] =>
     scripts.map((script, index) => createScriptedEndpoint(`endpoint-${index}`, script, timer));
 
-const runsOf = (endpoints: readonly ScriptedEndpoint[]): number => endpoints.reduce((sum, endpoint) => sum + endpoint.ran.length, 0);
+const runsOf = (endpoints: readonly ScriptedEndpoint[]): number =>
+    endpoints.reduce((sum, endpoint) => sum + endpoint.ran.length, 0);
 
-const createRouter = (name: string, endpoints: readonly ScriptedEndpoint[], platform: FakePlatform, timer: VirtualTimer) => {
+const createRouter = (
+    name: string,
+    endpoints: readonly ScriptedEndpoint[],
+    platform: FakePlatform,
+    timer: VirtualTimer,
+) => {
     const runner = createScriptedRunner(endpoints, timer);
     return (change = {}): Promise<CallAnswer> => {
         const call = buildCall({ deadlineAtMs: timer.nowMs() + 1_000, ...change });
-        return runOnce({ platform, timer, router: name, run: (own, attemptId) => runCall(runner, own, attemptId) }, call);
+        return runOnce(
+            { platform, timer, router: name, run: (own, attemptId) => runCall(runner, own, attemptId) },
+            call,
+        );
     };
 };
 
 describe("the outcome of a call", () => {
     it("is \"not run\" only if it did not run and does not run later", async () => {
         await fc.assert(
-            fc.asyncProperty(fc.array(behaviours, { minLength: 1, maxLength: 3 }), fc.boolean(), async (scripts, atMostOnce) => {
-                const timer = createVirtualTimer();
-                const endpoints = createEndpoints(scripts, timer);
-                const call = buildCall({ atMostOnce });
-                const answered = runCall(createScriptedRunner(endpoints, timer), call, "call");
-                await timer.advance(longTimeMs);
-                const answer = await answered;
-                if (answer.outcome === Outcome.NotRun) {
-                    assert.equal(runsOf(endpoints), 0);
-                }
-                if (answer.outcome === Outcome.Done) {
-                    assert.isAtLeast(runsOf(endpoints), 1);
-                }
-            }),
+            fc.asyncProperty(
+                fc.array(behaviours, { minLength: 1, maxLength: 3 }),
+                fc.boolean(),
+                async (scripts, atMostOnce) => {
+                    const timer = createVirtualTimer();
+                    const endpoints = createEndpoints(scripts, timer);
+                    const call = buildCall({ atMostOnce });
+                    const answered = runCall(createScriptedRunner(endpoints, timer), call, "call");
+                    await timer.advance(longTimeMs);
+                    const answer = await answered;
+                    if (answer.outcome === Outcome.NotRun) {
+                        assert.equal(runsOf(endpoints), 0);
+                    }
+                    if (answer.outcome === Outcome.Done) {
+                        assert.isAtLeast(runsOf(endpoints), 1);
+                    }
+                },
+            ),
             { seed: 5, numRuns: 300 },
         );
     });
@@ -171,7 +184,11 @@
         runner.budget = createRetryBudget();
         const calls = 500;
         for (let index = 0; index < calls; index++) {
-            void runCall(runner, buildCall({ atMostOnce: false, deadlineAtMs: timer.nowMs() + 1_000 }), `call-${index}`);
+            void runCall(
+                runner,
+                buildCall({ atMostOnce: false, deadlineAtMs: timer.nowMs() + 1_000 }),
+                `call-${index}`,
+            );
             await timer.advance(20);
         }
         const sent = endpoints.reduce((sum, endpoint) => sum + endpoint.sent, 0);
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -1,7 +1,7 @@
+import { assert } from "chai";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { assert } from "chai";
 import { createEndpointConnections } from "../src/routing/connections.js";
 import { AttemptKind } from "../src/routing/types.js";
 
--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -1,7 +1,7 @@
 import { assert } from "chai";
-import { changeJob, insertJob, readJob } from "../src/scheduling/jobTable.js";
 import { placeGang, stopGang } from "../src/scheduling/gang.js";
 import type { GangPlan } from "../src/scheduling/gang.js";
+import { changeJob, insertJob, readJob } from "../src/scheduling/jobTable.js";
 import { createKeeper } from "../src/scheduling/keeper.js";
 import { JobState } from "../src/scheduling/types.js";
 import { fail, succeed } from "../src/utils/result.js";
--- a/test/guarantees.test.ts
+++ b/test/guarantees.test.ts
@@ -1,19 +1,23 @@
 import { assert } from "chai";
 import fc from "fast-check";
 import { Urgency } from "../src/configuration/types.js";
-import { findGuaranteedOption } from "../src/scheduling/guaranteed.js";
 import { createFleet } from "../src/scheduling/fleet.js";
+import { findGuaranteedOption } from "../src/scheduling/guaranteed.js";
 import { homesOf, repairHomes, syncHomes } from "../src/scheduling/homes.js";
 import { createLedger } from "../src/scheduling/ledger.js";
 import type { Ledger } from "../src/scheduling/ledger.js";
-import { DecisionKind, planRound } from "../src/scheduling/plan.js";
 import type { QueuedJob } from "../src/scheduling/order.js";
+import { DecisionKind, planRound } from "../src/scheduling/plan.js";
 import { createRunTimeModel } from "../src/scheduling/runTimes.js";
 import { AllocationClass } from "../src/scheduling/types.js";
 import { buildGuarantee, buildJob, buildShape } from "./fixtures/jobs.js";
 import { buildWorkers } from "./fixtures/workers.js";
 
-const statements = [buildGuarantee("alpha", 16, 2, true), buildGuarantee("beta", 8, 2, true), buildGuarantee("gamma", 24, 1)];
+const statements = [
+    buildGuarantee("alpha", 16, 2, true),
+    buildGuarantee("beta", 8, 2, true),
+    buildGuarantee("gamma", 24, 1),
+];
 
 interface World {
     ledger: Ledger;
@@ -117,7 +121,14 @@
         case "submit": {
             const { customer, urgency, checkpointable } = operation;
             const shape = buildShape(operation.tasks, operation.perTask);
-            const spec = buildJob({ id: `job-${index}`, customer, urgency, checkpointable, shape, submittedAtMs: world.nowMs });
+            const spec = buildJob({
+                id: `job-${index}`,
+                customer,
+                urgency,
+                checkpointable,
+                shape,
+                submittedAtMs: world.nowMs,
+            });
             world.queue.set(spec.id, { spec, attempts: 0, notBeforeMs: 0 });
             return;
         }
@@ -140,7 +151,10 @@
             });
             return stopUnusable(world);
         case "shrink":
-            world.unplaced = syncHomes(ledger, homesOf([buildGuarantee("alpha", 16, operation.count, true), ...statements.slice(1)]));
+            world.unplaced = syncHomes(
+                ledger,
+                homesOf([buildGuarantee("alpha", 16, operation.count, true), ...statements.slice(1)]),
+            );
     }
 };
 
@@ -178,8 +192,16 @@
     it("are not held up by what borrowers have claimed", () => {
         const world = createWorld();
         const workers = [...world.ledger.fleet.workers.values()].map(worker => ({ worker: worker.name, taskCount: 8 }));
-        const claim = { shape: buildShape(8), class: AllocationClass.Borrowed, readyAtMs: 0, madeAtMs: 0, backfill: false };
-        workers.forEach((member, index) => world.ledger.setClaim({ ...claim, jobId: `claim-${index}`, members: [member] }));
+        const claim = {
+            shape: buildShape(8),
+            class: AllocationClass.Borrowed,
+            readyAtMs: 0,
+            madeAtMs: 0,
+            backfill: false,
+        };
+        workers.forEach((member, index) =>
+            world.ledger.setClaim({ ...claim, jobId: `claim-${index}`, members: [member] })
+        );
         assertReclaimable(world);
     });
 
--- /dev/null
+++ b/test/processes.test.ts
@@ -0,0 +1,221 @@
+import { assert } from "chai";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { collectIntents } from "../src/configuration/queries/collect.js";
+import type { Snapshot } from "../src/configuration/types.js";
+import { VmState } from "../src/platform/types.js";
+import { JobState } from "../src/scheduling/types.js";
+import type { JobRecord } from "../src/scheduling/types.js";
+import { sendJson, startLocalCluster, waitUntil } from "../tools/localCluster.js";
+import type { LocalCluster, RunningDaemon } from "../tools/localCluster.js";
+
+const examples = fileURLToPath(new URL("../../examples", import.meta.url));
+const bookingPath = "/v1/customers/funeral-parlours/services/booking/calls";
+const quotePath = "/v1/customers/backyard-keepers/services/quotes/calls";
+const settleTimeoutMs = 15_000;
+
+interface Dump {
+    configuration: { version: number; };
+    endpoints: { name: string; leaving: boolean; }[];
+}
+
+interface Answer {
+    outcome: string;
+    detail?: string;
+    result?: { echo: { key: string; }; };
+}
+
+const call = (router: RunningDaemon, path: string, key: string, serviceMs: number) =>
+    sendJson<Answer>(`${router.httpAddress}${path}`, { key, serviceMs }, { headers: { "idempotency-key": key } });
+
+const versionOf = async (daemon: RunningDaemon): Promise<number> => {
+    const dump = await sendJson<Dump>(`${daemon.httpAddress}/v1/dump`);
+    return dump.body.configuration.version;
+};
+
+const startCluster = async (): Promise<LocalCluster> => {
+    const cluster = await startLocalCluster({
+        zones: ["zone-a", "zone-b", "zone-c"],
+        workersPerZone: 2,
+        entryVmsPerZone: 1,
+    });
+    const { intents } = await collectIntents(examples);
+    await waitUntil("the planner knows all workers", settleTimeoutMs, async () => {
+        const fleet = await sendJson<{ rows: { value: unknown[]; }[]; }>(
+            `${cluster.platformAddress}/v1/table/rows?key=fleet`,
+        );
+        return fleet.body.rows.at(0)?.value.length === 6;
+    });
+    const body = { baseVersion: 0, publisher: "north", intents };
+    const answer = await sendJson<Snapshot>(`${cluster.schedulers()[0].httpAddress}/v1/configurations`, body);
+    assert.equal(answer.status, 200, JSON.stringify(answer.body));
+    await waitUntil("version 1 is in force", settleTimeoutMs, async () => {
+        const versions = await Promise.all(cluster.daemons.map(versionOf));
+        return versions.every(version => version === 1);
+    });
+    return cluster;
+};
+
+const submitGang = async (scheduler: RunningDaemon, key: string, runTimeMs: number): Promise<string> => {
+    const body = {
+        customer: "wedding-planners",
+        service: "flight-models",
+        shape: { taskCount: 16, acceleratorsPerTask: 1, adjacency: "rack" },
+        declaredRunTimeMs: runTimeMs,
+        work: { runTimeMs },
+    };
+    const answer = await sendJson<JobRecord>(`${scheduler.httpAddress}/v1/jobs`, body, {
+        headers: { "idempotency-key": key },
+    });
+    assert.equal(answer.status, 202, JSON.stringify(answer.body));
+    return answer.body.spec.id;
+};
+
+const stateOf = async (scheduler: RunningDaemon, id: string): Promise<JobState> => {
+    const answer = await sendJson<JobRecord>(`${scheduler.httpAddress}/v1/jobs/${id}`);
+    return answer.body.state;
+};
+
+describe("daemons as processes", function() {
+    this.timeout(60_000);
+    let cluster: LocalCluster;
+
+    before(async () => {
+        cluster = await startCluster();
+    });
+
+    after(() => cluster.stop());
+
+    afterEach(async () => {
+        await cluster.setPlatform({ down: false, cutVms: [] });
+        for (
+            const daemon of cluster.daemons.filter(candidate =>
+                candidate.child.exitCode !== null || candidate.child.signalCode !== null
+            )
+        ) {
+            await cluster.restartDaemon(daemon);
+        }
+    });
+
+    it("cut off no call when a router is stopped at full load", async () => {
+        const router = cluster.routers()[0];
+        const keys = Array.from(Array(40).keys(), index => `stop-${index}`);
+        const calls = Promise.all(keys.map(key => call(router, quotePath, key, 400)));
+        await waitUntil(
+            "calls are running",
+            5_000,
+            async () => (await cluster.events()).some(event => event.key === "stop-0"),
+        );
+        const code = await cluster.stopDaemon(router);
+        const answers = await calls;
+        assert.equal(code, 0);
+        answers.forEach((answer, index) => {
+            assert.equal(answer.body.outcome, "done", `${keys[index]}: ${answer.body.detail}`);
+            assert.equal(answer.body.result?.echo.key, keys[index]);
+        });
+    });
+
+    it("keep gangs running when schedulers are stopped one after the other", async () => {
+        const [first, second] = cluster.schedulers();
+        const id = await submitGang(first, "kept", 9_000);
+        await waitUntil(
+            "the gang runs",
+            settleTimeoutMs,
+            async () => (await cluster.events()).some(event => event.jobId === id && event.kind === "taskRunning"),
+        );
+        assert.equal(await cluster.stopDaemon(first), 0);
+        const restarted = await cluster.restartDaemon(first);
+        assert.equal(await cluster.stopDaemon(second), 0);
+        await cluster.restartDaemon(second);
+        await waitUntil("the gang is done", 30_000, async () => await stateOf(restarted, id) === JobState.Done);
+        const broken = (await cluster.events()).filter(event => event.jobId === id && event.kind === "taskLapsed");
+        assert.isEmpty(broken);
+    });
+
+    it("send no call to an endpoint that began to leave while the router was frozen", async () => {
+        const [router] = cluster.routers();
+        const local = cluster.workers[0].workers;
+        const leaving = local[0].name;
+        router.child.kill("SIGSTOP");
+        await cluster.setVm(leaving, { state: VmState.Leaving });
+        const calls = Array.from(Array(24).keys(), index => call(router, quotePath, `frozen-${index}`, 100));
+        await new Promise(resolve => setTimeout(resolve, 3_000));
+        const resumedAtMs = Date.now();
+        router.child.kill("SIGCONT");
+        await Promise.all(calls);
+        const started = (await cluster.events()).filter(event =>
+            event.worker === leaving && event.kind === "callStarted" && event.atMs >= resumedAtMs
+        );
+        await cluster.setVm(leaving, { state: VmState.Live, incarnation: 2 });
+        assert.isEmpty(started);
+    });
+
+    it("take the highest version from their peers when all of a zone restart while the platform is down", async () => {
+        await cluster.setPlatform({ down: true });
+        const zone = cluster.daemons.filter(daemon => daemon.zone === "zone-a");
+        await Promise.all(zone.map(daemon => cluster.killDaemon(daemon)));
+        const restarted = await Promise.all(zone.map(daemon => cluster.restartDaemon(daemon)));
+        const versions = await Promise.all(restarted.map(versionOf));
+        assert.deepEqual(versions, [1, 1]);
+    });
+
+    it("serve bookings and jobs on a VM that is cut off from the platform but not from its peers", async () => {
+        await cluster.setPlatform({ cutVms: ["entry-zone-a-1"] });
+        const [router] = cluster.routers();
+        await waitUntil(
+            "a booking is done",
+            settleTimeoutMs,
+            async () => (await call(router, bookingPath, `relayed-${Date.now()}`, 10)).body.outcome === "done",
+        );
+        const id = await submitGang(cluster.schedulers()[0], "relayed", 500);
+        await waitUntil(
+            "the job is done",
+            settleTimeoutMs,
+            async () => await stateOf(cluster.schedulers()[1], id) === JobState.Done,
+        );
+    });
+
+    it("go on with calls that may be repeated while the platform is down, and refuse bookings as not run", async () => {
+        await cluster.setPlatform({ down: true });
+        const [router] = cluster.routers();
+        assert.equal((await call(router, quotePath, "quote-down", 10)).body.outcome, "done");
+        assert.equal((await call(router, bookingPath, "booking-down", 10)).body.outcome, "notRun");
+        await cluster.setPlatform({ down: false });
+        await waitUntil(
+            "the booking is done",
+            settleTimeoutMs,
+            async () => (await call(router, bookingPath, "booking-down", 10)).body.outcome === "done",
+        );
+        const runs = (await cluster.events()).filter(event =>
+            event.kind === "callStarted" && event.key === "booking-down"
+        );
+        assert.lengthOf(runs, 1);
+    });
+
+    const post = async (path: string, body: string, headers: Record<string, string> = {}) => {
+        const response = await request(`${path}`, { method: "POST", body, headers });
+        return {
+            status: response.statusCode,
+            body: await response.body.json() as { detail: string; outcome?: string; },
+        };
+    };
+
+    it("answer bad input with a clear error", async () => {
+        const [router] = cluster.routers();
+        const [scheduler] = cluster.schedulers();
+        const cases: [string, string, Record<string, string>, number, RegExp][] = [
+            [`${router.httpAddress}${bookingPath}`, "{", {}, 400, /not JSON/],
+            [`${router.httpAddress}${bookingPath}`, "{}", {}, 400, /Idempotency-Key/],
+            [`${router.httpAddress}${quotePath}`, "{}", { "deadline-ms": "soon" }, 400, /Deadline-Ms/],
+            [`${router.httpAddress}${quotePath}`, JSON.stringify("x".repeat(70_000)), {}, 413, /at most 65536 bytes/],
+            [`${router.httpAddress}/v1/customers/nobody/services/quotes/calls`, "{}", {}, 404, /"nobody"/],
+            [`${scheduler.httpAddress}/v1/jobs`, "{\"customer\":\"x\"}", {}, 400, /needs the field "service"/],
+        ];
+        for (const [url, body, headers, status, detail] of cases) {
+            const answer = await post(url, body, headers);
+            assert.equal(answer.status, status, url);
+            assert.match(answer.body.detail, detail);
+            assert.equal(answer.body.outcome, "notRun");
+        }
+    });
+});
--- a/tools/soak/checks.ts
+++ b/tools/soak/checks.ts
@@ -1,8 +1,8 @@
 /** Checks what must always hold, from the stand-ins' records and what callers saw. */
 import { Outcome } from "../../src/routing/types.js";
 import type { WorkerEvent } from "../../standins/worker/types.js";
-import { wasDisturbed } from "./record.js";
 import { groupBy, partialMs, runsOf } from "./gangRuns.js";
+import { wasDisturbed } from "./record.js";
 import type { SoakRecord } from "./record.js";
 
 /** Findings about one point. */
