test: show for nineteen mechanisms that their test fails without them

Cause: a test that was never seen failing proves nothing. Two tests passed without theirs and were sharpened: the platform is slow while a frozen router resumes, and calls outlast the balancer's pause before a stop.

--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -87,7 +87,7 @@
     after(() => cluster.stop());
 
     afterEach(async () => {
-        await cluster.setPlatform({ down: false, cutVms: [] });
+        await cluster.setPlatform({ down: false, slowMs: 0, cutVms: [] });
         for (
             const daemon of cluster.daemons.filter(candidate =>
                 candidate.child.exitCode !== null || candidate.child.signalCode !== null
@@ -100,7 +100,7 @@
     it("cut off no call when a router is stopped at full load", async () => {
         const router = cluster.routers()[0];
         const keys = Array.from(Array(40).keys(), index => `stop-${index}`);
-        const calls = Promise.all(keys.map(key => call(router, quotePath, key, 400)));
+        const calls = Promise.all(keys.map(key => call(router, quotePath, key, 1_000)));
         await waitUntil(
             "calls are running",
             5_000,
@@ -136,6 +136,8 @@
         const [router] = cluster.routers();
         const local = cluster.workers[0].workers;
         const leaving = local[0].name;
+        // a slow platform keeps the lists from being read again before the first calls are looked at
+        await cluster.setPlatform({ slowMs: 300 });
         router.child.kill("SIGSTOP");
         await cluster.setVm(leaving, { state: VmState.Leaving });
         const calls = Array.from(Array(24).keys(), index => call(router, quotePath, `frozen-${index}`, 100));
--- /dev/null
+++ b/tools/showFailing.ts
@@ -0,0 +1,215 @@
+/** Shows for every mechanism that its test fails without it: changes a scratch copy and runs the test there. */
+import { spawnSync } from "node:child_process";
+import { cpSync, mkdtempSync, readFileSync, rmSync, symlinkSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+
+interface Mutant {
+    /** Mechanism that is taken out. */
+    without: string;
+    /** Compiled file below `src`. */
+    file: string;
+    find: string;
+    replace: string;
+    /** Part of the test file's name. */
+    tests: string;
+    /** Part of the title of a test that must fail. */
+    fails: string;
+}
+
+const mutants: Mutant[] = [
+    {
+        without: "homes kept apart for guarantees",
+        file: "scheduling/ledger.js",
+        find: "addScaled(subtract(worker.capacity, homed.get(worker.name)), homePart(exceptUnit, worker), 1)",
+        replace: "worker.capacity",
+        tests: "guarantees",
+        fails: "can be reclaimed after every step",
+    },
+    {
+        without: "guarantees before borrowers' claims",
+        file: "scheduling/guaranteed.js",
+        find: "ledger.unclaimedByGuarantees",
+        replace: "ledger.unclaimed",
+        tests: "guarantees",
+        fails: "are not held up by what borrowers have claimed",
+    },
+    {
+        without: "stopping borrowers that ignore their checkpoint",
+        file: "scheduling/jobExecutor.js",
+        find: "savedMs !== undefined || mandatory",
+        replace: "savedMs !== undefined",
+        tests: "planner",
+        fails: "starts an urgent gang on lent accelerators",
+    },
+    {
+        without: "renewing only whole gangs and stopping the rest",
+        file: "scheduling/keeper.js",
+        find: "const isIncomplete = (gang) => {",
+        replace: "const isIncomplete = (gang) => { return false;",
+        tests: "gangs",
+        fails: "stop everywhere within a lease when a member is lost",
+    },
+    {
+        without: "one recorded decision per gang",
+        file: "scheduling/gang.js",
+        find: "if (!decided.ok) {",
+        replace: "if (false) {",
+        tests: "gangs",
+        fails: "give their holds back when the decision cannot be recorded",
+    },
+    {
+        without: "decisions conditional on the configuration",
+        file: "scheduling/leadership.js",
+        find: "{ key: currentVersionKey, version: follower.rowVersion() },",
+        replace: "",
+        tests: "planner",
+        fails: "cannot record a placement under a version that is no longer current",
+    },
+    {
+        without: "the planner's epoch on the inbox",
+        file: "scheduling/inbox.js",
+        find: "conditions: [guard, ",
+        replace: "conditions: [",
+        tests: "planner",
+        fails: "is replaced when it is frozen",
+    },
+    {
+        without: "request identity checked on every answer",
+        file: "routing/connections.js",
+        find: "reply.headers[\"request-id\"] !== request.requestId || envelope.requestId !== request.requestId",
+        replace: "false",
+        tests: "connections",
+        fails: "do not trust an answer that belongs to another request",
+    },
+    {
+        without: "closing a connection in doubt",
+        file: "routing/connections.js",
+        find: "discard(client);\n                return { attempt, leaving: false };",
+        replace: "giveBack(client);\n                return { attempt, leaving: false };",
+        tests: "connections",
+        fails: "is cut short, and are not used again",
+    },
+    {
+        without: "fencing a call before it is called not run",
+        file: "routing/commands/runCall.js",
+        find: "await endpoint.connections.fence(requestId, fenceMs)",
+        replace: "FenceState.NeverRan",
+        tests: "calls",
+        fails: "runs at most once, whatever is lost",
+    },
+    {
+        without: "remembering that an attempt may have run",
+        file: "routing/commands/runCall.js",
+        find: "progress.maybeRan = true;",
+        replace: "",
+        tests: "calls",
+        fails: "is \"not run\" only if it did not run",
+    },
+    {
+        without: "one recorded attempt per key",
+        file: "routing/attemptRecord.js",
+        find: "conditions: [{ key, version: rowVersion }]",
+        replace: "conditions: []",
+        tests: "calls",
+        fails: "runs at most once, whatever is lost",
+    },
+    {
+        without: "leaving kept for the whole incarnation",
+        file: "routing/endpoints.js",
+        find: "known.leaving ||= vm.incarnation",
+        replace: "known.leaving = vm.incarnation",
+        tests: "endpoints",
+        fails: "stay so on an older list",
+    },
+    {
+        without: "noticing a freeze",
+        file: "utils/pauseDetector.js",
+        find: "isStale: () => refreshing || wasPaused()",
+        replace: "isStale: () => false",
+        tests: "processes",
+        fails: "began to leave while the router was frozen",
+    },
+    {
+        without: "finishing calls before a stop",
+        file: "utils/http.js",
+        find: "server.close(() => resolve());",
+        replace: "server.close(() => resolve()); server.closeAllConnections();",
+        tests: "processes",
+        fails: "cut off no call when a router is stopped",
+    },
+    {
+        without: "highest version wins",
+        file: "configuration/follower.js",
+        find: "snapshot.version <= current.version",
+        replace: "snapshot.version === current.version",
+        tests: "configuration",
+        fails: "never goes back",
+    },
+    {
+        without: "refusing to undo accepted statements",
+        file: "configuration/commands/publish.js",
+        find: "conflicts.length > 0",
+        replace: "false",
+        tests: "configuration",
+        fails: "refuses to undo another operator's statement",
+    },
+    {
+        without: "publishing by compare-and-set",
+        file: "configuration/commands/publish.js",
+        find: "conditions: [{ key: currentVersionKey, version: rowVersion }]",
+        replace: "conditions: []",
+        tests: "configuration",
+        fails: "accepts one of two publishes that race",
+    },
+    {
+        without: "catching up with peers before acting",
+        file: "node/scheduler.js",
+        find: ", peers.catchUp()",
+        replace: "",
+        tests: "processes",
+        fails: "take the highest version from their peers",
+    },
+];
+
+const root = fileURLToPath(new URL("../..", import.meta.url));
+
+const createCopy = (): string => {
+    const copy = mkdtempSync(join(tmpdir(), "catkinswitch-failing-"));
+    cpSync(join(root, "dist"), join(copy, "dist"), { recursive: true });
+    cpSync(join(root, "examples"), join(copy, "examples"), { recursive: true });
+    cpSync(join(root, "package.json"), join(copy, "package.json"));
+    cpSync(join(root, "KNOWN-RED.txt"), join(copy, "KNOWN-RED.txt"));
+    symlinkSync(join(root, "node_modules"), join(copy, "node_modules"));
+    return copy;
+};
+
+/** Runs a mutant's tests and tells whether the expected one failed. */
+const isNoticed = (copy: string, mutant: Mutant): boolean => {
+    const path = join(copy, "dist/src", mutant.file);
+    const original = readFileSync(path, "utf8");
+    if (!original.includes(mutant.find)) {
+        throw new Error(`${mutant.file} no longer contains: ${mutant.find}`);
+    }
+    writeFileSync(path, original.replaceAll(mutant.find, mutant.replace));
+    const run = spawnSync(process.execPath, [join(copy, "dist/tools/runTests.js"), mutant.tests], { encoding: "utf8" });
+    writeFileSync(path, original);
+    const failures = run.stdout.slice(run.stdout.indexOf(" failing"));
+    return run.status !== 0 && failures.replaceAll(/\s+/g, " ").includes(mutant.fails);
+};
+
+const main = (): void => {
+    const wanted = process.argv[2] ?? "";
+    const copy = createCopy();
+    let missed = 0;
+    for (const mutant of mutants.filter(candidate => candidate.without.includes(wanted))) {
+        const noticed = isNoticed(copy, mutant);
+        missed += noticed ? 0 : 1;
+        process.stdout.write(`${noticed ? "fails " : "MISSED"} without ${mutant.without}: "${mutant.fails}" (${mutant.tests})\n`);
+    }
+    rmSync(copy, { recursive: true });
+    process.exitCode = missed === 0 ? 0 : 1;
+};
+
+main();
