--- a/bench/placementRun.ts
+++ b/bench/placementRun.ts
@@ -1,10 +1,9 @@
 /** Replays a workload through the planner's decision code in virtual time. */
 import TinyQueue from "tinyqueue";
-import { fitIntoDomain } from "../src/scheduling/fit.js";
 import { createFleet } from "../src/scheduling/fleet.js";
 import { homesOf, repairHomes, syncHomes } from "../src/scheduling/homes.js";
 import { createLedger } from "../src/scheduling/ledger.js";
-import type { Allocation, Ledger } from "../src/scheduling/ledger.js";
+import type { Allocation } from "../src/scheduling/ledger.js";
 import type { QueuedJob } from "../src/scheduling/order.js";
 import { DecisionKind } from "../src/scheduling/plan.js";
 import type { Decision, PlanRound } from "../src/scheduling/plan.js";
@@ -12,41 +11,13 @@
 import { createRunTimeModel } from "../src/scheduling/runTimes.js";
 import { createWorkerHealth } from "../src/scheduling/workerHealth.js";
 import { createRandom } from "../src/utils/random.js";
+import { createMeter } from "./meter.js";
+import type { JobOutcome, RunResult } from "./meter.js";
 import { JobClass } from "./workload.js";
 import type { Arrival, Workload, WorldEvent } from "./workload.js";
 
-/** What one job went through. */
-export interface JobOutcome {
-    class: JobClass;
-    accelerators: number;
-    /** Time from submission to the first start; `undefined` if it never started. */
-    waitMs?: number;
-    /** Time from submission to the end. */
-    completionMs?: number;
-    runTimeMs: number;
-    /** Time from which its customer's guarantee was unused until it started, for guaranteed jobs. */
-    guaranteeWaitMs?: number;
-    rejected: boolean;
-    cancelled: boolean;
-    neverFits: boolean;
-}
-
-/** Figures of one run. */
-export interface RunResult {
-    jobs: JobOutcome[];
-    /** Time-weighted share of free accelerators that the largest waiting shape cannot use. */
-    fragmentation: number;
-    /** Useful work during the zone move, as a share of what the remaining zones could do. */
-    zoneMoveWork: number;
-    /** Accelerator hours of work that was thrown away. */
-    lostAcceleratorHours: number;
-    utilisation: number;
-    rounds: number;
-    planMs: number;
-    slowestRoundMs: number;
-}
-
-interface Running {
+/** A job that runs. */
+export interface Running {
     arrival: Arrival;
     allocation: Allocation;
     startedAtMs: number;
@@ -67,19 +38,6 @@
 const failAfterMs = 20_000;
 const idleRoundMs = 60_000;
 
-/** Whole gangs of a shape that the free accelerators would hold, counted by emptying domains greedily. */
-const usableBy = (ledger: Ledger, arrival: Arrival): number => {
-    const size = acceleratorsOf(arrival.spec.shape);
-    let usable = 0;
-    for (const domain of ledger.fleet.domains(arrival.spec.shape.adjacency)) {
-        const candidate = fitIntoDomain(arrival.spec.shape, domain, worker => ledger.free(worker));
-        usable += candidate === undefined
-            ? 0
-            : size * (1 + Math.floor(candidate.leftoverTasks / arrival.spec.shape.taskCount));
-    }
-    return usable;
-};
-
 /** Replays one workload under one policy. */
 export const replay = (workload: Workload, plan: PlanRound, seed: number, reclaims: boolean): RunResult => {
     const random = createRandom(seed + 1);
@@ -97,8 +55,7 @@
     const zonesOut = new Set<string>();
     const broken = new Set<string>();
     const entitledSinceMs = new Map<string, number>();
-    const result = { rounds: 0, planMs: 0, slowestRoundMs: 0, lostMs: 0 };
-    const area = { fragmentedMs: 0, fragmentMs: 0, busyMs: 0, windowBusyMs: 0, windowLostMs: 0 };
+    const result = { rounds: 0, planMs: 0, slowestRoundMs: 0 };
     let nowMs = 0;
     let planScheduled = false;
     let idleScheduled = false;
@@ -106,63 +63,15 @@
 
     syncHomes(ledger, homesOf(workload.statements));
 
-    const inWindow = (): boolean => nowMs >= workload.zoneMove.fromMs && nowMs <= workload.zoneMove.untilMs;
-
-    const busyAccelerators = (outsideZone: string | undefined): number => {
-        let busy = 0;
-        for (const entry of running.values()) {
-            const zone = fleet.workers.get(entry.allocation.members[0].worker)?.availabilityZone;
-            busy += zone === outsideZone ? 0 : acceleratorsOf(entry.arrival.spec.shape);
-        }
-        return busy;
-    };
-
-    const freeTotal = (): number => {
-        let free = 0;
-        for (const worker of fleet.workers.values()) {
-            free += worker.usable ? ledger.free(worker).accelerators : 0;
-        }
-        return free;
-    };
-
-    const measureFragments = (elapsedMs: number): void => {
-        let largest: Arrival | undefined;
-        for (const id of queue.keys()) {
-            const arrival = arrivals.get(id);
-            const size = arrival === undefined ? 0 : acceleratorsOf(arrival.spec.shape);
-            if (
-                arrival !== undefined && !arrival.neverFits
-                && size > (largest === undefined ? 16 : acceleratorsOf(largest.spec.shape))
-            ) {
-                largest = arrival;
-            }
-        }
-        const free = freeTotal();
-        if (largest !== undefined && free > 0) {
-            area.fragmentMs += elapsedMs * (1 - Math.min(1, usableBy(ledger, largest) / free)) * free;
-        }
-        area.fragmentedMs += elapsedMs
-            * workload.workers.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
-    };
+    const meter = createMeter(workload, ledger, { running, queue, arrivals });
 
     const advanceTo = (atMs: number): void => {
-        const elapsedMs = atMs - nowMs;
-        if (elapsedMs > 0 && nowMs < workload.endMs) {
-            measureFragments(elapsedMs);
-            area.busyMs += elapsedMs * busyAccelerators(undefined);
-            if (inWindow()) {
-                area.windowBusyMs += elapsedMs * busyAccelerators(workload.zoneMove.zone);
-            }
-        }
+        meter.pass(nowMs, atMs);
         nowMs = atMs;
     };
 
     const lose = (entry: Running, lostMs: number): void => {
-        const lost = lostMs * acceleratorsOf(entry.arrival.spec.shape);
-        result.lostMs += lost;
-        if (inWindow()) {
-            area.windowLostMs += lost;
-        }
+        meter.lose(nowMs, lostMs * acceleratorsOf(entry.arrival.spec.shape));
     };
 
     const roundWhenIdle = (): void => {
@@ -430,17 +339,9 @@
         }
     }
 
-    const total = workload.workers.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
-    const remaining = workload.workers
-        .filter(worker => worker.availabilityZone !== workload.zoneMove.zone)
-        .reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
-    const windowMs = workload.zoneMove.untilMs - workload.zoneMove.fromMs;
     return {
         jobs: [...outcomes.values()],
-        fragmentation: area.fragmentMs / Math.max(1, area.fragmentedMs),
-        zoneMoveWork: (area.windowBusyMs - area.windowLostMs) / (windowMs * remaining),
-        lostAcceleratorHours: result.lostMs / 3_600_000,
-        utilisation: area.busyMs / (workload.endMs * total),
+        ...meter.shares(),
         rounds: result.rounds,
         planMs: result.planMs,
         slowestRoundMs: result.slowestRoundMs,
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -5,8 +5,9 @@
 import { planRound } from "../src/scheduling/plan.js";
 import type { PlanRound } from "../src/scheduling/plan.js";
 import { naiveBorrowing, withoutBorrowing } from "./baselines.js";
+import type { JobOutcome, RunResult } from "./meter.js";
 import { replay } from "./placementRun.js";
-import type { JobOutcome, RunResult } from "./placementRun.js";
+
 import { leastOutstanding, ownChoice, roundRobin, runRouting } from "./routingRun.js";
 import type { RoutingResult } from "./routingRun.js";
 import { coopProfile, createWorkload, doveProfile, JobClass, targetProfile } from "./workload.js";
--- a/src/node/entryNode.ts
+++ b/src/node/entryNode.ts
@@ -39,6 +39,9 @@
     close(): Promise<void>;
 }
 
+/** Missed heartbeats after which a peer counts as lost. */
+const heartbeatsToLoss = 2.5;
+
 /** Creates the parts that both daemons share. */
 export const createEntryNode = (role: Role, settings: DaemonSettings): EntryNode => {
     const timer = createTimerService();
@@ -61,16 +64,24 @@
         stopping,
     });
 
-    const peers = createPeers({ role, timer, follower, describeSelf, seeds: settings.peerSeeds });
+    const peers = createPeers({
+        role,
+        timer,
+        follower,
+        describeSelf,
+        seeds: settings.peerSeeds,
+        heartbeatMs: settings.heartbeatMs,
+        lostAfterMs: settings.heartbeatMs * heartbeatsToLoss,
+    });
     const relays = () =>
         peers.live()
             .filter(view => view.heartbeat?.platformReachable === true)
             .flatMap(view => peers.clientOf(view.vm) ?? []);
 
     const refreshVms = async (): Promise<void> => {
-        const listed = await platform.listVms();
-        if (listed.ok && listed.value.revision > vmList.revision) {
-            vmList = listed.value;
+        const listed = await platform.listVms(vmList.revision);
+        if (listed.ok && listed.value.vms !== undefined && listed.value.revision > vmList.revision) {
+            vmList = { revision: listed.value.revision, vms: listed.value.vms };
             peers.update(vmList);
         }
     };
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -20,7 +20,6 @@
 import type { Daemon } from "./scheduler.js";
 import type { RouterSettings } from "./settings.js";
 
-const pollMs = 500;
 const vmRefreshMs = 1_000;
 /** Time for the balancer to notice that this VM takes no new requests. */
 const balancerLeaveMs = 500;
@@ -146,7 +145,7 @@
     });
     await Promise.all([poll(), refresh(), peers.catchUp()]);
     const httpPort = await listen(server, settings.http.host, settings.http.port);
-    const stops = [timer.every(pollMs, poll), timer.every(vmRefreshMs, refresh)];
+    const stops = [timer.every(settings.pollMs, poll), timer.every(vmRefreshMs, refresh)];
     log("info", "router started", { httpPort, peerPort: peerServer.port });
 
     const stop = async (): Promise<void> => {
--- a/src/node/scheduler.ts
+++ b/src/node/scheduler.ts
@@ -19,6 +19,8 @@
     stop(): Promise<void>;
 }
 
+/** Beats without a renewal after which the planner's lease counts as lapsed. */
+const beatsToLapse = 3;
 const vmRefreshMs = 1_000;
 const maxBodyBytes = 2_000_000;
 
@@ -39,6 +41,8 @@
         platform,
         timer,
         follower,
+        beatMs: settings.pollMs,
+        lapseMs: settings.pollMs * beatsToLapse,
         takeoverRank: () => [...peers.live().map(view => view.vm), settings.vm].sort().indexOf(settings.vm),
     });
 
@@ -80,7 +84,7 @@
     const noticePlanner = (jobId: string): void => {
         const plannerVm = leadership.plannerVm();
         if (plannerVm === settings.vm) {
-            void planner.round();
+            planner.noticeInbox();
         }
         else if (plannerVm !== undefined) {
             void peers.clientOf(plannerVm)?.call("noticeInbox", { jobId });
@@ -113,7 +117,7 @@
             return {};
         },
         noticeInbox: async () => {
-            void planner.round();
+            planner.noticeInbox();
             return {};
         },
     });
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -18,6 +18,10 @@
     peerSeeds: Record<string, string>;
     /** StatsD address for metrics. @default no metrics are sent */
     metrics?: { host: string; port: number; };
+    /** Time between heartbeats to a peer. @default 1000 */
+    heartbeatMs: number;
+    /** Time between reads of the configuration's version. @default 500 */
+    pollMs: number;
     /** Lowest level that is logged: debug, info, warn or error. @default "info" */
     logLevel: string;
 }
@@ -80,6 +84,8 @@
     platformAddress: { type: "string", pattern: "^http://" },
     peerSeeds: { type: "object", additionalProperties: { type: "string" }, default: {} },
     metrics: address,
+    heartbeatMs: durationMs(1_000),
+    pollMs: durationMs(500),
     logLevel: { enum: ["debug", "info", "warn", "error"], default: "info" },
 };
 
--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -3,7 +3,7 @@
 import { fail, succeed } from "../utils/result.js";
 import type { Result } from "../utils/result.js";
 import { PlatformErrorKind } from "./types.js";
-import type { CommitReceipt, PlatformClient, PlatformError, Row, Transaction, VmList } from "./types.js";
+import type { CommitReceipt, PlatformClient, PlatformError, Row, Transaction, VmListChange } from "./types.js";
 
 /** Options of {@link createPlatformClient}. */
 export interface PlatformClientOptions {
@@ -87,7 +87,7 @@
             return rows.ok ? succeed(rows.value.rows) : rows;
         },
         commit: (transaction: Transaction) => send<CommitReceipt>("POST", "/v1/table/transactions", transaction),
-        listVms: () => send<VmList>("GET", "/v1/vms"),
+        listVms: sinceRevision => send<VmListChange>("GET", `/v1/vms?since=${sinceRevision}`),
         close: () => pool.destroy(),
     };
 };
--- a/src/platform/relay.ts
+++ b/src/platform/relay.ts
@@ -24,7 +24,7 @@
         case "commit":
             return { result: await direct.commit(request.argument as Transaction) };
         case "listVms":
-            return { result: await direct.listVms() };
+            return { result: await direct.listVms(Number(request.argument)) };
     }
 };
 
@@ -74,7 +74,8 @@
         scan: prefix => perform({ operation: "scan", argument: prefix }, () => direct.scan(prefix)),
         commit: transaction =>
             perform({ operation: "commit", argument: transaction }, () => direct.commit(transaction)),
-        listVms: () => perform({ operation: "listVms", argument: undefined }, () => direct.listVms()),
+        listVms: sinceRevision =>
+            perform({ operation: "listVms", argument: sinceRevision }, () => direct.listVms(sinceRevision)),
         close: () => direct.close(),
     };
 };
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -60,6 +60,12 @@
     routerPeerAddress?: string;
 }
 
+/** Answer to a read of the list since a revision; without `vms` nothing has changed. */
+export interface VmListChange {
+    revision: number;
+    vms?: Vm[];
+}
+
 /** The platform's list of VMs; it lags behind the truth. */
 export interface VmList {
     /** Grows with every change of the list. */
@@ -91,8 +97,8 @@
     scan<Value>(prefix: string): Promise<Result<Row<Value>[], PlatformError>>;
     /** Commits a transaction. */
     commit(transaction: Transaction): Promise<Result<CommitReceipt, PlatformError>>;
-    /** Reads the lagging list of VMs. */
-    listVms(): Promise<Result<VmList, PlatformError>>;
+    /** Reads the lagging list of VMs if it has changed since a revision. */
+    listVms(sinceRevision: number): Promise<Result<VmListChange, PlatformError>>;
     /** Closes the connections. */
     close(): Promise<void>;
 }
--- a/src/scheduling/planner.ts
+++ b/src/scheduling/planner.ts
@@ -43,6 +43,8 @@
 export interface Planner {
     /** One step: take in, repair, decide. Does nothing while another process plans. */
     round(): Promise<void>;
+    /** Looks into the inbox at once. */
+    noticeInbox(): void;
     /** Takes in what a zone's keeper saw. */
     reportZone(report: ZoneReport): void;
     /** What this process plans; `undefined` while another one does. */
@@ -65,6 +67,8 @@
 
 /** After a takeover, time to hear from the keepers before anything is placed or given up. */
 const settleMs = 3_000;
+/** Time between two looks into the inbox that nobody asked for. */
+const inboxPeriodMs = 1_000;
 
 const hasBrokenHome = (term: PlannerTerm): boolean => {
     const ledger = term.state.ledger();
@@ -154,6 +158,7 @@
     const views = createZoneViews(timer, options.listEndpoints);
     const runTimes = createRunTimeModel();
     let loaded: LoadedTerm | undefined;
+    let nextInboxAtMs = 0;
 
     const findWorker = (name: string): WorkerClient | undefined => {
         const address = views.addressOf(name);
@@ -205,6 +210,20 @@
     const isSettled = (current: LoadedTerm): boolean =>
         timer.nowMs() - current.loadedAtMs >= settleMs || views.haveAllReportedSince(current.loadedAtMs);
 
+    /** Submitters say when there is something new; a look now and then finds what they could not say. */
+    const lookIntoInbox = async (term: PlannerTerm): Promise<void> => {
+        if (timer.nowMs() < nextInboxAtMs) {
+            return;
+        }
+        nextInboxAtMs = timer.nowMs() + inboxPeriodMs;
+        await takeInbox(platform, leadership.epochGuard(), stored => takeInJob(term, stored));
+    };
+
+    const noticeInbox = (): void => {
+        nextInboxAtMs = 0;
+        void round();
+    };
+
     const runRound = async (): Promise<void> => {
         if (!leadership.isPlanner()) {
             loaded = undefined;
@@ -215,7 +234,7 @@
             return;
         }
         const { term } = current;
-        await takeInbox(platform, leadership.epochGuard(), stored => takeInJob(term, stored));
+        await lookIntoInbox(term);
         refreshWorkers(term);
         applyConfiguration(current, false);
         void recordFleet(current);
@@ -253,6 +272,7 @@
 
     return {
         round,
+        noticeInbox,
         reportZone,
         dump: () => loaded === undefined ? undefined : dumpPlanner(loaded.term),
         unplacedGuarantees: () => loaded?.unplacedGuarantees ?? [],
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -100,7 +100,8 @@
         await sleep(switches.slowMs);
     }
     if (request.path === "/v1/vms") {
-        return { status: 200, body: visibleVmList };
+        const changed = Number(request.query.get("since") ?? -1) < visibleVmList.revision;
+        return { status: 200, body: changed ? visibleVmList : { revision: visibleVmList.revision } };
     }
     if (request.path === "/v1/table/rows") {
         return readRows(request.query);
--- a/test/planner.test.ts
+++ b/test/planner.test.ts
@@ -132,6 +132,7 @@
             key,
             timer.wallClockMs(),
         );
+        schedulers.filter(scheduler => !scheduler.state.frozen).forEach(scheduler => scheduler.planner.noticeInbox());
         return submitted.ok ? submitted.value.record.spec.id : assert.fail(JSON.stringify(submitted.error));
     };
     const stateOf = async (id: string): Promise<JobState | undefined> => {
--- a/tools/capacity.ts
+++ b/tools/capacity.ts
@@ -71,7 +71,15 @@
     jobs: number,
     schedulerSettings: Record<string, number>,
 ): Promise<void> => {
-    const cluster = await startLocalCluster({ zones, workersPerZone, entryVmsPerZone: 1, schedulerSettings });
+    const { heartbeatMs, pollMs } = schedulerSettings;
+    const routerSettings = { heartbeatMs, pollMs };
+    const cluster = await startLocalCluster({
+        zones,
+        workersPerZone,
+        entryVmsPerZone: 1,
+        schedulerSettings,
+        routerSettings,
+    });
     await sleep(settleMs / 2);
     await submitJobs(cluster, jobs);
     await sleep(settleMs);
@@ -93,11 +101,18 @@
         options: {
             renew: { type: "string", default: "10000" },
             lease: { type: "string", default: "30000" },
+            heartbeat: { type: "string", default: "3000" },
+            poll: { type: "string", default: "1000" },
             jobs: { type: "string", default: "0" },
             sizes: { type: "string", default: "8,32,64,128" },
         },
     });
-    const settings = { renewMs: Number(values.renew), taskLeaseMs: Number(values.lease) };
+    const settings = {
+        renewMs: Number(values.renew),
+        taskLeaseMs: Number(values.lease),
+        heartbeatMs: Number(values.heartbeat),
+        pollMs: Number(values.poll),
+    };
     for (const size of values.sizes.split(",")) {
         await measure(Number(size), Number(values.jobs), settings);
     }
--- a/tools/localCluster.ts
+++ b/tools/localCluster.ts
@@ -71,6 +71,8 @@
     stop(): Promise<(number | undefined)[]>;
 }
 
+/** Flags that keep the heap of a daemon small; operators start the daemons with them too. */
+const memoryFlags = ["--max-semi-space-size=1", "--optimize-for-size"];
 const directory = fileURLToPath(new URL("..", import.meta.url));
 const firstLineTimeoutMs = 15_000;
 
@@ -89,7 +91,7 @@
     });
 
 const start = (program: string, args: string[]): ChildProcess =>
-    spawn(process.execPath, ["--enable-source-maps", join(directory, program), ...args], {
+    spawn(process.execPath, [...memoryFlags, join(directory, program), ...args], {
         stdio: ["ignore", "pipe", "pipe"],
     });
 
