--- a/src/bin/router.ts
+++ b/src/bin/router.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 import { runDaemon } from "../node/main.js";
 import { startRouter } from "../node/router.js";
-import { routerSettingsSchema } from "../node/settings.js";
+import { checkRouterSettings } from "../node/settings.js";
 
-void runDaemon(routerSettingsSchema, startRouter);
+void runDaemon(checkRouterSettings, startRouter);
--- a/src/bin/scheduler.ts
+++ b/src/bin/scheduler.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 import { runDaemon } from "../node/main.js";
 import { startScheduler } from "../node/scheduler.js";
-import { schedulerSettingsSchema } from "../node/settings.js";
+import { checkSchedulerSettings } from "../node/settings.js";
 
-void runDaemon(schedulerSettingsSchema, startScheduler);
+void runDaemon(checkSchedulerSettings, startScheduler);
--- a/src/configuration/commands/publish.ts
+++ b/src/configuration/commands/publish.ts
@@ -9,7 +9,7 @@
 import type { FileProblem, SourcedIntent } from "../queries/collect.js";
 import { findConflicts, isSameIntent } from "../queries/conflicts.js";
 import type { PublishConflict } from "../queries/conflicts.js";
-import { compileIntentCheck, describeProblem } from "../schema.js";
+import { checkIntent, describeProblem } from "../schema.js";
 import { currentVersionKey, emptySnapshot, snapshotKey } from "../types.js";
 import type { CurrentVersion, Snapshot, Statement } from "../types.js";
 
@@ -105,13 +105,12 @@
     };
 };
 
-const checkRequest = async (
+const checkRequest = (
     request: PublishRequest,
     facts: readonly WorkerFacts[] | undefined,
-): Promise<FileProblem[]> => {
-    const check = await compileIntentCheck();
+): FileProblem[] => {
     const problems = request.intents.flatMap(sourced =>
-        check(sourced.intent).map(problem => ({
+        checkIntent(sourced.intent).map(problem => ({
             file: sourced.file,
             line: sourced.line,
             detail: describeProblem(problem),
@@ -148,7 +147,7 @@
     facts: readonly WorkerFacts[] | undefined,
     nowMs: number,
 ): Promise<Result<Snapshot, PublishError>> => {
-    const problems = await checkRequest(request, facts);
+    const problems = checkRequest(request, facts);
     if (problems.length > 0) {
         return fail({ kind: "problems", problems });
     }
--- a/src/configuration/queries/collect.ts
+++ b/src/configuration/queries/collect.ts
@@ -1,8 +1,7 @@
 import { readdir, readFile } from "node:fs/promises";
 import { join, relative } from "node:path";
 import { parseJsonWithComments } from "../../utils/jsonWithComments.js";
-import { compileIntentCheck } from "../schema.js";
-import type { Check } from "../schema.js";
+import { checkIntent } from "../schema.js";
 import type { Intent } from "../types.js";
 
 /** A statement of intent with the place it was read from. */
@@ -35,12 +34,12 @@
     return files.map(entry => join(entry.parentPath, entry.name)).sort();
 };
 
-const readIntent = (text: string, file: string, check: Check): CollectedIntents => {
+const readIntent = (text: string, file: string): CollectedIntents => {
     const parsed = parseJsonWithComments(text);
     if (!parsed.ok) {
         return { intents: [], problems: [{ file, ...parsed.error }] };
     }
-    const problems = check(parsed.value.value).map(problem => ({
+    const problems = checkIntent(parsed.value.value).map(problem => ({
         file,
         line: parsed.value.lineOf(problem.path),
         detail: `${problem.path.length === 0 ? "the statement" : `"${problem.path.join(".")}"`} ${problem.expected}`,
@@ -53,10 +52,9 @@
 
 /** Reads every statement file below a directory and checks each against the schema. */
 export const collectIntents = async (root: string): Promise<CollectedIntents> => {
-    const check = await compileIntentCheck();
     const collected: CollectedIntents = { intents: [], problems: [] };
     for (const path of await findFiles(root)) {
-        const read = readIntent(await readFile(path, "utf8"), relative(root, path), check);
+        const read = readIntent(await readFile(path, "utf8"), relative(root, path));
         collected.intents.push(...read.intents);
         collected.problems.push(...read.problems);
     }
--- a/src/node/main.ts
+++ b/src/node/main.ts
@@ -1,3 +1,4 @@
+import type { Check } from "../configuration/schema.js";
 import type { Daemon } from "./scheduler.js";
 import { loadSettings } from "./settings.js";
 
@@ -20,7 +21,7 @@
 
 /** Runs a daemon from the settings file named on the command line. */
 export const runDaemon = async <Settings>(
-    schema: object,
+    check: Check,
     start: (settings: Settings) => Promise<Daemon>,
 ): Promise<void> => {
     const file = process.argv[2];
@@ -28,7 +29,7 @@
         process.stderr.write("usage: <daemon> SETTINGS-FILE\n");
         process.exit(exitBadSettings);
     }
-    const settings = await loadSettings<Settings>(file, schema);
+    const settings = await loadSettings<Settings>(file, check);
     if (!settings.ok) {
         process.stderr.write(`${settings.error.file}:\n  ${settings.error.problems.join("\n  ")}\n`);
         process.exit(exitBadSettings);
--- a/src/node/schedulerHttp.ts
+++ b/src/node/schedulerHttp.ts
@@ -2,7 +2,7 @@
 import type { PublishError, PublishRequest } from "../configuration/commands/publish.js";
 import type { ConfigurationFollower } from "../configuration/follower.js";
 import type { WorkerFacts } from "../configuration/queries/checkTogether.js";
-import { compileJobRequestCheck, describeProblem } from "../configuration/schema.js";
+import { checkJobRequest, describeProblem } from "../configuration/schema.js";
 import type { Peers } from "../peers/peers.js";
 import type { PlatformClient } from "../platform/types.js";
 import { cancelJob } from "../scheduling/commands/cancelJob.js";
@@ -50,8 +50,7 @@
     const { platform, follower, peers, timer, log, noticePlanner } = options;
 
     const answerSubmit = async (request: JsonRequest): Promise<JsonAnswer> => {
-        const check = await compileJobRequestCheck();
-        const problems = check(request.body).map(describeProblem);
+        const problems = checkJobRequest(request.body).map(describeProblem);
         if (problems.length > 0) {
             const detail = problems.join("; ");
             return problemAnswer({ title: "malformed job", status: 400, detail, outcome: "notRun" });
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -1,5 +1,7 @@
 import { readFile } from "node:fs/promises";
-import { compileCheck, describeProblem } from "../configuration/schema.js";
+import { createCheck, describeProblem } from "../configuration/schema.js";
+import type { Check } from "../configuration/schema.js";
+import { validateRouterSettings, validateSchedulerSettings } from "../generated/checks.js";
 import { parseJsonWithComments } from "../utils/jsonWithComments.js";
 import { fail, succeed } from "../utils/result.js";
 import type { Result } from "../utils/result.js";
@@ -56,66 +58,16 @@
     problems: string[];
 }
 
-const port = { type: "integer", minimum: 0, maximum: 65_535 };
-const address = {
-    type: "object",
-    additionalProperties: false,
-    required: ["host", "port"],
-    properties: { host: { type: "string" }, port },
-};
-const durationMs = (defaultMs: number): object => ({
-    type: "integer",
-    minimum: 1,
-    maximum: 3_600_000,
-    default: defaultMs,
-});
-const count = (defaultCount: number): object => ({
-    type: "integer",
-    minimum: 1,
-    maximum: 1_000_000,
-    default: defaultCount,
-});
-
-const daemonProperties = {
-    vm: { type: "string", minLength: 1 },
-    availabilityZone: { type: "string", minLength: 1 },
-    http: address,
-    peer: address,
-    platformAddress: { type: "string", pattern: "^http://" },
-    peerSeeds: { type: "object", additionalProperties: { type: "string" }, default: {} },
-    metrics: address,
-    heartbeatMs: durationMs(1_000),
-    pollMs: durationMs(500),
-    logLevel: { enum: ["debug", "info", "warn", "error"], default: "info" },
-};
-
-const settingsSchema = (properties: object): object => ({
-    type: "object",
-    additionalProperties: false,
-    required: ["vm", "availabilityZone", "http", "peer", "platformAddress"],
-    properties: { ...daemonProperties, ...properties },
-});
-
-/** Schema of the scheduler daemon's settings. */
-export const schedulerSettingsSchema = settingsSchema({
-    taskLeaseMs: durationMs(6_000),
-    renewMs: durationMs(1_500),
-    holdMs: durationMs(3_000),
-    checkpointGraceMs: durationMs(1_200),
-    planMs: durationMs(200),
-});
+/** Checks the scheduler daemon's settings. */
+export const checkSchedulerSettings = createCheck(validateSchedulerSettings);
 
-/** Schema of the router daemon's settings. */
-export const routerSettingsSchema = settingsSchema({
-    connectionsPerEndpoint: count(8),
-    maxQueued: count(256),
-    drainMs: durationMs(20_000),
-});
+/** Checks the router daemon's settings. */
+export const checkRouterSettings = createCheck(validateRouterSettings);
 
 /** Reads and checks a settings file; unknown fields are errors. */
 export const loadSettings = async <Settings>(
     file: string,
-    schema: object,
+    check: Check,
 ): Promise<Result<Settings, SettingsError>> => {
     const text = await readFile(file, "utf8").catch((error: unknown) => fail({ file, problems: [String(error)] }));
     if (typeof text !== "string") {
@@ -125,7 +77,6 @@
     if (!parsed.ok) {
         return fail({ file, problems: [`line ${parsed.error.line}: ${parsed.error.detail}`] });
     }
-    const check = await compileCheck(schema);
     const problems = check(parsed.value.value).map(problem =>
         `line ${parsed.value.lineOf(problem.path)}: ${describeProblem(problem)}`
     );
--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -1,5 +1,5 @@
-import { Pool } from "undici";
 import type { Dispatcher } from "undici";
+import { Pool } from "../utils/httpClient.js";
 import { fail, succeed } from "../utils/result.js";
 import type { Result } from "../utils/result.js";
 import { PlatformErrorKind } from "./types.js";
--- a/src/routing/connections.ts
+++ b/src/routing/connections.ts
@@ -1,4 +1,5 @@
-import { Client } from "undici";
+import type { Client as HttpClient } from "undici";
+import { Client } from "../utils/httpClient.js";
 import { AttemptKind, FenceState } from "./types.js";
 import type { Attempt } from "./types.js";
 
@@ -88,7 +89,7 @@
         : doubtful(`no answer: ${String(error)}`);
 };
 
-const post = async (client: Client, path: string, body: unknown, timeoutMs: number): Promise<RawReply> => {
+const post = async (client: HttpClient, path: string, body: unknown, timeoutMs: number): Promise<RawReply> => {
     const response = await client.request({
         method: "POST",
         path,
@@ -101,10 +102,10 @@
 
 /** Creates the connections to an endpoint. */
 export const createEndpointConnections = (httpAddress: string): EndpointConnections => {
-    const idle: Client[] = [];
-    const open = new Set<Client>();
+    const idle: HttpClient[] = [];
+    const open = new Set<HttpClient>();
 
-    const acquire = (): Client => {
+    const acquire = (): HttpClient => {
         const reused = idle.pop();
         if (reused !== undefined) {
             return reused;
@@ -114,12 +115,12 @@
         return created;
     };
 
-    const discard = (client: Client): void => {
+    const discard = (client: HttpClient): void => {
         open.delete(client);
         void client.destroy();
     };
 
-    const giveBack = (client: Client): void => {
+    const giveBack = (client: HttpClient): void => {
         if (idle.length < maxIdleConnections) {
             idle.push(client);
         }
--- /dev/null
+++ b/src/utils/undiciTypes.d.ts
@@ -0,0 +1,17 @@
+/** Types of the parts of the HTTP library that daemons load one by one. */
+declare module "undici/lib/dispatcher/pool.js" {
+    export { Pool as default } from "undici";
+}
+
+declare module "undici/lib/dispatcher/client.js" {
+    export { Client as default } from "undici";
+}
+
+declare module "undici/lib/dispatcher/dispatcher.js" {
+    export { Dispatcher as default } from "undici";
+}
+
+declare module "undici/lib/api/index.js" {
+    const api: Record<string, unknown>;
+    export default api;
+}
--- a/src/workers/client.ts
+++ b/src/workers/client.ts
@@ -1,4 +1,4 @@
-import { Pool } from "undici";
+import { Pool } from "../utils/httpClient.js";
 import { fail, succeed } from "../utils/result.js";
 import type { Result } from "../utils/result.js";
 import { WorkerErrorKind } from "./types.js";
