refactor: one search for the place that displaces least

Cause: urgent work and moves for large gangs each had their own copy of the same search; sums over members were written out in six places. Change: displacement.ts serves both; resources.ts has the sums.

--- a/src/index.ts
+++ b/src/index.ts
@@ -1,4 +1,29 @@
-export const a = (x: number) => {
-    if (x) { return 1; }
-    else { return 2; }
-};
+/** Public surface of the library; the daemons and the command line are thin layers over it. */
+export { publish } from "./configuration/commands/publish.js";
+export type { PublishError, PublishRequest } from "./configuration/commands/publish.js";
+export { createConfigurationFollower } from "./configuration/follower.js";
+export type { ConfigurationFollower } from "./configuration/follower.js";
+export { checkTogether } from "./configuration/queries/checkTogether.js";
+export { collectIntents } from "./configuration/queries/collect.js";
+export { explain } from "./configuration/queries/settings.js";
+export { Adjacency, Urgency } from "./configuration/types.js";
+export type { Intent, Shape, Snapshot, Statement } from "./configuration/types.js";
+export { startRouter } from "./node/router.js";
+export { startScheduler } from "./node/scheduler.js";
+export type { Daemon } from "./node/scheduler.js";
+export type { RouterSettings, SchedulerSettings } from "./node/settings.js";
+export { createPlatformClient } from "./platform/client.js";
+export type { PlatformClient, PlatformError } from "./platform/types.js";
+export { runCall } from "./routing/commands/runCall.js";
+export { runOnce } from "./routing/commands/runOnce.js";
+export { Outcome } from "./routing/types.js";
+export type { Call, CallAnswer } from "./routing/types.js";
+export { cancelJob } from "./scheduling/commands/cancelJob.js";
+export { submitJob } from "./scheduling/commands/submitJob.js";
+export type { JobRequest, SubmitError } from "./scheduling/commands/submitJob.js";
+export { planRound } from "./scheduling/plan.js";
+export type { Decision, PlanInput, PlanRound } from "./scheduling/plan.js";
+export { AllocationClass, JobState } from "./scheduling/types.js";
+export type { JobRecord, JobSpec, Placement } from "./scheduling/types.js";
+export { createWorkerClients } from "./workers/client.js";
+export type { WorkerClient } from "./workers/types.js";
--- a/src/scheduling/borrowed.ts
+++ b/src/scheduling/borrowed.ts
@@ -2,7 +2,7 @@
 import { avoidingFailures, findPlacement } from "./fit.js";
 import type { Candidate } from "./fit.js";
 import type { Claim, Ledger } from "./ledger.js";
-import { acceleratorsOf, resourcesPerTask } from "./resources.js";
+import { acceleratorsOf, addScaled, noResources, resourcesPerTask } from "./resources.js";
 import type { JobSpec, Member, Resources, Worker } from "./types.js";
 
 /** Weight of an accelerator inside somebody's idle home. */
@@ -67,25 +67,13 @@
     for (const claim of reserved) {
         addMembers(byWorker, claim.members, resourcesPerTask(claim.shape));
     }
-    return worker => {
-        const free = ledger.free(worker);
-        const held = byWorker.get(worker.name);
-        return held === undefined ? free : {
-            accelerators: free.accelerators - held.accelerators,
-            cores: free.cores - held.cores,
-            memoryGb: free.memoryGb - held.memoryGb,
-        };
-    };
+    return worker => addScaled(ledger.free(worker), byWorker.get(worker.name) ?? noResources(), -1);
 };
 
 const addMembers = (byWorker: Map<string, Resources>, members: readonly Member[], perTask: Resources): void => {
     for (const member of members) {
-        const known = byWorker.get(member.worker);
-        byWorker.set(member.worker, {
-            accelerators: (known?.accelerators ?? 0) + member.taskCount * perTask.accelerators,
-            cores: (known?.cores ?? 0) + member.taskCount * perTask.cores,
-            memoryGb: (known?.memoryGb ?? 0) + member.taskCount * perTask.memoryGb,
-        });
+        const known = byWorker.get(member.worker) ?? noResources();
+        byWorker.set(member.worker, addScaled(known, perTask, member.taskCount));
     }
 };
 
--- a/src/scheduling/guaranteed.ts
+++ b/src/scheduling/guaranteed.ts
@@ -2,7 +2,7 @@
 import type { Candidate } from "./fit.js";
 import type { Domain } from "./fleet.js";
 import type { Allocation, Home, Ledger } from "./ledger.js";
-import { acceleratorsOf, addScaled, atMost, noResources, resourcesPerTask } from "./resources.js";
+import { acceleratorsOf, addScaled, atMost, noResources, resourcesOn, resourcesPerTask } from "./resources.js";
 import { AllocationClass } from "./types.js";
 import type { JobSpec, Member, Resources, Worker } from "./types.js";
 import { chooseVictims, totalLostWork } from "./victims.js";
@@ -17,11 +17,6 @@
     victims: Allocation[];
 }
 
-const partOf = (home: readonly Member[], perTask: Resources, worker: Worker): Resources => {
-    const taskCount = home.find(member => member.worker === worker.name)?.taskCount ?? 0;
-    return addScaled(noResources(), perTask, taskCount);
-};
-
 const jobsIn = (ledger: Ledger, unit: string): Allocation[] =>
     [...ledger.allocations.values()].filter(allocation => allocation.guaranteeUnit === unit);
 
@@ -38,7 +33,10 @@
 ): Member[] | undefined => {
     const workers = home.flatMap(member => ledger.fleet.workers.get(member.worker) ?? []);
     const domain: Domain = { name: "home", workers };
-    const room = avoidingFailures(job, worker => addScaled(partOf(home, perTask, worker), occupied(worker), -1));
+    const room = avoidingFailures(
+        job,
+        worker => addScaled(resourcesOn(home, worker.name, perTask), occupied(worker), -1),
+    );
     const onFree = fitIntoDomain(
         job.shape,
         domain,
@@ -48,10 +46,10 @@
 };
 
 const occupiedBy = (jobs: readonly Allocation[], worker: Worker): Resources =>
-    jobs.reduce((sum, allocation) => {
-        const taskCount = allocation.members.find(member => member.worker === worker.name)?.taskCount ?? 0;
-        return addScaled(sum, resourcesPerTask(allocation.job.shape), taskCount);
-    }, noResources());
+    jobs.reduce(
+        (sum, { members, job }) => addScaled(sum, resourcesOn(members, worker.name, resourcesPerTask(job.shape)), 1),
+        noResources(),
+    );
 
 const optionInHome = (
     ledger: Ledger,
--- a/src/scheduling/ledger.ts
+++ b/src/scheduling/ledger.ts
@@ -1,6 +1,6 @@
 import type { Shape } from "../configuration/types.js";
 import type { Fleet } from "./fleet.js";
-import { addScaled, atMost, noResources, resourcesPerTask } from "./resources.js";
+import { addScaled, atMost, noResources, resourcesOn, resourcesPerTask } from "./resources.js";
 import { AllocationClass } from "./types.js";
 import type { JobSpec, Member, Resources, Worker } from "./types.js";
 
@@ -151,18 +151,13 @@
 
     const homePart = (unit: string | undefined, worker: Worker): Resources => {
         const home = unit === undefined ? undefined : homes.get(unit);
-        const member = home?.members.find(candidate => candidate.worker === worker.name);
-        return home === undefined || member === undefined
+        return home === undefined
             ? noResources()
-            : addScaled(noResources(), resourcesPerTask(home.shape), member.taskCount);
+            : resourcesOn(home.members, worker.name, resourcesPerTask(home.shape));
     };
 
-    const claimPart = (claim: Claim | undefined, worker: Worker): Resources => {
-        const member = claim?.members.find(candidate => candidate.worker === worker.name);
-        return claim === undefined || member === undefined
-            ? noResources()
-            : addScaled(noResources(), resourcesPerTask(claim.shape), member.taskCount);
-    };
+    const claimPart = (claim: Claim | undefined, worker: Worker): Resources =>
+        claim === undefined ? noResources() : resourcesOn(claim.members, worker.name, resourcesPerTask(claim.shape));
 
     const othersIn = (book: Book, worker: Worker, own: Claim | undefined): Resources =>
         subtract(book.get(worker.name) ?? noResources(), claimPart(own, worker));
--- a/src/scheduling/plan.ts
+++ b/src/scheduling/plan.ts
@@ -1,17 +1,17 @@
 import { Adjacency, Urgency } from "../configuration/types.js";
 import { findBorrowedPlacement } from "./borrowed.js";
-import { avoidingFailures, findPlacement, fitsEmptyFleet } from "./fit.js";
-import type { Candidate } from "./fit.js";
+import { findDisplacement } from "./displacement.js";
+import { fitsEmptyFleet } from "./fit.js";
 import { findGuaranteedOption } from "./guaranteed.js";
 import type { Allocation, Claim, Ledger } from "./ledger.js";
 import { orderQueue, rankOf } from "./order.js";
 import type { QueuedJob } from "./order.js";
 import { findMove, findReservation } from "./reservation.js";
-import { acceleratorsOf, addScaled, resourcesPerTask, tasksThatFit } from "./resources.js";
+import { acceleratorsOf, resourcesPerTask, tasksThatFit } from "./resources.js";
 import type { RunTimeModel } from "./runTimes.js";
 import { AllocationClass } from "./types.js";
 import type { JobSpec, Member, Resources, Worker } from "./types.js";
-import { chooseVictims, totalLostWork } from "./victims.js";
+import { chooseVictims } from "./victims.js";
 
 /** Kinds of decisions of one planning round. */
 export enum DecisionKind {
@@ -182,16 +182,6 @@
     backfill,
 });
 
-const availableFrom =
-    (ledger: Ledger, job: JobSpec, isAllowed: (allocation: Allocation) => boolean) => (worker: Worker): Resources => {
-        let available = ledger.unclaimed(worker, job.id);
-        for (const allocation of ledger.borrowersOn(worker.name).filter(isAllowed)) {
-            const taskCount = allocation.members.find(member => member.worker === worker.name)?.taskCount ?? 0;
-            available = addScaled(available, resourcesPerTask(allocation.job.shape), taskCount);
-        }
-        return available;
-    };
-
 /** Urgent work takes over from borrowers that are less urgent and lose little. */
 const planUrgent = (input: PlanInput, job: QueuedJob): Decision[] | undefined => {
     const { ledger, nowMs, runTimes } = input;
@@ -201,23 +191,12 @@
         && allocation.job.checkpointable
         && allocation.job.urgency !== Urgency.Urgent
         && rankOf(allocation.job, runTimes, nowMs) > rank;
-    const unclaimed = (worker: Worker): Resources => ledger.unclaimed(worker, job.spec.id);
-    const found = new Map<Candidate, Allocation[]>();
-    const costOf = (candidate: Candidate): number | undefined => {
-        const victims = chooseVictims(ledger, job.spec.shape, candidate.members, unclaimed, nowMs, isAllowed);
-        if (victims === undefined) {
-            return undefined;
-        }
-        found.set(candidate, victims);
-        return totalLostWork(victims, nowMs);
-    };
-    const available = avoidingFailures(job.spec, availableFrom(ledger, job.spec, isAllowed));
-    const best = findPlacement(job.spec.shape, ledger.fleet, available, costOf);
-    const victims = best === undefined ? undefined : found.get(best);
-    if (best === undefined || victims === undefined) {
+    const displacement = findDisplacement(ledger, job.spec, nowMs, isAllowed, Infinity);
+    if (displacement === undefined) {
         return undefined;
     }
-    return reclaim(input, job, victims, claimFor(input, job.spec, best.members, nowMs, false), true);
+    const claim = claimFor(input, job.spec, displacement.members, nowMs, false);
+    return reclaim(input, job, displacement.victims, claim, true);
 };
 
 /** Keeps room for a blocked job and moves small borrowers out of its way where that pays. */
--- a/src/scheduling/reservation.ts
+++ b/src/scheduling/reservation.ts
@@ -1,5 +1,7 @@
 import { freeAccelerators, isMuchSmaller } from "./borrowed.js";
-import { avoidingFailures, findPlacement, fitIntoDomain } from "./fit.js";
+import { findDisplacement } from "./displacement.js";
+import type { Displacement } from "./displacement.js";
+import { avoidingFailures, fitIntoDomain } from "./fit.js";
 import type { Candidate } from "./fit.js";
 import type { Domain } from "./fleet.js";
 import type { Allocation, Ledger } from "./ledger.js";
@@ -8,7 +10,6 @@
 import type { RunTimeModel } from "./runTimes.js";
 import { AllocationClass } from "./types.js";
 import type { JobSpec, Member, Resources, Worker } from "./types.js";
-import { chooseVictims, totalLostWork } from "./victims.js";
 
 /** Where and when a blocked job can start if nothing new is placed there. */
 export interface Reservation {
@@ -96,12 +97,6 @@
     return best;
 };
 
-/** Borrowers to move so that a blocked job can start now, and where it starts. */
-export interface MovePlan {
-    members: Member[];
-    victims: Allocation[];
-}
-
 const isMovable = (job: JobSpec, allocation: Allocation, runTimes: RunTimeModel, nowMs: number): boolean =>
     allocation.class === AllocationClass.Borrowed
     && allocation.job.checkpointable
@@ -109,17 +104,6 @@
     && isMuchSmaller(allocation.job, job)
     && nowMs - allocation.startedAtMs >= minRunBeforeMoveMs;
 
-/** What borrowers leave behind once they have moved away. */
-const availableIfMoved = (
-    ledger: Ledger,
-    job: JobSpec,
-    isAllowed: (allocation: Allocation) => boolean,
-): (worker: Worker) => Resources =>
-worker => {
-    const movable = ledger.borrowersOn(worker.name).filter(isAllowed);
-    return freeWith(ledger, job, movable)(worker);
-};
-
 /**
  * Finds checkpointable borrowers whose move joins free accelerators for a blocked job.
  *
@@ -131,25 +115,12 @@
     runTimes: RunTimeModel,
     waitMs: number,
     nowMs: number,
-): MovePlan | undefined => {
+): Displacement | undefined => {
     const spareAccelerators = freeAccelerators(ledger) - acceleratorsOf(job.shape);
     if (spareAccelerators < 0) {
         return undefined;
     }
     const isAllowed = (allocation: Allocation): boolean => isMovable(job, allocation, runTimes, nowMs);
-    const plans = new Map<Candidate, MovePlan>();
     const gain = waitMs * acceleratorsOf(job.shape);
-    const unclaimed = (worker: Worker): Resources => ledger.unclaimed(worker, job.id);
-    const costOf = (candidate: Candidate): number | undefined => {
-        const victims = chooseVictims(ledger, job.shape, candidate.members, unclaimed, nowMs, isAllowed);
-        if (victims === undefined) {
-            return undefined;
-        }
-        plans.set(candidate, { members: candidate.members, victims });
-        const lost = totalLostWork(victims, nowMs);
-        return lost * moveGainFactor <= gain ? lost : undefined;
-    };
-    const available = avoidingFailures(job, availableIfMoved(ledger, job, isAllowed));
-    const found = findPlacement(job.shape, ledger.fleet, available, costOf);
-    return found === undefined ? undefined : plans.get(found);
+    return findDisplacement(ledger, job, nowMs, isAllowed, gain / moveGainFactor);
 };
--- a/src/scheduling/resources.ts
+++ b/src/scheduling/resources.ts
@@ -18,6 +18,13 @@
     memoryGb: left.memoryGb + factor * right.memoryGb,
 });
 
+/** What a number of tasks needs. */
+export const scale = (perTask: Resources, taskCount: number): Resources => addScaled(noResources(), perTask, taskCount);
+
+/** What the tasks of some members need on one worker. */
+export const resourcesOn = (members: readonly Member[], worker: string, perTask: Resources): Resources =>
+    scale(perTask, members.find(member => member.worker === worker)?.taskCount ?? 0);
+
 /** Takes the smaller of two amounts in each dimension, at least 0. */
 export const atMost = (left: Resources, right: Resources): Resources => ({
     accelerators: Math.max(0, Math.min(left.accelerators, right.accelerators)),
--- a/src/scheduling/victims.ts
+++ b/src/scheduling/victims.ts
@@ -1,7 +1,7 @@
 import type { Shape } from "../configuration/types.js";
 import type { Available } from "./fit.js";
 import type { Allocation, Ledger } from "./ledger.js";
-import { acceleratorsOf, addScaled, resourcesPerTask } from "./resources.js";
+import { acceleratorsOf, addScaled, resourcesOn, resourcesPerTask, scale } from "./resources.js";
 import type { Member, Resources } from "./types.js";
 
 /** Work that a checkpointable job repeats after it was moved. */
@@ -29,12 +29,7 @@
         if (worker === undefined) {
             continue;
         }
-        const needed = addScaled(
-            { accelerators: 0, cores: 0, memoryGb: 0 },
-            perTask,
-            member.taskCount,
-        );
-        const missing = addScaled(needed, available(worker), -1);
+        const missing = addScaled(scale(perTask, member.taskCount), available(worker), -1);
         if (!isCovered(missing)) {
             deficits.push({ worker: member.worker, missing });
         }
@@ -42,10 +37,8 @@
     return deficits;
 };
 
-const relief = (allocation: Allocation, worker: string): Resources => {
-    const tasks = allocation.members.find(member => member.worker === worker)?.taskCount ?? 0;
-    return addScaled({ accelerators: 0, cores: 0, memoryGb: 0 }, resourcesPerTask(allocation.job.shape), tasks);
-};
+const relief = (allocation: Allocation, worker: string): Resources =>
+    resourcesOn(allocation.members, worker, resourcesPerTask(allocation.job.shape));
 
 const coverage = (allocation: Allocation, deficits: readonly Deficit[]): number =>
     deficits.reduce((sum, deficit) => {
