perf: plan only when something has changed

Change: a round plans only if queue, allocations, workers or version differ from the last one, or after 5 s, since waiting raises ranks. The test of a VM that is cut off was flaky: a submission in the moment before the cut is noticed is truthfully answered unknown. It now repeats the key, as callers are told to, and checks in addition that each member started once.

--- a/bench/run.ts
+++ b/bench/run.ts
@@ -5,6 +5,7 @@
 import { planRound } from "../src/scheduling/plan.js";
 import type { PlanRound } from "../src/scheduling/plan.js";
 import { naiveBorrowing, withoutBorrowing } from "./baselines.js";
+import { printDecisionCost } from "./decisionCost.js";
 import type { JobOutcome, RunResult } from "./meter.js";
 import { replay } from "./placementRun.js";
 
@@ -244,6 +245,7 @@
         ...benchPlacement(targetProfile, values.check ? targetSeeds.slice(0, 1) : targetSeeds),
         ...await benchRouting(),
     ];
+    printDecisionCost();
     printVerdicts(verdicts);
     process.exitCode = verdicts.every(each => each.holds || each.knownMiss) ? 0 : 1;
 };
--- a/src/scheduling/planner.ts
+++ b/src/scheduling/planner.ts
@@ -67,6 +67,8 @@
 
 /** After a takeover, time to hear from the keepers before anything is placed or given up. */
 const settleMs = 3_000;
+/** Time after which a round plans though nothing has changed, since waiting raises ranks. */
+const idlePlanMs = 5_000;
 /** Time between two looks into the inbox that nobody asked for. */
 const inboxPeriodMs = 1_000;
 
@@ -95,6 +97,16 @@
     }
 };
 
+/** Everything that a planning round depends on, other than time. */
+const describeInput = (term: PlannerTerm): string => {
+    const { allocations, fleet } = term.state.ledger();
+    const nowMs = term.timer.wallClockMs();
+    const queue = term.state.queue().map(job => `${job.spec.id}#${job.attempts}${job.notBeforeMs > nowMs ? "-" : "+"}`);
+    const running = [...allocations.values()].map(each => `${each.job.id}#${each.attempt}${each.leaving ? "-" : "+"}`);
+    const usable = [...fleet.workers.values()].filter(worker => worker.usable).map(worker => worker.name);
+    return [queue, running, usable, term.follower.current().version].join("|");
+};
+
 /** Records the workers in the table, for the checks of publishing. */
 const recordFleet = async (loaded: LoadedTerm): Promise<void> => {
     const { term } = loaded;
@@ -159,6 +171,8 @@
     const runTimes = createRunTimeModel();
     let loaded: LoadedTerm | undefined;
     let nextInboxAtMs = 0;
+    let lastInput = "";
+    let lastPlannedAtMs = 0;
 
     const findWorker = (name: string): WorkerClient | undefined => {
         const address = views.addressOf(name);
@@ -195,8 +209,22 @@
         return loaded;
     };
 
+    /** Unless something has changed, a round would decide the same as the last one. */
+    const isWorthPlanning = (term: PlannerTerm): boolean => {
+        const seen = describeInput(term);
+        if (seen === lastInput && timer.nowMs() - lastPlannedAtMs < idlePlanMs) {
+            return false;
+        }
+        lastInput = seen;
+        lastPlannedAtMs = timer.nowMs();
+        return true;
+    };
+
     const decide = (term: PlannerTerm): void => {
         term.state.noteFailedEvictions();
+        if (!isWorthPlanning(term)) {
+            return;
+        }
         const decisions = options.plan({
             ledger: term.state.ledger(),
             queue: term.state.queue(),
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -56,7 +56,17 @@
     return cluster;
 };
 
+/** Submits until it is accepted; an unknown outcome is repeated with the same key, as callers are told to. */
 const submitGang = async (scheduler: RunningDaemon, key: string, runTimeMs: number): Promise<string> => {
+    let id: string | undefined;
+    await waitUntil("the job is accepted", settleTimeoutMs, async () => {
+        id = await trySubmit(scheduler, key, runTimeMs);
+        return id !== undefined;
+    });
+    return id ?? "";
+};
+
+const trySubmit = async (scheduler: RunningDaemon, key: string, runTimeMs: number): Promise<string | undefined> => {
     const body = {
         customer: "wedding-planners",
         service: "flight-models",
@@ -67,8 +77,8 @@
     const answer = await sendJson<JobRecord>(`${scheduler.httpAddress}/v1/jobs`, body, {
         headers: { "idempotency-key": key },
     });
-    assert.equal(answer.status, 202, JSON.stringify(answer.body));
-    return answer.body.spec.id;
+    assert.include([202, 504], answer.status, JSON.stringify(answer.body));
+    return answer.status === 202 ? answer.body.spec.id : undefined;
 };
 
 const stateOf = async (scheduler: RunningDaemon, id: string): Promise<JobState> => {
@@ -175,6 +185,8 @@
             settleTimeoutMs,
             async () => await stateOf(cluster.schedulers()[1], id) === JobState.Done,
         );
+        const starts = (await cluster.events()).filter(event => event.jobId === id && event.kind === "taskRunning");
+        assert.lengthOf(starts, 2, "each member started once, however often it was submitted");
     });
 
     it("go on with calls that may be repeated while the platform is down, and refuse bookings as not run", async () => {
