refactor: constants first, event kinds as an enum, one place for daemons

Cause: read as a newcomer: constants stood below their use, a daemon's type stood in the scheduler and was used by the router. Change: moved; no behaviour changes.

--- a/src/bin/router.ts
+++ b/src/bin/router.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
-import { runDaemon } from "../node/main.js";
 import { startRouter } from "../node/router.js";
+import { runDaemon } from "../node/runDaemon.js";
 import { checkRouterSettings } from "../node/settings.js";
 
 void runDaemon(checkRouterSettings, startRouter);
--- a/src/bin/scheduler.ts
+++ b/src/bin/scheduler.ts
@@ -1,5 +1,5 @@
 #!/usr/bin/env node
-import { runDaemon } from "../node/main.js";
+import { runDaemon } from "../node/runDaemon.js";
 import { startScheduler } from "../node/scheduler.js";
 import { checkSchedulerSettings } from "../node/settings.js";
 
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -17,7 +17,7 @@
 import { createPauseDetector } from "../utils/pauseDetector.js";
 import { createEntryNode } from "./entryNode.js";
 import { createRouterHttp, notRunAnswer, toHttpAnswer } from "./routerHttp.js";
-import type { Daemon } from "./scheduler.js";
+import type { Daemon } from "./runDaemon.js";
 import type { RouterSettings } from "./settings.js";
 
 const vmRefreshMs = 1_000;
--- a/src/node/main.ts
+++ b/src/node/runDaemon.ts
@@ -1,7 +1,14 @@
 import type { Check } from "../configuration/schema.js";
-import type { Daemon } from "./scheduler.js";
 import { loadSettings } from "./settings.js";
 
+/** A running daemon. */
+export interface Daemon {
+    httpPort: number;
+    peerPort: number;
+    /** Finishes what is in progress and stops. */
+    stop(): Promise<void>;
+}
+
 const exitBadSettings = 2;
 const exitFailure = 1;
 
--- a/src/node/scheduler.ts
+++ b/src/node/scheduler.ts
@@ -8,17 +8,10 @@
 import { closeGracefully, createJsonServer, listen } from "../utils/http.js";
 import { createWorkerClients } from "../workers/client.js";
 import { createEntryNode } from "./entryNode.js";
+import type { Daemon } from "./runDaemon.js";
 import { createSchedulerHttp } from "./schedulerHttp.js";
 import type { SchedulerSettings } from "./settings.js";
 
-/** A running daemon. */
-export interface Daemon {
-    httpPort: number;
-    peerPort: number;
-    /** Finishes what is in progress and stops. */
-    stop(): Promise<void>;
-}
-
 /** Beats without a renewal after which the planner's lease counts as lapsed. */
 const beatsToLapse = 3;
 const vmRefreshMs = 1_000;
--- a/src/routing/attemptRecord.ts
+++ b/src/routing/attemptRecord.ts
@@ -7,6 +7,13 @@
 import type { TimerService } from "../utils/timer.js";
 import type { Call } from "./types.js";
 
+/** Tries to correct the record of an attempt that was never made. */
+const abandonAttempts = 5;
+const abandonPeriodMs = 2_000;
+/** Tries to record how an attempt ended. */
+const settleAttempts = 600;
+const settlePeriodMs = 500;
+
 /** State of the recorded attempt of a call that may run at most once. */
 export enum RecordState {
     /** It may be running, or its router died. */
@@ -132,9 +139,6 @@
     void correct();
 };
 
-const abandonAttempts = 5;
-const abandonPeriodMs = 2_000;
-
 /** Records how the attempt ended; tries again for a while, since the endpoint's answer is already there. */
 export const settleAttempt = async (
     platform: PlatformClient,
@@ -156,6 +160,3 @@
     }
     return false;
 };
-
-const settleAttempts = 600;
-const settlePeriodMs = 500;
--- a/src/scheduling/jobExecutor.ts
+++ b/src/scheduling/jobExecutor.ts
@@ -25,10 +25,23 @@
     onEvent: (event: JobEvent) => void;
 }
 
+/** Time before a placement that was refused is tried again. */
+const retryDelayMs = 300;
+
+/** What can happen to a job. */
+export enum JobEventKind {
+    Placed = "placed",
+    NotPlaced = "notPlaced",
+    Requeued = "requeued",
+    Ended = "ended",
+    /** Its row was changed by somebody else. */
+    Conflict = "conflict",
+}
+
 /** Something that happened to a job. */
 export interface JobEvent {
     jobId: string;
-    kind: "placed" | "notPlaced" | "requeued" | "ended" | "conflict";
+    kind: JobEventKind;
     detail: string;
 }
 
@@ -97,14 +110,14 @@
             return succeed(changed.value);
         }
         const detail = describePlatformError(changed.error);
-        onEvent({ jobId: idOf(tracked), kind: "conflict", detail });
+        onEvent({ jobId: idOf(tracked), kind: JobEventKind.Conflict, detail });
         await refresh(tracked);
         return fail(detail);
     };
 
     const giveUpPlacement = (spec: JobSpec, detail: string): void => {
         state.ledger().deallocate(spec.id);
-        onEvent({ jobId: spec.id, kind: "notPlaced", detail });
+        onEvent({ jobId: spec.id, kind: JobEventKind.NotPlaced, detail });
     };
 
     const placeNow = async (tracked: TrackedJob, planned: Omit<Placement, "placedAtMs" | "planner">): Promise<void> => {
@@ -125,7 +138,7 @@
         if (placed.ok) {
             onEvent({
                 jobId: spec.id,
-                kind: "placed",
+                kind: JobEventKind.Placed,
                 detail: placement.members.map(member => member.worker).join(","),
             });
             return;
@@ -157,7 +170,7 @@
         state.ledger().deallocate(spec.id);
         // tasks on workers that did not confirm may run until their lease ends
         tracked.notBeforeMs = unconfirmed.length > 0 ? timer.wallClockMs() + times.leaseMs + times.holdMs : 0;
-        onEvent({ jobId: spec.id, kind: "requeued", detail: reason });
+        onEvent({ jobId: spec.id, kind: JobEventKind.Requeued, detail: reason });
     };
 
     const evictNow = async (tracked: TrackedJob, reason: string, mandatory: boolean): Promise<void> => {
@@ -187,7 +200,7 @@
             await stopGang({ jobId: spec.id, attempt: placement.attempt }, placement.members, findWorker);
         }
         state.forget(spec.id);
-        onEvent({ jobId: spec.id, kind: "ended", detail: `${ended}: ${reason}` });
+        onEvent({ jobId: spec.id, kind: JobEventKind.Ended, detail: `${ended}: ${reason}` });
     };
 
     return {
@@ -198,6 +211,3 @@
         refresh,
     };
 };
-
-/** Time before a placement that was refused is tried again. */
-const retryDelayMs = 300;
