--- a/tools/soak/checks.ts
+++ b/tools/soak/checks.ts
@@ -109,6 +109,28 @@
     };
 };
 
+/** Longest time, between two times, in which a process was neither frozen nor cut off nor without the platform. */
+const longestUndisturbedMs = (record: SoakRecord, process: string, fromMs: number, untilMs: number): number => {
+    const notes = record.disturbed
+        .filter(note => note.process === process && note.fromMs < untilMs && note.untilMs > fromMs)
+        .sort((left, right) => left.fromMs - right.fromMs);
+    let longestMs = 0;
+    let freeFromMs = fromMs;
+    for (const note of notes) {
+        longestMs = Math.max(longestMs, note.fromMs - freeFromMs);
+        freeFromMs = Math.max(freeFromMs, note.untilMs);
+    }
+    return Math.max(longestMs, untilMs - freeFromMs);
+};
+
+const describeLate = (record: SoakRecord, event: WorkerEvent): string => {
+    const router = record.calls.find(call => call.key === event.key)?.router ?? "a scheduler";
+    const fromMs = record.leaving.find(note => note.worker === event.worker)?.fromMs ?? 0;
+    const undisturbedMs = longestUndisturbedMs(record, router, fromMs, event.atMs);
+    return `${event.kind} on ${event.worker} by ${router}, ${event.atMs - fromMs} ms after it began to leave; `
+        + `undisturbed for at most ${undisturbedMs} ms of these`;
+};
+
 const checkLeaving = (record: SoakRecord, events: readonly WorkerEvent[]): PointReport => {
     const late = record.leaving.flatMap(note =>
         events.filter(event =>
@@ -121,7 +143,7 @@
     return {
         point: "a leaving endpoint gets no new work",
         checked: record.leaving.length,
-        violations: late.map(event => `${event.kind} on ${event.worker}`),
+        violations: late.map(event => describeLate(record, event)),
     };
 };
 
