test: an endpoint's own word that it is leaving

Traced by bringing it about: with the platform down from 0.2 to 6.5 s after the change of the list, calls went on until 0.4 s after its return. The list could not be read and the endpoint said nothing, so a router could not know. Change: in half of the cases the endpoint now says that it leaves, and every late call counts; where only the list says so, a late call counts if its router could read the list for 3 s in one piece (lag, period and one timeout). The bound of 5 s is unchanged. A new test takes the platform down and relies on the endpoint's word; seen failing without it.

--- a/src/scheduling/keepers.ts
+++ b/src/scheduling/keepers.ts
@@ -1,5 +1,5 @@
 import type { Peers } from "../peers/peers.js";
-import type { ZoneReport } from "../peers/types.js";
+import type { GangReport, ZoneReport } from "../peers/types.js";
 import type { Vm } from "../platform/types.js";
 import { rankCandidates } from "../utils/rendezvous.js";
 import { createKeeper } from "./keeper.js";
@@ -19,7 +19,8 @@
 export interface Keepers {
     round(): Promise<void>;
     keptZones(): string[];
-    gangCount(): number;
+    /** Gangs whose leases this scheduler renews. */
+    gangs(): GangReport[];
 }
 
 /** Creates the keepers of a scheduler: one per zone for which it ranks first among the live schedulers. */
@@ -64,6 +65,6 @@
     return {
         round,
         keptZones: () => [...keepers.keys()],
-        gangCount: () => [...keepers.values()].reduce((sum, keeper) => sum + keeper.gangs().length, 0),
+        gangs: () => [...keepers.values()].flatMap(keeper => keeper.gangs()),
     };
 };
--- a/standins/worker/types.ts
+++ b/standins/worker/types.ts
@@ -13,6 +13,8 @@
     /** Share of call answers that are lost after the call ran. */
     lostShare: number;
     leaving: boolean;
+    /** Says in every answer that it is leaving, without refusing yet. */
+    saysLeaving: boolean;
     /** Checkpoint requests are never answered. */
     ignoreCheckpoint: boolean;
 }
@@ -55,5 +57,6 @@
     cutShortShare: 0,
     lostShare: 0,
     leaving: false,
+    saysLeaving: false,
     ignoreCheckpoint: false,
 });
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -162,6 +162,23 @@
         assert.isEmpty(started);
     });
 
+    it("take an endpoint's own word that it is leaving while the list cannot be read", async () => {
+        const [router] = cluster.routers();
+        const leaving = cluster.workers[0].workers[1].name;
+        await cluster.setPlatform({ down: true });
+        await cluster.setWorker(leaving, { saysLeaving: true });
+        const keys = Array.from(Array(30).keys(), index => `word-${index}`);
+        for (const key of keys) {
+            assert.equal((await call(router, quotePath, key, 5)).body.outcome, "done");
+        }
+        const started = (await cluster.events()).filter(event =>
+            event.worker === leaving && event.kind === "callStarted" && keys.includes(event.key ?? "")
+        );
+        await cluster.setWorker(leaving, { saysLeaving: false });
+        await cluster.setVm(leaving, { state: VmState.Live, incarnation: 2 });
+        assert.isAtMost(started.length, 1, "only the call whose answer told so");
+    });
+
     it("take the highest version from their peers when all of a zone restart while the platform is down", async () => {
         await cluster.setPlatform({ down: true });
         const zone = cluster.daemons.filter(daemon => daemon.zone === "zone-a");
--- a/tools/showFailing.ts
+++ b/tools/showFailing.ts
@@ -123,6 +123,14 @@
         tests: "endpoints",
         fails: "stay so on an older list",
     },
+    {
+        without: "the endpoint's own word",
+        file: "routing/commands/runCall.js",
+        find: "if (reply.leaving) {",
+        replace: "if (false) {",
+        tests: "processes",
+        fails: "take an endpoint's own word",
+    },
     {
         without: "noticing a freeze",
         file: "utils/pauseDetector.js",
--- a/tools/soak/checks.ts
+++ b/tools/soak/checks.ts
@@ -3,7 +3,7 @@
 import type { WorkerEvent } from "../../standins/worker/types.js";
 import { groupBy, partialMs, runsOf } from "./gangRuns.js";
 import { wasDisturbed } from "./record.js";
-import type { SoakRecord } from "./record.js";
+import type { LeavingNote, SoakRecord } from "./record.js";
 
 /** Findings about one point. */
 export interface PointReport {
@@ -17,6 +17,8 @@
 /** "A few seconds" of the brief. */
 const fewSecondsMs = 5_000;
 const configurationMs = 8_000;
+/** Lag of the list, time between two reads and one read that times out. */
+const readListMs = 3_000;
 
 const checkAtMostOnce = (record: SoakRecord, events: readonly WorkerEvent[]): PointReport => {
     const starts = groupBy(events.filter(event => event.kind === "callStarted"), event => event.key ?? "");
@@ -123,28 +125,32 @@
     return Math.max(longestMs, untilMs - freeFromMs);
 };
 
-const describeLate = (record: SoakRecord, event: WorkerEvent): string => {
-    const router = record.calls.find(call => call.key === event.key)?.router ?? "a scheduler";
-    const fromMs = record.leaving.find(note => note.worker === event.worker)?.fromMs ?? 0;
-    const undisturbedMs = longestUndisturbedMs(record, router, fromMs, event.atMs);
-    return `${event.kind} on ${event.worker} by ${router}, ${event.atMs - fromMs} ms after it began to leave; `
+const routerOf = (record: SoakRecord, event: WorkerEvent): string =>
+    record.calls.find(call => call.key === event.key)?.router ?? "a scheduler";
+
+/** Whether the sender could know: the endpoint said so, or the list could be read for long enough. */
+const couldKnow = (record: SoakRecord, note: LeavingNote, event: WorkerEvent): boolean =>
+    note.told || longestUndisturbedMs(record, routerOf(record, event), note.fromMs, event.atMs) >= readListMs;
+
+const describeLate = (record: SoakRecord, note: LeavingNote, event: WorkerEvent): string => {
+    const router = routerOf(record, event);
+    const undisturbedMs = longestUndisturbedMs(record, router, note.fromMs, event.atMs);
+    return `${event.kind} on ${event.worker} by ${router}, ${event.atMs - note.fromMs} ms after it began to leave; `
         + `undisturbed for at most ${undisturbedMs} ms of these`;
 };
 
 const checkLeaving = (record: SoakRecord, events: readonly WorkerEvent[]): PointReport => {
-    const late = record.leaving.flatMap(note =>
-        events.filter(event =>
-            event.worker === note.worker
-            && ["taskReady", "callStarted"].includes(event.kind)
-            && event.atMs > note.fromMs + fewSecondsMs
-            && event.atMs < note.untilMs
-        )
+    const isLate = (note: LeavingNote, event: WorkerEvent): boolean =>
+        event.worker === note.worker
+        && ["taskReady", "callStarted"].includes(event.kind)
+        && event.atMs > note.fromMs + fewSecondsMs
+        && event.atMs < note.untilMs;
+    const violations = record.leaving.flatMap(note =>
+        events
+            .filter(event => isLate(note, event) && couldKnow(record, note, event))
+            .map(event => describeLate(record, note, event))
     );
-    return {
-        point: "a leaving endpoint gets no new work",
-        checked: record.leaving.length,
-        violations: late.map(event => describeLate(record, event)),
-    };
+    return { point: "a leaving endpoint gets no new work", checked: record.leaving.length, violations };
 };
 
 const checkGraceful = (record: SoakRecord): PointReport => {
--- a/tools/soak/faults.ts
+++ b/tools/soak/faults.ts
@@ -123,11 +123,14 @@
     if (context.record.leaving.some(note => note.worker === worker)) {
         return;
     }
-    const note = { worker, fromMs: Date.now(), untilMs: Infinity };
+    const told = context.random() < 0.5;
+    const note = { worker, told, fromMs: Date.now(), untilMs: Infinity };
+    await context.cluster.setWorker(worker, { saysLeaving: told });
     context.record.leaving.push(note);
     await context.cluster.setVm(worker, { state: VmState.Leaving });
     await sleep(duration(context, 6_000, 9_000));
     note.untilMs = Date.now();
+    await context.cluster.setWorker(worker, { saysLeaving: false });
     await context.cluster.setVm(worker, { state: VmState.Live, incarnation: 2 + context.record.leaving.length });
 };
 
--- a/tools/soak/record.ts
+++ b/tools/soak/record.ts
@@ -27,6 +27,8 @@
 /** A time during which the platform listed an endpoint as leaving. */
 export interface LeavingNote {
     worker: string;
+    /** Whether the endpoint itself says so; otherwise only the list does. */
+    told: boolean;
     fromMs: number;
     untilMs: number;
 }
