--- a/bench/baselines.ts
+++ b/bench/baselines.ts
@@ -58,26 +58,26 @@
 };
 
 const isHolder = (ledger: Ledger, customer: string): boolean =>
-    [...ledger.homes.values()].some(home => home.customer === customer);
+    [...ledger.cells.values()].some(cell => cell.customer === customer);
 
-/** What a customer may use if nobody lends: its own homes, or what lies outside all homes. */
+/** What a customer may use if nobody lends: its own cells, or what lies outside all cells. */
 const ownShare = (ledger: Ledger, customer: string): Available => {
     const own = isHolder(ledger, customer);
     return worker => {
         const free = ledger.free(worker);
         if (!own) {
-            return atMost(free, addScaled(ledger.outsideHomes(worker), usedOutside(ledger, worker.name), -1));
+            return atMost(free, addScaled(ledger.outsideCells(worker), usedOutside(ledger, worker.name), -1));
         }
-        return atMost(free, homeShare(ledger, customer, worker.name));
+        return atMost(free, cellShare(ledger, customer, worker.name));
     };
 };
 
-const homeShare = (ledger: Ledger, customer: string, worker: string) => {
+const cellShare = (ledger: Ledger, customer: string, worker: string) => {
     let share = noResources();
-    for (const home of ledger.homes.values()) {
-        const member = home.members.find(candidate => candidate.worker === worker);
-        if (home.customer === customer && member !== undefined) {
-            share = addScaled(share, resourcesPerTask(home.shape), member.taskCount);
+    for (const cell of ledger.cells.values()) {
+        const member = cell.members.find(candidate => candidate.worker === worker);
+        if (cell.customer === customer && member !== undefined) {
+            share = addScaled(share, resourcesPerTask(cell.shape), member.taskCount);
         }
     }
     return share;
--- a/bench/decisionCost.ts
+++ b/bench/decisionCost.ts
@@ -1,7 +1,7 @@
 /** Measures what a planning round costs as workers, queued jobs and customers grow; wall-clock, printed, not judged. */
 import { Adjacency } from "../src/configuration/types.js";
+import { cellsOf, syncCells } from "../src/scheduling/cells.js";
 import { createFleet } from "../src/scheduling/fleet.js";
-import { homesOf, syncHomes } from "../src/scheduling/homes.js";
 import { createLedger } from "../src/scheduling/ledger.js";
 import type { QueuedJob } from "../src/scheduling/order.js";
 import { planRound } from "../src/scheduling/plan.js";
@@ -37,7 +37,7 @@
     const profile = { ...targetProfile, ...size, acceleratorsOf };
     const workload = createWorkload(profile, 1);
     const ledger = createLedger(createFleet(workload.workers));
-    syncHomes(ledger, homesOf(workload.statements));
+    syncCells(ledger, cellsOf(workload.statements));
     const runTimes = createRunTimeModel();
     const filler = { ...workload.arrivals[0].spec, checkpointable: true, shape: shapeOf(1, 4, Adjacency.Worker) };
     const total = workload.workers.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
--- a/bench/placementRun.ts
+++ b/bench/placementRun.ts
@@ -1,7 +1,7 @@
 /** Replays a workload through the planner's decision code in virtual time. */
 import TinyQueue from "tinyqueue";
+import { cellsOf, repairCells, syncCells } from "../src/scheduling/cells.js";
 import { createFleet } from "../src/scheduling/fleet.js";
-import { homesOf, repairHomes, syncHomes } from "../src/scheduling/homes.js";
 import { createLedger } from "../src/scheduling/ledger.js";
 import type { Allocation } from "../src/scheduling/ledger.js";
 import type { QueuedJob } from "../src/scheduling/order.js";
@@ -61,7 +61,7 @@
     let idleScheduled = false;
     let openJobs = 0;
 
-    syncHomes(ledger, homesOf(workload.statements));
+    syncCells(ledger, cellsOf(workload.statements));
 
     const meter = createMeter(workload, ledger, { running, queue, arrivals });
 
@@ -164,8 +164,8 @@
 
     const hasUnusedUnit = (customer: string): boolean => {
         const used = new Set([...ledger.allocations.values()].map(allocation => allocation.guaranteeUnit));
-        return [...ledger.homes.values()].some(home =>
-            home.customer === customer && home.members.length > 0 && !used.has(home.unit)
+        return [...ledger.cells.values()].some(cell =>
+            cell.customer === customer && cell.members.length > 0 && !used.has(cell.unit)
         );
     };
 
@@ -238,7 +238,7 @@
         for (const worker of fleet.workers.values()) {
             worker.usable = !zonesOut.has(worker.availabilityZone) && !health.isEjected(worker.name, nowMs);
         }
-        repairHomes(ledger);
+        repairCells(ledger);
     };
 
     const evictFromZonesOut = (): void => {
--- a/src/configuration/queries/checkTogether.ts
+++ b/src/configuration/queries/checkTogether.ts
@@ -1,5 +1,5 @@
+import { cellsOf, repairCells } from "../../scheduling/cells.js";
 import { createFleet } from "../../scheduling/fleet.js";
-import { homesOf, repairHomes } from "../../scheduling/homes.js";
 import { createLedger } from "../../scheduling/ledger.js";
 import type { Worker } from "../../scheduling/types.js";
 import type { Statement } from "../types.js";
@@ -52,8 +52,8 @@
 /** Units that find no place on the given workers, by statement name. */
 const unplacedStatements = (statements: readonly Statement[], workers: readonly Worker[]): Set<string> => {
     const ledger = createLedger(createFleet([...workers]));
-    homesOf(statements).forEach(home => ledger.setHome(home));
-    return new Set(repairHomes(ledger).map(unit => unit.slice(unit.indexOf("/") + 1, unit.lastIndexOf("#"))));
+    cellsOf(statements).forEach(cell => ledger.setCell(cell));
+    return new Set(repairCells(ledger).map(unit => unit.slice(unit.indexOf("/") + 1, unit.lastIndexOf("#"))));
 };
 
 const asStatements = (intents: readonly SourcedIntent[]): Statement[] =>
--- a/src/node/scheduler.ts
+++ b/src/node/scheduler.ts
@@ -1,8 +1,8 @@
 import { startPeerServer } from "../peers/server.js";
 import { Role } from "../peers/types.js";
 import type { ZoneReport } from "../peers/types.js";
-import { createKeepers } from "../scheduling/keepers.js";
 import { createLeadership } from "../scheduling/leadership.js";
+import { createLeaseManagers } from "../scheduling/leaseManagers.js";
 import { planRound } from "../scheduling/plan.js";
 import { createPlanner } from "../scheduling/planner.js";
 import { closeGracefully, createJsonServer, listen } from "../utils/http.js";
@@ -63,7 +63,7 @@
         await peers.clientOf(plannerVm)?.call("reportZone", report);
     };
 
-    const keepers = createKeepers({
+    const leaseManagers = createLeaseManagers({
         vm: settings.vm,
         availabilityZone: settings.availabilityZone,
         timer,
@@ -89,8 +89,8 @@
         configuration: { version: follower.current().version, confirmedAgoMs: ageOf(follower.confirmedAtMs()) },
         plannerVm: leadership.plannerVm(),
         peers: peers.views().map(view => ({ vm: view.vm, heardAgoMs: ageOf(view.heardAtMs), ...view.heartbeat })),
-        keptZones: keepers.keptZones(),
-        leases: { ...times, renewMs: settings.renewMs, gangs: keepers.gangs() },
+        managedZones: leaseManagers.managedZones(),
+        leases: { ...times, renewMs: settings.renewMs, gangs: leaseManagers.gangs() },
         endpoints: node.endpoints().map(vm => ({
             name: vm.name,
             availabilityZone: vm.availabilityZone,
@@ -125,7 +125,7 @@
     leadership.start();
     const stops = [
         timer.every(vmRefreshMs, node.refreshVms),
-        timer.every(settings.renewMs, keepers.round),
+        timer.every(settings.renewMs, leaseManagers.round),
         timer.every(settings.planMs, planner.round),
     ];
     log("info", "scheduler started", { httpPort, peerPort: peerServer.port });
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -33,7 +33,7 @@
     snapshot?: Snapshot;
 }
 
-/** State of a gang on its workers, as its keeper sees it. */
+/** State of a gang on its workers, as its lease manager sees it. */
 export interface GangReport {
     jobId: string;
     attempt: number;
@@ -48,10 +48,10 @@
     workers: string[];
 }
 
-/** State of an availability zone's workers, sent by its keeper to the planner. */
+/** State of an availability zone's workers, sent by its lease manager to the planner. */
 export interface ZoneReport {
     availabilityZone: string;
-    keeper: string;
+    leaseManager: string;
     /** Workers that answer, with their capacity; `usable` is false while leaving. */
     workers: (Worker & { httpAddress: string; })[];
     /** Names of workers that do not answer. */
--- a/src/scheduling/borrowed.ts
+++ b/src/scheduling/borrowed.ts
@@ -5,14 +5,14 @@
 import { acceleratorsOf, addScaled, noResources, resourcesPerTask } from "./resources.js";
 import type { JobSpec, Member, Resources, Worker } from "./types.js";
 
-/** Weight of an accelerator inside somebody's idle home. */
-const homeOverlapWeight = 1_000;
+/** Weight of an accelerator inside somebody's idle cell. */
+const cellOverlapWeight = 1_000;
 /** Weight of an accelerator left over on a worker that was untouched so far. */
 const brokenWorkerWeight = 10;
 /** Weight of breaking into an untouched rack. */
 const brokenRackWeight = 40;
 
-const homeOverlap = (ledger: Ledger, candidate: Candidate, perTask: Resources): number => {
+const cellOverlap = (ledger: Ledger, candidate: Candidate, perTask: Resources): number => {
     let overlap = 0;
     for (const member of candidate.members) {
         const worker = ledger.fleet.workers.get(member.worker);
@@ -48,10 +48,10 @@
     return candidate.members.length < rack.workers.length && rack.workers.every(worker => isUntouched(ledger, worker));
 };
 
-/** Damage that a placement does to guarantees' homes and to larger free cells. */
+/** Damage that a placement does to guarantees' cells and to larger free cells. */
 export const damageOf = (ledger: Ledger, job: JobSpec, candidate: Candidate): number => {
     const perTask = resourcesPerTask(job.shape);
-    return homeOverlapWeight * homeOverlap(ledger, candidate, perTask)
+    return cellOverlapWeight * cellOverlap(ledger, candidate, perTask)
         + brokenWorkerWeight * brokenWorkers(ledger, candidate, perTask)
         + (breaksRack(ledger, candidate) ? brokenRackWeight : 0)
         + candidate.leftoverTasks;
--- a/src/scheduling/homes.ts
+++ b/src/scheduling/cells.ts
@@ -1,13 +1,13 @@
 import type { Statement } from "../configuration/types.js";
 import { findPlacement } from "./fit.js";
 import type { Candidate } from "./fit.js";
-import type { Home, Ledger } from "./ledger.js";
+import type { Cell, Ledger } from "./ledger.js";
 import { acceleratorsOf } from "./resources.js";
 import { AllocationClass } from "./types.js";
 import type { Member } from "./types.js";
 
-/** Expands the guarantees of all statements into one idle home per guaranteed gang. */
-export const homesOf = (statements: readonly Statement[]): Home[] =>
+/** Expands the guarantees of all statements into one idle cell per guaranteed gang. */
+export const cellsOf = (statements: readonly Statement[]): Cell[] =>
     statements.flatMap(statement => {
         const { guarantee, customer } = statement;
         if (guarantee === undefined || customer === undefined) {
@@ -22,17 +22,17 @@
         }));
     });
 
-/** Homes that hold with an availability zone out come first, then larger ones. */
-const byPrecedence = (left: Home, right: Home): number =>
+/** Cells that hold with an availability zone out come first, then larger ones. */
+const byPrecedence = (left: Cell, right: Cell): number =>
     Number(right.holdsWithZoneOut) - Number(left.holdsWithZoneOut)
     || acceleratorsOf(right.shape) - acceleratorsOf(left.shape)
     || (left.unit < right.unit ? -1 : 1);
 
 const smallestLeftover = (candidate: Candidate): number => candidate.leftoverTasks;
 
-/** Finds a location outside all other homes for a unit. */
-export const locateHome = (ledger: Ledger, home: Home): Member[] =>
-    findPlacement(home.shape, ledger.fleet, worker => ledger.outsideHomes(worker, home.unit), smallestLeftover)?.members
+/** Finds a location outside all other cells for a unit. */
+export const locateCell = (ledger: Ledger, cell: Cell): Member[] =>
+    findPlacement(cell.shape, ledger.fleet, worker => ledger.outsideCells(worker, cell.unit), smallestLeftover)?.members
         ?? [];
 
 const isUsable = (ledger: Ledger, members: readonly Member[]): boolean =>
@@ -48,22 +48,22 @@
     return units;
 };
 
-const locateAll = (ledger: Ledger, homes: Home[]): Home[] => {
-    const missing: Home[] = [];
-    for (const home of homes) {
-        ledger.setHome({ ...home, members: [] });
+const locateAll = (ledger: Ledger, cells: Cell[]): Cell[] => {
+    const missing: Cell[] = [];
+    for (const cell of cells) {
+        ledger.setCell({ ...cell, members: [] });
     }
-    for (const home of homes) {
-        const members = locateHome(ledger, home);
-        ledger.setHome({ ...home, members });
+    for (const cell of cells) {
+        const members = locateCell(ledger, cell);
+        ledger.setCell({ ...cell, members });
         if (members.length === 0) {
-            missing.push(home);
+            missing.push(cell);
         }
     }
     return missing;
 };
 
-/** Turns the guaranteed jobs of a unit into borrowers, so that its home can be given to another unit. */
+/** Turns the guaranteed jobs of a unit into borrowers, so that its cell can be given to another unit. */
 const demoteUnit = (ledger: Ledger, unit: string): void => {
     for (const allocation of [...ledger.allocations.values()]) {
         if (allocation.guaranteeUnit === unit) {
@@ -73,15 +73,15 @@
 };
 
 /**
- * Gives every unit without a usable home a new one, moving idle homes where needed.
+ * Gives every unit without a usable cell a new one, moving idle cells where needed.
  *
- * Homes in use stay where they are, unless a unit that must hold with an availability zone out has no other place.
+ * Cells in use stay where they are, unless a unit that must hold with an availability zone out has no other place.
  *
  * @returns the units that fit nowhere
  */
-export const repairHomes = (ledger: Ledger): string[] => {
-    const all = [...ledger.homes.values()].sort(byPrecedence);
-    const broken = all.filter(home => !isUsable(ledger, home.members));
+export const repairCells = (ledger: Ledger): string[] => {
+    const all = [...ledger.cells.values()].sort(byPrecedence);
+    const broken = all.filter(cell => !isUsable(ledger, cell.members));
     if (broken.length === 0) {
         return [];
     }
@@ -89,34 +89,34 @@
         return [];
     }
     const inUse = unitsInUse(ledger);
-    const movable = all.filter(home => !inUse.has(home.unit) || !isUsable(ledger, home.members));
+    const movable = all.filter(cell => !inUse.has(cell.unit) || !isUsable(ledger, cell.members));
     const missing = locateAll(ledger, movable);
-    const mustHold = missing.filter(home => home.holdsWithZoneOut);
+    const mustHold = missing.filter(cell => cell.holdsWithZoneOut);
     if (mustHold.length === 0) {
-        return missing.map(home => home.unit);
+        return missing.map(cell => cell.unit);
     }
-    const yielding = all.filter(home => !home.holdsWithZoneOut && inUse.has(home.unit));
-    yielding.forEach(home => demoteUnit(ledger, home.unit));
-    return locateAll(ledger, [...movable, ...yielding].sort(byPrecedence)).map(home => home.unit);
+    const yielding = all.filter(cell => !cell.holdsWithZoneOut && inUse.has(cell.unit));
+    yielding.forEach(cell => demoteUnit(ledger, cell.unit));
+    return locateAll(ledger, [...movable, ...yielding].sort(byPrecedence)).map(cell => cell.unit);
 };
 
 /** Replaces the units of the ledger by those of the current statements, keeping known locations. */
-export const syncHomes = (ledger: Ledger, wanted: readonly Home[]): string[] => {
-    const units = new Set(wanted.map(home => home.unit));
-    for (const home of [...ledger.homes.values()]) {
-        if (!units.has(home.unit)) {
-            demoteUnit(ledger, home.unit);
-            ledger.setHome({ ...home, members: [] });
-            ledger.homes.delete(home.unit);
+export const syncCells = (ledger: Ledger, wanted: readonly Cell[]): string[] => {
+    const units = new Set(wanted.map(cell => cell.unit));
+    for (const cell of [...ledger.cells.values()]) {
+        if (!units.has(cell.unit)) {
+            demoteUnit(ledger, cell.unit);
+            ledger.setCell({ ...cell, members: [] });
+            ledger.cells.delete(cell.unit);
         }
     }
-    for (const home of wanted) {
-        const known = ledger.homes.get(home.unit);
-        const sameShape = known !== undefined && JSON.stringify(known.shape) === JSON.stringify(home.shape);
+    for (const cell of wanted) {
+        const known = ledger.cells.get(cell.unit);
+        const sameShape = known !== undefined && JSON.stringify(known.shape) === JSON.stringify(cell.shape);
         if (!sameShape && known !== undefined) {
-            demoteUnit(ledger, home.unit);
+            demoteUnit(ledger, cell.unit);
         }
-        ledger.setHome({ ...home, members: sameShape ? known.members : [] });
+        ledger.setCell({ ...cell, members: sameShape ? known.members : [] });
     }
-    return repairHomes(ledger);
+    return repairCells(ledger);
 };
--- a/src/scheduling/guaranteed.ts
+++ b/src/scheduling/guaranteed.ts
@@ -1,7 +1,7 @@
 import { avoidingFailures, findPlacement, fitIntoDomain } from "./fit.js";
 import type { Candidate } from "./fit.js";
 import type { Domain } from "./fleet.js";
-import type { Allocation, Home, Ledger } from "./ledger.js";
+import type { Allocation, Cell, Ledger } from "./ledger.js";
 import { acceleratorsOf, addScaled, atMost, noResources, resourcesOn, resourcesPerTask } from "./resources.js";
 import { AllocationClass } from "./types.js";
 import type { JobSpec, Member, Resources, Worker } from "./types.js";
@@ -10,8 +10,8 @@
 /** A way to run a job inside its customer's guarantee. */
 export interface GuaranteedOption {
     unit: string;
-    /** Location that the unit's home moves to; undefined when it stays. */
-    home: Member[] | undefined;
+    /** Location that the unit's cell moves to; undefined when it stays. */
+    cell: Member[] | undefined;
     members: Member[];
     /** Borrowers that have to make room first. */
     victims: Allocation[];
@@ -23,19 +23,19 @@
 const claimsIn = (ledger: Ledger, unit: string): boolean =>
     [...ledger.claims.values()].some(claim => claim.guaranteeUnit === unit);
 
-/** Places the job inside a home, on free resources if possible. */
-const fitIntoHome = (
+/** Places the job inside a cell, on free resources if possible. */
+const fitIntoCell = (
     ledger: Ledger,
     job: JobSpec,
-    home: readonly Member[],
+    cell: readonly Member[],
     perTask: Resources,
     occupied: (worker: Worker) => Resources,
 ): Member[] | undefined => {
-    const workers = home.flatMap(member => ledger.fleet.workers.get(member.worker) ?? []);
-    const domain: Domain = { name: "home", workers };
+    const workers = cell.flatMap(member => ledger.fleet.workers.get(member.worker) ?? []);
+    const domain: Domain = { name: "cell", workers };
     const room = avoidingFailures(
         job,
-        worker => addScaled(resourcesOn(home, worker.name, perTask), occupied(worker), -1),
+        worker => addScaled(resourcesOn(cell, worker.name, perTask), occupied(worker), -1),
     );
     const onFree = fitIntoDomain(
         job.shape,
@@ -51,19 +51,19 @@
         noResources(),
     );
 
-const optionInHome = (
+const optionInCell = (
     ledger: Ledger,
     job: JobSpec,
-    home: Home,
+    cell: Cell,
     location: readonly Member[],
     nowMs: number,
 ): GuaranteedOption | undefined => {
-    const jobs = jobsIn(ledger, home.unit);
-    const members = fitIntoHome(
+    const jobs = jobsIn(ledger, cell.unit);
+    const members = fitIntoCell(
         ledger,
         job,
         location,
-        resourcesPerTask(home.shape),
+        resourcesPerTask(cell.shape),
         worker => occupiedBy(jobs, worker),
     );
     if (members === undefined) {
@@ -72,22 +72,22 @@
     const available = (worker: Worker): Resources => ledger.unclaimedByGuarantees(worker, job.id);
     const isBorrower = (allocation: Allocation): boolean => allocation.class === AllocationClass.Borrowed;
     const victims = chooseVictims(ledger, job.shape, members, available, nowMs, isBorrower);
-    return victims === undefined ? undefined : { unit: home.unit, home: undefined, members, victims };
+    return victims === undefined ? undefined : { unit: cell.unit, cell: undefined, members, victims };
 };
 
-/** Moves an idle home to where the job disturbs borrowers least. */
-const optionInMovedHome = (ledger: Ledger, job: JobSpec, home: Home, nowMs: number): GuaranteedOption | undefined => {
+/** Moves an idle cell to where the job disturbs borrowers least. */
+const optionInMovedCell = (ledger: Ledger, job: JobSpec, cell: Cell, nowMs: number): GuaranteedOption | undefined => {
     const options = new Map<Candidate, GuaranteedOption>();
     const costOf = (candidate: Candidate): number | undefined => {
-        const option = optionInHome(ledger, job, home, candidate.members, nowMs);
+        const option = optionInCell(ledger, job, cell, candidate.members, nowMs);
         if (option === undefined) {
             return undefined;
         }
-        options.set(candidate, { ...option, home: candidate.members });
+        options.set(candidate, { ...option, cell: candidate.members });
         return totalLostWork(option.victims, nowMs) + candidate.leftoverTasks;
     };
-    const available = avoidingFailures(job, worker => ledger.outsideHomes(worker, home.unit));
-    const found = findPlacement(home.shape, ledger.fleet, available, costOf);
+    const available = avoidingFailures(job, worker => ledger.outsideCells(worker, cell.unit));
+    const found = findPlacement(cell.shape, ledger.fleet, available, costOf);
     return found === undefined ? undefined : options.get(found);
 };
 
@@ -105,20 +105,20 @@
 /** Finds the least disturbing way to run a job inside its customer's guarantee, if a unit is unused. */
 export const findGuaranteedOption = (ledger: Ledger, job: JobSpec, nowMs: number): GuaranteedOption | undefined => {
     let best: GuaranteedOption | undefined;
-    const homes = [...ledger.homes.values()].filter(home =>
-        home.customer === job.customer
-        && home.members.length > 0
-        && acceleratorsOf(home.shape) >= acceleratorsOf(job.shape)
+    const cells = [...ledger.cells.values()].filter(cell =>
+        cell.customer === job.customer
+        && cell.members.length > 0
+        && acceleratorsOf(cell.shape) >= acceleratorsOf(job.shape)
     );
-    homes.sort((left, right) => acceleratorsOf(left.shape) - acceleratorsOf(right.shape));
-    for (const home of homes) {
-        if (claimsIn(ledger, home.unit)) {
+    cells.sort((left, right) => acceleratorsOf(left.shape) - acceleratorsOf(right.shape));
+    for (const cell of cells) {
+        if (claimsIn(ledger, cell.unit)) {
             continue;
         }
-        best = cheaper(best, optionInHome(ledger, job, home, home.members, nowMs), nowMs);
-        const idle = jobsIn(ledger, home.unit).length === 0;
+        best = cheaper(best, optionInCell(ledger, job, cell, cell.members, nowMs), nowMs);
+        const idle = jobsIn(ledger, cell.unit).length === 0;
         if (idle && best?.victims.length !== 0) {
-            best = cheaper(best, optionInMovedHome(ledger, job, home, nowMs), nowMs);
+            best = cheaper(best, optionInMovedCell(ledger, job, cell, nowMs), nowMs);
         }
         if (best?.victims.length === 0) {
             return best;
--- a/src/scheduling/keeper.ts
+++ b/src/scheduling/leaseManager.ts
@@ -3,26 +3,26 @@
 import { TaskState } from "../workers/types.js";
 import type { RenewRequest, TaskReport, WorkerClient, WorkerReport } from "../workers/types.js";
 
-/** A worker that a keeper looks after. */
-export interface KeptWorker {
+/** A worker that a lease manager looks after. */
+export interface ManagedWorker {
     name: string;
     httpAddress: string;
 }
 
-/** Options of {@link createKeeper}. */
-export interface KeeperOptions {
+/** Options of {@link createLeaseManager}. */
+export interface LeaseManagerOptions {
     vm: string;
     availabilityZone: string;
     timer: TimerService;
     /** Workers of the availability zone, as last listed. */
-    listWorkers: () => KeptWorker[];
+    listWorkers: () => ManagedWorker[];
     clientOf: (httpAddress: string) => WorkerClient;
     /** Tasks stop this long after their last renewal. */
     leaseMs: number;
 }
 
 /** Keeps the gangs of one availability zone alive, whole or not at all. */
-export interface Keeper {
+export interface LeaseManager {
     /** Renews every whole gang, stops what is left of broken ones and reports. */
     round(): Promise<ZoneReport>;
     /** Gangs as seen in the latest round. */
@@ -30,7 +30,7 @@
 }
 
 interface WorkerView {
-    worker: KeptWorker;
+    worker: ManagedWorker;
     report?: WorkerReport;
     tasks: TaskReport[];
     leaving: boolean;
@@ -92,8 +92,8 @@
     };
 };
 
-/** Creates the keeper of an availability zone; several keepers of one zone do no harm. */
-export const createKeeper = (options: KeeperOptions): Keeper => {
+/** Creates the lease manager of an availability zone; several lease managers of one zone do no harm. */
+export const createLeaseManager = (options: LeaseManagerOptions): LeaseManager => {
     const { timer, leaseMs } = options;
     const views = new Map<string, WorkerView>();
     const incompleteSinceMs = new Map<string, number>();
@@ -170,7 +170,7 @@
         const answering = known.filter(view => view.report !== undefined && view.missedRounds === 0);
         return {
             availabilityZone: options.availabilityZone,
-            keeper: options.vm,
+            leaseManager: options.vm,
             workers: answering.flatMap(view =>
                 view.report === undefined ? [] : [{
                     name: view.report.name,
--- a/src/scheduling/keepers.ts
+++ b/src/scheduling/leaseManagers.ts
@@ -2,12 +2,12 @@
 import type { GangReport, ZoneReport } from "../peers/types.js";
 import type { Vm } from "../platform/types.js";
 import { rankCandidates } from "../utils/rendezvous.js";
-import { createKeeper } from "./keeper.js";
-import type { Keeper, KeeperOptions } from "./keeper.js";
+import { createLeaseManager } from "./leaseManager.js";
+import type { LeaseManager, LeaseManagerOptions } from "./leaseManager.js";
 
-/** Options of {@link createKeepers}. */
-export interface KeepersOptions
-    extends Pick<KeeperOptions, "vm" | "availabilityZone" | "timer" | "clientOf" | "leaseMs">
+/** Options of {@link createLeaseManagers}. */
+export interface LeaseManagersOptions
+    extends Pick<LeaseManagerOptions, "vm" | "availabilityZone" | "timer" | "clientOf" | "leaseMs">
 {
     peers: Peers;
     listEndpoints: () => Vm[];
@@ -16,16 +16,16 @@
 }
 
 /** The zones that this scheduler looks after at present. */
-export interface Keepers {
+export interface LeaseManagers {
     round(): Promise<void>;
-    keptZones(): string[];
+    managedZones(): string[];
     /** Gangs whose leases this scheduler renews. */
     gangs(): GangReport[];
 }
 
-/** Creates the keepers of a scheduler: one per zone for which it ranks first among the live schedulers. */
-export const createKeepers = (options: KeepersOptions): Keepers => {
-    const keepers = new Map<string, Keeper>();
+/** Creates the lease managers of a scheduler: one per zone for which it ranks first among the live schedulers. */
+export const createLeaseManagers = (options: LeaseManagersOptions): LeaseManagers => {
+    const leaseManagers = new Map<string, LeaseManager>();
 
     const candidatesFor = (zone: string): string[] => {
         const live = options.peers.live().map(view => ({
@@ -46,25 +46,25 @@
             .filter(vm => vm.availabilityZone === zone)
             .map(vm => ({ name: vm.name, httpAddress: vm.httpAddress }));
 
-    const keeperOf = (zone: string): Keeper => {
-        const known = keepers.get(zone);
+    const leaseManagerOf = (zone: string): LeaseManager => {
+        const known = leaseManagers.get(zone);
         if (known !== undefined) {
             return known;
         }
-        const created = createKeeper({ ...options, availabilityZone: zone, listWorkers: () => workersOf(zone) });
-        keepers.set(zone, created);
+        const created = createLeaseManager({ ...options, availabilityZone: zone, listWorkers: () => workersOf(zone) });
+        leaseManagers.set(zone, created);
         return created;
     };
 
     const round = async (): Promise<void> => {
         const own = zones().filter(isOwn);
-        [...keepers.keys()].filter(zone => !own.includes(zone)).forEach(zone => keepers.delete(zone));
-        await Promise.all(own.map(async zone => options.report(await keeperOf(zone).round())));
+        [...leaseManagers.keys()].filter(zone => !own.includes(zone)).forEach(zone => leaseManagers.delete(zone));
+        await Promise.all(own.map(async zone => options.report(await leaseManagerOf(zone).round())));
     };
 
     return {
         round,
-        keptZones: () => [...keepers.keys()],
-        gangs: () => [...keepers.values()].flatMap(keeper => keeper.gangs()),
+        managedZones: () => [...leaseManagers.keys()],
+        gangs: () => [...leaseManagers.values()].flatMap(leaseManager => leaseManager.gangs()),
     };
 };
--- a/src/scheduling/ledger.ts
+++ b/src/scheduling/ledger.ts
@@ -19,7 +19,7 @@
 }
 
 /** A location kept for one guaranteed gang; lent to borrowers while it is idle. */
-export interface Home {
+export interface Cell {
     /** `customer/name#index`. */
     unit: string;
     customer: string;
@@ -48,11 +48,11 @@
 export interface Ledger {
     fleet: Fleet;
     allocations: Map<string, Allocation>;
-    homes: Map<string, Home>;
+    cells: Map<string, Cell>;
     claims: Map<string, Claim>;
     allocate(allocation: Allocation): void;
     deallocate(jobId: string): void;
-    setHome(home: Home): void;
+    setCell(cell: Cell): void;
     setClaim(claim: Claim): void;
     dropClaim(jobId: string): void;
     /** What no job uses. */
@@ -61,9 +61,9 @@
     unclaimed(worker: Worker, jobId: string): Resources;
     /** What no job uses and no other guaranteed job claims. */
     unclaimedByGuarantees(worker: Worker, jobId: string): Resources;
-    /** What lies outside all homes other than the given unit's. */
-    outsideHomes(worker: Worker, exceptUnit?: string): Resources;
-    /** What remains of the free resources if idle homes are left alone. */
+    /** What lies outside all cells other than the given unit's. */
+    outsideCells(worker: Worker, exceptUnit?: string): Resources;
+    /** What remains of the free resources if idle cells are left alone. */
     spare(worker: Worker): Resources;
     /** Borrowed allocations with tasks on a worker. */
     borrowersOn(workerName: string): Allocation[];
@@ -88,11 +88,11 @@
 /** Creates an empty ledger over a fleet. */
 export const createLedger = (fleet: Fleet): Ledger => {
     const allocations = new Map<string, Allocation>();
-    const homes = new Map<string, Home>();
+    const cells = new Map<string, Cell>();
     const claims = new Map<string, Claim>();
     const used: Book = new Map();
     const borrowed: Book = new Map();
-    const homed: Book = new Map();
+    const reserved: Book = new Map();
     const claimed: Book = new Map();
     const claimedByGuarantees: Book = new Map();
     const borrowers = new Map<string, Set<Allocation>>();
@@ -149,11 +149,11 @@
 
     const free = (worker: Worker): Resources => subtract(worker.capacity, used.get(worker.name));
 
-    const homePart = (unit: string | undefined, worker: Worker): Resources => {
-        const home = unit === undefined ? undefined : homes.get(unit);
-        return home === undefined
+    const cellPart = (unit: string | undefined, worker: Worker): Resources => {
+        const cell = unit === undefined ? undefined : cells.get(unit);
+        return cell === undefined
             ? noResources()
-            : resourcesOn(home.members, worker.name, resourcesPerTask(home.shape));
+            : resourcesOn(cell.members, worker.name, resourcesPerTask(cell.shape));
     };
 
     const claimPart = (claim: Claim | undefined, worker: Worker): Resources =>
@@ -162,13 +162,13 @@
     const othersIn = (book: Book, worker: Worker, own: Claim | undefined): Resources =>
         subtract(book.get(worker.name) ?? noResources(), claimPart(own, worker));
 
-    const outsideHomes = (worker: Worker, exceptUnit?: string): Resources =>
-        addScaled(subtract(worker.capacity, homed.get(worker.name)), homePart(exceptUnit, worker), 1);
+    const outsideCells = (worker: Worker, exceptUnit?: string): Resources =>
+        addScaled(subtract(worker.capacity, reserved.get(worker.name)), cellPart(exceptUnit, worker), 1);
 
     return {
         fleet,
         allocations,
-        homes,
+        cells,
         claims,
         allocate: allocation => {
             deallocate(allocation.job.id);
@@ -176,13 +176,13 @@
             postAllocation(allocation, 1);
         },
         deallocate,
-        setHome: home => {
-            const previous = homes.get(home.unit);
+        setCell: cell => {
+            const previous = cells.get(cell.unit);
             if (previous !== undefined) {
-                post(homed, previous.members, resourcesPerTask(previous.shape), -1);
+                post(reserved, previous.members, resourcesPerTask(previous.shape), -1);
             }
-            homes.set(home.unit, home);
-            post(homed, home.members, resourcesPerTask(home.shape), 1);
+            cells.set(cell.unit, cell);
+            post(reserved, cell.members, resourcesPerTask(cell.shape), 1);
         },
         setClaim: claim => {
             dropClaim(claim.jobId);
@@ -197,8 +197,8 @@
             const counted = own?.class === AllocationClass.Guaranteed ? own : undefined;
             return addScaled(free(worker), othersIn(claimedByGuarantees, worker, counted), -1);
         },
-        outsideHomes,
-        spare: worker => atMost(free(worker), subtract(outsideHomes(worker), borrowed.get(worker.name))),
+        outsideCells,
+        spare: worker => atMost(free(worker), subtract(outsideCells(worker), borrowed.get(worker.name))),
         borrowersOn: workerName => [...borrowers.get(workerName) ?? []],
         acceleratorsUsedBy: customer => usedByCustomer.get(customer) ?? 0,
     };
--- a/src/scheduling/plan.ts
+++ b/src/scheduling/plan.ts
@@ -125,9 +125,9 @@
             return [place(input, job, members, AllocationClass.Borrowed)];
         }
     }
-    const home = ledger.homes.get(option.unit);
-    if (home !== undefined && option.home !== undefined) {
-        ledger.setHome({ ...home, members: option.home });
+    const cell = ledger.cells.get(option.unit);
+    if (cell !== undefined && option.cell !== undefined) {
+        ledger.setCell({ ...cell, members: option.cell });
     }
     if (option.victims.length === 0) {
         return [place(input, job, option.members, AllocationClass.Guaranteed, option.unit)];
--- a/src/scheduling/planner.ts
+++ b/src/scheduling/planner.ts
@@ -45,7 +45,7 @@
     round(): Promise<void>;
     /** Looks into the inbox at once. */
     noticeInbox(): void;
-    /** Takes in what a zone's keeper saw. */
+    /** Takes in what a zone's lease manager saw. */
     reportZone(report: ZoneReport): void;
     /** What this process plans; `undefined` while another one does. */
     dump(): PlannerDump | undefined;
@@ -65,18 +65,18 @@
 /** Key of the row with every worker's place and capacity. */
 export const fleetKey = "fleet";
 
-/** After a takeover, time to hear from the keepers before anything is placed or given up. */
+/** After a takeover, time to hear from the lease managers before anything is placed or given up. */
 const settleMs = 3_000;
 /** Time after which a round plans though nothing has changed, since waiting raises ranks. */
 const idlePlanMs = 5_000;
 /** Time between two looks into the inbox that nobody asked for. */
 const inboxPeriodMs = 1_000;
 
-const hasBrokenHome = (term: PlannerTerm): boolean => {
+const hasBrokenCell = (term: PlannerTerm): boolean => {
     const ledger = term.state.ledger();
-    return [...ledger.homes.values()].some(home =>
-        home.members.length === 0
-        || home.members.some(member => ledger.fleet.workers.get(member.worker)?.usable !== true)
+    return [...ledger.cells.values()].some(cell =>
+        cell.members.length === 0
+        || cell.members.some(member => ledger.fleet.workers.get(member.worker)?.usable !== true)
     );
 };
 
@@ -91,7 +91,7 @@
 const applyConfiguration = (loaded: LoadedTerm, force: boolean): void => {
     const { term } = loaded;
     const snapshot = term.follower.current();
-    if (force || snapshot.version !== loaded.appliedVersion || hasBrokenHome(term)) {
+    if (force || snapshot.version !== loaded.appliedVersion || hasBrokenCell(term)) {
         loaded.unplacedGuarantees = term.state.applyGuarantees(snapshot);
         loaded.appliedVersion = snapshot.version;
     }
@@ -137,7 +137,7 @@
             availabilityZone: ledger.fleet.workers.get(members[0].worker)?.availabilityZone ?? "",
             class: decision.class,
             guaranteeUnit,
-            home: guaranteeUnit === undefined ? undefined : ledger.homes.get(guaranteeUnit)?.members,
+            cell: guaranteeUnit === undefined ? undefined : ledger.cells.get(guaranteeUnit)?.members,
             configurationVersion: term.follower.current().version,
         });
     }
--- a/src/scheduling/plannerTerm.ts
+++ b/src/scheduling/plannerTerm.ts
@@ -125,7 +125,7 @@
     }
 };
 
-/** Takes in the state of one gang as its keeper saw it. */
+/** Takes in the state of one gang as its lease manager saw it. */
 export const takeInGang = (term: PlannerTerm, gang: GangReport): void => {
     const tracked = term.state.jobs.get(gang.jobId);
     const attempt = tracked?.stored.record.placement?.attempt;
--- a/src/scheduling/planningState.ts
+++ b/src/scheduling/planningState.ts
@@ -1,6 +1,6 @@
 import type { Snapshot } from "../configuration/types.js";
+import { cellsOf, syncCells } from "./cells.js";
 import { createFleet } from "./fleet.js";
-import { homesOf, syncHomes } from "./homes.js";
 import { hasEnded } from "./jobTable.js";
 import type { StoredJob } from "./jobTable.js";
 import { createLedger } from "./ledger.js";
@@ -30,11 +30,11 @@
     track(stored: StoredJob): TrackedJob;
     forget(jobId: string): void;
     queue(): QueuedJob[];
-    /** Replaces the workers; allocations and homes are carried over. */
+    /** Replaces the workers; allocations and cells are carried over. */
     setWorkers(workers: readonly Worker[]): void;
     /** Lets borrowers be asked again whose eviction did not succeed, at their true price. */
     noteFailedEvictions(): void;
-    /** Fits homes to the guarantees of a snapshot; returns the units without a place. */
+    /** Fits cells to the guarantees of a snapshot; returns the units without a place. */
     applyGuarantees(snapshot: Snapshot): string[];
 }
 
@@ -64,9 +64,9 @@
         if (known?.attempt === placement.attempt) {
             return;
         }
-        const home = placement.guaranteeUnit === undefined ? undefined : ledger.homes.get(placement.guaranteeUnit);
-        if (home !== undefined && placement.home !== undefined) {
-            ledger.setHome({ ...home, members: placement.home });
+        const cell = placement.guaranteeUnit === undefined ? undefined : ledger.cells.get(placement.guaranteeUnit);
+        if (cell !== undefined && placement.cell !== undefined) {
+            ledger.setCell({ ...cell, members: placement.cell });
         }
         ledger.allocate({
             job: spec,
@@ -108,7 +108,7 @@
         }
         const previous = ledger;
         ledger = createLedger(createFleet(workers.map(worker => ({ ...worker }))));
-        previous.homes.forEach(home => ledger.setHome(home));
+        previous.cells.forEach(cell => ledger.setCell(cell));
         previous.allocations.forEach(allocation => ledger.allocate(allocation));
         previous.claims.forEach(claim => ledger.setClaim(claim));
     };
@@ -143,7 +143,7 @@
             }
         },
         applyGuarantees: snapshot => {
-            const units = syncHomes(ledger, homesOf(snapshot.statements));
+            const units = syncCells(ledger, cellsOf(snapshot.statements));
             jobs.forEach(tracked => {
                 if (!hasEnded(tracked.stored.record.state) && !tracked.busy) {
                     postPlacement(tracked.stored);
--- a/src/scheduling/queries/dumpPlanner.ts
+++ b/src/scheduling/queries/dumpPlanner.ts
@@ -5,7 +5,7 @@
     workers: { name: string; availabilityZone: string; usable: boolean; freeAccelerators: number; }[];
     queue: { jobId: string; customer: string; waitingMs: number; }[];
     running: { jobId: string; attempt: number; class: string; guaranteeUnit?: string; workers: string[]; }[];
-    homes: { unit: string; workers: string[]; }[];
+    cells: { unit: string; workers: string[]; }[];
     claims: { jobId: string; workers: string[]; }[];
     ejectedWorkers: string[];
 }
@@ -35,7 +35,7 @@
             guaranteeUnit: allocation.guaranteeUnit,
             workers: namesOf(allocation.members),
         })),
-        homes: [...ledger.homes.values()].map(home => ({ unit: home.unit, workers: namesOf(home.members) })),
+        cells: [...ledger.cells.values()].map(cell => ({ unit: cell.unit, workers: namesOf(cell.members) })),
         claims: [...ledger.claims.values()].map(claim => ({ jobId: claim.jobId, workers: namesOf(claim.members) })),
         ejectedWorkers: term.health.ejected(nowMs),
     };
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -74,8 +74,8 @@
     class: AllocationClass;
     /** Unit of the guarantee it runs in, `customer/name#index`. */
     guaranteeUnit?: string;
-    /** Location of the unit's home at the time of the decision. */
-    home?: Member[];
+    /** Location of the unit's cell at the time of the decision. */
+    cell?: Member[];
     /** Wall-clock time of the decision. */
     placedAtMs: number;
     /** Planner that decided it. */
--- a/src/scheduling/zoneViews.ts
+++ b/src/scheduling/zoneViews.ts
@@ -15,7 +15,7 @@
     receivedAtMs: number;
 }
 
-/** What the keepers' reports and the platform's list say about workers. */
+/** What the lease managers' reports and the platform's list say about workers. */
 export interface ZoneViews {
     accept(report: ZoneReport): void;
     addressOf(worker: string): string | undefined;
--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -2,7 +2,7 @@
 import { placeGang, stopGang } from "../src/scheduling/gang.js";
 import type { GangPlan } from "../src/scheduling/gang.js";
 import { changeJob, insertJob, readJob } from "../src/scheduling/jobTable.js";
-import { createKeeper } from "../src/scheduling/keeper.js";
+import { createLeaseManager } from "../src/scheduling/leaseManager.js";
 import { JobState } from "../src/scheduling/types.js";
 import { fail, succeed } from "../src/utils/result.js";
 import type { Result } from "../src/utils/result.js";
@@ -32,7 +32,7 @@
         failures: 0,
         failedOn: [],
     });
-    const keeper = createKeeper({
+    const leaseManager = createLeaseManager({
         vm: "entry",
         availabilityZone: "a",
         timer,
@@ -57,14 +57,14 @@
         return changed.ok ? succeed(changed.value) : fail("not recorded");
     };
     const place = (planner: string) => placeGang(planFor(planner), workers.clientOf, times, decide);
-    return { timer, workers, platform, keeper, place, members: planFor("").members };
+    return { timer, workers, platform, leaseManager, place, members: planFor("").members };
 };
 
 type World = Awaited<ReturnType<typeof createWorld>>;
 
 const keep = async (world: World, durationMs: number): Promise<void> => {
     for (let passedMs = 0; passedMs < durationMs; passedMs += renewMs) {
-        const round = world.keeper.round();
+        const round = world.leaseManager.round();
         await world.timer.advance(renewMs);
         await round;
         world.workers.step();
@@ -164,10 +164,10 @@
         await keep(world, 12_000);
         assert.equal(runningCount(world), 0);
         assertNeverPartial(world);
-        assert.isTrue(world.keeper.gangs().some(gang => gang.broken), "the planner is told");
+        assert.isTrue(world.leaseManager.gangs().some(gang => gang.broken), "the planner is told");
     });
 
-    it("lapse within a lease when no keeper is left", async () => {
+    it("lapse within a lease when no leaseManager is left", async () => {
         const world = await createWorld();
         await world.place("planner/1");
         await world.timer.advance(times.leaseMs);
--- a/test/guarantees.test.ts
+++ b/test/guarantees.test.ts
@@ -1,9 +1,9 @@
 import { assert } from "chai";
 import fc from "fast-check";
 import { Urgency } from "../src/configuration/types.js";
+import { cellsOf, repairCells, syncCells } from "../src/scheduling/cells.js";
 import { createFleet } from "../src/scheduling/fleet.js";
 import { findGuaranteedOption } from "../src/scheduling/guaranteed.js";
-import { homesOf, repairHomes, syncHomes } from "../src/scheduling/homes.js";
 import { createLedger } from "../src/scheduling/ledger.js";
 import type { Ledger } from "../src/scheduling/ledger.js";
 import type { QueuedJob } from "../src/scheduling/order.js";
@@ -28,7 +28,7 @@
 
 const createWorld = (): World => {
     const ledger = createLedger(createFleet(buildWorkers(["a", "b", "c"], 6)));
-    const unplaced = syncHomes(ledger, homesOf(statements));
+    const unplaced = syncCells(ledger, cellsOf(statements));
     return { ledger, queue: new Map(), nowMs: 0, unplaced };
 };
 
@@ -57,14 +57,14 @@
 
 /** Every unused unit of a guarantee can be had by stopping borrowers alone. */
 const assertReclaimable = (world: World): void => {
-    for (const home of world.ledger.homes.values()) {
-        const claimed = [...world.ledger.claims.values()].some(claim => claim.guaranteeUnit === home.unit);
-        if (world.unplaced.includes(home.unit) || claimed || usesOf(world.ledger, home.unit) > 0) {
+    for (const cell of world.ledger.cells.values()) {
+        const claimed = [...world.ledger.claims.values()].some(claim => claim.guaranteeUnit === cell.unit);
+        if (world.unplaced.includes(cell.unit) || claimed || usesOf(world.ledger, cell.unit) > 0) {
             continue;
         }
-        const job = buildJob({ id: "probe", customer: home.customer, shape: home.shape, urgency: Urgency.Urgent });
+        const job = buildJob({ id: "probe", customer: cell.customer, shape: cell.shape, urgency: Urgency.Urgent });
         const option = findGuaranteedOption(world.ledger, job, world.nowMs);
-        assert.isDefined(option, `${home.unit} cannot be reclaimed`);
+        assert.isDefined(option, `${cell.unit} cannot be reclaimed`);
         assert.isTrue(option?.victims.every(victim => victim.class === AllocationClass.Borrowed));
     }
 };
@@ -73,7 +73,7 @@
 const assertWithinCapacity = (world: World): void => {
     for (const worker of world.ledger.fleet.workers.values()) {
         assert.isAtLeast(world.ledger.free(worker).accelerators, 0, `${worker.name} is overbooked`);
-        assert.isAtLeast(world.ledger.outsideHomes(worker).accelerators, 0, `homes on ${worker.name} overlap`);
+        assert.isAtLeast(world.ledger.outsideCells(worker).accelerators, 0, `cells on ${worker.name} overlap`);
     }
 };
 
@@ -110,7 +110,7 @@
             world.ledger.deallocate(allocation.job.id);
         }
     }
-    world.unplaced = repairHomes(world.ledger);
+    world.unplaced = repairCells(world.ledger);
 };
 
 const apply = (world: World, operation: Operation, index: number): void => {
@@ -151,9 +151,9 @@
             });
             return stopUnusable(world);
         case "shrink":
-            world.unplaced = syncHomes(
+            world.unplaced = syncCells(
                 ledger,
-                homesOf([buildGuarantee("alpha", 16, operation.count, true), ...statements.slice(1)]),
+                cellsOf([buildGuarantee("alpha", 16, operation.count, true), ...statements.slice(1)]),
             );
     }
 };
@@ -208,9 +208,9 @@
     it("move to the zones that are left when one is taken out", () => {
         const world = createWorld();
         apply(world, { kind: "zone", zone: "a", out: true }, 0);
-        const mustHold = [...world.ledger.homes.values()].filter(home => home.holdsWithZoneOut);
+        const mustHold = [...world.ledger.cells.values()].filter(cell => cell.holdsWithZoneOut);
         assert.lengthOf(mustHold, 4);
-        assert.isTrue(mustHold.every(home => home.members.every(member => !member.worker.startsWith("a-"))));
-        assert.isTrue(mustHold.every(home => home.members.length > 0));
+        assert.isTrue(mustHold.every(cell => cell.members.every(member => !member.worker.startsWith("a-"))));
+        assert.isTrue(mustHold.every(cell => cell.members.length > 0));
     });
 });
--- a/test/planner.test.ts
+++ b/test/planner.test.ts
@@ -9,8 +9,8 @@
 import { submitJob } from "../src/scheduling/commands/submitJob.js";
 import type { JobRequest } from "../src/scheduling/commands/submitJob.js";
 import { readJob } from "../src/scheduling/jobTable.js";
-import { createKeeper } from "../src/scheduling/keeper.js";
 import { createLeadership } from "../src/scheduling/leadership.js";
+import { createLeaseManager } from "../src/scheduling/leaseManager.js";
 import { planRound } from "../src/scheduling/plan.js";
 import { createPlanner } from "../src/scheduling/planner.js";
 import { JobState } from "../src/scheduling/types.js";
@@ -82,8 +82,8 @@
         return { vm, follower, leadership, planner, state };
     };
     const schedulers = [createScheduler("one", 0), createScheduler("two", 1)];
-    const keepers = zones.map(zone =>
-        createKeeper({
+    const leaseManagers = zones.map(zone =>
+        createLeaseManager({
             vm: "one",
             availabilityZone: zone,
             timer,
@@ -98,7 +98,7 @@
     );
 
     const keep = async (): Promise<void> => {
-        const reports = await Promise.all(keepers.map(keeper => keeper.round()));
+        const reports = await Promise.all(leaseManagers.map(leaseManager => leaseManager.round()));
         for (const scheduler of schedulers.filter(candidate => !candidate.state.frozen)) {
             reports.forEach(report => scheduler.planner.reportZone(report));
         }
--- a/tools/showFailing.ts
+++ b/tools/showFailing.ts
@@ -20,9 +20,9 @@
 
 const mutants: Mutant[] = [
     {
-        without: "homes kept apart for guarantees",
+        without: "cells kept apart for guarantees",
         file: "scheduling/ledger.js",
-        find: "addScaled(subtract(worker.capacity, homed.get(worker.name)), homePart(exceptUnit, worker), 1)",
+        find: "addScaled(subtract(worker.capacity, reserved.get(worker.name)), cellPart(exceptUnit, worker), 1)",
         replace: "worker.capacity",
         tests: "guarantees",
         fails: "can be reclaimed after every step",
@@ -45,7 +45,7 @@
     },
     {
         without: "renewing only whole gangs and stopping the rest",
-        file: "scheduling/keeper.js",
+        file: "scheduling/leaseManager.js",
         find: "const isIncomplete = (gang) => {",
         replace: "const isIncomplete = (gang) => { return false;",
         tests: "gangs",
