test: wrong settings are refused with the line and the field

Cause: unknown fields and wrong units in settings were refused but not tested. Change: three tests over a written settings file.

--- /dev/null
+++ b/test/settings.test.ts
@@ -0,0 +1,49 @@
+import { assert } from "chai";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { checkSchedulerSettings, loadSettings } from "../src/node/settings.js";
+import type { SchedulerSettings } from "../src/node/settings.js";
+
+const lines = [
+    "{",
+    "    // the first entry VM",
+    "    \"vm\": \"entry-zone-a-1\",",
+    "    \"availabilityZone\": \"zone-a\",",
+    "    \"http\": { \"host\": \"127.0.0.1\", \"port\": 8080 },",
+    "    \"peer\": { \"host\": \"127.0.0.1\", \"port\": 8090 },",
+    "    \"platformAddress\": \"http://127.0.0.1:7000\"",
+    "}",
+];
+
+const load = async (text: string) => {
+    const directory = await mkdtemp(join(tmpdir(), "catkinswitch-settings-"));
+    const file = join(directory, "scheduler.jsonc");
+    await writeFile(file, text);
+    const loaded = await loadSettings<SchedulerSettings>(file, checkSchedulerSettings);
+    await rm(directory, { recursive: true });
+    return loaded;
+};
+
+describe("settings", () => {
+    it("are read with comments and filled with defaults", async () => {
+        const loaded = await load(lines.join("\n"));
+        assert.equal(loaded.ok && loaded.value.taskLeaseMs, 6_000);
+        assert.deepEqual(loaded.ok && loaded.value.peerSeeds, {});
+    });
+
+    it("with a wrong unit, an unknown field or a missing one are refused with the line", async () => {
+        const wrong = [...lines];
+        wrong[6] = "    \"taskLeaseSeconds\": 6, \"renewMs\": \"1.5 s\"";
+        const loaded = await load(wrong.join("\n"));
+        const problems = loaded.ok ? [] : loaded.error.problems;
+        assert.include(problems, "line 7: taskLeaseSeconds: is not a known field");
+        assert.include(problems, "line 7: renewMs: must be integer");
+        assert.isTrue(problems.some(problem => problem.includes("needs the field \"platformAddress\"")));
+    });
+
+    it("that are not there are named", async () => {
+        const loaded = await loadSettings("/nowhere/settings.jsonc", checkSchedulerSettings);
+        assert.equal(loaded.ok ? "" : loaded.error.file, "/nowhere/settings.jsonc");
+    });
+});
