refactor: keep a planner's memory of its last round with its term

What the last round worked on stood beside the term it belongs to, so a process that took over again could have compared with its former term; five files had a sleep of their own, both daemons described their usage, and two functions and a filter were dead. Change: moved into the term; sleep from node:timers/promises; describeUsage serves both dumps; dead code removed. No check or expectation changes.

--- a/src/node/entryNode.ts
+++ b/src/node/entryNode.ts
@@ -42,6 +42,12 @@
 /** Missed heartbeats after which a peer counts as lost. */
 const heartbeatsToLoss = 2.5;
 
+/** Memory and processor time that this process has used, for its state dump. */
+export const describeUsage = (): { memoryMb: number; cpuMs: number; } => {
+    const { user, system } = process.cpuUsage();
+    return { memoryMb: Math.round(process.memoryUsage().rss / 1e6), cpuMs: Math.round((user + system) / 1_000) };
+};
+
 /** Creates the parts that both daemons share. */
 export const createEntryNode = (role: Role, settings: DaemonSettings): EntryNode => {
     const timer = createTimerService();
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -15,7 +15,7 @@
 import { closeGracefully, createJsonServer, listen } from "../utils/http.js";
 import type { JsonAnswer } from "../utils/http.js";
 import { createPauseDetector } from "../utils/pauseDetector.js";
-import { createEntryNode } from "./entryNode.js";
+import { createEntryNode, describeUsage } from "./entryNode.js";
 import { createRouterHttp, notRunAnswer, toHttpAnswer } from "./routerHttp.js";
 import type { Daemon } from "./runDaemon.js";
 import type { RouterSettings } from "./settings.js";
@@ -112,8 +112,7 @@
         limits: limits.counts(),
         retriesLeft: budget.remaining(),
         counts,
-        memoryMb: Math.round(process.memoryUsage().rss / 1e6),
-        cpuMs: Math.round(process.cpuUsage().user / 1_000 + process.cpuUsage().system / 1_000),
+        ...describeUsage(),
     });
 
     const answer = createRouterHttp({
--- a/src/node/scheduler.ts
+++ b/src/node/scheduler.ts
@@ -7,7 +7,7 @@
 import { createPlanner } from "../scheduling/planner.js";
 import { closeGracefully, createJsonServer, listen } from "../utils/http.js";
 import { createWorkerClients } from "../workers/client.js";
-import { createEntryNode } from "./entryNode.js";
+import { createEntryNode, describeUsage } from "./entryNode.js";
 import type { Daemon } from "./runDaemon.js";
 import { createSchedulerHttp } from "./schedulerHttp.js";
 import type { SchedulerSettings } from "./settings.js";
@@ -99,8 +99,7 @@
         })),
         planner: planner.dump(),
         unplacedGuarantees: planner.unplacedGuarantees(),
-        memoryMb: Math.round(process.memoryUsage().rss / 1e6),
-        cpuMs: Math.round(process.cpuUsage().user / 1_000 + process.cpuUsage().system / 1_000),
+        ...describeUsage(),
     });
 
     const ageOf = (atMs: number | undefined): number | undefined =>
--- a/src/scheduling/jobExecutor.ts
+++ b/src/scheduling/jobExecutor.ts
@@ -59,8 +59,6 @@
     requeue(tracked: TrackedJob, reason: string, change?: JobChange): Promise<void>;
     /** Ends the job and stops whatever is left of its tasks. */
     end(tracked: TrackedJob, state: JobState, reason: string): Promise<void>;
-    /** Reads the job's row again after its fate became uncertain. */
-    refresh(tracked: TrackedJob): Promise<void>;
 }
 
 const describePlatformError = (error: PlatformError): string =>
@@ -208,6 +206,5 @@
         evict: (tracked, reason, mandatory) => exclusively(tracked, () => evictNow(tracked, reason, mandatory)),
         requeue: (tracked, reason, changes = {}) => exclusively(tracked, () => requeueNow(tracked, reason, changes)),
         end: (tracked, ended, reason) => exclusively(tracked, () => endNow(tracked, ended, reason)),
-        refresh,
     };
 };
--- a/src/scheduling/planner.ts
+++ b/src/scheduling/planner.ts
@@ -60,6 +60,9 @@
     appliedVersion: number;
     recordedFleet: string;
     unplacedGuarantees: string[];
+    /** What the latest planning round worked on, and when. */
+    plannedInput: string;
+    plannedAtMs: number;
 }
 
 /** Key of the row with every worker's place and capacity. */
@@ -171,8 +174,6 @@
     const runTimes = createRunTimeModel();
     let loaded: LoadedTerm | undefined;
     let nextInboxAtMs = 0;
-    let lastInput = "";
-    let lastPlannedAtMs = 0;
 
     const findWorker = (name: string): WorkerClient | undefined => {
         const address = views.addressOf(name);
@@ -192,6 +193,8 @@
             appliedVersion: -1,
             recordedFleet: "",
             unplacedGuarantees: [],
+            plannedInput: "",
+            plannedAtMs: 0,
         };
         refreshWorkers(term);
         applyConfiguration(created, true);
@@ -210,19 +213,20 @@
     };
 
     /** Unless something has changed, a round would decide the same as the last one. */
-    const isWorthPlanning = (term: PlannerTerm): boolean => {
-        const seen = describeInput(term);
-        if (seen === lastInput && timer.nowMs() - lastPlannedAtMs < idlePlanMs) {
+    const isWorthPlanning = (current: LoadedTerm): boolean => {
+        const input = describeInput(current.term);
+        if (input === current.plannedInput && timer.nowMs() - current.plannedAtMs < idlePlanMs) {
             return false;
         }
-        lastInput = seen;
-        lastPlannedAtMs = timer.nowMs();
+        current.plannedInput = input;
+        current.plannedAtMs = timer.nowMs();
         return true;
     };
 
-    const decide = (term: PlannerTerm): void => {
+    const decide = (current: LoadedTerm): void => {
+        const { term } = current;
         term.state.noteFailedEvictions();
-        if (!isWorthPlanning(term)) {
+        if (!isWorthPlanning(current)) {
             return;
         }
         const decisions = options.plan({
@@ -272,7 +276,7 @@
         cancelRequested(term);
         evictFromLeavingWorkers(term);
         requeueMissing(term);
-        decide(term);
+        decide(current);
     };
 
     let running = false;
--- a/src/scheduling/resources.ts
+++ b/src/scheduling/resources.ts
@@ -48,7 +48,3 @@
 
 /** Accelerators of a whole gang. */
 export const acceleratorsOf = (shape: Shape): number => shape.taskCount * shape.acceleratorsPerTask;
-
-/** Tasks in a list of members. */
-export const taskCountOf = (members: readonly Member[]): number =>
-    members.reduce((sum, member) => sum + member.taskCount, 0);
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -1,4 +1,5 @@
 /** Stand-in of the platform: a transactional table and a lagging VM list, with switches for faults. Not the product. */
+import { setTimeout as sleep } from "node:timers/promises";
 import { parseArgs } from "node:util";
 import type { CommitReceipt, Row, Transaction, Vm, VmList } from "../src/platform/types.js";
 import { createJsonServer, listen } from "../src/utils/http.js";
@@ -72,8 +73,6 @@
 
 const neverAnswer = (): Promise<JsonAnswer> => new Promise(() => {});
 
-const sleep = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
-
 const answerAdmin = (request: JsonRequest): JsonAnswer => {
     switch (request.path) {
         case "/admin/switches":
--- a/standins/worker/calls.ts
+++ b/standins/worker/calls.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import type { JsonAnswer } from "../../src/utils/http.js";
 import type { RecordEvent, WorkerSwitches } from "./types.js";
 
@@ -31,8 +32,6 @@
 const defaultServiceMs = 20;
 const slotCount = 8;
 
-const sleep = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
-
 /** Creates the calls of one worker. */
 export const createCallTable = (
     switches: WorkerSwitches,
--- a/tools/capacity.ts
+++ b/tools/capacity.ts
@@ -1,5 +1,6 @@
 /** Measures what a daemon costs as the number of workers grows; prints one line per point. */
 import { readFileSync } from "node:fs";
+import { setTimeout as sleep } from "node:timers/promises";
 import { parseArgs } from "node:util";
 import { sendJson, startLocalCluster } from "./localCluster.js";
 import type { LocalCluster, RunningDaemon } from "./localCluster.js";
@@ -13,8 +14,6 @@
 const settleMs = 12_000;
 const measureMs = 12_000;
 
-const sleep = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
-
 /** Bytes that passed the loopback interface since the machine started. */
 const loopbackBytes = (): number => {
     const line = readFileSync("/proc/net/dev", "utf8").split("\n").find(each => each.trim().startsWith("lo:"));
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -1,4 +1,5 @@
 /** Runs real processes under load while killing, freezing, cutting and restarting at random from a seed. */
+import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
 import { collectIntents } from "../src/configuration/queries/collect.js";
@@ -19,8 +20,6 @@
 const faultPeriodMs = 1_200;
 const readyPeriodMs = 100;
 
-const sleep = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
-
 const zoneOutIntent = (zone: string): SourcedIntent => ({
     intent: { name: "zone-out", owner: "operations", reason: "soak run", availabilityZonesOut: [zone] },
     file: "zone.intent.jsonc",
@@ -54,7 +53,7 @@
 };
 
 /** Follows the readiness of routers as the platform's balancer does. */
-const startBalancer = (cluster: LocalCluster, unavailable: ReadonlySet<string>) => {
+const startBalancer = (cluster: LocalCluster) => {
     const notReady = new Set<string>();
     const timer = setInterval(() => {
         for (const router of cluster.routers()) {
@@ -65,8 +64,7 @@
         }
     }, readyPeriodMs);
     return {
-        ready: () =>
-            cluster.routers().filter(router => !notReady.has(router.vm) && !unavailable.has(`${router.vm}/hidden`)),
+        ready: () => cluster.routers().filter(router => !notReady.has(router.vm)),
         stop: () => clearInterval(timer),
     };
 };
@@ -124,7 +122,7 @@
     await waitUntil("the first publish is accepted", 15_000, () => publish(undefined));
     await sleep(2_000);
 
-    const balancer = startBalancer(cluster, unavailable);
+    const balancer = startBalancer(cluster);
     const sampler = setInterval(() => void sampleVersions(context), samplePeriodMs);
     const stopLoad = startLoad(cluster, balancer.ready, record, random);
     const stopFaults = startFaults(context, faultPeriodMs);
--- a/tools/soak/faults.ts
+++ b/tools/soak/faults.ts
@@ -1,4 +1,5 @@
 /** Faults of a soak run, drawn from a seed. */
+import { setTimeout as sleep } from "node:timers/promises";
 import { VmState } from "../../src/platform/types.js";
 import { pickOne } from "../../src/utils/random.js";
 import type { Random } from "../../src/utils/random.js";
@@ -23,8 +24,6 @@
 /** Time after a disturbance during which its effects may still show. */
 const aftermathMs = 1_500;
 
-const sleep = (delayMs: number): Promise<void> => new Promise(resolve => setTimeout(resolve, delayMs));
-
 const nameOf = (daemon: RunningDaemon): string => `${daemon.vm}/${daemon.role}`;
 
 const disturb = async (context: FaultContext, processes: string[], task: () => Promise<void>): Promise<void> => {
