feat: serve the users' platform with a core of steps, tasks and terms

Cause: the product knew a job as one gang that is held, started and released, and its own platform; the users' platform has steps, tasks, racks, checkpoints and its own table. Ruled out: a second process per VM (doubles the libraries), a protocol between processes (what they tell each other is a few rows), records of progress fenced by their own version only (a late write of an old planner could be overwritten unseen). Left: the old placement of src/scheduling still serves the old daemons.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", "src/generated/**"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", "src/generated/**"] },
     ...tseslint.configs.recommended,
     {
         files: ["**/*.ts"],
--- /dev/null
+++ b/src/execution/planner.ts
@@ -0,0 +1,291 @@
+import type { JobEntry } from "../jobs/book.js";
+import { activeRuns, addOccurrence, nextDueAtMs, restoreJob } from "../jobs/progress.js";
+import type { JobState, Unit } from "../jobs/progress.js";
+import { isEnded, JobPhase } from "../jobs/types.js";
+import type { Log } from "../node/logs.js";
+import { planRound } from "../planning/round.js";
+import type { RoomClaim, Round } from "../planning/types.js";
+import type { OperatorState } from "../queues/types.js";
+import type { StateTable } from "../state/types.js";
+import type { TimerService } from "../utils/timer.js";
+import { createRunTable } from "./context.js";
+import type { PlannerContext } from "./context.js";
+import { createEndings } from "./endings.js";
+import { createRecorder } from "./recorder.js";
+import type { Recorder } from "./recorder.js";
+import { createReports } from "./reports.js";
+import type { WorkerSession } from "./session.js";
+import { createStarts } from "./starts.js";
+import { createStops } from "./stops.js";
+import { surveyCandidates, surveyOccupants, surveyRooms } from "./survey.js";
+import { takeOver } from "./takeover.js";
+import type { WorkerClient, WorkerView } from "./types.js";
+import { createWatch } from "./watch.js";
+import { createWorkerHealth } from "./workerHealth.js";
+import { createWorkerSessions } from "./workerSessions.js";
+
+/** Options of {@link startPlanner}. */
+export interface PlannerOptions {
+    state: StateTable;
+    timer: TimerService;
+    log: Log;
+    term: number;
+    /** Versions of the term rows of all parts, as last seen. */
+    termVersions: ReadonlyMap<string, number>;
+    operator: () => OperatorState;
+    /** Workers as last listed. */
+    workers: () => ReadonlyMap<string, WorkerView>;
+    clientOf: (view: WorkerView) => WorkerClient;
+    /** Longest lease that workers grant. */
+    maxLeaseMs: number;
+    /** Whether new orders may be sent. */
+    mayOrder: () => boolean;
+    /** Whether leases of what runs may be renewed. */
+    mayRenew: () => boolean;
+    /** Called when the term turns out to be over. */
+    onFenced: (reason: string) => void;
+}
+
+/** The planner of one term. */
+export interface Planner {
+    /** Takes news of a job. */
+    onJob(jobId: string, entry: JobEntry): void;
+    /** Takes news of the workers or of the operator's wishes. */
+    onSurroundings(): void;
+    /** What it knows, for people. */
+    dump(): unknown;
+    stop(): void;
+}
+
+/** Time until a round after a change, so that changes of the same moment are planned together. */
+const roundDelayMs = 4;
+/** Time between rounds without a change: claims and pauses run out by time. */
+const idleRoundMs = 250;
+/** Share of the time that planning may take, so that orders and reports are not held up. */
+const maxRoundShare = 0.3;
+/** Longest wait for workers to tell what runs on them before the first round. */
+const clearWaitMs = 600;
+
+/** Starts to plan for a term: takes over the records, learns what runs, then decides and orders. */
+export const startPlanner = (options: PlannerOptions): Planner => {
+    const { timer, log, term } = options;
+    const pendingNews = new Map<string, JobEntry>();
+    let recorder: Recorder | undefined;
+    let over = false;
+
+    const context: PlannerContext = {
+        timer,
+        log,
+        term,
+        jobs: new Map(),
+        sessions: new Map(),
+        runs: createRunTable(),
+        health: createWorkerHealth(timer),
+        operator: options.operator,
+        mayOrder: () => !over && options.mayOrder(),
+        record: job => recorder?.record(job) ?? Promise.resolve(false),
+        requestRound: () => rounds.request(),
+        isOver: () => over,
+    };
+    const stops = createStops(context);
+    const endings = createEndings(context, stops);
+    const starts = createStarts(context, stops);
+    const watch = createWatch(context, stops);
+    const sessions = createWorkerSessions({
+        context,
+        reports: createReports(context, stops, endings),
+        watch,
+        workers: options.workers,
+        clientOf: options.clientOf,
+        maxLeaseMs: options.maxLeaseMs,
+        mayRenew: () => !over && options.mayRenew(),
+        onFenced: options.onFenced,
+    });
+    const rounds = createRounds(context, round => {
+        round.evictions.forEach(({ occupant, forKey }) => {
+            const unit = findUnit(context, occupant.key);
+            if (unit !== undefined) {
+                unit.evictions += 1;
+                occupant.tasks.map(({ taskIndex }) => unit.tasks[taskIndex]).forEach(task => {
+                    if (task.run !== undefined) {
+                        stops.stop(task, task.run, `makes room for ${forKey}`);
+                    }
+                });
+            }
+        });
+        round.placements.forEach(({ candidate, assignments }) => {
+            const unit = findUnit(context, candidate.key);
+            if (unit !== undefined) {
+                starts.start(unit, assignments);
+            }
+        });
+    }, watch.moveFromLeaving);
+
+    const adopt = (jobId: string, entry: JobEntry): void => {
+        if (entry.submission === undefined || context.jobs.has(jobId)) {
+            return;
+        }
+        const { submission, record, recordVersion, cancelled } = entry;
+        const job = restoreJob(submission, record, recordVersion, cancelled, sessions.find, timer.nowMs());
+        context.jobs.set(jobId, job);
+        for (const unit of job.units.values()) {
+            unit.tasks.forEach(task => task.run !== undefined && context.runs.set(task, task.run));
+        }
+        if (isEnded(job.phase)) {
+            activeRuns(job).forEach(({ task, run }) => stops.stop(task, run, `job ${job.phase}`));
+        }
+        log("info", "job adopted", { jobId, phase: job.phase, version: recordVersion, cancelled });
+    };
+
+    const takeNews = (jobId: string, entry: JobEntry): void => {
+        adopt(jobId, entry);
+        const job = context.jobs.get(jobId);
+        if (job === undefined) {
+            return;
+        }
+        if (entry.cancelled && !isEnded(job.phase)) {
+            job.cancelled = true;
+            endings.endJob(job, JobPhase.Cancelled, "cancelled by its customer");
+        }
+        if (entry.submission === undefined && activeRuns(job).length === 0) {
+            context.jobs.delete(jobId);
+        }
+    };
+
+    const begin = async (): Promise<void> => {
+        const startedAtMs = timer.nowMs();
+        const inherited = await takeOver({ ...options, isCurrent: () => !over && options.mayRenew() });
+        if (inherited === undefined || over) {
+            options.onFenced("the table names a later term or does not answer");
+            return;
+        }
+        const { termVersions } = inherited;
+        recorder = createRecorder({ state: options.state, timer, log, term, termVersions, onFenced: options.onFenced });
+        sessions.sync();
+        inherited.book.entries.forEach((entry, jobId) => takeNews(jobId, entry));
+        pendingNews.forEach((entry, jobId) => takeNews(jobId, entry));
+        pendingNews.clear();
+        await waitUntilCleared(context);
+        log("info", "planning begins", {
+            term,
+            jobs: context.jobs.size,
+            workers: context.sessions.size,
+            afterMs: Math.round(timer.nowMs() - startedAtMs),
+        });
+        rounds.begin();
+    };
+
+    void begin();
+
+    return {
+        onJob: (jobId, entry) => {
+            if (recorder === undefined) {
+                pendingNews.set(jobId, entry);
+                return;
+            }
+            takeNews(jobId, entry);
+            rounds.request();
+        },
+        onSurroundings: () => {
+            if (recorder !== undefined) {
+                sessions.sync();
+                rounds.request();
+            }
+        },
+        dump: () => ({ ...dumpContext(context), unrecorded: recorder?.pendingCount() ?? 0, claims: rounds.claims() }),
+        stop: () => {
+            over = true;
+            rounds.stop();
+            recorder?.stop();
+            sessions.closeAll();
+        },
+    };
+};
+
+/** Runs planning rounds soon after changes and at intervals. */
+const createRounds = (context: PlannerContext, carryOut: (round: Round) => void, beforeRound: () => void) => {
+    const { timer } = context;
+    let claims: RoomClaim[] = [];
+    let due: (() => void) | undefined;
+    let begun = false;
+    let lastRoundMs = 0;
+
+    const addDueOccurrences = (job: JobState): void => {
+        while (!isEnded(job.phase) && nextDueAtMs(job) <= timer.wallClockMs()) {
+            addOccurrence(job);
+        }
+    };
+
+    const run = (): void => {
+        due = undefined;
+        if (!context.mayOrder()) {
+            return;
+        }
+        const nowMs = timer.nowMs();
+        context.jobs.forEach(addDueOccurrences);
+        beforeRound();
+        const candidates = surveyCandidates(context);
+        if (candidates.length > 0) {
+            const mayDisplace = candidates.some(candidate => candidate.job.priority === 0);
+            const occupants = mayDisplace ? surveyOccupants(context) : [];
+            const round = planRound({ nowMs, rooms: surveyRooms(context), candidates, occupants, claims });
+            claims = round.claims;
+            carryOut(round);
+        }
+        lastRoundMs = timer.nowMs() - nowMs;
+    };
+
+    const request = (): void => {
+        if (due === undefined && begun && !context.isOver()) {
+            due = timer.after(Math.max(roundDelayMs, lastRoundMs / maxRoundShare), run);
+        }
+    };
+
+    const unsubscribe = timer.every(idleRoundMs, request);
+    return {
+        request,
+        begin: () => {
+            begun = true;
+            run();
+        },
+        claims: () => claims,
+        stop: () => {
+            unsubscribe();
+            due?.();
+        },
+    };
+};
+
+const waitUntilCleared = async ({ timer, sessions }: PlannerContext): Promise<void> => {
+    const giveUpAtMs = timer.nowMs() + clearWaitMs;
+    const isOpen = (session: WorkerSession): boolean => !session.isCleared() && session.client !== undefined;
+    while (timer.nowMs() < giveUpAtMs && [...sessions.values()].some(isOpen)) {
+        await timer.sleep(roundDelayMs);
+    }
+};
+
+const findUnit = (context: PlannerContext, key: string): Unit | undefined => {
+    const at = key.indexOf(".");
+    return context.jobs.get(key.slice(0, at))?.units.get(key.slice(at + 1));
+};
+
+const dumpContext = (context: PlannerContext) => ({
+    term: context.term,
+    jobs: [...context.jobs.values()].map(job => ({
+        id: job.submission.id,
+        phase: job.phase,
+        runs: activeRuns(job).map(({ task, run }) => ({
+            unit: task.unit.key,
+            index: task.index,
+            run: run.number,
+            worker: run.worker.id,
+            phase: run.phase,
+        })),
+    })),
+    workers: [...context.sessions.values()].map(session => ({
+        id: session.id,
+        cleared: session.isCleared(),
+        silentMs: session.silentMs(),
+        suspicion: context.health.suspicionOf(session.id),
+    })),
+});
--- /dev/null
+++ b/src/execution/recorder.ts
@@ -0,0 +1,175 @@
+import { recordJob } from "../jobs/progress.js";
+import type { JobState } from "../jobs/progress.js";
+import { jobRowKey, JobRowKind, jobsTable, partOfJob, termKey } from "../jobs/rows.js";
+import type { JobRecord } from "../jobs/types.js";
+import type { Log } from "../node/logs.js";
+import { describeStateError, StateErrorKind } from "../state/types.js";
+import type { StateRow, StateTable } from "../state/types.js";
+import type { TimerService } from "../utils/timer.js";
+
+/** Options of {@link createRecorder}. */
+export interface RecorderOptions {
+    state: StateTable;
+    timer: TimerService;
+    log: Log;
+    term: number;
+    /** Version of the row in each part that names the term. */
+    termVersions: ReadonlyMap<string, number>;
+    /** Called when the table shows that another planner has taken over. */
+    onFenced: (detail: string) => void;
+}
+
+/** Writes the progress of jobs, those of one part together. */
+export interface Recorder {
+    /** Resolves with true once what the job is now has been recorded, with false if the term ended before. */
+    record(job: JobState): Promise<boolean>;
+    /** Jobs whose progress waits to be written. */
+    pendingCount(): number;
+    stop(): void;
+}
+
+/** Jobs in one transaction; the platform takes 100 entries, each job needs two. */
+const maxJobsPerCommit = 40;
+/** Pause after a write that was refused or got no answer. */
+const retryPauseMs = 200;
+
+interface PartQueue {
+    part: string;
+    waiting: Map<JobState, ((recorded: boolean) => void)[]>;
+    writing: boolean;
+}
+
+interface Batch {
+    jobs: { job: JobState; record: JobRecord; resolve: ((recorded: boolean) => void)[]; }[];
+}
+
+/** Creates the recorder of a term; its writes are refused once a later term has begun. */
+export const createRecorder = (options: RecorderOptions): Recorder => {
+    const { state, timer, log, term } = options;
+    const queues = new Map<string, PartQueue>();
+    let stopped = false;
+
+    const takeBatch = (queue: PartQueue): Batch => {
+        const batch: Batch = { jobs: [] };
+        for (const [job, resolve] of queue.waiting) {
+            if (batch.jobs.length === maxJobsPerCommit) {
+                break;
+            }
+            queue.waiting.delete(job);
+            job.sequence += 1;
+            batch.jobs.push({ job, record: recordJob(job, term), resolve });
+        }
+        return batch;
+    };
+
+    const commit = (part: string, batch: Batch) =>
+        state.commit({
+            part,
+            conditions: [
+                { table: jobsTable, key: termKey, version: options.termVersions.get(part) ?? 0 },
+                ...batch.jobs.map(({ job }) => ({
+                    table: jobsTable,
+                    key: jobRowKey(job.submission.id, JobRowKind.Progress),
+                    version: job.recordVersion,
+                })),
+            ],
+            writes: batch.jobs.map(({ job, record }) => ({
+                table: jobsTable,
+                key: jobRowKey(job.submission.id, JobRowKind.Progress),
+                value: record,
+            })),
+        });
+
+    /** Learns from a refusal which rows an earlier try has written; false when another planner has taken over. */
+    const learn = (part: string, batch: Batch, rows: readonly StateRow[]): boolean => {
+        const termRow = rows.find(row => row.key === termKey);
+        if (termRow !== undefined && termRow.version !== options.termVersions.get(part)) {
+            return false;
+        }
+        for (const { job } of batch.jobs) {
+            const key = jobRowKey(job.submission.id, JobRowKind.Progress);
+            const row = rows.find(candidate => candidate.key === key);
+            if (row !== undefined) {
+                job.recordVersion = row.version;
+            }
+        }
+        return true;
+    };
+
+    const isWritten = (batch: Batch, rows: readonly StateRow[]): boolean =>
+        batch.jobs.every(({ job, record }) => {
+            const key = jobRowKey(job.submission.id, JobRowKind.Progress);
+            const found = rows.find(row => row.key === key)?.value as JobRecord | undefined;
+            return found?.term === term && found.sequence === record.sequence;
+        });
+
+    const finish = (batch: Batch, recorded: boolean): void => {
+        batch.jobs.forEach(({ resolve }) => resolve.forEach(done => done(recorded)));
+    };
+
+    const writeBatch = async (part: string, batch: Batch): Promise<void> => {
+        while (!stopped) {
+            const written = await commit(part, batch);
+            if (written.ok) {
+                batch.jobs.forEach(({ job }) => {
+                    job.recordVersion = written.value.version;
+                });
+                finish(batch, true);
+                return;
+            }
+            if (written.error.kind === StateErrorKind.Conflict) {
+                if (!learn(part, batch, written.error.rows)) {
+                    options.onFenced("the table names a later term");
+                    break;
+                }
+                if (isWritten(batch, written.error.rows)) {
+                    finish(batch, true);
+                    return;
+                }
+                continue;
+            }
+            log("warn", "progress not recorded yet", {
+                part,
+                jobs: batch.jobs.length,
+                reason: describeStateError(written.error),
+            });
+            await timer.sleep(retryPauseMs);
+        }
+        finish(batch, false);
+    };
+
+    const drain = async (queue: PartQueue): Promise<void> => {
+        // lets the other changes of the same moment join the transaction
+        await Promise.resolve();
+        while (queue.waiting.size > 0 && !stopped) {
+            await writeBatch(queue.part, takeBatch(queue));
+        }
+        queue.writing = false;
+        if (stopped) {
+            queue.waiting.forEach(resolve => resolve.forEach(done => done(false)));
+            queue.waiting.clear();
+        }
+    };
+
+    return {
+        record: job =>
+            new Promise(resolve => {
+                if (stopped) {
+                    resolve(false);
+                    return;
+                }
+                const part = partOfJob(job.submission.id);
+                const queue = queues.get(part) ?? { part, waiting: new Map(), writing: false };
+                queues.set(part, queue);
+                queue.waiting.set(job, [...queue.waiting.get(job) ?? [], resolve]);
+                if (!queue.writing) {
+                    queue.writing = true;
+                    void drain(queue);
+                }
+            }),
+        pendingCount: () => [...queues.values()].reduce((sum, queue) => sum + queue.waiting.size, 0),
+        stop: () => {
+            stopped = true;
+        },
+    };
+};
--- /dev/null
+++ b/src/execution/takeover.ts
@@ -0,0 +1,78 @@
+import { createJobBook } from "../jobs/book.js";
+import type { JobBook } from "../jobs/book.js";
+import { jobParts, jobsTable, termKey } from "../jobs/rows.js";
+import { StateErrorKind } from "../state/types.js";
+import type { StateRow, StateTable } from "../state/types.js";
+import type { TimerService } from "../utils/timer.js";
+
+/** What a new planner needs to take over the records. */
+export interface TakeoverOptions {
+    state: StateTable;
+    timer: TimerService;
+    term: number;
+    /** Versions of the term rows of all parts, as last seen. */
+    termVersions: ReadonlyMap<string, number>;
+    /** Whether the term may still be the present one. */
+    isCurrent: () => boolean;
+}
+
+/** What was found in the table. */
+export interface Inheritance {
+    book: JobBook;
+    /** Versions of the term rows; writes of earlier planners are refused from here on. */
+    termVersions: Map<string, number>;
+}
+
+/** Time between tries to reach the table. */
+const retryMs = 150;
+
+/** Claims the right to write in one part; false when a later term has done so. */
+const claimPart = async (options: TakeoverOptions, part: string, versions: Map<string, number>): Promise<boolean> => {
+    while (options.isCurrent()) {
+        const written = await options.state.commit({
+            part,
+            conditions: [{ table: jobsTable, key: termKey, version: versions.get(part) ?? 0 }],
+            writes: [{ table: jobsTable, key: termKey, value: { term: options.term } }],
+        });
+        if (written.ok) {
+            versions.set(part, written.value.version);
+            return true;
+        }
+        if (written.error.kind !== StateErrorKind.Conflict) {
+            await options.timer.sleep(retryMs);
+            continue;
+        }
+        const row = written.error.rows.find(candidate => candidate.key === termKey);
+        const found = (row?.value as { term: number; } | undefined)?.term ?? 0;
+        versions.set(part, row?.version ?? 0);
+        if (found >= options.term) {
+            // the own term stands there when an answer was lost
+            return found === options.term;
+        }
+    }
+    return false;
+};
+
+const readPart = async (options: TakeoverOptions, part: string, book: JobBook): Promise<boolean> => {
+    while (options.isCurrent()) {
+        const read = await options.state.read({ table: jobsTable, part });
+        if (read.ok) {
+            read.value.rows.forEach((row: StateRow) => book.apply(row));
+            return true;
+        }
+        await options.timer.sleep(retryMs);
+    }
+    return false;
+};
+
+/** Shuts earlier planners out of the records, then reads them; `undefined` when the term is over. */
+export const takeOver = async (options: TakeoverOptions): Promise<Inheritance | undefined> => {
+    const termVersions = new Map(options.termVersions);
+    const claimed = await Promise.all(jobParts.map(part => claimPart(options, part, termVersions)));
+    if (!claimed.every(Boolean)) {
+        return undefined;
+    }
+    const book = createJobBook();
+    const read = await Promise.all(jobParts.map(part => readPart(options, part, book)));
+    return read.every(Boolean) ? { book, termVersions } : undefined;
+};
--- /dev/null
+++ b/src/execution/watch.ts
@@ -0,0 +1,78 @@
+import { RunPhase } from "../jobs/progress.js";
+import type { Run, TaskState } from "../jobs/progress.js";
+import type { PlannerContext } from "./context.js";
+import type { WorkerSession } from "./session.js";
+import type { Stops } from "./stops.js";
+
+/** Looks after runs that are in trouble where they are. */
+export interface Watch {
+    /** Looks for runs that stand still, after a report. */
+    onReport(session: WorkerSession): void;
+    /** Takes work that can be resumed off workers that are about to leave. */
+    moveFromLeaving(): void;
+}
+
+/** Time without progress after which a run is moved; the slowest work seen advances every second. */
+const standstillMs = 2_500;
+/** Least time that a leaving worker has left when its work is taken off: a stop, its report and a start elsewhere. */
+const moveBeforeMs = 900;
+/** Share of work that is complete. */
+const fullPercent = 100;
+
+interface Progress {
+    run: Run;
+    percent: number;
+    checkpoint: string;
+    sinceMs: number;
+}
+
+/** Creates the part of a planner that moves work in trouble. */
+export const createWatch = (context: PlannerContext, stops: Stops): Watch => {
+    const progress = new WeakMap<TaskState, Progress>();
+
+    const isStuck = (task: TaskState, run: Run): boolean => {
+        const nowMs = context.timer.nowMs();
+        const known = progress.get(task);
+        const moved = known?.run !== run || known.percent !== run.percent || known.checkpoint !== task.checkpoint;
+        if (moved || run.phase !== RunPhase.Running || run.percent >= fullPercent || task.unit.step.longRunning) {
+            progress.set(task, { run, percent: run.percent, checkpoint: task.checkpoint, sinceMs: nowMs });
+            return false;
+        }
+        return nowMs - known.sinceMs > standstillMs;
+    };
+
+    const onReport = (session: WorkerSession): void => {
+        const stuck = [...context.runs.on(session)].filter(task => task.run !== undefined && isStuck(task, task.run));
+        if (stuck.length === 0) {
+            return;
+        }
+        context.log("warn", "runs stand still on a worker", { worker: session.id, runs: stuck.length });
+        context.health.noteTrouble(session.id);
+        for (const task of stuck) {
+            task.unit.avoid.add(session.id);
+            if (task.run !== undefined) {
+                stops.stop(task, task.run, "it stands still");
+            }
+        }
+    };
+
+    const stopOnLeaving = (task: TaskState): void => {
+        const { unit, run } = task;
+        if (run === undefined || run.phase !== RunPhase.Running || !unit.step.checkpointing) {
+            return;
+        }
+        const members = unit.step.gang ? unit.tasks : [task];
+        members.forEach(member => member.run !== undefined && stops.stop(member, member.run, "its worker is leaving"));
+    };
+
+    const moveFromLeaving = (): void => {
+        for (const session of context.sessions.values()) {
+            const { view } = session;
+            if (view?.draining === true && (view.leavesAtMs ?? Infinity) - context.timer.nowMs() < moveBeforeMs) {
+                [...context.runs.on(session)].forEach(stopOnLeaving);
+            }
+        }
+    };
+
+    return { onReport, moveFromLeaving };
+};
--- /dev/null
+++ b/src/jobs/commands/acceptJob.ts
@@ -0,0 +1,75 @@
+import type { Log } from "../../node/logs.js";
+import { describeStateError, StateErrorKind } from "../../state/types.js";
+import type { StateTable } from "../../state/types.js";
+import type { TimerService } from "../../utils/timer.js";
+import { jobRowKey, JobRowKind, jobsTable, partOfJob } from "../rows.js";
+import type { JobSubmission } from "../types.js";
+
+/** What became of a submission. */
+export enum Acceptance {
+    /** It is stored. */
+    Accepted = "accepted",
+    /** It is not stored and never will be. */
+    NotRun = "notRun",
+    /** A write without an answer may still take effect. */
+    Unknown = "unknown",
+}
+
+/** What a command on jobs needs. */
+export interface JobCommandContext {
+    state: StateTable;
+    timer: TimerService;
+    log: Log;
+}
+
+/** Pause before a write is repeated. */
+const retryPauseMs = 60;
+/** Share of the caller's time after which an attempt without an answer ends as unknown. */
+const maxShareOfDeadline = 0.5;
+
+/**
+ * Stores a submission before its customer is told; the same id submitted again is the same job.
+ *
+ * @param deadlineMs time that the caller waits
+ */
+export const acceptJob = async (
+    context: JobCommandContext,
+    submission: JobSubmission,
+    deadlineMs: number,
+): Promise<Acceptance> => {
+    const { state, timer, log } = context;
+    const key = jobRowKey(submission.id, JobRowKind.Submission);
+    const giveUpAtMs = timer.nowMs() + deadlineMs * maxShareOfDeadline;
+    let mayHaveArrived = false;
+    for (let attempt = 1;; attempt++) {
+        const written = await state.commit({
+            part: partOfJob(submission.id),
+            conditions: [{ table: jobsTable, key, version: 0 }],
+            writes: [{ table: jobsTable, key, value: submission }],
+        });
+        if (written.ok) {
+            log("info", "job accepted", {
+                jobId: submission.id,
+                queue: submission.queue,
+                version: written.value.version,
+                attempt,
+            });
+            return Acceptance.Accepted;
+        }
+        if (written.error.kind === StateErrorKind.Conflict) {
+            log("info", "job is stored already", { jobId: submission.id, attempt });
+            return Acceptance.Accepted;
+        }
+        mayHaveArrived ||= written.error.kind === StateErrorKind.NoAnswer;
+        const reason = describeStateError(written.error);
+        if (!mayHaveArrived) {
+            log("warn", "job not accepted", { jobId: submission.id, reason, attempt });
+            return Acceptance.NotRun;
+        }
+        if (timer.nowMs() > giveUpAtMs) {
+            log("warn", "job may have been accepted", { jobId: submission.id, reason, attempt });
+            return Acceptance.Unknown;
+        }
+        await timer.sleep(retryPauseMs);
+    }
+};
--- /dev/null
+++ b/src/jobs/objective.ts
@@ -0,0 +1,28 @@
+import type { JobSubmission, Step } from "./types.js";
+
+/** Times its objective after which a job is of no more use to its customer. */
+const lateFactor = 3;
+
+const chainTo = (steps: readonly Step[], index: number, known: Map<number, number>): number => {
+    const before = known.get(index);
+    if (before !== undefined) {
+        return before;
+    }
+    const longest = Math.max(0, ...steps[index].after.map(earlier => chainTo(steps, earlier, known)));
+    const total = longest + steps[index].estimateMs;
+    known.set(index, total);
+    return total;
+};
+
+/** Declared time of the longest chain of steps, without waiting. */
+export const longestChainMs = (steps: readonly Step[]): number => {
+    const known = new Map<number, number>();
+    return Math.max(0, ...steps.map((_, index) => chainTo(steps, index, known)));
+};
+
+/** Time within which a job or occurrence should be complete. */
+export const objectiveMs = (job: JobSubmission): number =>
+    job.slackFactor * longestChainMs(job.steps) + job.targetLatencyMs;
+
+/** Time after which completing it is of no use. */
+export const uselessAfterMs = (job: JobSubmission): number => lateFactor * objectiveMs(job);
--- /dev/null
+++ b/src/node/entryVm.ts
@@ -0,0 +1,174 @@
+import { startPlanner } from "../execution/planner.js";
+import type { Planner } from "../execution/planner.js";
+import { createTerm } from "../execution/term.js";
+import type { WorkerClient, WorkerView } from "../execution/types.js";
+import { createJobBook } from "../jobs/book.js";
+import type { JobBook } from "../jobs/book.js";
+import { acceptJob } from "../jobs/commands/acceptJob.js";
+import type { Acceptance } from "../jobs/commands/acceptJob.js";
+import { cancelStoredJob } from "../jobs/commands/cancelStoredJob.js";
+import type { Cancellation } from "../jobs/commands/cancelStoredJob.js";
+import { queryJobPhase } from "../jobs/queries/jobPhase.js";
+import { countPendingJobs } from "../jobs/queries/pendingJobs.js";
+import { jobParts, jobsTable, plannerLeaseKey, plannerPart, termKey } from "../jobs/rows.js";
+import type { JobPhase, JobSubmission } from "../jobs/types.js";
+import type { OperatorState } from "../queues/types.js";
+import { createTableFollower } from "../state/follower.js";
+import type { TableFollower } from "../state/follower.js";
+import type { StateRow, StateTable } from "../state/types.js";
+import type { TimerService } from "../utils/timer.js";
+import type { Log } from "./logs.js";
+
+/** Where the operator's wishes come from. */
+export interface OperatorSource {
+    current(): OperatorState;
+    /** Time since what is known was confirmed, counted from before it was asked for. */
+    ageMs(): number;
+    /** Called after each change. */
+    onChange(listener: () => void): void;
+}
+
+/** The platform's list of workers, followed while this VM plans. */
+export interface WorkerDirectory {
+    start(): void;
+    stop(): void;
+    workers(): ReadonlyMap<string, WorkerView>;
+    onChange(listener: () => void): void;
+}
+
+/** Options of {@link startEntryVm}. */
+export interface EntryVmOptions {
+    vm: string;
+    state: StateTable;
+    timer: TimerService;
+    log: Log;
+    operator: OperatorSource;
+    directory: WorkerDirectory;
+    clientOf: (view: WorkerView) => WorkerClient;
+    /** Longest lease that workers grant. */
+    maxLeaseMs: number;
+}
+
+/** One entry VM: accepts jobs, answers for them and, while it holds the term, plans. */
+export interface EntryVm {
+    accept(submission: JobSubmission, deadlineMs: number): Promise<Acceptance>;
+    cancel(jobId: string): Promise<Cancellation>;
+    phase(jobId: string): Promise<JobPhase | "unavailable" | undefined>;
+    pending(queue: string): number;
+    /** Time since the local copy of the jobs was confirmed. */
+    jobsAgeMs(): number;
+    isPlanner(): boolean;
+    dump(): unknown;
+    /** Hands the term over and stops planning; requests are answered until the process ends. */
+    retire(): Promise<void>;
+    stop(): void;
+}
+
+/** Time that a request for changes waits; also bounds how old the local copy gets while nothing happens. */
+const waitMs = 900;
+/** Pause between requests on a VM that does not plan: its copy serves counts, which may be 2 s old. */
+const followerPauseMs = 300;
+/** Pause on the planner, which acts on each change. */
+const plannerPauseMs = 5;
+
+/** Starts an entry VM. */
+export const startEntryVm = (options: EntryVmOptions): EntryVm => {
+    const { state, timer, log, operator, directory } = options;
+    const book: JobBook = createJobBook();
+    const termVersions = new Map<string, number>();
+    let planner: Planner | undefined;
+    let retired = false;
+
+    const onRow = (row: StateRow): void => {
+        if (row.part === plannerPart && row.key === plannerLeaseKey) {
+            term.observe(row);
+            return;
+        }
+        if (row.key === termKey) {
+            termVersions.set(row.part, row.version);
+            return;
+        }
+        const jobId = book.apply(row);
+        if (jobId !== undefined && planner !== undefined) {
+            planner.onJob(jobId, book.entries.get(jobId) ?? { recordVersion: 0, cancelled: false });
+        }
+    };
+
+    const onGained = (number: number): void => {
+        directory.start();
+        planner = startPlanner({
+            state,
+            timer,
+            log,
+            term: number,
+            termVersions,
+            operator: operator.current,
+            workers: directory.workers,
+            clientOf: options.clientOf,
+            maxLeaseMs: options.maxLeaseMs,
+            mayOrder: () => term.mayOrder(),
+            mayRenew: () => term.mayRenew(),
+            onFenced: reason => term.lose(reason),
+        });
+    };
+
+    const onLost = (): void => {
+        planner?.stop();
+        planner = undefined;
+        directory.stop();
+    };
+
+    const follower: TableFollower = createTableFollower({
+        state,
+        timer,
+        log,
+        table: jobsTable,
+        parts: [...jobParts, plannerPart],
+        waitMs: () => waitMs,
+        pauseMs: () => planner === undefined ? followerPauseMs : plannerPauseMs,
+        onReset: () => book.clear(),
+        onRows: rows => rows.forEach(onRow),
+    });
+
+    const term = createTerm({
+        state,
+        timer,
+        log,
+        vm: options.vm,
+        followerAgeMs: follower.ageMs,
+        isCandidate: () => !retired && operator.current().configuration !== undefined,
+        onGained,
+        onLost,
+    });
+
+    directory.onChange(() => planner?.onSurroundings());
+    operator.onChange(() => planner?.onSurroundings());
+    const context = { state, timer, log };
+
+    return {
+        accept: (submission, deadlineMs) => acceptJob(context, submission, deadlineMs),
+        cancel: jobId => cancelStoredJob(context, book, jobId),
+        phase: jobId => queryJobPhase(state, book, jobId),
+        pending: queue => countPendingJobs(book, queue),
+        jobsAgeMs: follower.ageMs,
+        isPlanner: () => planner !== undefined,
+        dump: () => ({
+            vm: options.vm,
+            configurationVersion: operator.current().configuration?.version,
+            configurationAgeMs: operator.ageMs(),
+            jobsAgeMs: follower.ageMs(),
+            jobs: book.entries.size,
+            term: term.current(),
+            planner: planner?.dump(),
+        }),
+        retire: async () => {
+            retired = true;
+            await term.release();
+        },
+        stop: () => {
+            follower.stop();
+            term.stop();
+            onLost();
+        },
+    };
+};
--- a/src/node/logs.ts
+++ b/src/node/logs.ts
@@ -9,9 +9,14 @@
 /** Writes one structured log line. */
 export type Log = (level: LogLevel, message: string, fields?: Record<string, unknown>) => void;
 
-/** Creates a log that writes JSON lines to standard error, at or above a level. */
-export const createLog = (daemon: string, vm: string, lowest: string): Log => {
-    ROARR.write = line => process.stderr.write(`${line}\n`);
+/** Creates a log that writes JSON lines at or above a level. @default to standard error */
+export const createLog = (
+    daemon: string,
+    vm: string,
+    lowest: string,
+    writeLine: (line: string) => void = line => process.stderr.write(`${line}\n`),
+): Log => {
+    ROARR.write = writeLine;
     const logger = Roarr.child({ daemon, vm });
     const threshold = levels.indexOf(lowest as LogLevel);
     return (level, message, fields = {}) => {
--- /dev/null
+++ b/src/planning/round.ts
@@ -0,0 +1,170 @@
+import { orderCandidates, Tier, tierOf } from "./order.js";
+import { gangGroups, placeGang, placeTasks } from "./placement.js";
+import { findDisplacement } from "./preemption.js";
+import { fitCount, occupiedBy, take } from "./resources.js";
+import type { Assignment, Candidate, Occupant, Room, RoomClaim, Round } from "./types.js";
+
+/** What a planning round works on; `free` of the rooms is changed by it. */
+export interface RoundInput {
+    nowMs: number;
+    rooms: Room[];
+    candidates: readonly Candidate[];
+    occupants: readonly Occupant[];
+    /** Room kept since earlier rounds. */
+    claims: readonly RoomClaim[];
+}
+
+/** A claim whose room has not come free by then is given up: a stop takes 0.2 s, its answer up to 1 s. */
+const maxClaimMs = 1_500;
+/** Blocked gangs for which a rack is kept free of later work at the same time. */
+const maxReservations = 2;
+/** Waiting time after which a blocked gang gets such a rack. */
+const reserveAfterMs = 700;
+
+const occupy = (rooms: ReadonlyMap<string, Room>, candidate: Candidate, assignments: readonly Assignment[]): void => {
+    for (const assignment of assignments) {
+        const room = rooms.get(assignment.workerId);
+        if (room !== undefined) {
+            take(room.free, occupiedBy(candidate.step), 1);
+            room.hasServing ||= candidate.step.targetMs !== undefined;
+            room.hasFilling ||= candidate.step.fillsIdleCores;
+        }
+    }
+};
+
+const holdClaim = (rooms: ReadonlyMap<string, Room>, claim: RoomClaim, sign: 1 | -1): void => {
+    for (const assignment of claim.assignments) {
+        const room = rooms.get(assignment.workerId);
+        if (room !== undefined) {
+            take(room.free, claim.resources, sign);
+        }
+    }
+};
+
+const isKept = (claim: RoomClaim, input: RoundInput, rooms: ReadonlyMap<string, Room>): boolean =>
+    input.nowMs - claim.madeAtMs <= maxClaimMs
+    && input.candidates.some(candidate => candidate.key === claim.key)
+    && claim.assignments.every(assignment => rooms.get(assignment.workerId)?.usable === true);
+
+/** Whether the claimed workers have room for all claimed tasks at once. */
+const isClaimFree = (rooms: ReadonlyMap<string, Room>, claim: RoomClaim): boolean => {
+    const needed = new Map<string, number>();
+    claim.assignments.forEach(({ workerId }) => needed.set(workerId, (needed.get(workerId) ?? 0) + 1));
+    return [...needed].every(([workerId, count]) => {
+        const room = rooms.get(workerId);
+        return room !== undefined && fitCount(room.free, claim.resources) >= count;
+    });
+};
+
+const mayDisplaceOthers = (candidate: Candidate): boolean =>
+    candidate.job.priority === 0 && tierOf(candidate) <= Tier.Urgent;
+
+/** Keeps the rack that is nearest to taking a blocked gang free of later work. */
+const reserveRack = (rooms: readonly Room[], candidate: Candidate): void => {
+    const groups = gangGroups(rooms, candidate)
+        .map(group => ({ group, accelerators: group.reduce((sum, room) => sum + room.free.accelerators, 0) }))
+        .sort((left, right) => right.accelerators - left.accelerators);
+    const chosen = groups.at(0)?.group ?? [];
+    let missing = candidate.taskIndexes.length;
+    const byFree = [...chosen].sort((left, right) => right.free.accelerators - left.free.accelerators);
+    for (const room of byFree) {
+        if (missing <= 0) {
+            return;
+        }
+        missing -= Math.max(1, fitCount(room.capacity, occupiedBy(candidate.step)));
+        room.usable = false;
+    }
+};
+
+/** Decides what starts where, and what is taken back for it. */
+export const planRound = (input: RoundInput): Round => {
+    const rooms = new Map(input.rooms.map(room => [room.workerId, room]));
+    const round: Round = { placements: [], evictions: [], claims: [] };
+    const claims = new Map(
+        input.claims.filter(claim => isKept(claim, input, rooms)).map(claim => [claim.key, claim]),
+    );
+    claims.forEach(claim => holdClaim(rooms, claim, 1));
+    const evicted = new Set<Occupant>();
+    let reservations = 0;
+
+    const placeAt = (candidate: Candidate, assignments: Assignment[]): void => {
+        occupy(rooms, candidate, assignments);
+        round.placements.push({ candidate, assignments });
+    };
+
+    const useClaim = (candidate: Candidate, claim: RoomClaim): boolean => {
+        holdClaim(rooms, claim, -1);
+        if (isClaimFree(rooms, claim)) {
+            claims.delete(candidate.key);
+            placeAt(candidate, claim.assignments);
+            return true;
+        }
+        holdClaim(rooms, claim, 1);
+        return false;
+    };
+
+    const displace = (candidate: Candidate): boolean => {
+        const left = input.occupants.filter(occupant => !evicted.has(occupant));
+        const displacement = findDisplacement(input.rooms, left, candidate);
+        if (displacement === undefined) {
+            return false;
+        }
+        displacement.victims.forEach(victim => {
+            evicted.add(victim);
+            round.evictions.push({ occupant: victim, forKey: candidate.key });
+        });
+        const claim: RoomClaim = {
+            key: candidate.key,
+            resources: occupiedBy(candidate.step),
+            assignments: displacement.assignments,
+            madeAtMs: input.nowMs,
+        };
+        claims.set(candidate.key, claim);
+        holdClaim(rooms, claim, 1);
+        return true;
+    };
+
+    const decideGang = (candidate: Candidate): void => {
+        const assignments = placeGang(input.rooms, candidate);
+        if (assignments !== undefined) {
+            placeAt(candidate, assignments);
+            return;
+        }
+        if (mayDisplaceOthers(candidate) && displace(candidate)) {
+            return;
+        }
+        if (
+            candidate.waitingMs > reserveAfterMs && reservations < maxReservations && tierOf(candidate) < Tier.Useless
+        ) {
+            reservations += 1;
+            reserveRack(input.rooms, candidate);
+        }
+    };
+
+    const decideTasks = (candidate: Candidate): void => {
+        const assignments = placeTasks(input.rooms, candidate);
+        if (assignments.length > 0) {
+            placeAt(candidate, assignments);
+        }
+        const placed = new Set(assignments.map(assignment => assignment.taskIndex));
+        const rest = { ...candidate, taskIndexes: candidate.taskIndexes.filter(index => !placed.has(index)) };
+        if (rest.taskIndexes.length > 0 && mayDisplaceOthers(candidate)) {
+            displace(rest);
+        }
+    };
+
+    for (const candidate of orderCandidates(input.candidates)) {
+        const claim = claims.get(candidate.key);
+        if (claim !== undefined) {
+            useClaim(candidate, claim);
+        }
+        else if (candidate.step.gang) {
+            decideGang(candidate);
+        }
+        else {
+            decideTasks(candidate);
+        }
+    }
+    round.claims = [...claims.values()];
+    return round;
+};
--- /dev/null
+++ b/src/planning/types.ts
@@ -0,0 +1,81 @@
+import type { JobSubmission, Step, TaskResources } from "../jobs/types.js";
+
+/** A worker as placement sees it. */
+export interface Room {
+    workerId: string;
+    service: string;
+    availabilityZone: string;
+    rack: string;
+    labels: readonly string[];
+    capacity: TaskResources;
+    /** What no run and no claim occupies; placement takes from it. */
+    free: TaskResources;
+    /** Whether tasks may be started there at present. */
+    usable: boolean;
+    /** Failures and slowness seen there lately; 0 for a sound worker. */
+    suspicion: number;
+    /** A task that serves its own users runs there. */
+    hasServing: boolean;
+    /** A task that fills idle cores runs there. */
+    hasFilling: boolean;
+}
+
+/** Tasks of one step and occurrence that wait for a place. */
+export interface Candidate {
+    /** Names the step and occurrence of the job. */
+    key: string;
+    job: JobSubmission;
+    step: Step;
+    /** Indexes of the tasks to place; all of them for a gang. */
+    taskIndexes: number[];
+    /** Workers on which the task failed before. */
+    avoid: ReadonlySet<string>;
+    /** Tasks of the same step and occurrence that run already, by worker. */
+    runningOn: ReadonlyMap<string, number>;
+    /** Time since the first of its tasks could have started. */
+    waitingMs: number;
+    /** Time until the job misses its objective; negative afterwards. */
+    objectiveInMs: number;
+    /** Time until completing the job is of no use; negative afterwards. */
+    uselessInMs: number;
+    /** Declared time from the start of these tasks to the end of the job. */
+    remainingChainMs: number;
+    /** Its customer can demand the room. */
+    guaranteed: boolean;
+}
+
+/** A set of runs that can be taken back as a whole. */
+export interface Occupant {
+    /** Step and occurrence that the runs are of. */
+    key: string;
+    priority: number;
+    resources: TaskResources;
+    /** Tasks by worker; several for a gang. */
+    tasks: { taskIndex: number; workerId: string; }[];
+    /** Work that would have to be done again, in core-milliseconds. */
+    lostCoreMs: number;
+    /** Times that runs of it were taken back before. */
+    evictions: number;
+}
+
+/** Where a task goes. */
+export interface Assignment {
+    taskIndex: number;
+    workerId: string;
+}
+
+/** Room kept for a candidate while others make way. */
+export interface RoomClaim {
+    key: string;
+    resources: TaskResources;
+    assignments: Assignment[];
+    /** Steady time of the claim. */
+    madeAtMs: number;
+}
+
+/** Decisions of one planning round. */
+export interface Round {
+    placements: { candidate: Candidate; assignments: Assignment[]; }[];
+    evictions: { occupant: Occupant; forKey: string; }[];
+    claims: RoomClaim[];
+}
--- a/tools/generateChecks.ts
+++ b/tools/generateChecks.ts
@@ -3,6 +3,7 @@
 import standaloneCode from "ajv/dist/standalone/index.js";
 import { writeFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
+import { entryVmSettingsSchema } from "../platform/settingsSchema.js";
 import { intentSchema, jobRequestSchema } from "../src/configuration/jsonSchemas.js";
 import { routerSettingsSchema, schedulerSettingsSchema } from "../src/node/settingsSchemas.js";
 
@@ -13,6 +14,7 @@
     validateJobRequest: jobRequestSchema,
     validateRouterSettings: routerSettingsSchema,
     validateSchedulerSettings: schedulerSettingsSchema,
+    validateEntryVmSettings: entryVmSettingsSchema,
 };
 
 const header = `import { createRequire } from "node:module";
