fix: give up a silent worker's tasks and replace a silent planner in a quiet table

(3) roarr writes nothing unless its variable is set before it is loaded: no daemon logged. (4) work bound to a busy rack waited while the other racks stood idle. Ruled out: a lost record of the run (the progress row named it). Change: no renewal towards a silent worker; waits and ages in step, with their relation written down; the variable is set first; idle room is used after 1.5 s; a lease in the own VM's name is taken back at once; leases of 5 s in place of 6.

--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -1,4 +1,5 @@
 import type { JobEntry } from "../jobs/book.js";
+import { objectiveMs } from "../jobs/objective.js";
 import { activeRuns, addOccurrence, nextDueAtMs, restoreJob } from "../jobs/progress.js";
 import type { JobState, Unit } from "../jobs/progress.js";
 import { isEnded, JobPhase } from "../jobs/types.js";
@@ -134,7 +135,18 @@
         if (isEnded(job.phase)) {
             activeRuns(job).forEach(({ task, run }) => stops.stop(task, run, `job ${job.phase}`));
         }
-        log("info", "job adopted", { jobId, phase: job.phase, version: recordVersion, cancelled });
+        log("info", "job adopted", {
+            jobId,
+            phase: job.phase,
+            version: recordVersion,
+            cancelled,
+            queue: submission.queue,
+            priority: submission.priority,
+            tasks: submission.steps.map(step => step.taskCount),
+            accelerators: submission.steps.map(step => step.resources.accelerators),
+            objectiveMs: Math.round(objectiveMs(submission)),
+            ageMs: timer.wallClockMs() - submission.acceptedAtMs,
+        });
     };
 
     const takeNews = (jobId: string, entry: JobEntry): void => {
--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -121,7 +121,9 @@
     /** The first look renews nothing: what runs there is not known yet. */
     const look = async (active: WorkerClient): Promise<boolean> => {
         const sentAtMs = timer.nowMs();
-        const untilClockMs = cleared && options.mayRenew() ? lease.untilClockMs() : undefined;
+        // a renewal without an answer may have arrived, so a silent worker gets none until it answers
+        const mayRenew = cleared && contact.silentMs() === 0 && options.mayRenew();
+        const untilClockMs = mayRenew ? lease.untilClockMs() : undefined;
         lease.noteSent(untilClockMs ?? 0);
         const atOnce = sleeper.takeAtOnce();
         const mayWait = cleared && ends.listed === ends.acknowledged && listener.isBusy(session) && !atOnce;
--- a/src/execution/term.ts
+++ b/src/execution/term.ts
@@ -53,8 +53,8 @@
 const takeOverMs = 2_000;
 /** Time since the last confirmation in which leases of running tasks are renewed; covers a usual outage. */
 export const renewLeasesMs = 8_000;
-/** Age of the lease row above which its holder is not judged. */
-const maxViewAgeMs = 1_200;
+/** Age of the lease row above which its holder is not judged; a copy of a table without changes gets 1.3 s old. */
+const maxViewAgeMs = 1_700;
 const tickMs = 100;
 /** Random delay that keeps VMs from trying at the same moment. */
 const spreadMs = 150;
@@ -133,7 +133,8 @@
             return false;
         }
         const lease = asLease(row);
-        const released = lease === undefined || lease.holder === "";
+        // a lease in the own name is of an earlier process on this VM, which is gone
+        const released = lease === undefined || lease.holder === "" || lease.holder === vm;
         return released || timer.nowMs() - changedAtMs > takeOverMs + delayMs;
     };
 
--- a/src/execution/workerSessions.ts
+++ b/src/execution/workerSessions.ts
@@ -33,7 +33,7 @@
 }
 
 /** Lease of what runs on a worker: outlasts a change of planner, and bounds the wait for a worker that fell silent. */
-const leaseMs = 6_000;
+const leaseMs = 5_000;
 /** Silence after which an unlisted worker is not expected back: orders are carried out up to 12 s late. */
 const maxFenceMs = 15_000;
 const restarted = "the worker has started anew";
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -64,8 +64,11 @@
     stop(): void;
 }
 
-/** Time that a request for changes waits; also bounds how old the local copy gets while nothing happens. */
-const waitMs = 900;
+/**
+ * Time that a request for changes waits. While nothing changes the local copy gets as old as two waits and a pause,
+ * which has to stay below the age up to which the planner's lease is judged.
+ */
+const waitMs = 500;
 /** Pause between requests on a VM that does not plan: its copy serves counts, which may be 2 s old. */
 const followerPauseMs = 300;
 /** Pause on the planner, which acts on each change. */
--- a/src/node/logs.ts
+++ b/src/node/logs.ts
@@ -1,3 +1,4 @@
+import "./enableLogs.js";
 import { ROARR, Roarr } from "roarr";
 
 /** Levels in ascending order of severity. */
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -1,11 +1,13 @@
-import type { Step } from "../jobs/types.js";
+import type { Step, TaskResources } from "../jobs/types.js";
 import { fitCount, occupiedBy } from "./resources.js";
 import type { Assignment, Candidate, Room } from "./types.js";
 
 /** Waiting time after which work that fills idle cores may run beside tasks that serve. */
 const mixAfterMs = 1_200;
-/** Waiting time after which work goes to a rack without its data if no worker of its rack can be used. */
-const leaveRackAfterMs = 2_000;
+/** Waiting time after which work goes where it is slowed down, if most of the room is free. */
+const leaveRackAfterMs = 1_500;
+/** Share of the accelerators and cores in use up to which slowed-down work takes room from nobody. */
+const idleShare = 0.5;
 
 const hasLabel = (room: Room, step: Step): boolean =>
     step.requiredLabel === undefined || room.labels.includes(step.requiredLabel);
@@ -58,16 +60,38 @@
 
 const isNearData = (room: Room, step: Step): boolean => step.dataRack === undefined || room.rack === step.dataRack;
 
+const shareInUse = (rooms: readonly Room[], amountOf: (resources: TaskResources) => number): number => {
+    const all = rooms.reduce((sum, room) => sum + amountOf(room.capacity), 0);
+    const free = rooms.reduce((sum, room) => sum + amountOf(room.free), 0);
+    return all === 0 ? 0 : 1 - free / all;
+};
+
+/** Whether slow work is better than none: it has waited, and what it takes would stand idle otherwise. */
+const mayRunAnywhere = (rooms: readonly Room[], candidate: Candidate): boolean =>
+    candidate.waitingMs > leaveRackAfterMs
+    && shareInUse(rooms, resources => resources.accelerators) < idleShare
+    && shareInUse(rooms, resources => resources.milliCores) < idleShare;
+
 /** Groups of workers of which one must take all tasks of a gang, best kinds of group first. */
 export const gangGroups = (rooms: readonly Room[], candidate: Candidate): Room[][] => {
     const allowed = rooms.filter(room => isAllowed(room, candidate));
     const near = allowed.filter(room => isNearData(room, candidate.step));
     const home = couldHold(near, candidate) ? near : allowed;
+    if (mayRunAnywhere(rooms, candidate) && !fitsInto(gangGroupsOf(home, candidate), candidate)) {
+        return [allowed];
+    }
+    return gangGroupsOf(home, candidate);
+};
+
+const fitsInto = (groups: readonly Room[][], candidate: Candidate): boolean =>
+    groups.some(group => sumCounts(group, candidate) >= candidate.taskIndexes.length);
+
+const gangGroupsOf = (home: readonly Room[], candidate: Candidate): Room[][] => {
     if (!candidate.step.sameRack) {
-        return [home];
+        return [[...home]];
     }
     const racks = groupBy(home, room => room.rack).filter(rack => couldHold(rack, candidate));
-    return racks.length > 0 ? racks : [home];
+    return racks.length > 0 ? racks : [[...home]];
 };
 
 const leftoverOf = (room: Room, candidate: Candidate): number =>
@@ -124,6 +148,8 @@
 export const placeTasks = (rooms: readonly Room[], candidate: Candidate): Assignment[] => {
     const allowed = rooms.filter(room => isAllowed(room, candidate) && mixesWell(room, candidate));
     const near = allowed.filter(room => isNearData(room, candidate.step));
-    const stayNear = near.length > 0 || candidate.waitingMs < leaveRackAfterMs;
-    return pack(preferRooms(stayNear ? near : allowed, candidate), candidate, candidate.taskIndexes);
+    const assignments = pack(preferRooms(near, candidate), candidate, candidate.taskIndexes);
+    return assignments.length === 0 && mayRunAnywhere(rooms, candidate)
+        ? pack(preferRooms(allowed, candidate), candidate, candidate.taskIndexes)
+        : assignments;
 };
