--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -135,18 +135,7 @@
         if (isEnded(job.phase)) {
             activeRuns(job).forEach(({ task, run }) => stops.stop(task, run, `job ${job.phase}`));
         }
-        log("info", "job adopted", {
-            jobId,
-            phase: job.phase,
-            version: recordVersion,
-            cancelled,
-            queue: submission.queue,
-            priority: submission.priority,
-            tasks: submission.steps.map(step => step.taskCount),
-            accelerators: submission.steps.map(step => step.resources.accelerators),
-            objectiveMs: Math.round(objectiveMs(submission)),
-            ageMs: timer.wallClockMs() - submission.acceptedAtMs,
-        });
+        log("info", "job adopted", describeAdopted(job, timer.wallClockMs()));
     };
 
     const takeNews = (jobId: string, entry: JobEntry): void => {
@@ -281,6 +270,19 @@
     return context.jobs.get(key.slice(0, at))?.units.get(key.slice(at + 1));
 };
 
+const describeAdopted = ({ submission, phase, recordVersion, cancelled }: JobState, wallMs: number) => ({
+    jobId: submission.id,
+    phase,
+    version: recordVersion,
+    cancelled,
+    queue: submission.queue,
+    priority: submission.priority,
+    tasks: submission.steps.map(step => step.taskCount),
+    accelerators: submission.steps.map(step => step.resources.accelerators),
+    objectiveMs: Math.round(objectiveMs(submission)),
+    ageMs: wallMs - submission.acceptedAtMs,
+});
+
 const dumpContext = (context: PlannerContext) => ({
     term: context.term,
     jobs: [...context.jobs.values()].map(job => ({
