--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -6,6 +6,7 @@
 import type { Log } from "../node/logs.js";
 import { planRound } from "../planning/round.js";
 import type { RoomClaim, Round } from "../planning/types.js";
+import { createUrgentDemand } from "../planning/urgentDemand.js";
 import type { OperatorState } from "../queues/types.js";
 import type { StateTable } from "../state/types.js";
 import type { TimerService } from "../utils/timer.js";
@@ -18,7 +19,7 @@
 import type { WorkerSession } from "./session.js";
 import { createStarts } from "./starts.js";
 import { createStops } from "./stops.js";
-import { surveyCandidates, surveyOccupants, surveyRooms } from "./survey.js";
+import { surveyCandidates, surveyOccupants, surveyRooms, surveyUrgentUse } from "./survey.js";
 import { takeOver } from "./takeover.js";
 import type { WorkerClient, WorkerView } from "./types.js";
 import { createWatch } from "./watch.js";
@@ -206,6 +207,7 @@
 /** Runs planning rounds soon after changes and at intervals. */
 const createRounds = (context: PlannerContext, carryOut: (round: Round) => void, beforeRound: () => void) => {
     const { timer } = context;
+    const urgentDemand = createUrgentDemand();
     let claims: RoomClaim[] = [];
     let due: (() => void) | undefined;
     let begun = false;
@@ -229,7 +231,9 @@
         if (candidates.length > 0) {
             const mayDisplace = candidates.some(candidate => candidate.job.priority === 0);
             const occupants = mayDisplace ? surveyOccupants(context) : [];
-            const round = planRound({ nowMs, rooms: surveyRooms(context), candidates, occupants, claims });
+            const rooms = surveyRooms(context);
+            const expectedUrgent = urgentDemand.expected(nowMs, surveyUrgentUse(context), rooms);
+            const round = planRound({ nowMs, rooms, candidates, occupants, claims, expectedUrgent });
             claims = round.claims;
             carryOut(round);
         }
--- a/src/execution/survey.ts
+++ b/src/execution/survey.ts
@@ -7,6 +7,8 @@
 import type { PlannerContext } from "./context.js";
 import type { WorkerSession } from "./session.js";
 
+/** Time lost by work that is stopped and resumed: the stop, the wait for a place and the reading of its progress. */
+const resumeMs = 500;
 /** Silence after which a worker gets no new work: two looks without an answer. */
 const maxSilentMs = 700;
 
@@ -33,6 +35,7 @@
             capacity: view.capacity,
             free: { ...view.capacity },
             usable: isUsable(context, session),
+            keptForUrgent: false,
             suspicion: context.health.suspicionOf(session.id),
             hasServing: false,
             hasFilling: false,
@@ -144,8 +147,9 @@
 
 /** Work of a run that would have to be done again if it were stopped now, in core-milliseconds. */
 const lostCoreMs = (task: TaskState, run: Run, nowMs: number): number => {
-    const sinceMs = task.unit.step.checkpointing ? Math.max(run.savedAtMs, run.orderedAtMs) : run.orderedAtMs;
-    return (nowMs - sinceMs) * coresOf(task.unit.step.resources);
+    // a stop saves the progress of work that can be resumed
+    const lostMs = task.unit.step.checkpointing ? resumeMs : nowMs - run.orderedAtMs;
+    return lostMs * coresOf(task.unit.step.resources);
 };
 
 const mayBeTakenBack = (unit: Unit): boolean =>
@@ -180,3 +184,14 @@
     }
     return occupants;
 };
+
+/** Accelerators that jobs of priority 0 use or wait for. */
+export const surveyUrgentUse = (context: PlannerContext): number => {
+    let accelerators = 0;
+    for (const job of context.jobs.values()) {
+        if (job.submission.priority === 0 && !isEnded(job.phase) && !job.cancelled) {
+            accelerators += acceleratorNeed(job);
+        }
+    }
+    return accelerators;
+};
--- a/src/planning/preemption.ts
+++ b/src/planning/preemption.ts
@@ -1,5 +1,5 @@
 import { countOn, gangGroups } from "./placement.js";
-import { coresOf, fitCount, occupiedBy, take } from "./resources.js";
+import { coresOf, take } from "./resources.js";
 import type { Assignment, Candidate, Occupant, Room } from "./types.js";
 
 /** Runs to take back, and the room that this makes. */
@@ -32,65 +32,66 @@
     }
 };
 
+/** What clearing one worker gains and costs. */
+interface Clearing {
+    room: Room;
+    /** Tasks of the candidate that it takes then. */
+    count: number;
+    victims: Occupant[];
+    lostCoreMs: number;
+}
+
 /** Empties one worker of the cheapest victims until it takes `wanted` tasks or nothing is left to take. */
-const clearRoom = (
-    room: Room,
-    candidate: Candidate,
-    wanted: number,
-    occupants: readonly Occupant[],
-    chosen: Set<Occupant>,
-    rooms: ReadonlyMap<string, Room>,
-): number => {
+const clearRoom = (room: Room, candidate: Candidate, wanted: number, occupants: readonly Occupant[]): Clearing => {
+    const probe = copyRoom(room);
     const present = occupants
-        .filter(occupant => !chosen.has(occupant) && tasksOn(occupant, room.workerId) > 0)
+        .filter(occupant => tasksOn(occupant, room.workerId) > 0)
         .sort((left, right) => priceOn(left, room.workerId) - priceOn(right, room.workerId));
+    const victims: Occupant[] = [];
     for (const occupant of present) {
-        if (countOn(room, candidate) >= wanted) {
+        if (countOn(probe, candidate) >= wanted) {
             break;
         }
-        chosen.add(occupant);
-        giveBack(rooms, occupant);
-    }
-    return Math.min(wanted, countOn(room, candidate));
-};
-
-const emptiedCount = (room: Room, candidate: Candidate, occupants: readonly Occupant[]): number => {
-    const probe = copyRoom(room);
-    for (const occupant of occupants) {
+        victims.push(occupant);
         take(probe.free, occupant.resources, -tasksOn(occupant, room.workerId));
     }
-    return Math.min(
-        fitCount(probe.free, occupiedBy(candidate.step)),
-        (candidate.step.maxPerWorker ?? Number.POSITIVE_INFINITY) - (candidate.runningOn.get(room.workerId) ?? 0),
-    );
+    const count = Math.min(wanted, countOn(probe, candidate));
+    return { room, count, victims, lostCoreMs: victims.reduce((sum, victim) => sum + victim.lostCoreMs, 0) };
 };
 
+const costPerTask = (clearing: Clearing): number => clearing.lostCoreMs / clearing.count;
+
+/** Takes the worker with the least loss for each task gained, again and again until all tasks have a place. */
 const displaceIn = (
     group: readonly Room[],
     candidate: Candidate,
     occupants: readonly Occupant[],
 ): Displacement | undefined => {
-    const copies = group.map(copyRoom);
-    const byId = new Map(copies.map(room => [room.workerId, room]));
-    const chosen = new Set<Occupant>();
+    let rooms = group.map(copyRoom);
+    let left = [...occupants];
+    const victims: Occupant[] = [];
     const assignments: Assignment[] = [];
-    const wanted = candidate.taskIndexes.length;
-    const order = copies
-        .map(room => ({ room, free: countOn(room, candidate), emptied: emptiedCount(room, candidate, occupants) }))
-        .filter(entry => entry.emptied > 0)
-        .sort((left, right) => right.free - left.free || right.emptied - left.emptied);
-    for (const { room } of order) {
-        const missing = wanted - assignments.length;
-        const count = clearRoom(room, candidate, missing, occupants, chosen, byId);
-        for (let taken = 0; taken < count; taken++) {
-            assignments.push({ taskIndex: candidate.taskIndexes[assignments.length], workerId: room.workerId });
+    while (assignments.length < candidate.taskIndexes.length) {
+        const missing = candidate.taskIndexes.length - assignments.length;
+        const best = rooms
+            .map(room => clearRoom(room, candidate, missing, left))
+            .filter(clearing => clearing.count > 0)
+            .sort((one, other) => costPerTask(one) - costPerTask(other) || other.count - one.count)
+            .at(0);
+        if (best === undefined) {
+            return undefined;
         }
-        take(room.free, occupiedBy(candidate.step), count);
-        if (assignments.length === wanted) {
-            return { victims: [...chosen], assignments };
+        const { room } = best;
+        victims.push(...best.victims);
+        left = left.filter(occupant => !best.victims.includes(occupant));
+        rooms = rooms.filter(other => other !== room);
+        const byId = new Map(rooms.map(other => [other.workerId, other]));
+        best.victims.forEach(victim => giveBack(byId, victim));
+        for (let taken = 0; taken < best.count; taken++) {
+            assignments.push({ taskIndex: candidate.taskIndexes[assignments.length], workerId: room.workerId });
         }
     }
-    return undefined;
+    return { victims, assignments };
 };
 
 const lossOf = (displacement: Displacement): number =>
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -12,6 +12,8 @@
     occupants: readonly Occupant[];
     /** Room kept since earlier rounds. */
     claims: readonly RoomClaim[];
+    /** Accelerators that work of priority 0 is expected to ask for soon, beyond what it uses now. */
+    expectedUrgent: number;
 }
 
 /** A claim whose room has not come free by then is given up: a stop takes 0.2 s, its answer up to 1 s. */
@@ -76,6 +78,23 @@
     }
 };
 
+const isWhole = (room: Room): boolean => room.usable && room.free.accelerators === room.capacity.accelerators;
+
+/** Keeps whole workers, those of one rack together, for a burst of urgent work: it then displaces less. */
+const keepForUrgent = (rooms: readonly Room[], accelerators: number): void => {
+    const racks = new Map<string, Room[]>();
+    rooms.filter(isWhole).forEach(room => racks.set(room.rack, [...racks.get(room.rack) ?? [], room]));
+    const bySize = [...racks.values()].sort((left, right) => right.length - left.length);
+    let missing = accelerators;
+    for (const room of bySize.flat()) {
+        if (missing <= 0) {
+            return;
+        }
+        room.keptForUrgent = true;
+        missing -= room.capacity.accelerators;
+    }
+};
+
 /** Decides what starts where, and what is taken back for it. */
 export const planRound = (input: RoundInput): Round => {
     const rooms = new Map(input.rooms.map(room => [room.workerId, room]));
@@ -153,7 +172,12 @@
         }
     };
 
+    let kept = false;
     for (const candidate of orderCandidates(input.candidates)) {
+        if (candidate.job.priority > 0 && !kept) {
+            kept = true;
+            keepForUrgent(input.rooms, input.expectedUrgent);
+        }
         const claim = claims.get(candidate.key);
         if (claim !== undefined) {
             useClaim(candidate, claim);
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -12,6 +12,8 @@
     free: TaskResources;
     /** Whether tasks may be started there at present. */
     usable: boolean;
+    /** Kept whole for work of priority 0 that is expected. */
+    keptForUrgent: boolean;
     /** Failures and slowness seen there lately; 0 for a sound worker. */
     suspicion: number;
     /** A task that serves its own users runs there. */
