--- a/src/execution/context.ts
+++ b/src/execution/context.ts
@@ -1,4 +1,5 @@
 import type { JobState, Run, TaskState } from "../jobs/progress.js";
+import type { EntryMetrics } from "../node/entryMetrics.js";
 import type { Log } from "../node/logs.js";
 import type { OperatorState } from "../queues/types.js";
 import type { TimerService } from "../utils/timer.js";
@@ -16,6 +17,7 @@
 export interface PlannerContext {
     timer: TimerService;
     log: Log;
+    metrics: EntryMetrics;
     /** Number of the term, which is the fencing token towards workers. */
     term: number;
     jobs: Map<string, JobState>;
--- a/src/execution/endings.ts
+++ b/src/execution/endings.ts
@@ -33,7 +33,10 @@
         job.phase = phase;
         job.reason = reason;
         job.endedAtMs = timer.wallClockMs();
-        log("info", "job ended", { jobId: job.submission.id, phase, reason });
+        const { id, priority, acceptedAtMs } = job.submission;
+        const durationMs = job.endedAtMs - acceptedAtMs;
+        log("info", "job ended", { jobId: id, phase, reason, durationMs, term: context.term });
+        context.metrics.noteJobEnd(phase, priority, durationMs);
         // the other members of a gang that is done end by themselves
         activeRuns(job).filter(({ task }) => !task.done).forEach(({ task, run }) =>
             stops.stop(task, run, `job ${phase}`)
--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -3,9 +3,10 @@
 import { activeRuns, addOccurrence, nextDueAtMs, restoreJob } from "../jobs/progress.js";
 import type { JobState, Unit } from "../jobs/progress.js";
 import { isEnded, JobPhase } from "../jobs/types.js";
+import type { EntryMetrics } from "../node/entryMetrics.js";
 import type { Log } from "../node/logs.js";
 import { planRound } from "../planning/round.js";
-import type { RoomClaim, Round } from "../planning/types.js";
+import type { Candidate, RoomClaim, Round } from "../planning/types.js";
 import { createUrgentDemand } from "../planning/urgentDemand.js";
 import type { OperatorState } from "../queues/types.js";
 import type { StateTable } from "../state/types.js";
@@ -31,6 +32,7 @@
     state: StateTable;
     timer: TimerService;
     log: Log;
+    metrics: EntryMetrics;
     term: number;
     /** Versions of the term rows of all parts, as last seen. */
     termVersions: ReadonlyMap<string, number>;
@@ -65,6 +67,8 @@
 const idleRoundMs = 250;
 /** Share of the time that planning may take, so that orders and reports are not held up. */
 const maxRoundShare = 0.3;
+/** Priorities that the figures of waiting work show; queues use 0 to 2. */
+const shownPriorities = [0, 1, 2];
 /** Longest wait for workers to tell what runs on them before the first round. */
 const clearWaitMs = 600;
 
@@ -78,6 +82,7 @@
     const context: PlannerContext = {
         timer,
         log,
+        metrics: options.metrics,
         term,
         jobs: new Map(),
         sessions: new Map(),
@@ -228,6 +233,7 @@
         context.jobs.forEach(addDueOccurrences);
         beforeRound();
         const candidates = surveyCandidates(context);
+        noteWaiting(context, candidates);
         if (candidates.length > 0) {
             const mayDisplace = candidates.some(candidate => candidate.job.priority === 0);
             const occupants = mayDisplace ? surveyOccupants(context) : [];
@@ -269,6 +275,13 @@
     }
 };
 
+const noteWaiting = ({ metrics }: PlannerContext, candidates: readonly Candidate[]): void => {
+    for (const priority of shownPriorities) {
+        const waiting = candidates.filter(candidate => candidate.job.priority === priority);
+        metrics.setWaiting(priority, waiting.reduce((sum, candidate) => sum + candidate.taskIndexes.length, 0));
+    }
+};
+
 const findUnit = (context: PlannerContext, key: string): Unit | undefined => {
     const at = key.indexOf(".");
     return context.jobs.get(key.slice(0, at))?.units.get(key.slice(at + 1));
--- a/src/execution/starts.ts
+++ b/src/execution/starts.ts
@@ -164,6 +164,8 @@
 
     const start = (unit: Unit, assignments: readonly Assignment[]): void => {
         const plannedAtMs = timer.nowMs();
+        const waitMs = plannedAtMs - (unit.readySinceMs ?? plannedAtMs);
+        context.metrics.noteStart(unit.job.submission.priority, waitMs);
         const highest = Math.max(firstRun, ...unit.tasks.map(task => task.lastRun));
         const placed: PlacedTask[] = [];
         for (const { taskIndex, workerId } of assignments) {
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -17,6 +17,7 @@
 import type { TableFollower } from "../state/follower.js";
 import type { StateRow, StateTable } from "../state/types.js";
 import type { TimerService } from "../utils/timer.js";
+import type { EntryMetrics } from "./entryMetrics.js";
 import type { Log } from "./logs.js";
 
 /** Where the operator's wishes come from. */
@@ -47,6 +48,7 @@
     clientOf: (view: WorkerView) => WorkerClient;
     /** Longest lease that workers grant. */
     maxLeaseMs: number;
+    metrics: EntryMetrics;
 }
 
 /** One entry VM: accepts jobs, answers for them and, while it holds the term, plans. */
@@ -76,7 +78,7 @@
 
 /** Starts an entry VM. */
 export const startEntryVm = (options: EntryVmOptions): EntryVm => {
-    const { state, timer, log, operator, directory } = options;
+    const { state, timer, log, operator, directory, metrics } = options;
     const book: JobBook = createJobBook();
     const termVersions = new Map<string, number>();
     let planner: Planner | undefined;
@@ -98,11 +100,13 @@
     };
 
     const onGained = (number: number): void => {
+        metrics.noteTerm("gained");
         directory.start();
         planner = startPlanner({
             state,
             timer,
             log,
+            metrics,
             term: number,
             termVersions,
             operator: operator.current,
@@ -116,6 +120,7 @@
     };
 
     const onLost = (): void => {
+        metrics.noteTerm("lost");
         planner?.stop();
         planner = undefined;
         directory.stop();
