--- a/src/bin/catkinswitch.ts
+++ b/src/bin/catkinswitch.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { Builtins, Cli } from "clipanion";
 import { CheckCommand, ExplainCommand, PublishCommand } from "../cli/intentCommands.js";
+import { TraceCommand } from "../cli/traceCommand.js";
 import { CallCommand, CancelCommand, DumpCommand, StatusCommand, SubmitCommand } from "../cli/workCommands.js";
 
 const cli = new Cli({ binaryLabel: "catkinswitch", binaryName: "catkinswitch", binaryVersion: "0.1.0" });
@@ -14,4 +15,5 @@
 cli.register(StatusCommand);
 cli.register(CancelCommand);
 cli.register(DumpCommand);
+cli.register(TraceCommand);
 void cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/src/cli/traceCommand.ts
@@ -0,0 +1,43 @@
+import { Command, Option } from "clipanion";
+import { readFile } from "node:fs/promises";
+import { Cause, findCause } from "../tracing/findCause.js";
+import { parseLogLine } from "../tracing/logLines.js";
+import type { LogLine } from "../tracing/logLines.js";
+import { BaseCommand, ExitCode } from "./base.js";
+
+const formatLine = (line: LogLine): string => {
+    const { vm, daemon, logLevel, ...rest } = line.fields;
+    const shown = Object.entries(rest).map(([name, value]) => `${name}=${JSON.stringify(value)}`).join(" ");
+    return `${new Date(line.timeMs).toISOString()} ${String(vm ?? daemon ?? logLevel)} ${line.message} ${shown}`;
+};
+
+/** Follows one job or request through the logs of all processes and names the cause of what went wrong. */
+export class TraceCommand extends BaseCommand {
+    static override paths = [["trace"]];
+    static override usage = Command.Usage({
+        description: "Follow a job through logs and name the cause of its failure or delay",
+        details: "Exit codes: 0 explained, 1 not in these logs, 2 a file cannot be read.",
+        examples: [["Why was a booking late", "catkinswitch trace 5c0e7a21d94b36f8 --logs vm1.log --logs vm2.log"]],
+    });
+
+    jobId = Option.String({ name: "id" });
+    logs = Option.Array("--logs", { required: true, description: "Log file of a process; may be given several times" });
+
+    override async execute(): Promise<number> {
+        const lines: LogLine[] = [];
+        for (const file of this.logs) {
+            const text = await readFile(file, "utf8").catch((error: unknown) => error as Error);
+            if (typeof text !== "string") {
+                this.context.stderr.write(`${file}: cannot be read: ${text.message}\n`);
+                return ExitCode.BadInput;
+            }
+            lines.push(...text.split("\n").map(parseLogLine).filter(line => line !== undefined));
+        }
+        const explanation = findCause(lines, this.jobId);
+        this.print(explanation, [
+            ...explanation.timeline.map(formatLine),
+            `cause: ${explanation.cause}: ${explanation.detail}`,
+        ]);
+        return explanation.cause === Cause.NotInTheseLogs ? ExitCode.Refused : ExitCode.Ok;
+    }
+}
