feat: wait for another worker after a failure and forget jobs that ended long ago

Change: for 2 s after a failure only other workers are taken; the planner removes the rows of jobs that ended longer ago than their state can be asked for, bounded a look and a part.

--- a/src/execution/endings.ts
+++ b/src/execution/endings.ts
@@ -19,6 +19,8 @@
     endJob(job: JobState, phase: JobPhase, reason: string): void;
 }
 
+/** Time for which a failed task rather waits than run where it failed; runs of a few seconds end meanwhile. */
+const avoidMs = 2_000;
 /** Pause before a long-running task is started again after it ended by itself. */
 const restartPauseMs = 150;
 
@@ -70,6 +72,7 @@
         }
         counted.failedRuns.add(run);
         unit.avoid.add(session.id);
+        unit.avoidUntilMs = timer.nowMs() + avoidMs;
         health.noteFailed(session.id, unit.job.submission.id);
         const { maxAttempts } = unit.job.submission;
         if (counted.failedRuns.size >= maxAttempts) {
--- /dev/null
+++ b/src/execution/forgetting.ts
@@ -0,0 +1,37 @@
+import { activeRuns } from "../jobs/progress.js";
+import type { JobState } from "../jobs/progress.js";
+import { jobRowKey, JobRowKind, jobsTable, partOfJob } from "../jobs/rows.js";
+import { describeStateError } from "../state/types.js";
+import type { StateTable } from "../state/types.js";
+import type { PlannerContext } from "./context.js";
+
+/** Jobs removed by one transaction, which takes 100 entries. */
+const maxJobsPerCommit = 30;
+
+const isOver = (job: JobState, wallMs: number, retainMs: number): boolean =>
+    job.endedAtMs !== undefined && wallMs - job.endedAtMs > retainMs && activeRuns(job).length === 0;
+
+/** Removes the rows of jobs that ended long ago; what cannot be removed now is tried again at the next look. */
+export const forgetEndedJobs = async (context: PlannerContext, state: StateTable, retainMs: number): Promise<void> => {
+    const wallMs = context.timer.wallClockMs();
+    const byPart = new Map<string, string[]>();
+    for (const [jobId, job] of context.jobs) {
+        const part = partOfJob(jobId);
+        const chosen = byPart.get(part) ?? [];
+        if (context.mayOrder() && isOver(job, wallMs, retainMs) && chosen.length < maxJobsPerCommit) {
+            byPart.set(part, [...chosen, jobId]);
+        }
+    }
+    for (const [part, jobIds] of byPart) {
+        const kinds = Object.values(JobRowKind);
+        const writes = jobIds.flatMap(jobId => kinds.map(kind => ({ table: jobsTable, key: jobRowKey(jobId, kind) })));
+        const removed = await state.commit({ part, conditions: [], writes });
+        if (removed.ok) {
+            jobIds.forEach(jobId => context.jobs.delete(jobId));
+            context.log("info", "ended jobs forgotten", { part, jobs: jobIds.length, version: removed.value.version });
+        }
+        else {
+            context.log("warn", "ended jobs not forgotten yet", { part, reason: describeStateError(removed.error) });
+        }
+    }
+};
--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -14,12 +14,15 @@
 import { createRunTable } from "./context.js";
 import type { PlannerContext } from "./context.js";
 import { createEndings } from "./endings.js";
+import { forgetEndedJobs } from "./forgetting.js";
 import { createRecorder } from "./recorder.js";
 import type { Recorder } from "./recorder.js";
 import { createReports } from "./reports.js";
 import type { WorkerSession } from "./session.js";
 import { createStarts } from "./starts.js";
+import type { Starts } from "./starts.js";
 import { createStops } from "./stops.js";
+import type { Stops } from "./stops.js";
 import { surveyCandidates, surveyOccupants, surveyRooms, surveyUrgentUse } from "./survey.js";
 import { takeOver } from "./takeover.js";
 import type { WorkerClient, WorkerView } from "./types.js";
@@ -46,6 +49,8 @@
     mayOrder: () => boolean;
     /** Whether leases of what runs may be renewed. */
     mayRenew: () => boolean;
+    /** Time for which an ended job is remembered. */
+    retainMs: number;
     /** Called when the term turns out to be over. */
     onFenced: (reason: string) => void;
 }
@@ -67,6 +72,8 @@
 const idleRoundMs = 250;
 /** Share of the time that planning may take, so that orders and reports are not held up. */
 const maxRoundShare = 0.3;
+/** Time between looks for ended jobs to forget; each look removes at most one transaction's worth a part. */
+const forgetEveryMs = 5_000;
 /** Priorities that the figures of waiting work show; queues use 0 to 2. */
 const shownPriorities = [0, 1, 2];
 /** Longest wait for workers to tell what runs on them before the first round. */
@@ -108,25 +115,7 @@
         mayRenew: () => !over && options.mayRenew(),
         onFenced: options.onFenced,
     });
-    const rounds = createRounds(context, round => {
-        round.evictions.forEach(({ occupant, forKey }) => {
-            const unit = findUnit(context, occupant.key);
-            if (unit !== undefined) {
-                unit.evictions += 1;
-                occupant.tasks.map(({ taskIndex }) => unit.tasks[taskIndex]).forEach(task => {
-                    if (task.run !== undefined) {
-                        stops.stop(task, task.run, `makes room for ${forKey}`);
-                    }
-                });
-            }
-        });
-        round.placements.forEach(({ candidate, assignments }) => {
-            const unit = findUnit(context, candidate.key);
-            if (unit !== undefined) {
-                starts.start(unit, assignments);
-            }
-        });
-    }, watch.moveFromLeaving);
+    const rounds = createRounds(context, round => carryOut(context, stops, starts, round), watch.moveFromLeaving);
 
     const adopt = (jobId: string, entry: JobEntry): void => {
         if (entry.submission === undefined || context.jobs.has(jobId)) {
@@ -183,6 +172,7 @@
     };
 
     void begin();
+    const stopForgetting = timer.every(forgetEveryMs, () => forgetEndedJobs(context, options.state, options.retainMs));
 
     return {
         onJob: (jobId, entry) => {
@@ -202,6 +192,7 @@
         dump: () => ({ ...dumpContext(context), unrecorded: recorder?.pendingCount() ?? 0, claims: rounds.claims() }),
         stop: () => {
             over = true;
+            stopForgetting();
             rounds.stop();
             recorder?.stop();
             sessions.closeAll();
@@ -209,6 +200,28 @@
     };
 };
 
+const carryOut = (context: PlannerContext, stops: Stops, starts: Starts, round: Round): void => {
+    for (const { occupant, forKey } of round.evictions) {
+        const unit = findUnit(context, occupant.key);
+        if (unit === undefined) {
+            continue;
+        }
+        unit.evictions += 1;
+        for (const { taskIndex } of occupant.tasks) {
+            const task = unit.tasks[taskIndex];
+            if (task.run !== undefined) {
+                stops.stop(task, task.run, `makes room for ${forKey}`);
+            }
+        }
+    }
+    for (const { candidate, assignments } of round.placements) {
+        const unit = findUnit(context, candidate.key);
+        if (unit !== undefined) {
+            starts.start(unit, assignments);
+        }
+    }
+};
+
 /** Runs planning rounds soon after changes and at intervals. */
 const createRounds = (context: PlannerContext, carryOut: (round: Round) => void, beforeRound: () => void) => {
     const { timer } = context;
--- a/src/execution/survey.ts
+++ b/src/execution/survey.ts
@@ -115,6 +115,7 @@
         step: unit.step,
         taskIndexes,
         avoid: unit.avoid,
+        avoidsStrictly: nowMs < unit.avoidUntilMs,
         runningOn: countRunning(unit),
         waitingMs: nowMs - unit.readySinceMs,
         objectiveInMs: unit.step.longRunning ? Number.MAX_SAFE_INTEGER : objectiveMs(submission) - ageMs,
--- a/src/execution/watch.ts
+++ b/src/execution/watch.ts
@@ -16,6 +16,8 @@
 const standstillMs = 2_500;
 /** Least time that a leaving worker has left when its work is taken off: a stop, its report and a start elsewhere. */
 const moveBeforeMs = 900;
+/** Time for which work that stood still rather waits than go back to its worker. */
+const avoidMs = 2_000;
 /** Share of work that is complete. */
 const fullPercent = 100;
 
@@ -50,6 +52,7 @@
         context.health.noteTrouble(session.id);
         for (const task of stuck) {
             task.unit.avoid.add(session.id);
+            task.unit.avoidUntilMs = context.timer.nowMs() + avoidMs;
             if (task.run !== undefined) {
                 stops.stop(task, task.run, "it stands still");
             }
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -59,6 +59,8 @@
     complete: boolean;
     /** Workers on which its tasks failed. */
     avoid: Set<string>;
+    /** Steady time until which it rather waits than run on one of these. */
+    avoidUntilMs: number;
     evictions: number;
     /** Steady time before which it is not started again. */
     notBeforeMs: number;
@@ -104,6 +106,7 @@
         tasks: [],
         complete: false,
         avoid: new Set(),
+        avoidUntilMs: Number.NEGATIVE_INFINITY,
         evictions: 0,
         notBeforeMs: Number.NEGATIVE_INFINITY,
     };
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -48,6 +48,8 @@
     clientOf: (view: WorkerView) => WorkerClient;
     /** Longest lease that workers grant. */
     maxLeaseMs: number;
+    /** Time for which an ended job is remembered. */
+    retainMs: number;
     metrics: EntryMetrics;
 }
 
@@ -113,6 +115,7 @@
             workers: directory.workers,
             clientOf: options.clientOf,
             maxLeaseMs: options.maxLeaseMs,
+            retainMs: options.retainMs,
             mayOrder: () => term.mayOrder(),
             mayRenew: () => term.mayRenew(),
             onFenced: reason => term.lose(reason),
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -23,7 +23,8 @@
 /** Whether a task of the candidate may run on a worker at all, room aside. */
 export const isAllowed = (room: Room, candidate: Candidate): boolean =>
     room.usable && room.service === candidate.job.service && hasLabel(room, candidate.step)
-    && !(room.keptForUrgent && candidate.job.priority > 0);
+    && !(room.keptForUrgent && candidate.job.priority > 0)
+    && !(candidate.avoidsStrictly && candidate.avoid.has(room.workerId));
 
 /** Tasks of a candidate that a worker takes with a given amount free. */
 export const countOn = (room: Room, candidate: Candidate): number => {
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -32,6 +32,8 @@
     taskIndexes: number[];
     /** Workers on which the task failed before. */
     avoid: ReadonlySet<string>;
+    /** It rather waits than run on one of these. */
+    avoidsStrictly: boolean;
     /** Tasks of the same step and occurrence that run already, by worker. */
     runningOn: ReadonlyMap<string, number>;
     /** Time since the first of its tasks could have started. */
--- a/test/entryVm.test.ts
+++ b/test/entryVm.test.ts
@@ -94,6 +94,16 @@
         assert.equal(await phaseOn(fleet, "vm2", "a1"), JobPhase.Cancelled);
     });
 
+    it("is forgotten some time after its end, on every VM", async () => {
+        const fleet = await startedFleet();
+        await fleet.submit(createSubmission("a1", [createStep()]));
+        await fleet.timer.advance(20_000);
+        assert.equal(await phaseOn(fleet, "vm1", "a1"), JobPhase.Succeeded);
+        await fleet.timer.advance(30_000);
+        assert.isUndefined(await phaseOn(fleet, "vm1", "a1"));
+        assert.equal(fleet.rowCount(), 9, "the lease and a term row for each part are left");
+    });
+
     it("fails after as many failed runs as its queue allows", async () => {
         const fleet = await startedFleet();
         const work = { workMs: 200, failures: 99 };
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -57,6 +57,15 @@
         assert.deepEqual(new Set(used), new Set(["w2"]));
     });
 
+    it("waits for another worker after a failure before it goes back to the same", () => {
+        const place = (avoidsStrictly: boolean): string[] => {
+            const candidates = [createCandidate("again", { avoid: new Set(["w0"]), avoidsStrictly })];
+            return workersOf(planRound(createRoundInput({ rooms: createRacks(1, 1), candidates })), "again");
+        };
+        assert.deepEqual(place(true), []);
+        assert.deepEqual(place(false), ["w0"]);
+    });
+
     it("stays near its data under load and leaves it when most of the room is free", () => {
         const busyRack = createRoom("near", { rack: "r1-1", free: { milliCores: 0, memoryMb: 0, accelerators: 0 } });
         const rooms =
