feat: reach the table through another VM while the own way is closed

Cause: with the table closed to some VMs, those refused their callers for the whole outage and a planner among them lost its term. Ruled out: a health flag for the whole table (with a quarter of the parts silent, every VM would have called itself cut off and refused to relay). Between processes Node's http, the nearest kin to gRPC that does not add 12 MB to a process of 24 MB.

--- /dev/null
+++ b/src/node/relayPeer.ts
@@ -0,0 +1,41 @@
+import type { Peer } from "../state/peerDirectory.js";
+import type { RelayPeer, RelayReply, RelayRequest } from "../state/relay.js";
+import { StateErrorKind } from "../state/types.js";
+import { createHttpClient } from "../utils/httpJsonClient.js";
+import type { HttpClient } from "../utils/httpJsonClient.js";
+import { fail } from "../utils/result.js";
+
+/** Path under which a VM performs operations on the table for another. */
+export const relayPath = "/v1/relay";
+/** Time that a relayed operation may take beyond what it waits: the peer's own time-out would end it soon after. */
+const relayTimeoutMs = 900;
+const maxConnections = 4;
+const ok = 200;
+
+/** Creates the peers that relay for this VM, one client for each address. */
+export const createRelayPeers = (others: () => readonly Peer[]): () => RelayPeer[] => {
+    const clients = new Map<string, HttpClient>();
+    const clientOf = (address: string): HttpClient => {
+        const client = clients.get(address) ?? createHttpClient(address, maxConnections);
+        clients.set(address, client);
+        return client;
+    };
+    const perform = async (peer: Peer, request: RelayRequest): Promise<RelayReply> => {
+        const waitMs = request.operation === "changes" ? request.waitMs : 0;
+        const outcome = await clientOf(peer.address).call({
+            method: "POST",
+            path: relayPath,
+            body: request,
+            timeoutMs: relayTimeoutMs + waitMs,
+        });
+        if (!outcome.ok) {
+            const kind = outcome.failure.notSent ? StateErrorKind.Unavailable : StateErrorKind.NoAnswer;
+            return fail({ kind, detail: `${peer.name}: ${outcome.failure.detail}` });
+        }
+        if (outcome.answer.status !== ok) {
+            return fail({ kind: StateErrorKind.Unavailable, detail: `${peer.name} answered ${outcome.answer.status}` });
+        }
+        return outcome.answer.body as RelayReply;
+    };
+    return () => others().map(peer => ({ name: peer.name, perform: request => perform(peer, request) }));
+};
--- /dev/null
+++ b/src/state/peerDirectory.ts
@@ -0,0 +1,70 @@
+import type { Log } from "../node/logs.js";
+import type { TimerService } from "../utils/timer.js";
+import { describeStateError } from "./types.js";
+import type { StateTable } from "./types.js";
+
+/** Another entry VM. */
+export interface Peer {
+    name: string;
+    /** `host:port` for operators and other VMs. */
+    address: string;
+}
+
+/** The entry VMs that have registered themselves. */
+export interface PeerDirectory {
+    /** The others, in random order that changes with each reading. */
+    others(): readonly Peer[];
+    /** Removes the own entry. */
+    leave(): Promise<void>;
+    stop(): void;
+}
+
+/** Table in which entry VMs register; outside the jobs table, whose changes every VM follows. */
+const vmsTable = "vms";
+/** Time between readings: VMs come and go some hundred times a day. */
+const readMs = 5_000;
+
+/** Registers this VM and keeps a list of the others. */
+export const createPeerDirectory = (
+    state: StateTable,
+    timer: TimerService,
+    log: Log,
+    own: Peer,
+): PeerDirectory => {
+    let peers: Peer[] = [];
+    let registered = false;
+
+    const register = async (): Promise<void> => {
+        const row = { table: vmsTable, key: own.name, value: { address: own.address } };
+        const written = await state.commit({ part: "", conditions: [], writes: [row] });
+        registered = written.ok;
+        if (!written.ok) {
+            log("warn", "not registered as an entry VM yet", { reason: describeStateError(written.error) });
+        }
+    };
+
+    const refresh = async (): Promise<void> => {
+        if (!registered) {
+            await register();
+        }
+        const read = await state.read({ table: vmsTable, part: "" });
+        if (read.ok) {
+            peers = read.value.rows
+                .map(row => ({ name: row.key, address: String((row.value as { address?: unknown; })?.address ?? "") }))
+                .filter(peer => peer.name !== own.name && peer.address !== "")
+                .map(peer => ({ peer, rank: Math.random() }))
+                .sort((left, right) => left.rank - right.rank)
+                .map(entry => entry.peer);
+        }
+    };
+
+    void refresh();
+    const unsubscribe = timer.every(readMs, refresh);
+    return {
+        others: () => peers,
+        leave: async () => {
+            await state.commit({ part: "", conditions: [], writes: [{ table: vmsTable, key: own.name }] });
+        },
+        stop: unsubscribe,
+    };
+};
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -73,7 +73,8 @@
 };
 
 const writeAnswer = (response: ServerResponse, answer: JsonAnswer): void => {
-    const text = JSON.stringify(answer.body ?? {});
+    // a text goes out as it is, for formats other than JSON
+    const text = typeof answer.body === "string" ? answer.body : JSON.stringify(answer.body ?? {});
     response.writeHead(answer.status, {
         "content-type": "application/json",
         "content-length": Buffer.byteLength(text),
--- a/platform/httpClient.ts
+++ b/src/utils/httpJsonClient.ts
@@ -1,6 +1,6 @@
 import { Agent, request } from "node:http";
 import type { OutgoingHttpHeaders } from "node:http";
-import { parseJson } from "./json.js";
+import { parseJson } from "./parseJson.js";
 
 /** Answer of an HTTP call. */
 export interface HttpAnswer {
