--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -77,7 +77,7 @@
 /** Priorities that the figures of waiting work show; queues use 0 to 2. */
 const shownPriorities = [0, 1, 2];
 /** Longest wait for workers to tell what runs on them before the first round. */
-const clearWaitMs = 600;
+const clearWaitMs = 250;
 
 /** Starts to plan for a term: takes over the records, learns what runs, then decides and orders. */
 export const startPlanner = (options: PlannerOptions): Planner => {
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -3,9 +3,9 @@
 import type { Assignment, Candidate, Room } from "./types.js";
 
 /** Waiting time after which work that fills idle cores may run beside tasks that serve. */
-const mixAfterMs = 1_200;
+export const mixAfterMs = 1_200;
 /** Waiting time after which work goes where it is slowed down, if most of the room is free. */
-const leaveRackAfterMs = 1_500;
+export const leaveRackAfterMs = 1_500;
 /** Share of the accelerators and cores in use up to which slowed-down work takes room from nobody. */
 const idleShare = 0.5;
 
@@ -96,62 +96,80 @@
     return racks.length > 0 ? racks : [[...home]];
 };
 
-const leftoverOf = (room: Room, candidate: Candidate): number =>
-    room.free.accelerators - candidate.step.resources.accelerators * countOn(room, candidate);
+/** What a worker can take of a candidate. */
+interface Offer {
+    room: Room;
+    count: number;
+    avoided: boolean;
+    /** Accelerators left over once it has taken that. */
+    leftover: number;
+}
+
+const offersOf = (rooms: readonly Room[], candidate: Candidate): Offer[] => {
+    const offers: Offer[] = [];
+    for (const room of rooms) {
+        const count = mixesWell(room, candidate) ? countOn(room, candidate) : 0;
+        if (count > 0) {
+            const leftover = room.free.accelerators - candidate.step.resources.accelerators * count;
+            offers.push({ room, count, avoided: candidate.avoid.has(room.workerId), leftover });
+        }
+    }
+    return offers;
+};
 
 /** Sound workers first, then those that fill up exactly, then the fullest, so that whole workers stay free. */
-const preferRooms = (rooms: readonly Room[], candidate: Candidate): Room[] =>
-    rooms
-        .filter(room => countOn(room, candidate) > 0)
-        .sort((left, right) =>
-            Number(candidate.avoid.has(left.workerId)) - Number(candidate.avoid.has(right.workerId))
-            || left.suspicion - right.suspicion
-            || Number(!mixesWell(left, candidate)) - Number(!mixesWell(right, candidate))
-            || leftoverOf(left, candidate) - leftoverOf(right, candidate)
-            || left.free.accelerators - right.free.accelerators
-            || left.free.milliCores - right.free.milliCores
-            || (left.workerId < right.workerId ? -1 : 1)
-        );
+const compareOffers = (left: Offer, right: Offer): number =>
+    Number(left.avoided) - Number(right.avoided)
+    || left.room.suspicion - right.room.suspicion
+    || left.leftover - right.leftover
+    || left.room.free.accelerators - right.room.free.accelerators
+    || left.room.free.milliCores - right.room.free.milliCores
+    || (left.room.workerId < right.room.workerId ? -1 : 1);
 
 /** Packs tasks onto workers in order of preference; shorter than asked for when they do not all fit. */
-const pack = (rooms: readonly Room[], candidate: Candidate, taskIndexes: readonly number[]): Assignment[] => {
+const pack = (offers: readonly Offer[], taskIndexes: readonly number[]): Assignment[] => {
     const assignments: Assignment[] = [];
-    for (const room of rooms) {
-        const count = Math.min(countOn(room, candidate), taskIndexes.length - assignments.length);
-        for (let taken = 0; taken < count; taken++) {
+    for (const { room, count } of [...offers].sort(compareOffers)) {
+        const taken = Math.min(count, taskIndexes.length - assignments.length);
+        for (let index = 0; index < taken; index++) {
             assignments.push({ taskIndex: taskIndexes[assignments.length], workerId: room.workerId });
         }
+        if (assignments.length === taskIndexes.length) {
+            break;
+        }
     }
     return assignments;
 };
 
-const suspicionOf = (assignments: readonly Assignment[], rooms: readonly Room[]): number => {
+const totalCount = (offers: readonly Offer[]): number => offers.reduce((sum, offer) => sum + offer.count, 0);
+
+const suspicionOf = (assignments: readonly Assignment[], offers: readonly Offer[]): number => {
     const used = new Set(assignments.map(assignment => assignment.workerId));
-    return rooms.reduce((worst, room) => used.has(room.workerId) ? Math.max(worst, room.suspicion) : worst, 0);
+    return offers.reduce((worst, { room }) => used.has(room.workerId) ? Math.max(worst, room.suspicion) : worst, 0);
 };
 
+/** Groups compared whole, those that a gang fills best first. */
+const maxGroupsCompared = 3;
+
 /** Finds workers for all tasks of a gang, or none. */
-export const placeGang = (rooms: readonly Room[], candidate: Candidate): Assignment[] | undefined => {
-    const wanted = candidate.taskIndexes.length;
-    const options = gangGroups(rooms, candidate)
-        .map(group => group.filter(room => mixesWell(room, candidate)))
-        .map(group => ({ group, count: sumCounts(group, candidate) }))
-        .filter(option => option.count >= wanted)
-        .map(option => ({
-            count: option.count,
-            assignments: pack(preferRooms(option.group, candidate), candidate, candidate.taskIndexes),
-        }))
-        .map(option => ({ ...option, suspicion: suspicionOf(option.assignments, rooms) }))
-        .sort((left, right) => left.suspicion - right.suspicion || left.count - right.count);
-    return options.at(0)?.assignments;
-};
+export const placeGang = (rooms: readonly Room[], candidate: Candidate): Assignment[] | undefined =>
+    gangGroups(rooms, candidate)
+        .map(group => offersOf(group, candidate))
+        .map(offers => ({ offers, count: totalCount(offers) }))
+        .filter(option => option.count >= candidate.taskIndexes.length)
+        .sort((left, right) => left.count - right.count)
+        .slice(0, maxGroupsCompared)
+        .map(({ offers }) => ({ offers, assignments: pack(offers, candidate.taskIndexes) }))
+        .map(({ offers, assignments }) => ({ assignments, suspicion: suspicionOf(assignments, offers) }))
+        .sort((left, right) => left.suspicion - right.suspicion)
+        .at(0)?.assignments;
 
 /** Finds workers for as many independent tasks as possible. */
 export const placeTasks = (rooms: readonly Room[], candidate: Candidate): Assignment[] => {
-    const allowed = rooms.filter(room => isAllowed(room, candidate) && mixesWell(room, candidate));
+    const allowed = rooms.filter(room => isAllowed(room, candidate));
     const near = allowed.filter(room => isNearData(room, candidate.step));
-    const assignments = pack(preferRooms(near, candidate), candidate, candidate.taskIndexes);
+    const assignments = pack(offersOf(near, candidate), candidate.taskIndexes);
     return assignments.length === 0 && mayRunAnywhere(rooms, candidate)
-        ? pack(preferRooms(allowed, candidate), candidate, candidate.taskIndexes)
+        ? pack(offersOf(allowed, candidate), candidate.taskIndexes)
         : assignments;
 };
--- a/src/planning/preemption.ts
+++ b/src/planning/preemption.ts
@@ -14,22 +14,32 @@
 const mayDisplace = (candidate: Candidate, occupant: Occupant): boolean =>
     occupant.priority > candidate.job.priority && (candidate.guaranteed || occupant.evictions < maxEvictions);
 
-const copyRoom = (room: Room): Room => ({ ...room, free: { ...room.free } });
+/** Part of an occupant that runs on one worker. */
+interface Presence {
+    occupant: Occupant;
+    taskCount: number;
+}
 
-const tasksOn = (occupant: Occupant, workerId: string): number =>
-    occupant.tasks.filter(task => task.workerId === workerId).length;
+/** Occupants by worker, those with the least lost work for each core that they free first. */
+export type OccupantIndex = ReadonlyMap<string, readonly Presence[]>;
 
-/** Lost work for each core that a victim frees on a worker. */
-const priceOn = (occupant: Occupant, workerId: string): number =>
-    (occupant.lostCoreMs + 1) / (coresOf(occupant.resources) * Math.max(1, tasksOn(occupant, workerId)));
+const pricePerCore = ({ occupant, taskCount }: Presence): number =>
+    (occupant.lostCoreMs + 1) / (coresOf(occupant.resources) * taskCount);
 
-const giveBack = (rooms: ReadonlyMap<string, Room>, occupant: Occupant): void => {
-    for (const task of occupant.tasks) {
-        const room = rooms.get(task.workerId);
-        if (room !== undefined) {
-            take(room.free, occupant.resources, -1);
+/** Builds the index of a round. */
+export const indexOccupants = (occupants: readonly Occupant[]): OccupantIndex => {
+    const index = new Map<string, Presence[]>();
+    for (const occupant of occupants) {
+        const counts = new Map<string, number>();
+        occupant.tasks.forEach(({ workerId }) => counts.set(workerId, (counts.get(workerId) ?? 0) + 1));
+        for (const [workerId, taskCount] of counts) {
+            const present = index.get(workerId) ?? [];
+            present.push({ occupant, taskCount });
+            index.set(workerId, present);
         }
     }
+    index.forEach(present => present.sort((left, right) => pricePerCore(left) - pricePerCore(right)));
+    return index;
 };
 
 /** What clearing one worker gains and costs. */
@@ -42,71 +52,85 @@
 }
 
 /** Empties one worker of the cheapest victims until it takes `wanted` tasks or nothing is left to take. */
-const clearRoom = (room: Room, candidate: Candidate, wanted: number, occupants: readonly Occupant[]): Clearing => {
-    const probe = copyRoom(room);
-    const present = occupants
-        .filter(occupant => tasksOn(occupant, room.workerId) > 0)
-        .sort((left, right) => priceOn(left, room.workerId) - priceOn(right, room.workerId));
+const clearRoom = (
+    room: Room,
+    candidate: Candidate,
+    wanted: number,
+    present: readonly Presence[],
+    chosen: ReadonlySet<Occupant>,
+): Clearing => {
+    const probe = { ...room, free: { ...room.free } };
     const victims: Occupant[] = [];
-    for (const occupant of present) {
+    let lostCoreMs = 0;
+    for (const { occupant, taskCount } of present) {
+        if (chosen.has(occupant)) {
+            take(probe.free, occupant.resources, -taskCount);
+        }
+    }
+    for (const { occupant, taskCount } of present) {
         if (countOn(probe, candidate) >= wanted) {
             break;
         }
-        victims.push(occupant);
-        take(probe.free, occupant.resources, -tasksOn(occupant, room.workerId));
+        if (!chosen.has(occupant) && mayDisplace(candidate, occupant)) {
+            victims.push(occupant);
+            lostCoreMs += occupant.lostCoreMs;
+            take(probe.free, occupant.resources, -taskCount);
+        }
     }
-    const count = Math.min(wanted, countOn(probe, candidate));
-    return { room, count, victims, lostCoreMs: victims.reduce((sum, victim) => sum + victim.lostCoreMs, 0) };
+    return { room, count: Math.min(wanted, countOn(probe, candidate)), victims, lostCoreMs };
 };
 
 const costPerTask = (clearing: Clearing): number => clearing.lostCoreMs / clearing.count;
 
-/** Takes the worker with the least loss for each task gained, again and again until all tasks have a place. */
+/** Takes workers in order of the loss for each task gained until all tasks have a place. */
 const displaceIn = (
     group: readonly Room[],
     candidate: Candidate,
-    occupants: readonly Occupant[],
+    index: OccupantIndex,
+    taken: ReadonlySet<Occupant>,
 ): Displacement | undefined => {
-    let rooms = group.map(copyRoom);
-    let left = [...occupants];
+    const wanted = candidate.taskIndexes.length;
+    const none: readonly Presence[] = [];
+    const clear = (room: Room, missing: number, chosen: ReadonlySet<Occupant>): Clearing =>
+        clearRoom(room, candidate, missing, index.get(room.workerId) ?? none, chosen);
+    const order = group
+        .map(room => clear(room, wanted, taken))
+        .filter(clearing => clearing.count > 0)
+        .sort((left, right) => costPerTask(left) - costPerTask(right) || right.count - left.count);
+    const chosen = new Set(taken);
     const victims: Occupant[] = [];
     const assignments: Assignment[] = [];
-    while (assignments.length < candidate.taskIndexes.length) {
-        const missing = candidate.taskIndexes.length - assignments.length;
-        const best = rooms
-            .map(room => clearRoom(room, candidate, missing, left))
-            .filter(clearing => clearing.count > 0)
-            .sort((one, other) => costPerTask(one) - costPerTask(other) || other.count - one.count)
-            .at(0);
-        if (best === undefined) {
-            return undefined;
-        }
-        const { room } = best;
-        victims.push(...best.victims);
-        left = left.filter(occupant => !best.victims.includes(occupant));
-        rooms = rooms.filter(other => other !== room);
-        const byId = new Map(rooms.map(other => [other.workerId, other]));
-        best.victims.forEach(victim => giveBack(byId, victim));
-        for (let taken = 0; taken < best.count; taken++) {
+    for (const { room } of order) {
+        // fewer tasks may be missing by now, and a gang taken elsewhere may have left this worker too
+        const clearing = clear(room, wanted - assignments.length, chosen);
+        clearing.victims.forEach(victim => chosen.add(victim));
+        victims.push(...clearing.victims);
+        for (let count = 0; count < clearing.count; count++) {
             assignments.push({ taskIndex: candidate.taskIndexes[assignments.length], workerId: room.workerId });
         }
+        if (assignments.length === wanted) {
+            return { victims, assignments };
+        }
     }
-    return { victims, assignments };
+    return undefined;
 };
 
 const lossOf = (displacement: Displacement): number =>
     displacement.victims.reduce((sum, victim) => sum + victim.lostCoreMs, 0);
 
-/** Finds the cheapest set of less important runs whose end makes room for all tasks of a candidate. */
+/**
+ * Finds the cheapest set of less important runs whose end makes room for all tasks of a candidate.
+ *
+ * @param taken runs that are taken back already; their room belongs to others
+ */
 export const findDisplacement = (
     rooms: readonly Room[],
-    occupants: readonly Occupant[],
+    index: OccupantIndex,
     candidate: Candidate,
-): Displacement | undefined => {
-    const allowed = occupants.filter(occupant => mayDisplace(candidate, occupant));
-    return gangGroups(rooms, candidate)
-        .map(group => displaceIn(group, candidate, allowed))
+    taken: ReadonlySet<Occupant>,
+): Displacement | undefined =>
+    gangGroups(rooms, candidate)
+        .map(group => displaceIn(group, candidate, index, taken))
         .filter(displacement => displacement !== undefined)
         .sort((left, right) => lossOf(left) - lossOf(right))
         .at(0);
-};
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -1,6 +1,6 @@
 import { orderCandidates, Tier, tierOf } from "./order.js";
-import { gangGroups, placeGang, placeTasks } from "./placement.js";
-import { findDisplacement } from "./preemption.js";
+import { gangGroups, leaveRackAfterMs, mixAfterMs, placeGang, placeTasks } from "./placement.js";
+import { findDisplacement, indexOccupants } from "./preemption.js";
 import { fitCount, occupiedBy, take } from "./resources.js";
 import type { Assignment, Candidate, Occupant, Room, RoomClaim, Round } from "./types.js";
 
@@ -78,6 +78,41 @@
     }
 };
 
+/**
+ * Remembers work that found no place in a round, so that a backlog of like work is not looked at again and again. What
+ * is free only shrinks within a round, but for claims that are used by those they were made for.
+ */
+const createHopeless = () => {
+    const seen = new Map<string, number>();
+    const kindOf = ({ step, job, guaranteed, avoid, avoidsStrictly, runningOn, waitingMs }: Candidate): string =>
+        JSON.stringify([
+            waitingMs > leaveRackAfterMs,
+            waitingMs > mixAfterMs,
+            step.resources,
+            step.gang,
+            step.sameRack,
+            step.dataRack,
+            step.requiredLabel,
+            step.maxPerWorker,
+            job.service,
+            job.priority,
+            guaranteed,
+            avoidsStrictly ? [...avoid] : [],
+            step.maxPerWorker === undefined ? [] : [...runningOn],
+        ]);
+    return {
+        add: (candidate: Candidate): void => {
+            const kind = kindOf(candidate);
+            const size = candidate.step.gang ? candidate.taskIndexes.length : 0;
+            seen.set(kind, Math.min(size, seen.get(kind) ?? Number.POSITIVE_INFINITY));
+        },
+        /** Whether like work of at most the same size found no place. */
+        has: (candidate: Candidate): boolean =>
+            (candidate.step.gang ? candidate.taskIndexes.length : 0)
+                >= (seen.get(kindOf(candidate)) ?? Number.POSITIVE_INFINITY),
+    };
+};
+
 const isWhole = (room: Room): boolean => room.usable && room.free.accelerators === room.capacity.accelerators;
 
 /** Keeps whole workers, those of one rack together, for a burst of urgent work: it then displaces less. */
@@ -103,6 +138,8 @@
         input.claims.filter(claim => isKept(claim, input, rooms)).map(claim => [claim.key, claim]),
     );
     claims.forEach(claim => holdClaim(rooms, claim, 1));
+    const occupants = indexOccupants(input.occupants);
+    const hopeless = createHopeless();
     const evicted = new Set<Occupant>();
     let reservations = 0;
 
@@ -123,8 +160,7 @@
     };
 
     const displace = (candidate: Candidate): boolean => {
-        const left = input.occupants.filter(occupant => !evicted.has(occupant));
-        const displacement = findDisplacement(input.rooms, left, candidate);
+        const displacement = findDisplacement(input.rooms, occupants, candidate, evicted);
         if (displacement === undefined) {
             return false;
         }
@@ -144,13 +180,16 @@
     };
 
     const decideGang = (candidate: Candidate): void => {
-        const assignments = placeGang(input.rooms, candidate);
-        if (assignments !== undefined) {
-            placeAt(candidate, assignments);
-            return;
-        }
-        if (mayDisplaceOthers(candidate) && displace(candidate)) {
-            return;
+        if (!hopeless.has(candidate)) {
+            const assignments = placeGang(input.rooms, candidate);
+            if (assignments !== undefined) {
+                placeAt(candidate, assignments);
+                return;
+            }
+            if (mayDisplaceOthers(candidate) && displace(candidate)) {
+                return;
+            }
+            hopeless.add(candidate);
         }
         if (
             candidate.waitingMs > reserveAfterMs && reservations < maxReservations && tierOf(candidate) < Tier.Useless
@@ -161,14 +200,17 @@
     };
 
     const decideTasks = (candidate: Candidate): void => {
+        if (hopeless.has(candidate)) {
+            return;
+        }
         const assignments = placeTasks(input.rooms, candidate);
         if (assignments.length > 0) {
             placeAt(candidate, assignments);
         }
         const placed = new Set(assignments.map(assignment => assignment.taskIndex));
         const rest = { ...candidate, taskIndexes: candidate.taskIndexes.filter(index => !placed.has(index)) };
-        if (rest.taskIndexes.length > 0 && mayDisplaceOthers(candidate)) {
-            displace(rest);
+        if (rest.taskIndexes.length > 0 && !(mayDisplaceOthers(candidate) && displace(rest))) {
+            hopeless.add(candidate);
         }
     };
 
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -111,6 +111,38 @@
     });
 });
 
+describe("a planning round at the size that decides the design", () => {
+    /** Work of a round that finds no place, in looks at workers, which do not depend on the machine. */
+    const countLooks = (workerCount: number, waitingCount: number): number => {
+        let looks = 0;
+        const rooms = createRacks(workerCount / 20, 20).map(room => {
+            const free = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+            return Object.defineProperty(room, "usable", {
+                get: () => {
+                    looks += 1;
+                    return true;
+                },
+            }) && Object.assign(room, { free });
+        });
+        const candidates = Array.from(
+            { length: waitingCount },
+            (_, index) =>
+                createCandidate(`c${index}`, {
+                    taskCount: 1 + index % 8,
+                    priority: index % 3,
+                    gang: true,
+                    sameRack: true,
+                }),
+        );
+        planRound(createRoundInput({ rooms, candidates }));
+        return looks;
+    };
+
+    it("looks at a backlog of like work once and not for each job again", () => {
+        assert.isAtMost(countLooks(760, 400), 2 * countLooks(760, 40));
+    });
+});
+
 describe("taking back", () => {
     it("takes the runs that lose least for each task gained", () => {
         const rooms = createRacks(1, 2);
