fix: a clear problem for a missing directory and for input that nests too deeply

Cause: check ended with a stack trace for 200,000 opening brackets (the parser is recursive) and with 'Internal Error' for a directory that is not there. Change: brackets are counted by the library's scanner before parsing; a missing directory is a problem like any other. Tests: configuration, both seen failing.

--- a/src/configuration/queries/collect.ts
+++ b/src/configuration/queries/collect.ts
@@ -53,7 +53,12 @@
 /** Reads every statement file below a directory and checks each against the schema. */
 export const collectIntents = async (root: string): Promise<CollectedIntents> => {
     const collected: CollectedIntents = { intents: [], problems: [] };
-    for (const path of await findFiles(root)) {
+    const files = await findFiles(root).catch((error: NodeJS.ErrnoException) => error);
+    if (!Array.isArray(files)) {
+        const detail = files.code === "ENOENT" ? "there is no such directory" : files.message;
+        return { intents: [], problems: [{ file: root, line: 0, detail }] };
+    }
+    for (const path of files) {
         const read = readIntent(await readFile(path, "utf8"), relative(root, path));
         collected.intents.push(...read.intents);
         collected.problems.push(...read.problems);
--- a/src/utils/jsonWithComments.ts
+++ b/src/utils/jsonWithComments.ts
@@ -1,4 +1,4 @@
-import { findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode } from "jsonc-parser";
+import { createScanner, findNodeAtLocation, getNodeValue, parseTree, printParseErrorCode } from "jsonc-parser";
 import type { Node, ParseError } from "jsonc-parser";
 import { fail, succeed } from "./result.js";
 import type { Result } from "./result.js";
@@ -28,8 +28,29 @@
     return lineAt(text, root.offset);
 };
 
+/** Nesting above which a document is refused; the parser is recursive, and no document of ours has ten levels. */
+const maxDepth = 100;
+
+/** Offset of the bracket that nests too deeply; brackets in texts and comments do not count. */
+const findTooDeep = (text: string): number | undefined => {
+    const scanner = createScanner(text, true);
+    let depth = 0;
+    for (scanner.scan(); scanner.getTokenOffset() < text.length; scanner.scan()) {
+        const first = text[scanner.getTokenOffset()];
+        depth += Number(first === "{" || first === "[") - Number(first === "}" || first === "]");
+        if (depth > maxDepth) {
+            return scanner.getTokenOffset();
+        }
+    }
+    return undefined;
+};
+
 /** Parses JSON with comments and trailing commas. */
 export const parseJsonWithComments = (text: string): Result<ParsedDocument, SyntaxProblem> => {
+    const tooDeep = findTooDeep(text);
+    if (tooDeep !== undefined) {
+        return fail({ line: lineAt(text, tooDeep), detail: `nested more than ${maxDepth} levels deep` });
+    }
     const errors: ParseError[] = [];
     const root = parseTree(text, errors, { allowTrailingComma: true });
     const error = errors.at(0);
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -11,6 +11,7 @@
 import type { SourcedIntent } from "../src/configuration/queries/collect.js";
 import { currentVersionKey, snapshotKey } from "../src/configuration/types.js";
 import type { CurrentVersion, Snapshot } from "../src/configuration/types.js";
+import { parseJsonWithComments } from "../src/utils/jsonWithComments.js";
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
 import { buildShape, buildSourced } from "./fixtures/jobs.js";
 import { CommitFault, createFakePlatform, faultsFrom } from "./fixtures/platform.js";
@@ -146,6 +147,18 @@
     });
 });
 
+describe("input that is not a tree of statements", () => {
+    it("gets a clear problem when the directory is not there", async () => {
+        const { problems } = await collectIntents("no/such/tree");
+        assert.deepEqual(problems, [{ file: "no/such/tree", line: 0, detail: "there is no such directory" }]);
+    });
+
+    it("gets a line and a reason when it nests too deeply", () => {
+        const parsed = parseJsonWithComments(`// brackets: [[[\n${"[".repeat(200_000)}`);
+        assert.isTrue(!parsed.ok && parsed.error.line === 2 && parsed.error.detail.includes("100 levels"));
+    });
+});
+
 describe("following the configuration", () => {
     it("never goes back, whatever order versions arrive in and by whatever path", async () => {
         await fc.assert(
