fix: give a start that got no answer from an idle worker up after 2 s in place of 5

Ruled out: room, the planner's speed, the table. Change: starts carry 2 s, extended by the look that is answered; an order without an answer counts as silence of the worker; trace counts the time from a lost order to the next start. Tests: entryVm (seen failing) and tracing.

--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -49,12 +49,14 @@
     isCleared(): boolean;
     /** Time without contact; 0 while it answers. */
     silentMs(): number;
-    /** End of the lease for an order sent now, on the worker's clock. */
-    untilClockMs(): number;
+    /** End of a lease of at most `maxMs` for an order sent now, on the worker's clock. */
+    untilClockMs(maxMs?: number): number;
     /** Notes that an order with a lease is being sent. */
     noteLease(untilClockMs: number): void;
     /** Notes an answer's clock. */
     noteClock(clockMs: number): void;
+    /** Notes that an order got no answer. */
+    noteSilence(reason: string): void;
     /** Makes the run impossible there before the lease is renewed again. */
     fenceRun(task: TaskId, run: number): void;
     /** Number of runs that have to be made impossible yet. */
@@ -179,6 +181,7 @@
         untilClockMs: lease.untilClockMs,
         noteLease: lease.noteSent,
         noteClock,
+        noteSilence: contact.noteSilence,
         fenceRun: (task, number) => {
             fences.add(task, number);
             sleeper.wake(false);
--- a/src/execution/starts.ts
+++ b/src/execution/starts.ts
@@ -20,6 +20,12 @@
 /** Age of a placement above which it is planned anew, since what it was based on has changed. */
 const maxPlacementAgeMs = 1_500;
 
+/**
+ * Lease that a start carries; the look that follows it renews for longer. A start that got no answer on an idle worker
+ * that fell silent is given up after this time, and it is long against the 0.9 s that the answer may take.
+ */
+const startLeaseMs = 2_000;
+
 interface PlacedTask {
     task: TaskState;
     run: Run;
@@ -106,7 +112,7 @@
         if (worker.client === undefined) {
             return;
         }
-        const untilClockMs = worker.untilClockMs();
+        const untilClockMs = worker.untilClockMs(startLeaseMs);
         worker.noteLease(untilClockMs);
         const started = await worker.client.start({
             task: taskIdOf(task),
@@ -129,6 +135,7 @@
         }
         else {
             run.phase = run.phase === RunPhase.Starting ? RunPhase.Unknown : run.phase;
+            worker.noteSilence(started.error.detail);
             worker.wake(true);
         }
     };
--- a/src/execution/stops.ts
+++ b/src/execution/stops.ts
@@ -27,6 +27,7 @@
                 run.worker.wake(true);
                 return;
             }
+            run.worker.noteSilence(stopped.error.detail);
             run.worker.wake();
             await timer.sleep(stopRetryMs);
         }
--- a/src/execution/workerLease.ts
+++ b/src/execution/workerLease.ts
@@ -6,8 +6,8 @@
     noteClock(clockMs: number): void;
     /** Notes that an order with a lease is being sent. */
     noteSent(untilClockMs: number): void;
-    /** End of the lease for an order sent now, on the worker's clock. */
-    untilClockMs(): number;
+    /** End of a lease of at most `maxMs` for an order sent now, on the worker's clock. */
+    untilClockMs(maxMs?: number): number;
     /** Steady time at which everything that was ever leased there has surely ended. */
     lapseAtMs(): number;
     /** What an earlier planner ordered there is known, so that its leases do not count any more. */
@@ -33,8 +33,10 @@
         noteSent: untilClockMs => {
             sentUntilClockMs = Math.max(sentUntilClockMs, untilClockMs);
         },
-        untilClockMs: () =>
-            clock === undefined ? 0 : Math.floor(clock.clockMs + (timer.nowMs() - clock.atMs) + leaseMs),
+        untilClockMs: (maxMs = leaseMs) =>
+            clock === undefined
+                ? 0
+                : Math.floor(clock.clockMs + (timer.nowMs() - clock.atMs) + Math.min(leaseMs, maxMs)),
         lapseAtMs: () => {
             const ownMs = clock === undefined
                 ? Number.NEGATIVE_INFINITY
--- a/src/tracing/findCause.ts
+++ b/src/tracing/findCause.ts
@@ -86,6 +86,16 @@
 
 /** Spans of a job's time by what they were spent on. */
 const delaysOf = (timeline: readonly LogLine[]): [Cause, number, string][] => {
+    const isLostStart = (line: LogLine): boolean => textOf(line, "outcome").startsWith("no answer");
+    /** Time from when a run was ordered to the next start of its task. */
+    const lostWith = (over: LogLine): number => {
+        const starts = timeline.filter(line =>
+            line.message === "start ordered" && line.fields.task === over.fields.task
+        );
+        const lost = starts.find(line => line.fields.run === over.fields.run);
+        const next = starts.find(line => line.timeMs >= over.timeMs);
+        return lost === undefined || next === undefined ? 0 : next.timeMs - lost.timeMs;
+    };
     const first = (message: string): LogLine | undefined => timeline.find(line => line.message === message);
     const accepted = first("job accepted");
     const adopted = first("job adopted");
@@ -101,7 +111,7 @@
         delays.push([Cause.NoPlanner, gapMs, `taken up ${gapMs} ms after its acceptance`]);
     }
     if (adopted !== undefined && started !== undefined) {
-        const waitMs = started.timeMs - adopted.timeMs;
+        const waitMs = isLostStart(started) ? 0 : started.timeMs - adopted.timeMs;
         delays.push([Cause.NoRoom, waitMs, `first started ${waitMs} ms after it was taken up`]);
     }
     for (const line of timeline.filter(other => other.message === "stopping a run")) {
@@ -118,7 +128,11 @@
     for (const line of timeline.filter(other => other.message === "run is over")) {
         const reason = textOf(line, "reason");
         if (reason.includes("lapsed") || reason.includes("anew")) {
-            delays.push([Cause.WorkerLost, restartAfter(line) + noticeableMs, `${textOf(line, "worker")}: ${reason}`]);
+            delays.push([
+                Cause.WorkerLost,
+                Math.max(lostWith(line), restartAfter(line) + noticeableMs),
+                `${textOf(line, "worker")}: ${reason}`,
+            ]);
         }
     }
     for (const line of timeline.filter(other => other.message === "placement given up")) {
--- a/test/entryVm.test.ts
+++ b/test/entryVm.test.ts
@@ -203,6 +203,17 @@
         assert.equal(await phaseOn(fleet, "vm0", "a1"), JobPhase.Succeeded);
     });
 
+    it("that fell silent while it was idle delays what is started there by little more than that start's lease", async () => {
+        const fleet = await startedFleet({ workerCount: 2 });
+        const [silent] = [...fleet.workers.values()];
+        silent.silent = true;
+        const submittedAtMs = fleet.timer.nowMs();
+        await fleet.submit(createSubmission("a1", [createStep()]));
+        await fleet.timer.advance(6_000);
+        assert.isDefined(fleet.lines.find(line => line.message === "worker does not answer"), "it was tried");
+        assert.isBelow(fleet.spans[0].fromMs - submittedAtMs, 3_500);
+    });
+
     it("that starts anew under its id gives up what it ran at once", async () => {
         const fleet = await startedFleet();
         await fleet.submit(createSubmission("a1", [createStep({ taskCount: 8 })], {}, { workMs: 2_000 }));
--- a/test/tracing.test.ts
+++ b/test/tracing.test.ts
@@ -81,6 +81,15 @@
         assert.equal(causeOf(fleet, "a1"), Cause.WorkerLost);
     });
 
+    it("when the worker that it was first sent to never answered", async () => {
+        const fleet = await settledFleet({ workerCount: 2 });
+        [...fleet.workers.values()][0].silent = true;
+        const step = createStep({ estimateMs: 500 });
+        await fleet.submit(createSubmission("a1", [step], { slackFactor: 1 }));
+        await fleet.timer.advance(8_000);
+        assert.equal(causeOf(fleet, "a1"), Cause.WorkerLost);
+    });
+
     it("when nobody planned", async () => {
         const fleet = await settledFleet();
         fleet.killVm(fleet.planner() ?? "");
