perf: let the strongest VM plan

Cause: on the grown deployments VMs have 0.3 to 1.35 cores, and whichever came first planned; on a weak one the orders and reports of 245 workers take more than it has. Ruled out: planning rounds (21 ms with 100 jobs waiting since they were made cheap). Change: VMs register their cores; a weaker one waits up to 0.6 s longer before it takes a term that is free or silent.

--- a/src/execution/term.ts
+++ b/src/execution/term.ts
@@ -24,6 +24,8 @@
     followerAgeMs: () => number;
     /** Whether this VM may become the planner. */
     isCandidate: () => boolean;
+    /** Processing power of this VM as a share of the strongest one's, 0 to 1. */
+    relativePower: () => number;
     onGained: (term: number) => void;
     onLost: (term: number, reason: string) => void;
 }
@@ -56,6 +58,8 @@
 /** Age of the lease row above which its holder is not judged; a copy of a table without changes gets 1.3 s old. */
 const maxViewAgeMs = 1_700;
 const tickMs = 100;
+/** Delay of a VM without any power, so that a strong one takes the term first; with it a gap stays under 3 s. */
+const weakDelayMs = 600;
 /** Random delay that keeps VMs from trying at the same moment. */
 const spreadMs = 150;
 
@@ -135,7 +139,9 @@
         const lease = asLease(row);
         // a lease in the own name is of an earlier process on this VM, which is gone
         const released = lease === undefined || lease.holder === "" || lease.holder === vm;
-        return released || timer.nowMs() - changedAtMs > takeOverMs + delayMs;
+        const silentMs = timer.nowMs() - changedAtMs;
+        const handicapMs = (1 - options.relativePower()) * weakDelayMs;
+        return silentMs > (released ? 0 : takeOverMs + delayMs) + handicapMs;
     };
 
     const take = async (): Promise<void> => {
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -50,6 +50,8 @@
     maxLeaseMs: number;
     /** Time for which an ended job is remembered. */
     retainMs: number;
+    /** Processing power of this VM as a share of the strongest one's, 0 to 1. */
+    relativePower: () => number;
     metrics: EntryMetrics;
 }
 
@@ -148,6 +150,7 @@
         vm: options.vm,
         followerAgeMs: follower.ageMs,
         isCandidate: () => !retired && operator.current().configuration !== undefined,
+        relativePower: options.relativePower,
         onGained,
         onLost,
     });
--- a/src/state/peerDirectory.ts
+++ b/src/state/peerDirectory.ts
@@ -8,12 +8,16 @@
     name: string;
     /** `host:port` for operators and other VMs. */
     address: string;
+    /** Cores that its processes have. */
+    cores: number;
 }
 
 /** The entry VMs that have registered themselves. */
 export interface PeerDirectory {
     /** The others, in random order that changes with each reading. */
     others(): readonly Peer[];
+    /** Processing power of this VM as a share of the strongest registered one's. */
+    relativePower(): number;
     /** Removes the own entry. */
     leave(): Promise<void>;
     stop(): void;
@@ -24,6 +28,11 @@
 /** Time between readings: VMs come and go some hundred times a day. */
 const readMs = 5_000;
 
+const toPeer = (name: string, value: unknown): Peer => {
+    const { address, cores } = (value ?? {}) as { address?: unknown; cores?: unknown; };
+    return { name, address: String(address ?? ""), cores: Number(cores) || 0 };
+};
+
 /** Registers this VM and keeps a list of the others. */
 export const createPeerDirectory = (
     state: StateTable,
@@ -35,7 +44,7 @@
     let registered = false;
 
     const register = async (): Promise<void> => {
-        const row = { table: vmsTable, key: own.name, value: { address: own.address } };
+        const row = { table: vmsTable, key: own.name, value: { address: own.address, cores: own.cores } };
         const written = await state.commit({ part: "", conditions: [], writes: [row] });
         registered = written.ok;
         if (!written.ok) {
@@ -50,7 +59,7 @@
         const read = await state.read({ table: vmsTable, part: "" });
         if (read.ok) {
             peers = read.value.rows
-                .map(row => ({ name: row.key, address: String((row.value as { address?: unknown; })?.address ?? "") }))
+                .map(row => toPeer(row.key, row.value))
                 .filter(peer => peer.name !== own.name && peer.address !== "")
                 .map(peer => ({ peer, rank: Math.random() }))
                 .sort((left, right) => left.rank - right.rank)
@@ -62,6 +71,7 @@
     const unsubscribe = timer.every(readMs, refresh);
     return {
         others: () => peers,
+        relativePower: () => own.cores / Math.max(own.cores, ...peers.map(peer => peer.cores)),
         leave: async () => {
             await state.commit({ part: "", conditions: [], writes: [{ table: vmsTable, key: own.name }] });
         },
--- a/test/entryVm.test.ts
+++ b/test/entryVm.test.ts
@@ -129,6 +129,18 @@
         assert.deepEqual(findViolations(fleet.spans), []);
     });
 
+    it("is a strong VM while there is one, and a weak one in time otherwise", async () => {
+        const fleet = createFleet();
+        fleet.powerOf = vm => vm === "vm2" ? 1 : 0.25;
+        await fleet.timer.advance(settleMs);
+        assert.equal(plannerOf(fleet), "vm2");
+        const killedAtMs = fleet.timer.nowMs();
+        fleet.killVm("vm2");
+        await fleet.submit(createSubmission("b1", [createStep()]));
+        await fleet.timer.advance(5_000);
+        assert.isBelow((fleet.spans[0]?.fromMs ?? Infinity) - killedAtMs, maxGapMs);
+    });
+
     it("hands its term over when it is told to stop", async () => {
         const fleet = await startedFleet();
         const first = plannerOf(fleet);
