--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -1,13 +1,10 @@
 import type { JobEntry } from "../jobs/book.js";
 import { objectiveMs } from "../jobs/objective.js";
-import { activeRuns, addOccurrence, nextDueAtMs, restoreJob } from "../jobs/progress.js";
-import type { JobState, Unit } from "../jobs/progress.js";
+import { activeRuns, restoreJob } from "../jobs/progress.js";
+import type { JobState } from "../jobs/progress.js";
 import { isEnded, JobPhase } from "../jobs/types.js";
 import type { EntryMetrics } from "../node/entryMetrics.js";
 import type { Log } from "../node/logs.js";
-import { planRound } from "../planning/round.js";
-import type { Candidate, RoomClaim, Round } from "../planning/types.js";
-import { createUrgentDemand } from "../planning/urgentDemand.js";
 import type { OperatorState } from "../queues/types.js";
 import type { StateTable } from "../state/types.js";
 import type { TimerService } from "../utils/timer.js";
@@ -18,12 +15,10 @@
 import { createRecorder } from "./recorder.js";
 import type { Recorder } from "./recorder.js";
 import { createReports } from "./reports.js";
+import { createRounds } from "./rounds.js";
 import type { WorkerSession } from "./session.js";
 import { createStarts } from "./starts.js";
-import type { Starts } from "./starts.js";
 import { createStops } from "./stops.js";
-import type { Stops } from "./stops.js";
-import { surveyCandidates, surveyOccupants, surveyRooms, surveyUrgentUse } from "./survey.js";
 import { takeOver } from "./takeover.js";
 import type { WorkerClient, WorkerView } from "./types.js";
 import { createWatch } from "./watch.js";
@@ -66,16 +61,10 @@
     stop(): void;
 }
 
-/** Time until a round after a change, so that changes of the same moment are planned together. */
-const roundDelayMs = 4;
-/** Time between rounds without a change: claims and pauses run out by time. */
-const idleRoundMs = 250;
-/** Share of the time that planning may take, so that orders and reports are not held up. */
-const maxRoundShare = 0.3;
 /** Time between looks for ended jobs to forget; each look removes at most one transaction's worth a part. */
 const forgetEveryMs = 5_000;
-/** Priorities that the figures of waiting work show; queues use 0 to 2. */
-const shownPriorities = [0, 1, 2];
+/** Pause between looks whether they have. */
+const clearLookMs = 4;
 /** Longest wait for workers to tell what runs on them before the first round. */
 const clearWaitMs = 250;
 
@@ -115,7 +104,7 @@
         mayRenew: () => !over && options.mayRenew(),
         onFenced: options.onFenced,
     });
-    const rounds = createRounds(context, round => carryOut(context, stops, starts, round), watch.moveFromLeaving);
+    const rounds = createRounds(context, stops, starts, watch);
 
     const adopt = (jobId: string, entry: JobEntry): void => {
         if (entry.submission === undefined || context.jobs.has(jobId)) {
@@ -200,106 +189,14 @@
     };
 };
 
-const carryOut = (context: PlannerContext, stops: Stops, starts: Starts, round: Round): void => {
-    for (const { occupant, forKey } of round.evictions) {
-        const unit = findUnit(context, occupant.key);
-        if (unit === undefined) {
-            continue;
-        }
-        unit.evictions += 1;
-        for (const { taskIndex } of occupant.tasks) {
-            const task = unit.tasks[taskIndex];
-            if (task.run !== undefined) {
-                stops.stop(task, task.run, `makes room for ${forKey}`);
-            }
-        }
-    }
-    for (const { candidate, assignments } of round.placements) {
-        const unit = findUnit(context, candidate.key);
-        if (unit !== undefined) {
-            starts.start(unit, assignments);
-        }
-    }
-};
-
-/** Runs planning rounds soon after changes and at intervals. */
-const createRounds = (context: PlannerContext, carryOut: (round: Round) => void, beforeRound: () => void) => {
-    const { timer } = context;
-    const urgentDemand = createUrgentDemand();
-    let claims: RoomClaim[] = [];
-    let due: (() => void) | undefined;
-    let begun = false;
-    let lastRoundMs = 0;
-
-    const addDueOccurrences = (job: JobState): void => {
-        while (!isEnded(job.phase) && nextDueAtMs(job) <= timer.wallClockMs()) {
-            addOccurrence(job);
-        }
-    };
-
-    const run = (): void => {
-        due = undefined;
-        if (!context.mayOrder()) {
-            return;
-        }
-        const nowMs = timer.nowMs();
-        context.jobs.forEach(addDueOccurrences);
-        beforeRound();
-        const candidates = surveyCandidates(context);
-        noteWaiting(context, candidates);
-        if (candidates.length > 0) {
-            const mayDisplace = candidates.some(candidate => candidate.job.priority === 0);
-            const occupants = mayDisplace ? surveyOccupants(context) : [];
-            const rooms = surveyRooms(context);
-            const expectedUrgent = urgentDemand.expected(nowMs, surveyUrgentUse(context), rooms);
-            const round = planRound({ nowMs, rooms, candidates, occupants, claims, expectedUrgent });
-            claims = round.claims;
-            carryOut(round);
-        }
-        lastRoundMs = timer.nowMs() - nowMs;
-    };
-
-    const request = (): void => {
-        if (due === undefined && begun && !context.isOver()) {
-            due = timer.after(Math.max(roundDelayMs, lastRoundMs / maxRoundShare), run);
-        }
-    };
-
-    const unsubscribe = timer.every(idleRoundMs, request);
-    return {
-        request,
-        begin: () => {
-            begun = true;
-            run();
-        },
-        claims: () => claims,
-        stop: () => {
-            unsubscribe();
-            due?.();
-        },
-    };
-};
-
 const waitUntilCleared = async ({ timer, sessions }: PlannerContext): Promise<void> => {
     const giveUpAtMs = timer.nowMs() + clearWaitMs;
     const isOpen = (session: WorkerSession): boolean => !session.isCleared() && session.client !== undefined;
     while (timer.nowMs() < giveUpAtMs && [...sessions.values()].some(isOpen)) {
-        await timer.sleep(roundDelayMs);
-    }
-};
-
-const noteWaiting = ({ metrics }: PlannerContext, candidates: readonly Candidate[]): void => {
-    for (const priority of shownPriorities) {
-        const waiting = candidates.filter(candidate => candidate.job.priority === priority);
-        metrics.setWaiting(priority, waiting.reduce((sum, candidate) => sum + candidate.taskIndexes.length, 0));
+        await timer.sleep(clearLookMs);
     }
 };
 
-const findUnit = (context: PlannerContext, key: string): Unit | undefined => {
-    const at = key.indexOf(".");
-    return context.jobs.get(key.slice(0, at))?.units.get(key.slice(at + 1));
-};
-
 const describeAdopted = ({ submission, phase, recordVersion, cancelled }: JobState, wallMs: number) => ({
     jobId: submission.id,
     phase,
--- /dev/null
+++ b/src/execution/rounds.ts
@@ -0,0 +1,123 @@
+import { addOccurrence, nextDueAtMs } from "../jobs/progress.js";
+import type { JobState, Unit } from "../jobs/progress.js";
+import { isEnded } from "../jobs/types.js";
+import { planRound } from "../planning/round.js";
+import type { Candidate, RoomClaim, Round } from "../planning/types.js";
+import { createUrgentDemand } from "../planning/urgentDemand.js";
+import type { PlannerContext } from "./context.js";
+import type { Starts } from "./starts.js";
+import type { Stops } from "./stops.js";
+import { surveyCandidates, surveyOccupants, surveyRooms, surveyUrgentUse } from "./survey.js";
+import type { Watch } from "./watch.js";
+
+/** The planning rounds of a term. */
+export interface Rounds {
+    /** Plans soon. */
+    request(): void;
+    /** Runs the first round; earlier requests have no effect. */
+    begin(): void;
+    /** Room that is kept while others make way. */
+    claims(): readonly RoomClaim[];
+    stop(): void;
+}
+
+/** Time until a round after a change, so that changes of the same moment are planned together. */
+const roundDelayMs = 4;
+/** Time between rounds without a change: claims and pauses run out by time. */
+const idleRoundMs = 250;
+/** Share of the time that planning may take, so that orders and reports are not held up. */
+const maxRoundShare = 0.3;
+/** Priorities that the figures of waiting work show; queues use 0 to 2. */
+const shownPriorities = [0, 1, 2];
+
+const findUnit = (context: PlannerContext, key: string): Unit | undefined => {
+    const at = key.indexOf(".");
+    return context.jobs.get(key.slice(0, at))?.units.get(key.slice(at + 1));
+};
+
+const noteWaiting = ({ metrics }: PlannerContext, candidates: readonly Candidate[]): void => {
+    for (const priority of shownPriorities) {
+        const waiting = candidates.filter(candidate => candidate.job.priority === priority);
+        metrics.setWaiting(priority, waiting.reduce((sum, candidate) => sum + candidate.taskIndexes.length, 0));
+    }
+};
+
+const carryOut = (context: PlannerContext, stops: Stops, starts: Starts, round: Round): void => {
+    for (const { occupant, forKey } of round.evictions) {
+        const unit = findUnit(context, occupant.key);
+        if (unit === undefined) {
+            continue;
+        }
+        unit.evictions += 1;
+        for (const { taskIndex } of occupant.tasks) {
+            const task = unit.tasks[taskIndex];
+            if (task.run !== undefined) {
+                stops.stop(task, task.run, `makes room for ${forKey}`);
+            }
+        }
+    }
+    for (const { candidate, assignments } of round.placements) {
+        const unit = findUnit(context, candidate.key);
+        if (unit !== undefined) {
+            starts.start(unit, assignments);
+        }
+    }
+};
+
+/** Runs planning rounds soon after changes and at intervals. */
+export const createRounds = (context: PlannerContext, stops: Stops, starts: Starts, watch: Watch): Rounds => {
+    const { timer } = context;
+    const urgentDemand = createUrgentDemand();
+    let claims: RoomClaim[] = [];
+    let due: (() => void) | undefined;
+    let begun = false;
+    let lastRoundMs = 0;
+
+    const addDueOccurrences = (job: JobState): void => {
+        while (!isEnded(job.phase) && nextDueAtMs(job) <= timer.wallClockMs()) {
+            addOccurrence(job);
+        }
+    };
+
+    const run = (): void => {
+        due = undefined;
+        if (!context.mayOrder()) {
+            return;
+        }
+        const nowMs = timer.nowMs();
+        context.jobs.forEach(addDueOccurrences);
+        watch.moveFromLeaving();
+        const candidates = surveyCandidates(context);
+        noteWaiting(context, candidates);
+        if (candidates.length > 0) {
+            const mayDisplace = candidates.some(candidate => candidate.job.priority === 0);
+            const occupants = mayDisplace ? surveyOccupants(context) : [];
+            const rooms = surveyRooms(context);
+            const expectedUrgent = urgentDemand.expected(nowMs, surveyUrgentUse(context), rooms);
+            const round = planRound({ nowMs, rooms, candidates, occupants, claims, expectedUrgent });
+            claims = round.claims;
+            carryOut(context, stops, starts, round);
+        }
+        lastRoundMs = timer.nowMs() - nowMs;
+    };
+
+    const request = (): void => {
+        if (due === undefined && begun && !context.isOver()) {
+            due = timer.after(Math.max(roundDelayMs, lastRoundMs / maxRoundShare), run);
+        }
+    };
+
+    const unsubscribe = timer.every(idleRoundMs, request);
+    return {
+        request,
+        begin: () => {
+            begun = true;
+            run();
+        },
+        claims: () => claims,
+        stop: () => {
+            unsubscribe();
+            due?.();
+        },
+    };
+};
