fix: end within the grace although the table does not answer

Cause: a stop waited for the hand-over of the term and the removal of the own entry, each up to 1.2 s on a silent table, before it counted the grace. Test: platformProcesses 'end within their grace', seen failing without.

--- a/standins/fleet/main.ts
+++ b/standins/fleet/main.ts
@@ -25,6 +25,8 @@
 interface Switches {
     /** Refuses every call to the table. */
     tableDown: boolean;
+    /** Answers no call to the table. */
+    tableSilent: boolean;
     /** Number of coming transactions that take effect without an answer. */
     loseAnswers: number;
 }
@@ -34,7 +36,7 @@
 const table = createTableModel();
 const spans: RunSpan[] = [];
 const workers = new Map<string, { model: WorkerModel; bornMs: number; address: string; }>();
-const switches: Switches = { tableDown: false, loseAnswers: 0 };
+const switches: Switches = { tableDown: false, tableSilent: false, loseAnswers: 0 };
 
 const readBody = async (request: IncomingMessage): Promise<Body> => {
     const chunks: Buffer[] = [];
@@ -142,6 +144,9 @@
         table.commit({ part: "", conditions: [], writes: [{ table: "op", key: String(body.key), value: body.value }] });
         return { status: 200, body: {} };
     }
+    if (switches.tableSilent) {
+        return new Promise(() => {});
+    }
     if (switches.tableDown) {
         return { status: 503, body: {} };
     }
--- a/test/platformProcesses.test.ts
+++ b/test/platformProcesses.test.ts
@@ -80,6 +80,14 @@
         );
     });
 
+    it("end within their grace although the table does not answer", async () => {
+        const vm = await processes.startVm("a");
+        await processes.control("switches", { tableSilent: true });
+        const toldAtMs = Date.now();
+        await vm.kill("SIGTERM");
+        assert.isBelow(Date.now() - toldAtMs, 2_000, "the grace of the test's settings");
+    });
+
     it("hand the term over and end in time when they are told to stop", async () => {
         const first = await processes.startVm("a");
         const second = await processes.startVm("b");
