fix: keep no room for urgent bursts while most of it stands idle

Cause: room kept for urgent work, up to 15 % of all, is withheld from other work also when the rest is idle but in pieces; a gang of two whole workers then waits beside them. Change: nothing is kept while less than half of the accelerators and cores are in use. Test: planning 'is not kept from a waiting gang ...'.

--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -68,11 +68,14 @@
     return all === 0 ? 0 : 1 - free / all;
 };
 
+/** Whether most of the room stands idle. */
+export const isMostlyIdle = (rooms: readonly Room[]): boolean =>
+    shareInUse(rooms, resources => resources.accelerators) < idleShare
+    && shareInUse(rooms, resources => resources.milliCores) < idleShare;
+
 /** Whether slow work is better than none: it has waited, and what it takes would stand idle otherwise. */
 const mayRunAnywhere = (rooms: readonly Room[], candidate: Candidate): boolean =>
-    candidate.waitingMs > leaveRackAfterMs
-    && shareInUse(rooms, resources => resources.accelerators) < idleShare
-    && shareInUse(rooms, resources => resources.milliCores) < idleShare;
+    candidate.waitingMs > leaveRackAfterMs && isMostlyIdle(rooms);
 
 /** Groups of workers of which one must take all tasks of a gang, best kinds of group first. */
 export const gangGroups = (rooms: readonly Room[], candidate: Candidate): Room[][] => {
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -1,5 +1,5 @@
 import { orderCandidates, Tier, tierOf } from "./order.js";
-import { gangGroups, leaveRackAfterMs, mixAfterMs, placeGang, placeTasks } from "./placement.js";
+import { gangGroups, isMostlyIdle, leaveRackAfterMs, mixAfterMs, placeGang, placeTasks } from "./placement.js";
 import { findDisplacement, indexOccupants } from "./preemption.js";
 import { fitCount, occupiedBy, take } from "./resources.js";
 import type { Assignment, Candidate, Occupant, Room, RoomClaim, Round } from "./types.js";
@@ -218,7 +218,10 @@
     for (const candidate of orderCandidates(input.candidates)) {
         if (candidate.job.priority > 0 && !kept) {
             kept = true;
-            keepForUrgent(input.rooms, input.expectedUrgent);
+            // while most of the room is idle a burst finds some anyway, and waiting work must not stand still for it
+            if (!isMostlyIdle(input.rooms)) {
+                keepForUrgent(input.rooms, input.expectedUrgent);
+            }
         }
         const claim = claims.get(candidate.key);
         if (claim !== undefined) {
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -244,6 +244,14 @@
         assert.isAtMost(replayBursts(true).taken, without / 2);
     });
 
+    it("is not kept from a waiting gang while most of the room is idle", () => {
+        const rooms = createRacks(2, 6);
+        rooms.slice(0, 10).forEach(room => occupyRoom(room, `small-${room.workerId}`));
+        const gang = createCandidate("gang", { taskCount: 2, accelerators: 8, gang: true, sameRack: true });
+        const round = planRound(createRoundInput({ rooms, candidates: [gang], expectedUrgent: 14 }));
+        assert.lengthOf(workersOf(round, "gang"), 2);
+    });
+
     it("is let go when there was no burst for a while, and is bounded", () => {
         const demand = createUrgentDemand();
         const rooms = createRacks(2, 6);
