test: play two planners, three workers and a faulty table under every choice of faults

Cause: the term, the fencing and the run numbers were tested one fault at a time; pairs of faults (a late start while the planner is cut off) were not.

Change: an explorer over the real entry VMs on virtual time. Every call that decides about a job (its records, starts and stops; the first 12) may lose its request, lose its answer, arrive late, or coincide with the planner being cut from the table or the worker being cut off; scripts of up to two faults are played whole, with tasks shorter and longer than a silence. The spread of the planner's choice is drawn from a given source, so that a script repeats.

Ruled out: a first run reported "runs again after it was done" where a cut-off worker finished unseen and its lease ended before the end was acknowledged; the protocol says such an end does not stand, so the check now knows it.

--- a/src/execution/term.ts
+++ b/src/execution/term.ts
@@ -2,6 +2,7 @@
 import type { Log } from "../node/logs.js";
 import { describeStateError, StateErrorKind } from "../state/types.js";
 import type { StateError, StateRow, StateTable } from "../state/types.js";
+import type { Random } from "../utils/random.js";
 import type { TimerService } from "../utils/timer.js";
 
 /** Row that says which VM plans. */
@@ -26,6 +27,8 @@
     isCandidate: () => boolean;
     /** Processing power of this VM as a share of the strongest one's, 0 to 1. */
     relativePower: () => number;
+    /** Spreads the tries of several VMs. */
+    random: Random;
     onGained: (term: number) => void;
     onLost: (term: number, reason: string) => void;
 }
@@ -82,7 +85,7 @@
     let busy = false;
     let renewedAtMs = Number.NEGATIVE_INFINITY;
     let stopped = false;
-    const delayMs = Math.random() * spreadMs;
+    const delayMs = options.random() * spreadMs;
 
     const observe = (changed: StateRow): void => {
         if (changed.version > (row?.version ?? -1)) {
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -16,6 +16,7 @@
 import { createTableFollower } from "../state/follower.js";
 import type { TableFollower } from "../state/follower.js";
 import type { StateRow, StateTable } from "../state/types.js";
+import type { Random } from "../utils/random.js";
 import type { TimerService } from "../utils/timer.js";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { Log } from "./logs.js";
@@ -52,6 +53,8 @@
     retainMs: number;
     /** Processing power of this VM as a share of the strongest one's, 0 to 1. */
     relativePower: () => number;
+    /** Spreads what several VMs would do at the same moment. @default Math.random */
+    random?: Random;
     metrics: EntryMetrics;
 }
 
@@ -151,6 +154,7 @@
         followerAgeMs: follower.ageMs,
         isCandidate: () => !retired && operator.current().configuration !== undefined,
         relativePower: options.relativePower,
+        random: options.random ?? Math.random,
         onGained,
         onLost,
     });
--- a/standins/fleet/workerModel.ts
+++ b/standins/fleet/workerModel.ts
@@ -29,6 +29,8 @@
     /** Unset while it runs. */
     toMs?: number;
     kind?: EndKind;
+    /** The lease on the worker ended before the end was acknowledged, so that nobody may rely on it. */
+    unseenAtLapse?: boolean;
 }
 
 /** Options of {@link createWorkerModel}. */
@@ -80,6 +82,10 @@
     }
 };
 
+const markUnseen = (span: RunSpan): void => {
+    span.unseenAtLapse = true;
+};
+
 /** Creates a worker that has just started. */
 export const createWorkerModel = (options: WorkerModelOptions): WorkerModel => {
     const { timer, spans } = options;
@@ -88,6 +94,7 @@
     const running = new Map<string, ActiveRun>();
     const highestRun = new Map<string, number>();
     let ended: EndedTask[] = [];
+    const spanOfEnd = new Map<number, RunSpan>();
     let endCount = 0;
     let fence = 0;
     let untilClockMs = 0;
@@ -112,13 +119,17 @@
         active.span.toMs = timer.nowMs();
         active.span.kind = kind;
         endCount += 1;
+        spanOfEnd.set(endCount, active.span);
         ended.push({ number: endCount, task: active.task, run: active.run, kind, checkpoint: checkpointOf(active) });
         const waiting = listeners;
         listeners = [];
         waiting.forEach(listener => listener());
     };
 
-    const lapse = (): void => [...running.values()].forEach(active => end(active, EndKind.Lapsed));
+    const lapse = (): void => {
+        ended.flatMap(({ number }) => spanOfEnd.get(number) ?? []).forEach(markUnseen);
+        [...running.values()].forEach(active => end(active, EndKind.Lapsed));
+    };
 
     const lease = (until: number): void => {
         if (until > untilClockMs) {
