--- a/bench/decisionCost.ts
+++ b/bench/decisionCost.ts
@@ -1,12 +1,11 @@
 /** Measures what a planning round costs as workers, queued jobs and customers grow; wall-clock, printed, not judged. */
-import { Adjacency } from "../src/configuration/types.js";
-import { cellsOf, syncCells } from "../src/scheduling/cells.js";
-import { createFleet } from "../src/scheduling/fleet.js";
-import { createLedger } from "../src/scheduling/ledger.js";
-import type { QueuedJob } from "../src/scheduling/order.js";
-import { planRound } from "../src/scheduling/plan.js";
-import { createRunTimeModel } from "../src/scheduling/runTimes.js";
-import { createWorkload, shapeOf, targetProfile } from "./workload.js";
+import { followIdleRoom, surveyCells, surveyGuarantees } from "../src/execution/guarantees.js";
+import { surveyCandidates, surveyOccupants, surveyRooms } from "../src/execution/survey.js";
+import { noPlaces } from "../src/planning/cells.js";
+import { planRound } from "../src/planning/round.js";
+import { createVirtualTimer } from "../src/utils/virtualTimer.js";
+import { createPlanningWorld } from "./planningWorld.js";
+import { createWorkload, targetProfile } from "./workload.js";
 
 /** Size of one measurement. */
 interface Size {
@@ -24,45 +23,41 @@
     customers: [9, 18, 36, 72].map(customers => ({ ...base, customers })),
 };
 
-const buildQueue = (size: Size, arrivals: ReturnType<typeof createWorkload>["arrivals"]): QueuedJob[] =>
-    arrivals.filter(arrival => !arrival.neverFits).slice(0, size.queued).map((arrival, index) => ({
-        spec: { ...arrival.spec, id: `queued-${index}`, submittedAtMs: index },
-        attempts: 0,
-        notBeforeMs: 0,
-    }));
-
-/** Fills every accelerator, then times rounds over a queue in which hardly anything fits. */
+/** Surveys and plans rounds over a queue in which, once the first has filled the workers, hardly anything fits. */
 const measureRoundMs = (size: Size): number => {
     const acceleratorsOf = (index: number): number => index < size.workersPerZone / 4 ? 8 : 0;
-    const profile = { ...targetProfile, ...size, acceleratorsOf };
-    const workload = createWorkload(profile, 1);
-    const ledger = createLedger(createFleet(workload.workers));
-    syncCells(ledger, cellsOf(workload.statements));
-    const runTimes = createRunTimeModel();
-    const filler = { ...workload.arrivals[0].spec, checkpointable: true, shape: shapeOf(1, 4, Adjacency.Worker) };
+    const workload = createWorkload({ ...targetProfile, ...size, acceleratorsOf }, 1);
+    const world = createPlanningWorld(workload.workers, workload.snapshot, createVirtualTimer());
     const total = workload.workers.reduce((sum, worker) => sum + worker.capacity.accelerators, 0);
-    const fill = Array.from(Array(Math.ceil(total / 4)).keys(), (index): QueuedJob => ({
-        spec: { ...filler, id: `filler-${index}` },
-        attempts: 0,
-        notBeforeMs: 0,
-    }));
-    planRound({ ledger, queue: fill, runTimes, nowMs: 0 });
-    const queue = buildQueue(size, workload.arrivals);
+    const wanted = workload.arrivals.filter(arrival => !arrival.neverFits).slice(0, total / 4 + size.queued);
+    wanted.forEach(({ submission }) => world.addJob({ ...submission, acceptedAtMs: 0 }));
+    let places = noPlaces;
+    const planOnce = (): void => {
+        const rooms = surveyRooms(world);
+        const cells = surveyCells(world, rooms, places);
+        const guarantees = surveyGuarantees(world, cells);
+        places = followIdleRoom(world, rooms, cells, guarantees);
+        const candidates = surveyCandidates(world, guarantees);
+        const occupants = surveyOccupants(world, guarantees);
+        const round = planRound({ nowMs: 0, rooms, candidates, occupants, claims: [], expectedUrgent: 0 });
+        for (const { candidate, assignments } of round.placements) {
+            const job = world.jobs.get(candidate.job.id);
+            if (job !== undefined) {
+                world.run(job, assignments, "saved");
+            }
+        }
+    };
+    planOnce();
     const startedMs = performance.now();
     for (let round = 0; round < rounds; round++) {
-        planRound({
-            ledger,
-            queue: queue.filter(job => !ledger.allocations.has(job.spec.id)),
-            runTimes,
-            nowMs: round * 1_000,
-        });
+        planOnce();
     }
     return (performance.now() - startedMs) / rounds;
 };
 
 /** Prints the cost of a round for four sizes of each kind. */
 export const printDecisionCost = (): void => {
-    process.stdout.write("\ncost of a planning round with every accelerator in use, ms (wall clock)\n");
+    process.stdout.write("\ncost of a planning round with hardly any room left, ms (wall clock)\n");
     for (const [name, sizes] of Object.entries(series)) {
         const figures = sizes.map(size => {
             const amount = {
--- a/bench/meter.ts
+++ b/bench/meter.ts
@@ -1,60 +1,22 @@
 /** Measures a replayed run: fragmentation, work through the zone move, lost work. */
-import { fitIntoDomain } from "../src/scheduling/fit.js";
-import type { Ledger } from "../src/scheduling/ledger.js";
-import type { QueuedJob } from "../src/scheduling/order.js";
-import { acceleratorsOf } from "../src/scheduling/resources.js";
-import type { Running } from "./placementRun.js";
-import type { Arrival, JobClass, Workload } from "./workload.js";
-
-/** What one job went through. */
-export interface JobOutcome {
-    class: JobClass;
-    accelerators: number;
-    /** Time from submission to the first start; `undefined` if it never started. */
-    waitMs?: number;
-    /** Time from submission to the end. */
-    completionMs?: number;
-    runTimeMs: number;
-    /** Time from which its customer's guarantee was unused until it started, for guaranteed jobs. */
-    guaranteeWaitMs?: number;
-    rejected: boolean;
-    cancelled: boolean;
-    neverFits: boolean;
-}
-
-/** Figures of one run. */
-export interface RunResult {
-    jobs: JobOutcome[];
-    /** Time-weighted share of free accelerators that the largest waiting shape cannot use. */
-    fragmentation: number;
-    /** Useful work during the zone move, as a share of what the remaining zones could do. */
-    zoneMoveWork: number;
-    /** Accelerator hours of work that was thrown away. */
-    lostAcceleratorHours: number;
-    utilisation: number;
-    rounds: number;
-    planMs: number;
-    slowestRoundMs: number;
-}
-
-/** Whole gangs of a shape that the free accelerators would hold, counted by emptying domains greedily. */
-const usableBy = (ledger: Ledger, arrival: Arrival): number => {
-    const size = acceleratorsOf(arrival.spec.shape);
-    let usable = 0;
-    for (const domain of ledger.fleet.domains(arrival.spec.shape.adjacency)) {
-        const candidate = fitIntoDomain(arrival.spec.shape, domain, worker => ledger.free(worker));
-        usable += candidate === undefined
-            ? 0
-            : size * (1 + Math.floor(candidate.leftoverTasks / arrival.spec.shape.taskCount));
-    }
-    return usable;
-};
+import type { JobState } from "../src/jobs/progress.js";
+import { gangGroups } from "../src/planning/placement.js";
+import { fitCount, occupiedBy } from "../src/planning/resources.js";
+import type { Candidate, Room } from "../src/planning/types.js";
+import type { PlanningWorld } from "./planningWorld.js";
+import type { JobOutcome, RunResult } from "./types.js";
+import type { Workload } from "./workload.js";
 
 /** What the meter looks at. */
 export interface MeteredState {
-    running: ReadonlyMap<string, Running>;
-    queue: ReadonlyMap<string, QueuedJob>;
-    arrivals: ReadonlyMap<string, Arrival>;
+    world: PlanningWorld;
+    running: ReadonlyMap<string, { job: JobState; }>;
+    /** Changes with every change of what runs or waits. */
+    revision(): number;
+    /** Room as of now. */
+    rooms(): Room[];
+    /** Work that waits, as of the last round, without what can never run. */
+    waiting(): readonly Candidate[];
 }
 
 /** Adds up areas over virtual time. */
@@ -69,11 +31,24 @@
 const minLargeAccelerators = 16;
 const hourMs = 3_600_000;
 
+/** Accelerators of a job's first step. */
+export const acceleratorsOf = ({ submission }: JobState): number =>
+    submission.steps[0].taskCount * submission.steps[0].resources.accelerators;
+
+const sizeOf = ({ step }: Candidate): number => step.taskCount * step.resources.accelerators;
+
+/** Whole gangs of a shape that the free accelerators would hold. */
+const usableBy = (rooms: readonly Room[], candidate: Candidate): number =>
+    gangGroups(rooms, candidate)
+        .map(group => group.reduce((sum, room) => sum + fitCount(room.free, occupiedBy(candidate.step)), 0))
+        .reduce((sum, tasks) => sum + sizeOf(candidate) * Math.floor(tasks / candidate.step.taskCount), 0);
+
 /** Creates a meter at time 0. */
-export const createMeter = (workload: Workload, ledger: Ledger, state: MeteredState): Meter => {
+export const createMeter = (workload: Workload, state: MeteredState): Meter => {
     const { zoneMove, endMs } = workload;
+    const zones = new Map(workload.workers.map(worker => [worker.name, worker.availabilityZone]));
     const sums = { fragmentMs: 0, busyMs: 0, windowBusyMs: 0, windowLostMs: 0, lostMs: 0, passedMs: 0 };
-
+    let measured = { revision: -1, accelerators: 0 };
     const inWindow = (nowMs: number): boolean => nowMs >= zoneMove.fromMs && nowMs <= zoneMove.untilMs;
 
     const capacityOutside = (zone: string | undefined): number =>
@@ -83,33 +58,30 @@
 
     const busyOutside = (zone: string | undefined): number => {
         let busy = 0;
-        for (const entry of state.running.values()) {
-            const own = ledger.fleet.workers.get(entry.allocation.members[0].worker)?.availabilityZone;
-            busy += own === zone ? 0 : acceleratorsOf(entry.arrival.spec.shape);
+        for (const { job } of state.running.values()) {
+            const [worker] = state.world.workersOf(job);
+            busy += zone !== undefined && zones.get(worker) === zone ? 0 : acceleratorsOf(job);
         }
         return busy;
     };
 
-    const freeTotal = (): number => {
-        let free = 0;
-        for (const worker of ledger.fleet.workers.values()) {
-            free += worker.usable ? ledger.free(worker).accelerators : 0;
+    const measureFragments = (): number => {
+        const large = state.waiting().filter(candidate => sizeOf(candidate) > minLargeAccelerators);
+        const largest = [...large].sort((left, right) => sizeOf(right) - sizeOf(left)).at(0);
+        if (largest === undefined) {
+            return 0;
         }
-        return free;
-    };
-
-    const largestWaiting = (): Arrival | undefined => {
-        const waiting = [...state.queue.keys()].flatMap(id => state.arrivals.get(id) ?? []);
-        const large = waiting.filter(arrival =>
-            !arrival.neverFits && acceleratorsOf(arrival.spec.shape) > minLargeAccelerators
-        );
-        return large.sort((left, right) => acceleratorsOf(right.spec.shape) - acceleratorsOf(left.spec.shape)).at(0);
+        const rooms = state.rooms().filter(room => room.usable);
+        const free = rooms.reduce((sum, room) => sum + Math.max(0, room.free.accelerators), 0);
+        return free - Math.min(free, usableBy(rooms, { ...largest, avoidsStrictly: false }));
     };
 
     const fragments = (): number => {
-        const largest = largestWaiting();
-        const free = largest === undefined ? 0 : freeTotal();
-        return largest === undefined || free === 0 ? 0 : free - Math.min(free, usableBy(ledger, largest));
+        const { revision } = state;
+        if (measured.revision !== revision()) {
+            measured = { revision: revision(), accelerators: measureFragments() };
+        }
+        return measured.accelerators;
     };
 
     return {
@@ -136,3 +108,6 @@
         }),
     };
 };
+
+/** Whether a job counts in waits and completion times. */
+export const counts = (outcome: JobOutcome): boolean => !outcome.neverFits && !outcome.cancelled;
--- a/bench/placementRun.ts
+++ b/bench/placementRun.ts
@@ -1,29 +1,27 @@
-/** Replays a workload through the planner's decision code in virtual time. */
+/** Replays a workload through the planner's surveys and decisions on virtual time. */
 import TinyQueue from "tinyqueue";
-import { cellsOf, repairCells, syncCells } from "../src/scheduling/cells.js";
-import { createFleet } from "../src/scheduling/fleet.js";
-import { createLedger } from "../src/scheduling/ledger.js";
-import type { Allocation } from "../src/scheduling/ledger.js";
-import type { QueuedJob } from "../src/scheduling/order.js";
-import { DecisionKind } from "../src/scheduling/plan.js";
-import type { Decision, PlanRound } from "../src/scheduling/plan.js";
-import { acceleratorsOf } from "../src/scheduling/resources.js";
-import { createRunTimeModel } from "../src/scheduling/runTimes.js";
-import { createWorkerHealth } from "../src/scheduling/workerHealth.js";
+import { followIdleRoom, surveyCells, surveyGuarantees } from "../src/execution/guarantees.js";
+import type { Guarantees } from "../src/execution/guarantees.js";
+import { surveyCandidates, surveyOccupants, surveyRooms, surveyUrgentUse } from "../src/execution/survey.js";
+import { RunPhase } from "../src/jobs/progress.js";
+import type { JobState } from "../src/jobs/progress.js";
+import { noPlaces } from "../src/planning/cells.js";
+import { fitsSomewhere } from "../src/planning/emptyFleet.js";
+import type { Candidate, RoomClaim, Round } from "../src/planning/types.js";
+import { createUrgentDemand } from "../src/planning/urgentDemand.js";
 import { createRandom } from "../src/utils/random.js";
-import { createMeter } from "./meter.js";
-import type { JobOutcome, RunResult } from "./meter.js";
-import { JobClass } from "./workload.js";
+import type { TimerService } from "../src/utils/timer.js";
+import type { Policy } from "./baselines.js";
+import { acceleratorsOf, createMeter } from "./meter.js";
+import { createPlanningWorld } from "./planningWorld.js";
+import type { JobOutcome, RunResult } from "./types.js";
 import type { Arrival, Workload, WorldEvent } from "./workload.js";
 
-/** A job that runs. */
-export interface Running {
+interface Running {
     arrival: Arrival;
-    allocation: Allocation;
+    job: JobState;
     startedAtMs: number;
-    endsAtMs: number;
-    failing: boolean;
-    leavesAtMs?: number;
+    leaving: boolean;
 }
 
 interface Timed {
@@ -33,53 +31,51 @@
 
 const planDelayMs = 100;
 const startDelayMs = 150;
-const graceMs = 1_200;
+/** Time to stop a run, and for one that saves no progress. */
+const leaveMs = 500;
+const stubbornLeaveMs = 1_200;
 const restartMs = 15_000;
 const failAfterMs = 20_000;
+const avoidMs = 2_000;
+/** Time between rounds without a change while work waits. */
 const idleRoundMs = 60_000;
 
 /** Replays one workload under one policy. */
-export const replay = (workload: Workload, plan: PlanRound, seed: number, reclaims: boolean): RunResult => {
+export const replay = (workload: Workload, plan: Policy, seed: number): RunResult => {
     const random = createRandom(seed + 1);
     const agenda = new TinyQueue<Timed>([], (left, right) => left.atMs - right.atMs);
     const at = (atMs: number, run: () => void): void => agenda.push({ atMs, run });
-    const fleet = createFleet(workload.workers.map(worker => ({ ...worker })));
-    const ledger = createLedger(fleet);
-    const runTimes = createRunTimeModel();
-    const health = createWorkerHealth();
-    const queue = new Map<string, QueuedJob>();
+    let nowMs = 0;
+    const timer: TimerService = {
+        nowMs: () => nowMs,
+        wallClockMs: () => nowMs,
+        every: () => () => {},
+        after: () => () => {},
+        sleep: async () => {},
+    };
+    const world = createPlanningWorld(workload.workers, workload.snapshot, timer);
+    const holders = new Set(
+        workload.snapshot.statements.flatMap(({ guarantee, customer }) => guarantee && customer ? [customer] : []),
+    );
+    const urgentDemand = createUrgentDemand();
     const arrivals = new Map<string, Arrival>();
     const progress = new Map<string, number>();
     const running = new Map<string, Running>();
     const outcomes = new Map<string, JobOutcome>();
-    const zonesOut = new Set<string>();
     const broken = new Set<string>();
     const entitledSinceMs = new Map<string, number>();
+    const seen = new Set<string>();
     const result = { rounds: 0, planMs: 0, slowestRoundMs: 0 };
-    let nowMs = 0;
+    let places = noPlaces;
+    let claims: RoomClaim[] = [];
+    let waiting: readonly Candidate[] = [];
     let planScheduled = false;
     let idleScheduled = false;
     let openJobs = 0;
+    let revision = 0;
 
-    syncCells(ledger, cellsOf(workload.statements));
-
-    const meter = createMeter(workload, ledger, { running, queue, arrivals });
-
-    const advanceTo = (atMs: number): void => {
-        meter.pass(nowMs, atMs);
-        nowMs = atMs;
-    };
-
-    const lose = (entry: Running, lostMs: number): void => {
-        meter.lose(nowMs, lostMs * acceleratorsOf(entry.arrival.spec.shape));
-    };
-
-    const roundWhenIdle = (): void => {
-        idleScheduled = false;
-        if (!planScheduled) {
-            round();
-        }
-    };
+    const rooms = () => surveyRooms(world);
+    const meter = createMeter(workload, { world, running, rooms, waiting: () => waiting, revision: () => revision });
 
     const requestPlan = (): void => {
         if (!planScheduled) {
@@ -88,201 +84,166 @@
         }
     };
 
-    const enqueue = (arrival: Arrival, attempts: number, avoid: string[] | undefined): void => {
-        queue.set(arrival.spec.id, { spec: { ...arrival.spec, avoid }, attempts, notBeforeMs: 0 });
+    const release = ({ job }: Running): void => {
+        revision += 1;
+        running.delete(job.submission.id);
+        world.clear(job);
         requestPlan();
     };
 
-    const release = (entry: Running): void => {
-        running.delete(entry.arrival.spec.id);
-        ledger.deallocate(entry.arrival.spec.id);
-        requestPlan();
+    const forget = (id: string): void => {
+        world.jobs.delete(id);
+        openJobs -= 1;
     };
 
     const complete = (entry: Running): void => {
-        if (running.get(entry.arrival.spec.id) !== entry || entry.leavesAtMs !== undefined) {
+        const { id } = entry.job.submission;
+        if (running.get(id) !== entry || entry.leaving) {
             return;
         }
+        world.workersOf(entry.job).forEach(world.health.noteDone);
         release(entry);
-        openJobs -= 1;
-        runTimes.observe(entry.arrival.spec, entry.arrival.actualRunTimeMs);
-        health.recordSuccess(entry.allocation.members.map(member => member.worker));
-        const outcome = outcomes.get(entry.arrival.spec.id);
+        forget(id);
+        const outcome = outcomes.get(id);
         if (outcome !== undefined) {
             outcome.completionMs = nowMs - entry.arrival.atMs;
         }
     };
 
     const failRun = (entry: Running): void => {
-        if (running.get(entry.arrival.spec.id) !== entry) {
+        const { id } = entry.job.submission;
+        if (running.get(id) !== entry) {
             return;
         }
-        const workers = entry.allocation.members.map(member => member.worker);
-        release(entry);
-        health.recordFailure(entry.arrival.spec.id, workers, nowMs);
-        lose(entry, failAfterMs);
-        enqueue(entry.arrival, entry.allocation.attempt, workers);
-    };
-
-    const leave = (entry: Running): void => {
-        if (running.get(entry.arrival.spec.id) !== entry) {
-            return;
+        const workers = world.workersOf(entry.job).filter(worker => broken.has(worker));
+        for (const unit of entry.job.units.values()) {
+            workers.forEach(worker => unit.avoid.add(worker));
+            unit.avoidUntilMs = nowMs + avoidMs;
         }
-        const { arrival } = entry;
-        const ranMs = Math.max(0, nowMs - entry.startedAtMs);
-        const saves = arrival.spec.checkpointable && !arrival.ignoresCheckpoint;
-        progress.set(arrival.spec.id, (progress.get(arrival.spec.id) ?? 0) + (saves ? ranMs : 0));
-        lose(entry, (saves ? 0 : ranMs) + restartMs);
+        workers.forEach(worker => world.health.noteFailed(worker, id));
         release(entry);
-        enqueue(arrival, entry.allocation.attempt, undefined);
-    };
-
-    /** A job that ignores its checkpoint goes on unless the eviction is mandatory. */
-    const refuseToLeave = (entry: Running): void => {
-        entry.leavesAtMs = undefined;
-        const allocation = ledger.allocations.get(entry.arrival.spec.id);
-        if (allocation !== undefined) {
-            allocation.leaving = false;
-            allocation.job = { ...allocation.job, checkpointable: false };
-        }
-        if (nowMs >= entry.endsAtMs) {
-            complete(entry);
-        }
-        requestPlan();
+        meter.lose(nowMs, failAfterMs * acceleratorsOf(entry.job));
     };
 
-    const evict = (jobId: string, mandatory: boolean): void => {
-        const entry = running.get(jobId);
-        if (entry === undefined || entry.leavesAtMs !== undefined) {
+    const evict = (id: string): void => {
+        const entry = running.get(id);
+        if (entry === undefined || entry.leaving) {
             return;
         }
-        const takesMs = entry.arrival.ignoresCheckpoint ? graceMs : 200 + random() * (graceMs - 200);
-        entry.leavesAtMs = nowMs + takesMs;
-        const refuses = !mandatory && (entry.arrival.ignoresCheckpoint || !entry.arrival.spec.checkpointable);
-        at(entry.leavesAtMs, () => refuses ? refuseToLeave(entry) : leave(entry));
-    };
-
-    const hasUnusedUnit = (customer: string): boolean => {
-        const used = new Set([...ledger.allocations.values()].map(allocation => allocation.guaranteeUnit));
-        return [...ledger.cells.values()].some(cell =>
-            cell.customer === customer && cell.members.length > 0 && !used.has(cell.unit)
-        );
-    };
-
-    /** Notes since when waiting jobs could have used an unused unit of their customer's guarantee. */
-    const noteEntitled = (): void => {
-        for (const { spec } of queue.values()) {
-            const arrival = arrivals.get(spec.id);
-            if (arrival?.class !== JobClass.Urgent || arrival.neverFits) {
-                continue;
-            }
-            if (!hasUnusedUnit(spec.customer)) {
-                entitledSinceMs.delete(spec.id);
-            }
-            else if (!entitledSinceMs.has(spec.id)) {
-                entitledSinceMs.set(spec.id, nowMs - planDelayMs);
-            }
+        entry.leaving = true;
+        for (const unit of entry.job.units.values()) {
+            unit.evictions += 1;
+            unit.tasks.forEach(task => {
+                if (task.run !== undefined) {
+                    task.run.phase = RunPhase.Stopping;
+                }
+            });
         }
+        const { ignoresCheckpoint } = entry.arrival;
+        const saves = entry.job.submission.steps[0].checkpointing && !ignoresCheckpoint;
+        at(nowMs + (ignoresCheckpoint ? stubbornLeaveMs : leaveMs), () => {
+            const doneMs = Math.max(0, nowMs - entry.startedAtMs);
+            progress.set(id, saves ? (progress.get(id) ?? 0) + doneMs : 0);
+            meter.lose(nowMs, (saves ? 0 : doneMs) * acceleratorsOf(entry.job));
+            release(entry);
+        });
     };
 
-    const entitledWait = (id: string): number | undefined => {
-        const sinceMs = entitledSinceMs.get(id);
-        return sinceMs === undefined ? undefined : nowMs + startDelayMs - sinceMs;
-    };
-
-    const startJob = (decision: Decision & { kind: DecisionKind.Place; }): void => {
-        const { id } = decision.job.spec;
+    const start = ({ candidate, assignments }: Round["placements"][number]): void => {
+        const { id } = candidate.job;
         const arrival = arrivals.get(id);
-        const allocation = ledger.allocations.get(id);
-        if (arrival === undefined || allocation === undefined) {
-            return;
-        }
-        queue.delete(id);
+        const job = world.jobs.get(id);
         const outcome = outcomes.get(id);
-        if (outcome !== undefined) {
-            outcome.waitMs ??= nowMs + startDelayMs - arrival.atMs;
-            outcome.guaranteeWaitMs ??= entitledWait(id);
+        if (arrival === undefined || job === undefined || outcome === undefined) {
+            return;
         }
-        const remainingMs = arrival.actualRunTimeMs - (progress.get(id) ?? 0)
-            + (decision.job.attempts > 0 ? restartMs : 0);
+        const isRestart = outcome.waitMs !== undefined;
         const startedAtMs = nowMs + startDelayMs;
-        const failing = decision.members.some(member => broken.has(member.worker));
-        const entry = { arrival, allocation, startedAtMs, endsAtMs: startedAtMs + remainingMs, failing };
+        outcome.waitMs ??= startedAtMs - arrival.atMs;
+        const sinceMs = entitledSinceMs.get(id);
+        outcome.guaranteeWaitMs ??= sinceMs === undefined ? undefined : startedAtMs - sinceMs;
+        world.run(job, assignments, arrival.ignoresCheckpoint ? "" : "saved");
+        const entry: Running = { arrival, job, startedAtMs, leaving: false };
         running.set(id, entry);
-        if (failing) {
+        if (assignments.some(({ workerId }) => broken.has(workerId))) {
             at(startedAtMs + failAfterMs, () => failRun(entry));
+            return;
         }
-        else {
-            at(entry.endsAtMs, () => complete(entry));
-        }
+        const remainingMs = arrival.actualRunTimeMs - (progress.get(id) ?? 0) + (isRestart ? restartMs : 0);
+        at(startedAtMs + remainingMs, () => complete(entry));
     };
 
-    const carryOut = (decision: Decision): void => {
-        switch (decision.kind) {
-            case DecisionKind.Place:
-                return startJob(decision);
-            case DecisionKind.Reclaim:
-                return decision.victims.forEach(victim => evict(victim.job.id, decision.mandatory));
-            case DecisionKind.Reject: {
-                queue.delete(decision.job.spec.id);
-                openJobs -= 1;
-                const outcome = outcomes.get(decision.job.spec.id);
-                if (outcome !== undefined) {
-                    outcome.rejected = true;
-                }
+    /** A guarantee is due from the arrival, or from when its customer's earlier work no longer uses it. */
+    const noteEntitled = (guarantees: Guarantees): void => {
+        for (const { job: { id }, key } of waiting) {
+            const job = world.jobs.get(id);
+            if (job === undefined || !guarantees.has(job)) {
+                entitledSinceMs.delete(id);
             }
-        }
-    };
-
-    const refreshUsable = (): void => {
-        for (const worker of fleet.workers.values()) {
-            worker.usable = !zonesOut.has(worker.availabilityZone) && !health.isEjected(worker.name, nowMs);
-        }
-        repairCells(ledger);
-    };
-
-    const evictFromZonesOut = (): void => {
-        for (const entry of [...running.values()]) {
-            const zone = fleet.workers.get(entry.allocation.members[0].worker)?.availabilityZone ?? "";
-            if (zonesOut.has(zone) && entry.arrival.spec.checkpointable) {
-                evict(entry.arrival.spec.id, true);
+            else if (!entitledSinceMs.has(id)) {
+                entitledSinceMs.set(id, seen.has(key) ? nowMs : arrivals.get(id)?.atMs ?? nowMs);
             }
+            seen.add(key);
         }
     };
 
     const round = (): void => {
         planScheduled = false;
-        refreshUsable();
-        if (reclaims) {
-            evictFromZonesOut();
-        }
-        noteEntitled();
+        const current = rooms();
+        const cells = surveyCells(world, current, places);
+        const guarantees = surveyGuarantees(world, cells);
+        places = followIdleRoom(world, current, cells, guarantees);
+        waiting = surveyCandidates(world, guarantees);
+        noteEntitled(guarantees);
+        const occupants = surveyOccupants(world, guarantees);
+        const expectedUrgent = urgentDemand.expected(nowMs, surveyUrgentUse(world), current);
         const beganMs = performance.now();
-        const decisions = plan({ ledger, queue: [...queue.values()], runTimes, nowMs });
+        const decided = plan(
+            { nowMs, rooms: current, candidates: waiting, occupants, claims, expectedUrgent },
+            cells,
+            holders,
+        );
         const tookMs = performance.now() - beganMs;
         result.rounds += 1;
         result.planMs += tookMs;
         result.slowestRoundMs = Math.max(result.slowestRoundMs, tookMs);
-        decisions.forEach(carryOut);
-        if (queue.size > 0 && !idleScheduled) {
+        claims = decided.claims;
+        revision += 1;
+        decided.evictions.forEach(({ occupant }) => evict(occupant.key.split(".")[0]));
+        decided.placements.forEach(start);
+        const placed = new Set(decided.placements.map(({ candidate }) => candidate.key));
+        waiting = waiting.filter(candidate => !placed.has(candidate.key));
+        if (waiting.length > 0 && !idleScheduled) {
             idleScheduled = true;
-            at(nowMs + idleRoundMs, roundWhenIdle);
+            at(nowMs + idleRoundMs, () => {
+                idleScheduled = false;
+                requestPlan();
+            });
         }
     };
 
     const cancelWave = (share: number): void => {
-        for (const id of [...queue.keys(), ...running.keys()]) {
-            if (random() < share) {
-                const entry = running.get(id);
-                if (entry !== undefined) {
-                    release(entry);
-                }
-                queue.delete(id);
-                openJobs -= 1;
-                const outcome = outcomes.get(id);
-                if (outcome !== undefined) {
-                    outcome.cancelled = true;
-                }
+        for (const id of [...world.jobs.keys()].filter(() => random() < share)) {
+            const entry = running.get(id);
+            const outcome = outcomes.get(id);
+            if (entry !== undefined) {
+                release(entry);
+            }
+            if (outcome !== undefined) {
+                outcome.cancelled = true;
+            }
+            forget(id);
+        }
+    };
+
+    /** Work that saves its progress goes on elsewhere under every policy. */
+    const leaveZone = (zone: string): void => {
+        const names = new Set(
+            workload.workers.filter(worker => worker.availabilityZone === zone).map(({ name }) => name),
+        );
+        for (const { job } of [...running.values()]) {
+            if (job.submission.steps[0].checkpointing && world.workersOf(job).some(worker => names.has(worker))) {
+                evict(job.submission.id);
             }
         }
     };
@@ -290,17 +251,11 @@
     const change = (event: WorldEvent): void => {
         switch (event.kind) {
             case "zoneOut":
-                zonesOut.add(event.zone);
-                // work in the zone goes on elsewhere under every policy
-                running.forEach(entry => {
-                    const zone = fleet.workers.get(entry.allocation.members[0].worker)?.availabilityZone;
-                    if (zone === event.zone && entry.arrival.spec.checkpointable) {
-                        evict(entry.arrival.spec.id, true);
-                    }
-                });
+                world.evacuatedZones.add(event.zone);
+                leaveZone(event.zone);
                 break;
             case "zoneIn":
-                zonesOut.delete(event.zone);
+                world.evacuatedZones.delete(event.zone);
                 break;
             case "workerBreaks":
                 broken.add(event.worker);
@@ -315,35 +270,34 @@
     };
 
     const arrive = (arrival: Arrival): void => {
-        openJobs += 1;
-        arrivals.set(arrival.spec.id, arrival);
-        outcomes.set(arrival.spec.id, {
+        const { submission } = arrival;
+        const rejected = !fitsSomewhere(submission.steps[0], workload.workers);
+        outcomes.set(submission.id, {
             class: arrival.class,
-            accelerators: acceleratorsOf(arrival.spec.shape),
+            accelerators: submission.steps[0].taskCount * submission.steps[0].resources.accelerators,
             runTimeMs: arrival.actualRunTimeMs,
-            rejected: false,
+            rejected,
             cancelled: false,
             neverFits: arrival.neverFits,
         });
-        enqueue(arrival, 0, undefined);
+        if (!rejected) {
+            openJobs += 1;
+            arrivals.set(submission.id, arrival);
+            world.addJob(submission);
+            requestPlan();
+        }
     };
 
     workload.arrivals.forEach(arrival => at(arrival.atMs, () => arrive(arrival)));
     workload.events.forEach(event => at(event.atMs, () => change(event)));
     const limitMs = workload.endMs * 4;
     for (let next = agenda.pop(); next !== undefined && next.atMs < limitMs; next = agenda.pop()) {
-        advanceTo(next.atMs);
+        meter.pass(nowMs, next.atMs);
+        nowMs = next.atMs;
         next.run();
         if (openJobs === 0 && nowMs > workload.endMs) {
             break;
         }
     }
-
-    return {
-        jobs: [...outcomes.values()],
-        ...meter.shares(),
-        rounds: result.rounds,
-        planMs: result.planMs,
-        slowestRoundMs: result.slowestRoundMs,
-    };
+    return { jobs: [...outcomes.values()], ...meter.shares(), ...result };
 };
--- /dev/null
+++ b/bench/planningWorld.ts
@@ -0,0 +1,118 @@
+/** A planner's view of workers and jobs without processes, for replays of decisions on virtual time. */
+import { queueConfigurationOf } from "../src/configuration/queries/queueConfiguration.js";
+import type { Snapshot } from "../src/configuration/types.js";
+import { createRunTable } from "../src/execution/context.js";
+import type { PlannerContext } from "../src/execution/context.js";
+import type { WorkerSession } from "../src/execution/session.js";
+import { createWorkerHealth } from "../src/execution/workerHealth.js";
+import { restoreJob, RunPhase } from "../src/jobs/progress.js";
+import type { JobState } from "../src/jobs/progress.js";
+import type { JobSubmission } from "../src/jobs/types.js";
+import { createEntryMetrics } from "../src/node/entryMetrics.js";
+import type { Assignment } from "../src/planning/types.js";
+import type { TimerService } from "../src/utils/timer.js";
+import { workerPool } from "../src/workers/directory.js";
+import type { WorkerFacts } from "../src/workers/types.js";
+
+const maxBodyBytes = 65_536;
+
+const createSession = ({ name, availabilityZone, rack, capacity }: WorkerFacts): WorkerSession => ({
+    id: name,
+    bornMs: 0,
+    view: {
+        id: name,
+        service: workerPool,
+        address: "",
+        availabilityZone,
+        labels: [rack],
+        rack,
+        capacity,
+        bornMs: 0,
+        draining: false,
+    },
+    client: undefined,
+    closed: false,
+    isCleared: () => true,
+    silentMs: () => 0,
+    untilClockMs: () => 0,
+    noteLease: () => {},
+    noteClock: () => {},
+    noteSilence: () => {},
+    fenceRun: () => {},
+    fenceCount: () => 0,
+    acknowledge: () => {},
+    wake: () => {},
+    close: () => {},
+});
+
+/** What the real surveys of a planner look at. */
+export interface PlanningWorld extends PlannerContext {
+    evacuatedZones: Set<string>;
+    addJob(submission: JobSubmission): JobState;
+    /** Puts a job's tasks where they were placed; `checkpoint` is empty if they save nothing. */
+    run(job: JobState, assignments: readonly Assignment[], checkpoint: string): void;
+    /** Takes a job's tasks off their workers. */
+    clear(job: JobState): void;
+    workersOf(job: JobState): string[];
+}
+
+/** Creates a world without jobs. */
+export const createPlanningWorld = (
+    workers: readonly WorkerFacts[],
+    snapshot: Snapshot,
+    timer: TimerService,
+): PlanningWorld => {
+    const evacuatedZones = new Set<string>();
+    const state = { configuration: queueConfigurationOf(snapshot, maxBodyBytes), evacuatedZones };
+    const sessions = new Map(workers.map(worker => [worker.name, createSession(worker)]));
+    const runs = createRunTable();
+    const jobs = new Map<string, JobState>();
+    const tasksOf = (job: JobState) => [...job.units.values()].flatMap(unit => unit.tasks);
+    const find = (name: string): WorkerSession => {
+        const session = sessions.get(name);
+        if (session === undefined) {
+            throw new Error(`no worker ${name}`);
+        }
+        return session;
+    };
+    return {
+        timer,
+        log: () => {},
+        metrics: createEntryMetrics(),
+        term: 1,
+        jobs,
+        sessions,
+        runs,
+        health: createWorkerHealth(timer),
+        operator: () => state,
+        mayOrder: () => true,
+        record: async () => true,
+        requestRound: () => {},
+        isOver: () => false,
+        evacuatedZones,
+        addJob: submission => {
+            const job = restoreJob(submission, undefined, 0, false, find, timer.nowMs());
+            jobs.set(submission.id, job);
+            return job;
+        },
+        run: (job, assignments, checkpoint) => {
+            const tasks = tasksOf(job);
+            const nowMs = timer.nowMs();
+            for (const { taskIndex, workerId } of assignments) {
+                tasks[taskIndex].checkpoint = checkpoint;
+                runs.set(tasks[taskIndex], {
+                    number: 1,
+                    worker: find(workerId),
+                    phase: RunPhase.Running,
+                    orderedAtMs: nowMs,
+                    answeredAtMs: nowMs,
+                    percent: 0,
+                    usage: 0,
+                    savedAtMs: nowMs,
+                });
+            }
+        },
+        clear: job => tasksOf(job).forEach(runs.clear),
+        workersOf: job => [...new Set(tasksOf(job).flatMap(task => task.run?.worker.id ?? []))],
+    };
+};
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -2,12 +2,13 @@
 import { readFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
-import { planRound } from "../src/scheduling/plan.js";
-import type { PlanRound } from "../src/scheduling/plan.js";
+import { planRound } from "../src/planning/round.js";
 import { naiveBorrowing, withoutBorrowing } from "./baselines.js";
+import type { Policy as PlanPolicy } from "./baselines.js";
 import { printDecisionCost } from "./decisionCost.js";
-import type { JobOutcome, RunResult } from "./meter.js";
+import { counts } from "./meter.js";
 import { replay } from "./placementRun.js";
+import type { JobOutcome, RunResult } from "./types.js";
 
 import { leastOutstanding, ownChoice, roundRobin, runRouting } from "./routingRun.js";
 import type { RoutingResult } from "./routingRun.js";
@@ -26,14 +27,13 @@
 
 interface Policy {
     name: string;
-    plan: PlanRound;
-    reclaims: boolean;
+    plan: PlanPolicy;
 }
 
 const policies: Policy[] = [
-    { name: "catkinswitch", plan: planRound, reclaims: true },
-    { name: "no borrowing", plan: withoutBorrowing, reclaims: false },
-    { name: "naive borrowing", plan: naiveBorrowing, reclaims: false },
+    { name: "catkinswitch", plan: input => planRound(input) },
+    { name: "no borrowing", plan: withoutBorrowing },
+    { name: "naive borrowing", plan: naiveBorrowing },
 ];
 
 const todaySeeds = [1, 2, 3, 4, 5, 6];
@@ -66,7 +66,7 @@
     values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
 
 const ofClass = (result: RunResult, jobClass: JobClass): JobOutcome[] =>
-    result.jobs.filter(job => job.class === jobClass && !job.neverFits && !job.cancelled);
+    result.jobs.filter(job => job.class === jobClass && counts(job));
 
 const waits = (jobs: readonly JobOutcome[]): number[] => jobs.map(job => job.waitMs ?? Infinity);
 
@@ -91,7 +91,7 @@
 };
 
 const runSeeds = (profile: Profile, policy: Policy, seeds: readonly number[]): RunResult[] =>
-    seeds.map(seed => replay(createWorkload(profile, seed), policy.plan, seed, policy.reclaims));
+    seeds.map(seed => replay(createWorkload(profile, seed), policy.plan, seed));
 
 const spread = (values: readonly number[]): string =>
     `${mean(values).toFixed(2)} [${Math.min(...values).toFixed(2)} .. ${Math.max(...values).toFixed(2)}]`;
--- a/bench/workload.ts
+++ b/bench/workload.ts
@@ -1,9 +1,11 @@
 /** Seeded lists of arrivals and faults that stand for the users' mixes. */
 import { Adjacency, Urgency } from "../src/configuration/types.js";
-import type { Shape, Statement } from "../src/configuration/types.js";
-import type { JobSpec, Worker } from "../src/scheduling/types.js";
+import type { Shape, Snapshot, Statement } from "../src/configuration/types.js";
+import { buildSubmission } from "../src/jobs/commands/submitJob.js";
+import type { JobSubmission } from "../src/jobs/types.js";
 import { createRandom, pickOne } from "../src/utils/random.js";
 import type { Random } from "../src/utils/random.js";
+import type { WorkerFacts } from "../src/workers/types.js";
 
 /** Classes that completion times are reported by. */
 export enum JobClass {
@@ -16,7 +18,7 @@
 /** A job as it arrives, with what only the work itself knows. */
 export interface Arrival {
     atMs: number;
-    spec: JobSpec;
+    submission: JobSubmission;
     class: JobClass;
     actualRunTimeMs: number;
     ignoresCheckpoint: boolean;
@@ -50,8 +52,8 @@
 
 /** Everything that happens in one run. */
 export interface Workload {
-    workers: Worker[];
-    statements: Statement[];
+    workers: WorkerFacts[];
+    snapshot: Snapshot;
     arrivals: Arrival[];
     events: WorldEvent[];
     /** Time during which a zone is out. */
@@ -71,16 +73,15 @@
     adjacency,
 });
 
-const createWorkers = (profile: Profile): Worker[] => {
-    const workers: Worker[] = [];
+const createWorkers = (profile: Profile): WorkerFacts[] => {
+    const workers: WorkerFacts[] = [];
     for (let zone = 0; zone < profile.zones; zone++) {
         for (let index = 0; index < profile.workersPerZone; index++) {
             workers.push({
                 name: `worker-${zone}-${String(index).padStart(3, "0")}`,
                 availabilityZone: `zone-${zone}`,
                 rack: `rack-${zone}-${Math.floor(index / 8)}`,
-                capacity: { accelerators: profile.acceleratorsOf(index), cores: 64, memoryGb: 130 },
-                usable: true,
+                capacity: { accelerators: profile.acceleratorsOf(index), milliCores: 64_000, memoryMb: 130_000 },
             });
         }
     }
@@ -146,22 +147,20 @@
         ? Math.floor(random() * holders)
         : holders + Math.floor(random() * (profile.customers - holders));
     const urgency = jobClass === JobClass.Urgent ? Urgency.Urgent : random() < 0.5 ? Urgency.Normal : Urgency.MayWait;
+    const request = {
+        customer: `customer-${customer}`,
+        service: jobClass,
+        shape: neverFits ? shapeOf(96, 8, Adjacency.Rack) : shapeFor(random, profile, jobClass),
+        declaredRunTimeMs: declaredFrom(random, actualRunTimeMs),
+        checkpointable: random() < 0.85,
+    };
     return {
         atMs,
         class: jobClass,
         actualRunTimeMs,
         neverFits,
         ignoresCheckpoint: random() < 0.1,
-        spec: {
-            id: `job-${index}`,
-            customer: `customer-${customer}`,
-            service: jobClass,
-            shape: neverFits ? shapeOf(96, 8, Adjacency.Rack) : shapeFor(random, profile, jobClass),
-            urgency,
-            declaredRunTimeMs: declaredFrom(random, actualRunTimeMs),
-            checkpointable: random() < 0.85,
-            submittedAtMs: atMs,
-        },
+        submission: buildSubmission(`job-${index}`, request, urgency, atMs),
     };
 };
 
@@ -191,11 +190,15 @@
             index,
             atMs,
         );
-        arrival.spec.id = `backlog-${index}`;
-        arrival.spec.urgency = Urgency.MayWait;
-        arrival.spec.checkpointable = true;
+        const request = {
+            customer: arrival.submission.customer ?? "",
+            service: JobClass.Small,
+            shape: shapeOf(1, 4, Adjacency.Worker),
+            declaredRunTimeMs: arrival.submission.steps[0].estimateMs,
+            checkpointable: true,
+        };
+        arrival.submission = buildSubmission(`backlog-${index}`, request, Urgency.MayWait, atMs);
         arrival.neverFits = false;
-        arrival.spec.shape = shapeOf(1, 4, Adjacency.Worker);
         arrival.actualRunTimeMs = 2 * hourMs;
         backlog.push(arrival);
     }
@@ -224,7 +227,14 @@
     ];
     return {
         workers,
-        statements: createStatements(profile, total),
+        snapshot: {
+            version: 1,
+            publishId: "bench",
+            publishedBy: "bench",
+            publishedAtMs: 0,
+            statements: createStatements(profile, total),
+            removed: [],
+        },
         arrivals,
         events,
         zoneMove,
--- a/demo/run.ts
+++ b/demo/run.ts
@@ -4,8 +4,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { JobState } from "../src/scheduling/types.js";
-import type { JobRecord } from "../src/scheduling/types.js";
+import type { JobView } from "../src/jobs/queries/jobView.js";
+import { JobPhase } from "../src/jobs/types.js";
 import { sendJson, startLocalCluster, waitForExit, waitUntil } from "../tools/localCluster.js";
 import type { LocalCluster } from "../tools/localCluster.js";
 
@@ -102,8 +102,8 @@
     expect(runs.length === 1, "the booking behind that key ran once");
 };
 
-const readJob = async (cluster: LocalCluster, id: string): Promise<JobRecord> => {
-    const answer = await sendJson<JobRecord>(`${cluster.schedulers()[1].httpAddress}/v1/jobs/${id}`);
+const readJob = async (cluster: LocalCluster, id: string): Promise<JobView> => {
+    const answer = await sendJson<JobView>(`${cluster.schedulers()[1].httpAddress}/v1/jobs/${id}`);
     return answer.body;
 };
 
@@ -113,10 +113,10 @@
     const submitted = await runCli("submit", file, "--key", "plan-1", "--entry", cluster.schedulers()[1].httpAddress);
     expect(submitted.code === 0, `a gang over two workers is accepted: ${submitted.text}`);
     const id = "wedding-planners.plan-1";
-    await waitUntil("the gang is placed", 10_000, async () => (await readJob(cluster, id)).state === JobState.Placed);
-    const members = (await readJob(cluster, id)).placement?.members ?? [];
-    expect(members.length === 2, `it runs on ${members.map(member => member.worker).join(" and ")}`);
-    await waitUntil("the gang finished", 20_000, async () => (await readJob(cluster, id)).state === JobState.Done);
+    await waitUntil("the gang is placed", 10_000, async () => (await readJob(cluster, id)).state === JobPhase.Running);
+    const { workers } = await readJob(cluster, id);
+    expect(workers.length === 2, `it runs on ${workers.join(" and ")}`);
+    await waitUntil("the gang finished", 20_000, async () => (await readJob(cluster, id)).state === JobPhase.Succeeded);
     say("ok  the gang finished");
 };
 
@@ -145,7 +145,7 @@
     );
     await waitUntil("the gangs finished", 20_000, async () => {
         const records = await Promise.all(ids.map(key => readJob(cluster, `wedding-planners.${key}`)));
-        return records.every(record => record.state === JobState.Done);
+        return records.every(record => record.state === JobPhase.Succeeded);
     });
     const starts = (await cluster.events()).filter(event =>
         event.kind === "taskRunning" && event.availabilityZone === "zone-a" && event.atMs > acceptedAtMs
--- a/src/cli/intentCommands.ts
+++ b/src/cli/intentCommands.ts
@@ -3,12 +3,12 @@
 import { join } from "node:path";
 import type { PublishError } from "../configuration/commands/publish.js";
 import { checkTogether } from "../configuration/queries/checkTogether.js";
-import type { WorkerFacts } from "../configuration/queries/checkTogether.js";
 import { collectIntents } from "../configuration/queries/collect.js";
 import type { FileProblem } from "../configuration/queries/collect.js";
 import { explain } from "../configuration/queries/settings.js";
 import type { Snapshot, Statement } from "../configuration/types.js";
-import type { JobRecord } from "../scheduling/types.js";
+import type { JobView } from "../jobs/queries/jobView.js";
+import type { WorkerFacts } from "../workers/types.js";
 import { BaseCommand, EntryCommand, ExitCode } from "./base.js";
 import { send } from "./client.js";
 
@@ -162,15 +162,11 @@
         if (answer.status !== 200) {
             throw new Error(`no job "${jobId}"`);
         }
-        const record = answer.body as JobRecord;
-        const { placement } = record;
-        const lines = [`${jobId}: ${record.state}, ${record.reason}`];
-        if (placement !== undefined) {
-            const workers = placement.members.map(member => member.worker).join(", ");
-            lines.push(`  placed on ${workers} (${placement.class}) under version ${placement.configurationVersion}`);
+        const job = answer.body as JobView;
+        const lines = [`${jobId}: ${job.state}, ${job.reason}`];
+        if (job.workers.length > 0) {
+            lines.push(`  placed on ${job.workers.join(", ")} with priority ${job.priority}`);
         }
-        const unit = placement?.guaranteeUnit;
-        const name = unit?.slice(unit.indexOf("/") + 1, unit.lastIndexOf("#"));
-        return { lines, subject: name ?? record.spec.customer };
+        return { lines, subject: job.customer ?? job.service };
     }
 }
--- a/src/cli/workCommands.ts
+++ b/src/cli/workCommands.ts
@@ -1,6 +1,6 @@
 import { Command, Option } from "clipanion";
 import { readFile } from "node:fs/promises";
-import type { JobRecord } from "../scheduling/types.js";
+import type { JobView } from "../jobs/queries/jobView.js";
 import { parseJsonWithComments } from "../utils/jsonWithComments.js";
 import { EntryCommand, ExitCode } from "./base.js";
 import { send } from "./client.js";
@@ -48,10 +48,8 @@
     }
 }
 
-const jobLine = (record: JobRecord): string => {
-    const where = record.placement?.members.map(member => `${member.worker}×${member.taskCount}`).join(" ");
-    return `${record.spec.id}: ${record.state} (${record.reason})${where === undefined ? "" : ` on ${where}`}`;
-};
+const jobLine = ({ id, state, reason, workers }: JobView): string =>
+    `${id}: ${state} (${reason})${workers.length === 0 ? "" : ` on ${workers.join(" ")}`}`;
 
 /** Submits a job. */
 export class SubmitCommand extends EntryCommand {
@@ -72,7 +70,7 @@
         }
         const headers = this.key === undefined ? undefined : { "idempotency-key": this.key };
         const answer = await send(`${this.entry}/v1/jobs`, { method: "POST", body: parsed.value.value, headers });
-        this.print(answer.body, isOk(answer) ? [jobLine(answer.body as JobRecord)] : problemLines(answer));
+        this.print(answer.body, isOk(answer) ? [jobLine(answer.body as JobView)] : problemLines(answer));
         return isOk(answer) ? ExitCode.Ok : ExitCode.Refused;
     }
 }
@@ -82,7 +80,7 @@
 
     protected async sendForJob(method: "GET" | "DELETE"): Promise<number> {
         const answer = await send(`${this.entry}/v1/jobs/${encodeURIComponent(this.jobId)}`, { method });
-        this.print(answer.body, isOk(answer) ? [jobLine(answer.body as JobRecord)] : problemLines(answer));
+        this.print(answer.body, isOk(answer) ? [jobLine(answer.body as JobView)] : problemLines(answer));
         return isOk(answer) ? ExitCode.Ok : ExitCode.Refused;
     }
 }
--- a/src/configuration/queries/checkTogether.ts
+++ b/src/configuration/queries/checkTogether.ts
@@ -1,12 +1,8 @@
-import { cellsOf, repairCells } from "../../scheduling/cells.js";
-import { createFleet } from "../../scheduling/fleet.js";
-import { createLedger } from "../../scheduling/ledger.js";
-import type { Worker } from "../../scheduling/types.js";
-import type { Statement } from "../types.js";
+import { findUnplaced } from "../../planning/emptyFleet.js";
+import type { NamedStep } from "../../planning/emptyFleet.js";
+import type { WorkerFacts } from "../../workers/types.js";
 import type { FileProblem, SourcedIntent } from "./collect.js";
-
-/** A worker's place and capacity, whatever its present state. */
-export type WorkerFacts = Omit<Worker, "usable">;
+import { stepOf } from "./shapeStep.js";
 
 const place = (sourced: SourcedIntent): string => `${sourced.file}:${sourced.line}`;
 
@@ -49,22 +45,24 @@
             )
     );
 
-/** Units that find no place on the given workers, by statement name. */
-const unplacedStatements = (statements: readonly Statement[], workers: readonly Worker[]): Set<string> => {
-    const ledger = createLedger(createFleet([...workers]));
-    cellsOf(statements).forEach(cell => ledger.setCell(cell));
-    return new Set(repairCells(ledger).map(unit => unit.slice(unit.indexOf("/") + 1, unit.lastIndexOf("#"))));
+/** One gang for each unit of a guarantee. */
+const gangsOf = ({ intent }: SourcedIntent): NamedStep[] => {
+    const { guarantee, name } = intent;
+    return guarantee === undefined
+        ? []
+        : Array.from({ length: guarantee.count }, () => ({ name, step: stepOf(guarantee.shape, 0, false) }));
 };
 
-const asStatements = (intents: readonly SourcedIntent[]): Statement[] =>
-    intents.map(sourced => ({ ...sourced.intent, provenance: undefined as never }));
+/** Names of the statements whose guarantees find no place beside the others on the given workers. */
+const unplacedStatements = (intents: readonly SourcedIntent[], workers: readonly WorkerFacts[]): Set<string> =>
+    new Set(findUnplaced(intents.flatMap(gangsOf), workers).map(gang => gang.name));
 
 const findUnmetGuarantees = (
     intents: readonly SourcedIntent[],
     facts: readonly WorkerFacts[],
     zones: ReadonlySet<string>,
 ): FileProblem[] => {
-    const all = unplacedStatements(asStatements(intents), facts.map(worker => ({ ...worker, usable: true })));
+    const all = unplacedStatements(intents, facts);
     const problems = intents
         .filter(sourced => all.has(sourced.intent.name))
         .map(sourced =>
@@ -72,8 +70,7 @@
         );
     const lasting = intents.filter(sourced => sourced.intent.guarantee?.holdsWithZoneOut === true);
     for (const zone of zones) {
-        const remaining = facts.map(worker => ({ ...worker, usable: worker.availabilityZone !== zone }));
-        const unplaced = unplacedStatements(asStatements(lasting), remaining);
+        const unplaced = unplacedStatements(lasting, facts.filter(worker => worker.availabilityZone !== zone));
         problems.push(
             ...lasting
                 .filter(sourced => unplaced.has(sourced.intent.name) && !all.has(sourced.intent.name))
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -1,10 +1,12 @@
 import { addOccurrence, nextDueAtMs } from "../jobs/progress.js";
 import type { JobState, Unit } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
-import { planRound } from "../planning/round.js";
+import { noPlaces } from "../planning/cells.js";
+import { mayDisplaceOthers, planRound } from "../planning/round.js";
 import type { Candidate, RoomClaim, Round } from "../planning/types.js";
 import { createUrgentDemand } from "../planning/urgentDemand.js";
 import type { PlannerContext } from "./context.js";
+import { followIdleRoom, surveyCells, surveyGuarantees } from "./guarantees.js";
 import type { Starts } from "./starts.js";
 import type { Stops } from "./stops.js";
 import { surveyCandidates, surveyOccupants, surveyRooms, surveyUrgentUse } from "./survey.js";
@@ -31,7 +33,8 @@
 const shownPriorities = [0, 1, 2];
 
 const findUnit = (context: PlannerContext, key: string): Unit | undefined => {
-    const at = key.indexOf(".");
+    // a job's id may hold dots; occurrence and step are the last two parts
+    const at = key.lastIndexOf(".", key.lastIndexOf(".") - 1);
     return context.jobs.get(key.slice(0, at))?.units.get(key.slice(at + 1));
 };
 
@@ -69,6 +72,7 @@
     const { timer } = context;
     const urgentDemand = createUrgentDemand();
     let claims: RoomClaim[] = [];
+    let places = noPlaces;
     let due: (() => void) | undefined;
     let begun = false;
     let lastRoundMs = 0;
@@ -87,12 +91,15 @@
         const nowMs = timer.nowMs();
         context.jobs.forEach(addDueOccurrences);
         watch.moveFromLeaving();
-        const candidates = surveyCandidates(context);
+        const rooms = surveyRooms(context);
+        const cells = surveyCells(context, rooms, places);
+        const guarantees = surveyGuarantees(context, cells);
+        places = followIdleRoom(context, rooms, cells, guarantees);
+        const candidates = surveyCandidates(context, guarantees);
         noteWaiting(context, candidates);
         if (candidates.length > 0) {
-            const mayDisplace = candidates.some(candidate => candidate.job.priority === 0);
-            const occupants = mayDisplace ? surveyOccupants(context) : [];
-            const rooms = surveyRooms(context);
+            const mayDisplace = candidates.some(mayDisplaceOthers);
+            const occupants = mayDisplace ? surveyOccupants(context, guarantees) : [];
             const expectedUrgent = urgentDemand.expected(nowMs, surveyUrgentUse(context), rooms);
             const round = planRound({ nowMs, rooms, candidates, occupants, claims, expectedUrgent });
             claims = round.claims;
--- a/src/execution/starts.ts
+++ b/src/execution/starts.ts
@@ -121,6 +121,7 @@
             untilClockMs,
             checkpoint: task.checkpoint,
             fencingToken: term,
+            gangSize: task.unit.step.gang ? task.unit.tasks.length : undefined,
         });
         const name = taskKey(taskIdOf(task));
         log("info", "start ordered", { task: name, run: run.number, worker: worker.id, outcome: outcomeOf(started) });
--- a/src/execution/survey.ts
+++ b/src/execution/survey.ts
@@ -1,10 +1,13 @@
 import { objectiveMs, uselessAfterMs } from "../jobs/objective.js";
 import { isReleased, RunPhase } from "../jobs/progress.js";
-import type { JobState, Run, TaskState, Unit } from "../jobs/progress.js";
+import type { Run, TaskState, Unit } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
 import { coresOf, occupiedBy, take } from "../planning/resources.js";
 import type { Candidate, Occupant, Room } from "../planning/types.js";
 import type { PlannerContext } from "./context.js";
+import { withinLimits } from "./customerLimits.js";
+import { acceleratorNeed } from "./guarantees.js";
+import type { Guarantees } from "./guarantees.js";
 import type { WorkerSession } from "./session.js";
 
 /** Time lost by work that is stopped and resumed: the stop, the wait for a place and the reading of its progress. */
@@ -18,6 +21,25 @@
         && !context.operator().evacuatedZones.has(view.availabilityZone) && !context.health.isResting(session.id);
 };
 
+/** Share of its time so far that a run which has outlasted its declared time is expected to need yet. */
+const overrunShare = 0.3;
+
+/** Declared time that a run still needs; one that has outlasted it is expected to go on for a while. */
+const remainingMs = ({ run, unit }: TaskState, nowMs: number): number => {
+    const elapsedMs = nowMs - (run?.orderedAtMs ?? nowMs);
+    return Math.max(unit.step.estimateMs - elapsedMs, elapsedMs * overrunShare);
+};
+
+/** Time within which work that saves its progress has done so for the first time; workers save every second or so. */
+const firstSaveMs = 3_000;
+
+/** Whether a run can go on elsewhere; one that declares so and has saved nothing in its time so far cannot. */
+const savesProgress = ({ unit, checkpoint }: TaskState, run: Run, nowMs: number): boolean =>
+    unit.step.checkpointing && (checkpoint !== "" || nowMs - run.orderedAtMs < firstSaveMs);
+
+const isMovable = (task: TaskState, nowMs: number): boolean =>
+    task.run !== undefined && task.unit.job.submission.priority > 0 && savesProgress(task, task.run, nowMs);
+
 /** Workers with what is free on them. */
 export const surveyRooms = (context: PlannerContext): Room[] => {
     const rooms: Room[] = [];
@@ -34,8 +56,12 @@
             labels: view.labels,
             capacity: view.capacity,
             free: { ...view.capacity },
+            movable: { milliCores: 0, memoryMb: 0, accelerators: 0 },
             usable: isUsable(context, session),
             keptForUrgent: false,
+            busyForMs: 0,
+            openForMs: Number.POSITIVE_INFINITY,
+            hasCell: false,
             suspicion: context.health.suspicionOf(session.id),
             hasServing: false,
             hasFilling: false,
@@ -43,6 +69,10 @@
         for (const task of context.runs.on(session)) {
             const { step } = task.unit;
             take(room.free, occupiedBy(step), 1);
+            if (isMovable(task, context.timer.nowMs())) {
+                take(room.movable, occupiedBy(step), -1);
+            }
+            room.busyForMs = Math.max(room.busyForMs, remainingMs(task, context.timer.nowMs()));
             room.hasServing ||= step.targetMs !== undefined;
             room.hasFilling ||= step.fillsIdleCores;
         }
@@ -51,26 +81,6 @@
     return rooms;
 };
 
-const acceleratorNeed = (job: JobState): number =>
-    Math.max(0, ...job.submission.steps.map(step => step.taskCount * step.resources.accelerators));
-
-/** Customers whose unended jobs of priority 0 fit into what is guaranteed to them. */
-const guaranteedCustomers = (context: PlannerContext): Set<string> => {
-    const needs = new Map<string, number>();
-    for (const job of context.jobs.values()) {
-        const { customer, priority } = job.submission;
-        if (customer !== undefined && priority === 0 && !isEnded(job.phase)) {
-            needs.set(customer, (needs.get(customer) ?? 0) + acceleratorNeed(job));
-        }
-    }
-    const customers = context.operator().configuration?.customers ?? [];
-    return new Set(
-        customers
-            .filter(customer => (needs.get(customer.name) ?? 0) <= customer.guaranteedAccelerators)
-            .map(customer => customer.name),
-    );
-};
-
 const countRunning = (unit: Unit): Map<string, number> => {
     const counts = new Map<string, number>();
     for (const task of unit.tasks) {
@@ -102,7 +112,7 @@
 const toCandidate = (
     unit: Unit,
     taskIndexes: number[],
-    guaranteed: ReadonlySet<string>,
+    guarantees: Guarantees,
     nowMs: number,
     wallMs: number,
 ): Candidate => {
@@ -121,16 +131,15 @@
         objectiveInMs: unit.step.longRunning ? Number.MAX_SAFE_INTEGER : objectiveMs(submission) - ageMs,
         uselessInMs: unit.step.longRunning ? Number.MAX_SAFE_INTEGER : uselessAfterMs(submission) - ageMs,
         remainingChainMs: remainingChainMs(unit),
-        guaranteed: submission.priority === 0 && unit.step.after.length === 0
-            && submission.customer !== undefined && guaranteed.has(submission.customer),
+        guaranteed: unit.step.after.length === 0 && guarantees.has(unit.job),
+        cell: guarantees.get(unit.job)?.cell,
     };
 };
 
 /** Steps whose tasks wait for a place. */
-export const surveyCandidates = (context: PlannerContext): Candidate[] => {
+export const surveyCandidates = (context: PlannerContext, guarantees: Guarantees): Candidate[] => {
     const nowMs = context.timer.nowMs();
     const wallMs = context.timer.wallClockMs();
-    const guaranteed = guaranteedCustomers(context);
     const candidates: Candidate[] = [];
     for (const job of context.jobs.values()) {
         if (isEnded(job.phase) || job.cancelled) {
@@ -139,47 +148,49 @@
         for (const unit of job.units.values()) {
             const waiting = isWaiting(unit, nowMs, wallMs) ? waitingTasks(unit) : [];
             if (waiting.length > 0) {
-                candidates.push(toCandidate(unit, waiting, guaranteed, nowMs, wallMs));
+                candidates.push(toCandidate(unit, waiting, guarantees, nowMs, wallMs));
             }
         }
     }
-    return candidates;
+    return withinLimits(context, candidates);
 };
 
 /** Work of a run that would have to be done again if it were stopped now, in core-milliseconds. */
 const lostCoreMs = (task: TaskState, run: Run, nowMs: number): number => {
     // a stop saves the progress of work that can be resumed
-    const lostMs = task.unit.step.checkpointing ? resumeMs : nowMs - run.orderedAtMs;
+    const lostMs = savesProgress(task, run, nowMs) ? resumeMs : nowMs - run.orderedAtMs;
     return lostMs * coresOf(task.unit.step.resources);
 };
 
-const mayBeTakenBack = (unit: Unit): boolean =>
-    !unit.complete && unit.step.maxUnavailable === undefined && unit.job.submission.priority > 0;
+const mayBeTakenBack = (unit: Unit): boolean => !unit.complete && unit.step.maxUnavailable === undefined;
 
-const toOccupant = (unit: Unit, tasks: readonly TaskState[], nowMs: number): Occupant => ({
+const toOccupant = (unit: Unit, tasks: readonly TaskState[], guaranteed: boolean, nowMs: number): Occupant => ({
     key: unit.key,
     priority: unit.job.submission.priority,
     resources: occupiedBy(unit.step),
     tasks: tasks.map(task => ({ taskIndex: task.index, workerId: task.run?.worker.id ?? "" })),
     lostCoreMs: tasks.reduce((sum, task) => sum + (task.run === undefined ? 0 : lostCoreMs(task, task.run, nowMs)), 0),
     evictions: unit.evictions,
+    guaranteed,
+    resumable: tasks.every(task => task.run !== undefined && savesProgress(task, task.run, nowMs)),
 });
 
 /** Runs that may be taken back, those of a gang together. */
-export const surveyOccupants = (context: PlannerContext): Occupant[] => {
+export const surveyOccupants = (context: PlannerContext, guarantees: Guarantees): Occupant[] => {
     const nowMs = context.timer.nowMs();
     const occupants: Occupant[] = [];
     for (const job of context.jobs.values()) {
+        const covered = guarantees.has(job);
         for (const unit of job.units.values()) {
             if (!mayBeTakenBack(unit)) {
                 continue;
             }
             const running = unit.tasks.filter(task => task.run?.phase === RunPhase.Running);
             if (!unit.step.gang) {
-                running.forEach(task => occupants.push(toOccupant(unit, [task], nowMs)));
+                running.forEach(task => occupants.push(toOccupant(unit, [task], covered, nowMs)));
             }
             else if (running.length > 0 && running.length === unit.tasks.length) {
-                occupants.push(toOccupant(unit, running, nowMs));
+                occupants.push(toOccupant(unit, running, covered, nowMs));
             }
         }
     }
--- a/src/execution/types.ts
+++ b/src/execution/types.ts
@@ -75,6 +75,8 @@
     /** Empty to start from the beginning. */
     checkpoint: string;
     fencingToken: number;
+    /** Members of its gang, which work only together. @default it is in no gang */
+    gangSize?: number;
     /** Permit for queues whose policy restricts workers. */
     ticket?: string;
 }
--- a/src/execution/watch.ts
+++ b/src/execution/watch.ts
@@ -59,20 +59,33 @@
         }
     };
 
-    const stopOnLeaving = (task: TaskState): void => {
+    const moveTask = (task: TaskState, reason: string): void => {
         const { unit, run } = task;
         if (run === undefined || run.phase !== RunPhase.Running || !unit.step.checkpointing) {
             return;
         }
         const members = unit.step.gang ? unit.tasks : [task];
-        members.forEach(member => member.run !== undefined && stops.stop(member, member.run, "its worker is leaving"));
+        members.forEach(member => member.run !== undefined && stops.stop(member, member.run, reason));
+    };
+
+    const reasonToMove = ({ view }: WorkerSession): string | undefined => {
+        const { configuration, evacuatedZones } = context.operator();
+        if (view === undefined) {
+            return undefined;
+        }
+        if (view.draining && (view.leavesAtMs ?? Infinity) - context.timer.nowMs() < moveBeforeMs) {
+            return "its worker is leaving";
+        }
+        return configuration?.movesFromZonesOut === true && evacuatedZones.has(view.availabilityZone)
+            ? "its availability zone is out"
+            : undefined;
     };
 
     const moveFromLeaving = (): void => {
         for (const session of context.sessions.values()) {
-            const { view } = session;
-            if (view?.draining === true && (view.leavesAtMs ?? Infinity) - context.timer.nowMs() < moveBeforeMs) {
-                [...context.runs.on(session)].forEach(stopOnLeaving);
+            const reason = reasonToMove(session);
+            if (reason !== undefined) {
+                [...context.runs.on(session)].forEach(task => moveTask(task, reason));
             }
         }
     };
--- a/src/jobs/objective.ts
+++ b/src/jobs/objective.ts
@@ -1,8 +1,5 @@
 import type { JobSubmission, Step } from "./types.js";
 
-/** Times its objective after which a job is of no more use to its customer. */
-const lateFactor = 3;
-
 const chainTo = (steps: readonly Step[], index: number, known: Map<number, number>): number => {
     const before = known.get(index);
     if (before !== undefined) {
@@ -24,5 +21,8 @@
 export const objectiveMs = (job: JobSubmission): number =>
     job.slackFactor * longestChainMs(job.steps) + job.targetLatencyMs;
 
-/** Time after which completing it is of no use. */
-export const uselessAfterMs = (job: JobSubmission): number => lateFactor * objectiveMs(job);
+/** Time after which completing it is of no use; infinite unless its queue says so. */
+export const uselessAfterMs = (job: JobSubmission): number =>
+    job.uselessAfterObjectives === undefined
+        ? Number.POSITIVE_INFINITY
+        : job.uselessAfterObjectives * objectiveMs(job);
--- a/src/jobs/types.ts
+++ b/src/jobs/types.ts
@@ -1,3 +1,5 @@
+import type { Adjacency } from "../configuration/types.js";
+
 /** Resources that one task occupies on a worker. */
 export interface TaskResources {
     milliCores: number;
@@ -17,8 +19,10 @@
     checkpointing: boolean;
     /** Its tasks run together or not at all. */
     gang: boolean;
-    /** Its tasks are slowed down when they run on more than one rack. */
-    sameRack: boolean;
+    /** Domain that the tasks of a gang share. */
+    adjacency?: Adjacency;
+    /** Rather runs slowed down across domains than not at all. */
+    mayBeSpread: boolean;
     /** Label that a worker must have. */
     requiredLabel?: string;
     /** Rack where its data is; elsewhere its tasks are slowed down. */
@@ -56,6 +60,8 @@
     slackFactor: number;
     /** ... and this much more. */
     targetLatencyMs: number;
+    /** Times its objective after which completing it is of no use. @default it always is of some */
+    uselessAfterObjectives?: number;
     /** Description of the work, passed to workers unread. */
     spec: string;
     steps: Step[];
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -3,13 +3,14 @@
 import { createTerm } from "../execution/term.js";
 import type { WorkerClient, WorkerView } from "../execution/types.js";
 import { createJobBook } from "../jobs/book.js";
-import type { JobBook } from "../jobs/book.js";
+import type { JobBook, JobEntry } from "../jobs/book.js";
 import { acceptJob } from "../jobs/commands/acceptJob.js";
 import type { Acceptance } from "../jobs/commands/acceptJob.js";
 import { cancelStoredJob } from "../jobs/commands/cancelStoredJob.js";
 import type { Cancellation } from "../jobs/commands/cancelStoredJob.js";
 import { queryJobPhase } from "../jobs/queries/jobPhase.js";
 import { countPendingJobs } from "../jobs/queries/pendingJobs.js";
+import { readJob } from "../jobs/queries/readJob.js";
 import { jobParts, jobsTable, plannerLeaseKey, plannerPart, termKey } from "../jobs/rows.js";
 import type { JobPhase, JobSubmission } from "../jobs/types.js";
 import type { OperatorState } from "../queues/types.js";
@@ -63,6 +64,8 @@
     accept(submission: JobSubmission, deadlineMs: number): Promise<Acceptance>;
     cancel(jobId: string): Promise<Cancellation>;
     phase(jobId: string): Promise<JobPhase | "unavailable" | undefined>;
+    /** What is stored of a job; `undefined` when there is no such job. */
+    job(jobId: string): Promise<JobEntry | "unavailable" | undefined>;
     pending(queue: string): number;
     /** Time since the local copy of the jobs was confirmed. */
     jobsAgeMs(): number;
@@ -167,6 +170,7 @@
         accept: (submission, deadlineMs) => acceptJob(context, submission, deadlineMs),
         cancel: jobId => cancelStoredJob(context, book, jobId),
         phase: jobId => queryJobPhase(state, book, jobId),
+        job: jobId => readJob(state, jobId),
         pending: queue => countPendingJobs(book, queue),
         jobsAgeMs: follower.ageMs,
         isPlanner: () => planner !== undefined,
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -137,11 +137,7 @@
     };
 
     const server = createJsonServer(answer);
-    const peerServer = await startPeerServer(`${settings.peer.host}:${settings.peer.port}`, {
-        ...node.handlers,
-        reportZone: async () => ({}),
-        noticeInbox: async () => ({}),
-    });
+    const peerServer = await startPeerServer(`${settings.peer.host}:${settings.peer.port}`, node.handlers);
     await Promise.all([poll(), refresh(), peers.catchUp()]);
     const httpPort = await listen(server, settings.http.host, settings.http.port);
     const stops = [timer.every(settings.pollMs, poll), timer.every(vmRefreshMs, refresh)];
--- a/src/node/schedulerHttp.ts
+++ b/src/node/schedulerHttp.ts
@@ -1,18 +1,21 @@
 import { publish } from "../configuration/commands/publish.js";
 import type { PublishError, PublishRequest } from "../configuration/commands/publish.js";
 import type { ConfigurationFollower } from "../configuration/follower.js";
-import type { WorkerFacts } from "../configuration/queries/checkTogether.js";
 import { checkJobRequest, describeProblem } from "../configuration/schema.js";
+import { Cancellation } from "../jobs/commands/cancelStoredJob.js";
+import { submitJob } from "../jobs/commands/submitJob.js";
+import type { JobRequest, SubmitError } from "../jobs/commands/submitJob.js";
+import { viewJob } from "../jobs/queries/jobView.js";
+import type { JobSubmission } from "../jobs/types.js";
 import type { Peers } from "../peers/peers.js";
 import type { PlatformClient } from "../platform/types.js";
-import { cancelJob } from "../scheduling/commands/cancelJob.js";
-import { submitJob } from "../scheduling/commands/submitJob.js";
-import type { JobRequest, SubmitError } from "../scheduling/commands/submitJob.js";
-import { readJob } from "../scheduling/jobTable.js";
-import { fleetKey } from "../scheduling/planner.js";
+import type { StateTable } from "../state/types.js";
 import { problemAnswer } from "../utils/http.js";
 import type { JsonAnswer, JsonHandler, JsonRequest } from "../utils/http.js";
 import type { TimerService } from "../utils/timer.js";
+import { fleetKey } from "../workers/types.js";
+import type { WorkerFacts } from "../workers/types.js";
+import type { EntryVm } from "./entryVm.js";
 import type { Log } from "./logs.js";
 
 const submitStatus: Record<SubmitError["kind"], number> = {
@@ -31,6 +34,9 @@
     unknown: 504,
 };
 
+/** Time that a submitter waits for its answer. */
+const submitDeadlineMs = 5_000;
+
 const keyOf = (request: JsonRequest): string | undefined => request.headers["idempotency-key"]?.toString();
 
 /** Options of {@link createSchedulerHttp}. */
@@ -40,14 +46,19 @@
     peers: Peers;
     timer: TimerService;
     log: Log;
-    /** Tells the planner that a job is new or changed. */
-    noticePlanner: (jobId: string) => void;
+    state: StateTable;
+    vm: EntryVm;
     dump: () => unknown;
 }
 
 /** Creates the HTTP interface of a scheduler for submitters, publishers and operators. */
 export const createSchedulerHttp = (options: SchedulerHttpOptions): JsonHandler => {
-    const { platform, follower, peers, timer, log, noticePlanner } = options;
+    const { platform, follower, peers, timer, log, vm } = options;
+
+    const readFacts = async (): Promise<WorkerFacts[] | undefined> => {
+        const fleet = await platform.read<WorkerFacts[]>(fleetKey);
+        return fleet.ok ? fleet.value?.value : undefined;
+    };
 
     const answerSubmit = async (request: JsonRequest): Promise<JsonAnswer> => {
         const problems = checkJobRequest(request.body).map(describeProblem);
@@ -55,34 +66,32 @@
             const detail = problems.join("; ");
             return problemAnswer({ title: "malformed job", status: 400, detail, outcome: "notRun" });
         }
-        const job = request.body as JobRequest;
-        const submitted = await submitJob(platform, follower.current(), job, keyOf(request), timer.wallClockMs());
+        const context = {
+            state: options.state,
+            snapshot: follower.current(),
+            fleet: await readFacts(),
+            accept: (submission: JobSubmission) => vm.accept(submission, submitDeadlineMs),
+            wallClockMs: timer.wallClockMs(),
+        };
+        const submitted = await submitJob(context, request.body as JobRequest, keyOf(request));
         if (!submitted.ok) {
             const { kind, detail } = submitted.error;
             const outcome = kind === "unknown" ? "unknown" : "notRun";
             return problemAnswer({ title: kind, status: submitStatus[kind], detail, outcome });
         }
-        noticePlanner(submitted.value.record.spec.id);
-        return { status: 202, body: submitted.value.record };
+        return { status: 202, body: viewJob(submitted.value) };
     };
 
     const answerJob = async (request: JsonRequest, jobId: string): Promise<JsonAnswer> => {
-        if (request.method === "DELETE") {
-            const cancelled = await cancelJob(platform, jobId);
-            if (!cancelled.ok) {
-                const status = cancelled.error.kind === "notFound" ? 404 : 503;
-                return problemAnswer({ title: cancelled.error.kind, status, detail: cancelled.error.detail });
-            }
-            noticePlanner(jobId);
-            return { status: 202, body: cancelled.value.record };
-        }
-        const read = await readJob(platform, jobId);
-        if (!read.ok) {
+        const cancelled = request.method === "DELETE" ? await vm.cancel(jobId) : Cancellation.Done;
+        const entry = await vm.job(jobId);
+        if (cancelled === Cancellation.Unavailable || entry === "unavailable") {
             return problemAnswer({ title: "unavailable", status: 503, detail: "the platform does not answer" });
         }
-        return read.value === undefined
+        const view = viewJob(entry);
+        return view === undefined
             ? problemAnswer({ title: "not found", status: 404, detail: `no job "${jobId}"` })
-            : { status: 200, body: read.value.record };
+            : { status: request.method === "DELETE" ? 202 : 200, body: view };
     };
 
     const answerPublish = async (request: JsonRequest): Promise<JsonAnswer> => {
@@ -90,9 +99,7 @@
         if (!Array.isArray(offered?.intents) || typeof offered.publisher !== "string") {
             return problemAnswer({ title: "malformed publish", status: 400, detail: "needs publisher and intents" });
         }
-        const fleet = await platform.read<WorkerFacts[]>(fleetKey);
-        const facts = fleet.ok ? fleet.value?.value : undefined;
-        const published = await publish(platform, offered, facts, timer.wallClockMs());
+        const published = await publish(platform, offered, await readFacts(), timer.wallClockMs());
         if (!published.ok) {
             const { kind } = published.error;
             return problemAnswer({ title: kind, status: publishStatus[kind], detail: kind, error: published.error });
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -30,16 +30,8 @@
 
 /** Settings of the scheduler daemon. */
 export interface SchedulerSettings extends DaemonSettings {
-    /** Tasks stop this long after their last renewal. @default 6000 */
+    /** Longest lease that workers grant; tasks stop this long after their last renewal. @default 6000 */
     taskLeaseMs: number;
-    /** Time between renewals. @default 1500 */
-    renewMs: number;
-    /** Holds expire after this time. @default 3000 */
-    holdMs: number;
-    /** Time that a checkpoint may take. @default 1200 */
-    checkpointGraceMs: number;
-    /** Time between planning rounds. @default 200 */
-    planMs: number;
 }
 
 /** Settings of the router daemon. */
--- a/src/node/settingsSchemas.ts
+++ b/src/node/settingsSchemas.ts
@@ -43,10 +43,6 @@
 /** Schema of the scheduler daemon's settings. */
 export const schedulerSettingsSchema = settingsSchema({
     taskLeaseMs: durationMs(6_000),
-    renewMs: durationMs(1_500),
-    holdMs: durationMs(3_000),
-    checkpointGraceMs: durationMs(1_200),
-    planMs: durationMs(200),
 });
 
 /** Schema of the router daemon's settings. */
--- a/src/peers/server.ts
+++ b/src/peers/server.ts
@@ -43,8 +43,6 @@
         heartbeat: toHandler(handlers.heartbeat),
         fetchSnapshot: toHandler(handlers.fetchSnapshot),
         offerSnapshot: toHandler(handlers.offerSnapshot),
-        reportZone: toHandler(handlers.reportZone),
-        noticeInbox: toHandler(handlers.noticeInbox),
         relay: toHandler(handlers.relay),
     });
     return new Promise((resolve, reject) => {
--- a/src/peers/service.ts
+++ b/src/peers/service.ts
@@ -1,23 +1,12 @@
 import type { MethodDefinition } from "@grpc/grpc-js";
 import type { Snapshot } from "../configuration/types.js";
-import type {
-    Empty,
-    Heartbeat,
-    InboxNotice,
-    RelayReply,
-    RelayRequest,
-    SnapshotReply,
-    SnapshotRequest,
-    ZoneReport,
-} from "./types.js";
+import type { Empty, Heartbeat, RelayReply, RelayRequest, SnapshotReply, SnapshotRequest } from "./types.js";
 
 /** Request and reply type of every method between peers. */
 export interface PeerMethods {
     heartbeat: { request: Heartbeat; reply: Heartbeat; };
     fetchSnapshot: { request: SnapshotRequest; reply: SnapshotReply; };
     offerSnapshot: { request: Snapshot; reply: Empty; };
-    reportZone: { request: ZoneReport; reply: Empty; };
-    noticeInbox: { request: InboxNotice; reply: Empty; };
     relay: { request: RelayRequest; reply: RelayReply; };
 }
 
@@ -40,7 +29,5 @@
     heartbeat: define("heartbeat"),
     fetchSnapshot: define("fetchSnapshot"),
     offerSnapshot: define("offerSnapshot"),
-    reportZone: define("reportZone"),
-    noticeInbox: define("noticeInbox"),
     relay: define("relay"),
 };
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -1,6 +1,4 @@
 import type { Snapshot } from "../configuration/types.js";
-import type { Worker } from "../scheduling/types.js";
-import type { TaskState } from "../workers/types.js";
 
 /** Which daemon a process runs. */
 export enum Role {
@@ -33,40 +31,9 @@
     snapshot?: Snapshot;
 }
 
-/** State of a gang on its workers, as its lease manager sees it. */
-export interface GangReport {
-    jobId: string;
-    attempt: number;
-    /** Lowest state among its members. */
-    state: TaskState;
-    /** A member is missing or unreachable; the others have been stopped. */
-    broken: boolean;
-    /** Lowest progress saved by its members. */
-    checkpointedMs: number;
-    /** Lowest progress of its members. */
-    progressMs: number;
-    workers: string[];
-}
-
-/** State of an availability zone's workers, sent by its lease manager to the planner. */
-export interface ZoneReport {
-    availabilityZone: string;
-    leaseManager: string;
-    /** Workers that answer, with their capacity; `usable` is false while leaving. */
-    workers: (Worker & { httpAddress: string; })[];
-    /** Names of workers that do not answer. */
-    unreachable: string[];
-    gangs: GangReport[];
-}
-
-/** Tells the planner that the inbox has new entries. */
-export interface InboxNotice {
-    jobId: string;
-}
-
 /** A table transaction or read that a peer performs for a VM that is cut off from the platform. */
 export interface RelayRequest {
-    operation: "read" | "scan" | "commit" | "listVms";
+    operation: "read" | "scan" | "changes" | "commit" | "listVms";
     argument: unknown;
 }
 
--- a/src/planning/order.ts
+++ b/src/planning/order.ts
@@ -6,14 +6,24 @@
     Guaranteed = 0,
     /** May displace others and can still meet its objective. */
     Urgent = 1,
+    /** A large gang that smaller work has passed for long. */
+    Passed = 2,
     /** Can still meet its objective. */
-    OnTime = 2,
+    OnTime = 3,
     /** Has missed its objective and is still of some use. */
-    Late = 3,
+    Late = 4,
     /** Completing it is of no use; it runs when nothing else wants the room. */
-    Useless = 4,
+    Useless = 5,
 }
 
+/** Wait after which a large gang goes before all that is not urgent; short against runs of hours. */
+const passedAfterMs = 2_400_000;
+/** Accelerators from which a gang is large: more than two workers of eight. */
+export const largeGang = 17;
+
+const isPassed = ({ step, waitingMs }: Candidate): boolean =>
+    step.gang && waitingMs > passedAfterMs && step.taskCount * step.resources.accelerators >= largeGang;
+
 /** Tier of waiting work; answers the pattern of a burst that cannot be served whole in time. */
 export const tierOf = (candidate: Candidate): Tier => {
     if (candidate.guaranteed) {
@@ -22,6 +32,9 @@
     if (candidate.uselessInMs < candidate.remainingChainMs) {
         return Tier.Useless;
     }
+    if (isPassed(candidate)) {
+        return Tier.Passed;
+    }
     if (candidate.objectiveInMs < candidate.remainingChainMs) {
         return Tier.Late;
     }
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -1,3 +1,4 @@
+import { Adjacency } from "../configuration/types.js";
 import type { Step, TaskResources } from "../jobs/types.js";
 import { fitCount, occupiedBy } from "./resources.js";
 import type { Assignment, Candidate, Room } from "./types.js";
@@ -9,6 +10,9 @@
 /** Share of the accelerators and cores in use up to which slowed-down work takes room from nobody. */
 const idleShare = 0.5;
 
+/** Times its declared run time that must pass before a blocked gang needs the room; declared times are often short. */
+const backfillSlack = 1.5;
+
 const hasLabel = (room: Room, step: Step): boolean =>
     step.requiredLabel === undefined || room.labels.includes(step.requiredLabel);
 
@@ -24,6 +28,7 @@
 export const isAllowed = (room: Room, candidate: Candidate): boolean =>
     room.usable && room.service === candidate.job.service && hasLabel(room, candidate.step)
     && !(room.keptForUrgent && candidate.job.priority > 0)
+    && candidate.step.estimateMs * backfillSlack <= room.openForMs
     && !(candidate.avoidsStrictly && candidate.avoid.has(room.workerId));
 
 /** Tasks of a candidate that a worker takes with a given amount free. */
@@ -83,7 +88,7 @@
     const near = allowed.filter(room => isNearData(room, candidate.step));
     const home = couldHold(near, candidate) ? near : allowed;
     if (mayRunAnywhere(rooms, candidate) && !fitsInto(gangGroupsOf(home, candidate), candidate)) {
-        return [allowed];
+        return candidate.step.mayBeSpread ? [allowed] : gangGroupsOf(allowed, candidate);
     }
     return gangGroupsOf(home, candidate);
 };
@@ -91,12 +96,18 @@
 const fitsInto = (groups: readonly Room[][], candidate: Candidate): boolean =>
     groups.some(group => sumCounts(group, candidate) >= candidate.taskIndexes.length);
 
-const gangGroupsOf = (home: readonly Room[], candidate: Candidate): Room[][] => {
-    if (!candidate.step.sameRack) {
+const domainOf: Record<Adjacency, (room: Room) => string> = {
+    [Adjacency.Worker]: room => room.workerId,
+    [Adjacency.Rack]: room => room.rack,
+    [Adjacency.AvailabilityZone]: room => room.availabilityZone,
+};
+
+const gangGroupsOf = (home: readonly Room[], { step, ...candidate }: Candidate): Room[][] => {
+    if (step.adjacency === undefined) {
         return [[...home]];
     }
-    const racks = groupBy(home, room => room.rack).filter(rack => couldHold(rack, candidate));
-    return racks.length > 0 ? racks : [[...home]];
+    const domains = groupBy(home, domainOf[step.adjacency]).filter(domain => couldHold(domain, { ...candidate, step }));
+    return domains.length > 0 || !step.mayBeSpread ? domains : [[...home]];
 };
 
 /** What a worker can take of a candidate. */
@@ -104,6 +115,8 @@
     room: Room;
     count: number;
     avoided: boolean;
+    /** The room is lent from a guarantee. */
+    lent: boolean;
     /** Accelerators left over once it has taken that. */
     leftover: number;
 }
@@ -114,16 +127,18 @@
         const count = mixesWell(room, candidate) ? countOn(room, candidate) : 0;
         if (count > 0) {
             const leftover = room.free.accelerators - candidate.step.resources.accelerators * count;
-            offers.push({ room, count, avoided: candidate.avoid.has(room.workerId), leftover });
+            const lent = room.hasCell && !candidate.guaranteed;
+            offers.push({ room, count, avoided: candidate.avoid.has(room.workerId), lent, leftover });
         }
     }
     return offers;
 };
 
-/** Sound workers first, then those that fill up exactly, then the fullest, so that whole workers stay free. */
+/** Sound workers first, then those that nobody can take back, then those that fill up exactly, then the fullest, so that whole workers stay free. */
 const compareOffers = (left: Offer, right: Offer): number =>
     Number(left.avoided) - Number(right.avoided)
     || left.room.suspicion - right.room.suspicion
+    || Number(left.lent) - Number(right.lent)
     || left.leftover - right.leftover
     || left.room.free.accelerators - right.room.free.accelerators
     || left.room.free.milliCores - right.room.free.milliCores
--- a/src/planning/preemption.ts
+++ b/src/planning/preemption.ts
@@ -1,3 +1,4 @@
+import { largeGang, Tier, tierOf } from "./order.js";
 import { countOn, gangGroups } from "./placement.js";
 import { coresOf, take } from "./resources.js";
 import type { Assignment, Candidate, Occupant, Room } from "./types.js";
@@ -11,8 +12,22 @@
 /** Times that runs of a step may be taken back before it is left alone. */
 const maxEvictions = 3;
 
-const mayDisplace = (candidate: Candidate, occupant: Occupant): boolean =>
-    occupant.priority > candidate.job.priority && (candidate.guaranteed || occupant.evictions < maxEvictions);
+/** Times that lost urgent work counts: others make way first. */
+const urgentLossFactor = 20;
+
+/** A large gang that was passed for long moves small work that loses little by it. */
+const mayMove = (candidate: Candidate, occupant: Occupant): boolean =>
+    tierOf(candidate) === Tier.Passed && occupant.resumable && occupant.priority > 0
+    && occupant.tasks.length * occupant.resources.accelerators < largeGang;
+
+/** A due guarantee takes back whatever is lent; other work only what is less important and was not taken back often. */
+const mayDisplace = (candidate: Candidate, occupant: Occupant): boolean => {
+    const isLess = occupant.priority > candidate.job.priority || mayMove(candidate, occupant);
+    return !occupant.guaranteed && (candidate.guaranteed || (isLess && occupant.evictions < maxEvictions));
+};
+
+const lossOfOne = (occupant: Occupant): number =>
+    occupant.lostCoreMs * (occupant.priority === 0 ? urgentLossFactor : 1);
 
 /** Part of an occupant that runs on one worker. */
 interface Presence {
@@ -24,7 +39,7 @@
 export type OccupantIndex = ReadonlyMap<string, readonly Presence[]>;
 
 const pricePerCore = ({ occupant, taskCount }: Presence): number =>
-    (occupant.lostCoreMs + 1) / (coresOf(occupant.resources) * taskCount);
+    (lossOfOne(occupant) + 1) / (coresOf(occupant.resources) * taskCount);
 
 /** Builds the index of a round. */
 export const indexOccupants = (occupants: readonly Occupant[]): OccupantIndex => {
@@ -73,7 +88,7 @@
         }
         if (!chosen.has(occupant) && mayDisplace(candidate, occupant)) {
             victims.push(occupant);
-            lostCoreMs += occupant.lostCoreMs;
+            lostCoreMs += lossOfOne(occupant);
             take(probe.free, occupant.resources, -taskCount);
         }
     }
@@ -116,7 +131,34 @@
 };
 
 const lossOf = (displacement: Displacement): number =>
-    displacement.victims.reduce((sum, victim) => sum + victim.lostCoreMs, 0);
+    displacement.victims.reduce((sum, victim) => sum + lossOfOne(victim), 0);
+
+/** Takes a gang's own place back, worker by worker, and nothing beyond it. */
+const reclaimCell = (
+    rooms: readonly Room[],
+    candidate: Candidate,
+    cell: readonly string[],
+    index: OccupantIndex,
+    taken: ReadonlySet<Occupant>,
+): Displacement | undefined => {
+    const chosen = new Set(taken);
+    const victims: Occupant[] = [];
+    for (const workerId of new Set(cell)) {
+        const room = rooms.find(other => other.workerId === workerId && other.usable);
+        const wanted = cell.filter(other => other === workerId).length;
+        const clearing = room && clearRoom(room, candidate, wanted, index.get(workerId) ?? [], chosen);
+        if (clearing === undefined || clearing.count < wanted) {
+            return undefined;
+        }
+        clearing.victims.forEach(victim => chosen.add(victim));
+        victims.push(...clearing.victims);
+    }
+    return { victims, assignments: placeInCell(candidate, cell) };
+};
+
+/** Assigns the tasks of a gang to its own place. */
+export const placeInCell = (candidate: Candidate, cell: readonly string[]): Assignment[] =>
+    candidate.taskIndexes.map((taskIndex, position) => ({ taskIndex, workerId: cell[position] }));
 
 /**
  * Finds the cheapest set of less important runs whose end makes room for all tasks of a candidate.
@@ -129,8 +171,10 @@
     candidate: Candidate,
     taken: ReadonlySet<Occupant>,
 ): Displacement | undefined =>
-    gangGroups(rooms, candidate)
-        .map(group => displaceIn(group, candidate, index, taken))
-        .filter(displacement => displacement !== undefined)
-        .sort((left, right) => lossOf(left) - lossOf(right))
-        .at(0);
+    candidate.cell !== undefined
+        ? reclaimCell(rooms, candidate, candidate.cell, index, taken)
+        : gangGroups(rooms, candidate)
+            .map(group => displaceIn(group, candidate, index, taken))
+            .filter(displacement => displacement !== undefined)
+            .sort((left, right) => lossOf(left) - lossOf(right))
+            .at(0);
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -18,9 +18,9 @@
 
 /** A claim whose room has not come free by then is given up: a stop takes 0.2 s, its answer up to 1 s. */
 const maxClaimMs = 1_500;
-/** Blocked gangs for which a rack is kept free of later work at the same time. */
+/** Blocked gangs for which workers are kept free of later work at the same time. */
 const maxReservations = 2;
-/** Waiting time after which a blocked gang gets such a rack. */
+/** Waiting time after which a blocked gang gets such workers. */
 const reserveAfterMs = 700;
 
 const occupy = (rooms: ReadonlyMap<string, Room>, candidate: Candidate, assignments: readonly Assignment[]): void => {
@@ -58,24 +58,48 @@
     });
 };
 
-const mayDisplaceOthers = (candidate: Candidate): boolean =>
-    candidate.job.priority === 0 && tierOf(candidate) <= Tier.Urgent;
+/** Whether less important work makes way for a candidate. */
+export const mayDisplaceOthers = (candidate: Candidate): boolean =>
+    candidate.guaranteed || tierOf(candidate) === Tier.Passed
+    || (candidate.job.priority === 0 && tierOf(candidate) <= Tier.Urgent);
 
-/** Keeps the rack that is nearest to taking a blocked gang free of later work. */
-const reserveRack = (rooms: readonly Room[], candidate: Candidate): void => {
-    const groups = gangGroups(rooms, candidate)
-        .map(group => ({ group, accelerators: group.reduce((sum, room) => sum + room.free.accelerators, 0) }))
-        .sort((left, right) => right.accelerators - left.accelerators);
-    const chosen = groups.at(0)?.group ?? [];
+/** Whether a gang needs a whole worker or more; smaller ones find their place among what ends. */
+const needsWholeWorker = (rooms: readonly Room[], { step }: Candidate): boolean => {
+    const largest = rooms.reduce((most, room) => Math.max(most, room.capacity.accelerators), 0);
+    return step.taskCount * step.resources.accelerators >= largest;
+};
+
+/** Workers of a group that a blocked gang is to have, those with most room first. */
+const roomsToReserve = (group: readonly Room[], candidate: Candidate): Room[] => {
+    const byFree = [...group].sort((left, right) =>
+        right.free.accelerators - left.free.accelerators || left.busyForMs - right.busyForMs
+    );
+    const chosen: Room[] = [];
     let missing = candidate.taskIndexes.length;
-    const byFree = [...chosen].sort((left, right) => right.free.accelerators - left.free.accelerators);
     for (const room of byFree) {
         if (missing <= 0) {
-            return;
+            break;
         }
         missing -= Math.max(1, fitCount(room.capacity, occupiedBy(candidate.step)));
-        room.usable = false;
+        chosen.push(room);
     }
+    return chosen;
+};
+
+/** Keeps the group that is nearest to taking a blocked gang free of later work that would not end in time. */
+const reserveGroup = (rooms: readonly Room[], candidate: Candidate): void => {
+    const options = gangGroups(rooms, candidate)
+        .map(group => roomsToReserve(group, candidate))
+        .map(chosen => ({
+            chosen,
+            accelerators: chosen.reduce((sum, room) => sum + room.free.accelerators, 0),
+            startsInMs: Math.max(0, ...chosen.map(room => room.busyForMs)),
+        }))
+        .sort((left, right) => left.startsInMs - right.startsInMs || right.accelerators - left.accelerators);
+    const { chosen = [], startsInMs = 0 } = options.at(0) ?? {};
+    chosen.forEach(room => {
+        room.openForMs = Math.min(room.openForMs, startsInMs);
+    });
 };
 
 /**
@@ -90,7 +114,8 @@
             waitingMs > mixAfterMs,
             step.resources,
             step.gang,
-            step.sameRack,
+            step.adjacency,
+            step.mayBeSpread,
             step.dataRack,
             step.requiredLabel,
             step.maxPerWorker,
@@ -137,7 +162,10 @@
     const claims = new Map(
         input.claims.filter(claim => isKept(claim, input, rooms)).map(claim => [claim.key, claim]),
     );
-    claims.forEach(claim => holdClaim(rooms, claim, 1));
+    const due = new Set(input.candidates.filter(candidate => candidate.guaranteed).map(candidate => candidate.key));
+    const holdClaims = (ofDue: boolean): void =>
+        claims.forEach(claim => due.has(claim.key) === ofDue && holdClaim(rooms, claim, 1));
+    holdClaims(true);
     const occupants = indexOccupants(input.occupants);
     const hopeless = createHopeless();
     const evicted = new Set<Occupant>();
@@ -179,6 +207,15 @@
         return true;
     };
 
+    /** Reclaiming needs no victims where the place is free. */
+    const decideInCell = (candidate: Candidate): void => {
+        displace(candidate);
+        const claim = claims.get(candidate.key);
+        if (claim !== undefined) {
+            useClaim(candidate, claim);
+        }
+    };
+
     const decideGang = (candidate: Candidate): void => {
         if (!hopeless.has(candidate)) {
             const assignments = placeGang(input.rooms, candidate);
@@ -191,11 +228,11 @@
             }
             hopeless.add(candidate);
         }
-        if (
-            candidate.waitingMs > reserveAfterMs && reservations < maxReservations && tierOf(candidate) < Tier.Useless
-        ) {
+        const mayReserve = reservations < maxReservations
+            && candidate.waitingMs > reserveAfterMs;
+        if (mayReserve && needsWholeWorker(input.rooms, candidate) && tierOf(candidate) < Tier.Useless) {
             reservations += 1;
-            reserveRack(input.rooms, candidate);
+            reserveGroup(input.rooms, candidate);
         }
     };
 
@@ -215,7 +252,13 @@
     };
 
     let kept = false;
+    let othersHeld = false;
     for (const candidate of orderCandidates(input.candidates)) {
+        if (!candidate.guaranteed && !othersHeld) {
+            // due guarantees are not held up by what others have claimed
+            othersHeld = true;
+            holdClaims(false);
+        }
         if (candidate.job.priority > 0 && !kept) {
             kept = true;
             // while most of the room is idle a burst finds some anyway, and waiting work must not stand still for it
@@ -227,6 +270,9 @@
         if (claim !== undefined) {
             useClaim(candidate, claim);
         }
+        else if (candidate.cell !== undefined) {
+            decideInCell(candidate);
+        }
         else if (candidate.step.gang) {
             decideGang(candidate);
         }
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -10,10 +10,18 @@
     capacity: TaskResources;
     /** What no run and no claim occupies; placement takes from it. */
     free: TaskResources;
+    /** What is taken by less important runs that would go on elsewhere with little loss. */
+    movable: TaskResources;
     /** Whether tasks may be started there at present. */
     usable: boolean;
     /** Kept whole for work of priority 0 that is expected. */
     keptForUrgent: boolean;
+    /** Declared time that the longest of its runs still needs; 0 while nothing runs. */
+    busyForMs: number;
+    /** Time for which it is open to work before a blocked gang is expected to start there. */
+    openForMs: number;
+    /** A guaranteed gang has its place there, so that lent room is taken back sooner than elsewhere. */
+    hasCell: boolean;
     /** Failures and slowness seen there lately; 0 for a sound worker. */
     suspicion: number;
     /** A task that serves its own users runs there. */
@@ -46,6 +54,8 @@
     remainingChainMs: number;
     /** Its customer can demand the room. */
     guaranteed: boolean;
+    /** Workers that are kept reclaimable for it, one entry a task. @default any room will do */
+    cell?: readonly string[];
 }
 
 /** A set of runs that can be taken back as a whole. */
@@ -60,6 +70,10 @@
     lostCoreMs: number;
     /** Times that runs of it were taken back before. */
     evictions: number;
+    /** It runs on what is guaranteed to its customer. */
+    guaranteed: boolean;
+    /** It goes on elsewhere from its saved progress. */
+    resumable: boolean;
 }
 
 /** Where a task goes. */
--- a/src/platform/client.ts
+++ b/src/platform/client.ts
@@ -3,7 +3,17 @@
 import { fail, succeed } from "../utils/result.js";
 import type { Result } from "../utils/result.js";
 import { PlatformErrorKind } from "./types.js";
-import type { CommitReceipt, PlatformClient, PlatformError, Row, Transaction, VmListChange } from "./types.js";
+import type {
+    CommitReceipt,
+    KeyRange,
+    PlatformClient,
+    PlatformError,
+    Row,
+    RowsAsOf,
+    TableChanges,
+    Transaction,
+    VmListChange,
+} from "./types.js";
 
 /** Options of {@link createPlatformClient}. */
 export interface PlatformClientOptions {
@@ -38,7 +48,8 @@
 
 const toResult = <Value>(answer: Answer): Result<Value, PlatformError> => {
     if (answer.status === httpConflict) {
-        return fail({ kind: PlatformErrorKind.Conflict, keys: (answer.body as { keys: string[]; }).keys });
+        const { keys, rows } = answer.body as { keys: string[]; rows: Row[]; };
+        return fail({ kind: PlatformErrorKind.Conflict, keys, rows });
     }
     if (answer.status !== 200) {
         return fail({ kind: PlatformErrorKind.Unavailable, detail: `the platform answered ${answer.status}` });
@@ -58,6 +69,7 @@
         method: Dispatcher.HttpMethod,
         path: string,
         body?: unknown,
+        waitMs = 0,
     ): Promise<Result<Value, PlatformError>> => {
         try {
             const response = await pool.request({
@@ -65,7 +77,7 @@
                 path,
                 headers: { "content-type": "application/json", "x-vm": options.vmName },
                 body: body === undefined ? undefined : JSON.stringify(body),
-                signal: AbortSignal.timeout(timeoutMs),
+                signal: AbortSignal.timeout(timeoutMs + waitMs),
             });
             return toResult<Value>({ status: response.statusCode, body: await response.body.json() });
         }
@@ -79,12 +91,13 @@
             const rows = await send<{ rows: Row<Value>[]; }>("GET", `/v1/table/rows?key=${encodeURIComponent(key)}`);
             return rows.ok ? succeed(rows.value.rows.at(0)) : rows;
         },
-        scan: async <Value>(prefix: string) => {
-            const rows = await send<{ rows: Row<Value>[]; }>(
-                "GET",
-                `/v1/table/rows?prefix=${encodeURIComponent(prefix)}`,
-            );
-            return rows.ok ? succeed(rows.value.rows) : rows;
+        scan: <Value>({ prefix, from = prefix, before }: KeyRange) => {
+            const query = new URLSearchParams({ prefix, from, ...(before === undefined ? {} : { before }) });
+            return send<RowsAsOf<Value>>("GET", `/v1/table/rows?${query.toString()}`);
+        },
+        changes: ({ prefix, afterVersion, waitMs }) => {
+            const query = new URLSearchParams({ prefix, after: String(afterVersion), waitMs: String(waitMs) });
+            return send<TableChanges>("GET", `/v1/table/changes?${query.toString()}`, undefined, waitMs);
         },
         commit: (transaction: Transaction) => send<CommitReceipt>("POST", "/v1/table/transactions", transaction),
         listVms: sinceRevision => send<VmListChange>("GET", `/v1/vms?since=${sinceRevision}`),
--- a/src/platform/commitOnce.ts
+++ b/src/platform/commitOnce.ts
@@ -44,5 +44,5 @@
         return succeed({ version: row.version });
     }
     // without an answer the write may still be on its way, so only a conflict is certain
-    return fail(error.kind === PlatformErrorKind.Conflict ? { kind: PlatformErrorKind.Conflict, keys: [key] } : error);
+    return fail(error.kind === PlatformErrorKind.Conflict ? { ...error, keys: [key] } : error);
 };
--- a/src/platform/relay.ts
+++ b/src/platform/relay.ts
@@ -3,7 +3,7 @@
 import { fail } from "../utils/result.js";
 import type { Result } from "../utils/result.js";
 import { PlatformErrorKind } from "./types.js";
-import type { PlatformClient, PlatformError, Transaction } from "./types.js";
+import type { ChangesRequest, KeyRange, PlatformClient, PlatformError, Transaction } from "./types.js";
 
 /** A platform client that goes through a peer while its own way is cut. */
 export interface RelayedPlatform extends PlatformClient {
@@ -20,7 +20,9 @@
         case "read":
             return { result: await direct.read(String(request.argument)) };
         case "scan":
-            return { result: await direct.scan(String(request.argument)) };
+            return { result: await direct.scan(request.argument as KeyRange) };
+        case "changes":
+            return { result: await direct.changes(request.argument as ChangesRequest) };
         case "commit":
             return { result: await direct.commit(request.argument as Transaction) };
         case "listVms":
@@ -71,7 +73,8 @@
     return {
         isDirect: () => isDirect,
         read: key => perform({ operation: "read", argument: key }, () => direct.read(key)),
-        scan: prefix => perform({ operation: "scan", argument: prefix }, () => direct.scan(prefix)),
+        scan: range => perform({ operation: "scan", argument: range }, () => direct.scan(range)),
+        changes: request => perform({ operation: "changes", argument: request }, () => direct.changes(request)),
         commit: transaction =>
             perform({ operation: "commit", argument: transaction }, () => direct.commit(transaction)),
         listVms: sinceRevision =>
--- a/src/platform/types.ts
+++ b/src/platform/types.ts
@@ -27,7 +27,7 @@
     writes: Write[];
 }
 
-/** Versions of the rows that a committed transaction wrote, by key. */
+/** Versions of the rows that a committed transaction wrote, by key; all are the transaction's. */
 export interface CommitReceipt {
     versions: Record<string, number>;
 }
@@ -73,6 +73,44 @@
     vms: Vm[];
 }
 
+/** Rows as of one version of the table. */
+export interface RowsAsOf<Value = unknown> {
+    rows: Row<Value>[];
+    /** Version of the table as of which they were read. */
+    version: number;
+}
+
+/** A row that was written; without a value it was deleted. */
+export interface ChangedRow {
+    key: string;
+    version: number;
+    value?: unknown;
+}
+
+/** Changes after a version, in order. */
+export interface TableChanges {
+    rows: ChangedRow[];
+    /** Version from which to go on. */
+    version: number;
+}
+
+/** Keys to read. */
+export interface KeyRange {
+    prefix: string;
+    /** First key. @default the first with the prefix */
+    from?: string;
+    /** Key before which the range ends. @default the last with the prefix */
+    before?: string;
+}
+
+/** A request for changes. */
+export interface ChangesRequest {
+    prefix: string;
+    afterVersion: number;
+    /** Time that the request waits for the first change. */
+    waitMs: number;
+}
+
 /** Kinds of failure of a platform operation. */
 export enum PlatformErrorKind {
     /** The platform was not reached or refused; nothing took effect. */
@@ -87,14 +125,16 @@
 export type PlatformError =
     | { kind: PlatformErrorKind.Unavailable; detail: string; }
     | { kind: PlatformErrorKind.NoAnswer; detail: string; }
-    | { kind: PlatformErrorKind.Conflict; keys: string[]; };
+    | { kind: PlatformErrorKind.Conflict; keys: string[]; rows: Row[]; };
 
 /** The platform as the daemons see it. */
 export interface PlatformClient {
     /** Reads one row; absent rows read as `undefined`. */
     read<Value>(key: string): Promise<Result<Row<Value> | undefined, PlatformError>>;
-    /** Reads all rows whose key starts with the prefix, in key order. */
-    scan<Value>(prefix: string): Promise<Result<Row<Value>[], PlatformError>>;
+    /** Reads the rows of a range, in key order. */
+    scan<Value>(range: KeyRange): Promise<Result<RowsAsOf<Value>, PlatformError>>;
+    /** Waits for changes of rows whose key starts with the prefix. */
+    changes(request: ChangesRequest): Promise<Result<TableChanges, PlatformError>>;
     /** Commits a transaction. */
     commit(transaction: Transaction): Promise<Result<CommitReceipt, PlatformError>>;
     /** Reads the lagging list of VMs if it has changed since a revision. */
--- a/src/queues/types.ts
+++ b/src/queues/types.ts
@@ -1,3 +1,5 @@
+import type { Step } from "../jobs/types.js";
+
 /** A queue that customers submit jobs to. */
 export interface Queue {
     name: string;
@@ -19,12 +21,36 @@
     needsAdvice: boolean;
 }
 
+/** A gang that a customer can always start. */
+export interface GuaranteedGang {
+    /** Unique among all customers. */
+    name: string;
+    step: Step;
+    /** Gets its place before others when workers are out. */
+    holdsWithZoneOut: boolean;
+}
+
+/** Which jobs of a customer may claim what is guaranteed to it. */
+export enum GuaranteeCoverage {
+    /** All of them, while they need no more than that together; none otherwise. */
+    WholeDemand = "wholeDemand",
+    /** The earliest accepted ones, as far as it goes. */
+    EarliestFirst = "earliestFirst",
+}
+
 /** A customer that submits jobs. */
 export interface QueueCustomer {
     name: string;
     apiKeys: string[];
-    /** Accelerators that it can always have for jobs of priority 0. */
+    /** Accelerators that it can always have. */
     guaranteedAccelerators: number;
+    /** Jobs of this and more important priorities may claim them. */
+    guaranteedUpToPriority: number;
+    guaranteeCoverage: GuaranteeCoverage;
+    /** Gangs that together are its guarantee, each with a place of its own. @default accelerators anywhere */
+    guaranteedGangs?: GuaranteedGang[];
+    /** Accelerators that it may use at most. @default no limit */
+    maxAccelerators?: number;
 }
 
 /** One version of what the operator has set. */
@@ -33,6 +59,8 @@
     queues: Queue[];
     customers: QueueCustomer[];
     maxBodyBytes: number;
+    /** Whether work that can go on elsewhere leaves an availability zone that is taken out. */
+    movesFromZonesOut: boolean;
 }
 
 /** The configuration in force and the availability zones that are out of service. */
--- a/src/workers/client.ts
+++ b/src/workers/client.ts
@@ -1,76 +1,81 @@
-import { Pool } from "../utils/httpClient.js";
+import type { HoldOrder, OrderError, StartOrder, WorkerClient, WorkerReport, WorkerView } from "../execution/types.js";
+import { Refusal } from "../execution/types.js";
+import type { TaskId } from "../jobs/types.js";
+import { createHttpClient } from "../utils/httpJsonClient.js";
+import type { HttpOutcome } from "../utils/httpJsonClient.js";
 import { fail, succeed } from "../utils/result.js";
 import type { Result } from "../utils/result.js";
-import { WorkerErrorKind } from "./types.js";
-import type { RenewReply, TaskReport, WorkerClient, WorkerClients, WorkerError, WorkerReport } from "./types.js";
+import type { DescribeWorker, WorkerDescription } from "./types.js";
 
-/** Options of {@link createWorkerClients}. */
-export interface WorkerClientsOptions {
-    /** Name of the calling VM, sent with every request. */
-    vmName: string;
-    /** Time after which a request counts as unanswered. @default 800 */
-    timeoutMs?: number;
+/** Time after which an order counts as unanswered. */
+const orderTimeoutMs = 900;
+/** Connections to one worker: one look that waits, the rest for orders. */
+const maxConnections = 4;
+const ok = 200;
+
+/** Body of an order that a worker refused. */
+export interface RefusedOrder {
+    refusal: Refusal;
+    clockMs?: number;
+    detail: string;
 }
 
-const defaultTimeoutMs = 800;
-const connectionsPerWorker = 2;
-const idleConnectionMs = 10_000;
+/** Order to end a run. */
+export interface StopOrder {
+    task: TaskId;
+    run: number;
+    fencingToken: number;
+}
 
-const toWorkerError = (error: unknown): WorkerError => {
-    const unreachable = (error as { code?: string; }).code === "ECONNREFUSED";
-    return { kind: unreachable ? WorkerErrorKind.Unreachable : WorkerErrorKind.NoAnswer, detail: String(error) };
+const toError = (outcome: HttpOutcome): OrderError => {
+    if (!outcome.ok) {
+        return { kind: "noAnswer", detail: outcome.failure.detail };
+    }
+    const { refusal = Refusal.Invalid, clockMs, detail = `status ${outcome.answer.status}` } =
+        (outcome.answer.body ?? {}) as Partial<RefusedOrder>;
+    return { kind: "refused", refusal, clockMs, detail };
 };
 
-const createWorkerClient = (httpAddress: string, vmName: string, timeoutMs: number): WorkerClient => {
-    const pool = new Pool(httpAddress, { connections: connectionsPerWorker, keepAliveTimeout: idleConnectionMs });
+/** Creates the client of one incarnation of a worker. */
+export const createWorkerClient = (view: WorkerView, vm: string): WorkerClient => {
+    const http = createHttpClient(view.address, maxConnections);
+    // another incarnation refuses orders that were meant for this one
+    const headers = { "x-vm": vm, "x-born-ms": String(view.bornMs) };
 
-    const send = async <Value>(
-        method: "GET" | "POST",
-        path: string,
-        body?: unknown,
-    ): Promise<Result<Value, WorkerError>> => {
-        try {
-            const response = await pool.request({
-                method,
-                path,
-                headers: { "content-type": "application/json", "x-vm": vmName },
-                body: body === undefined ? undefined : JSON.stringify(body),
-                signal: AbortSignal.timeout(timeoutMs),
-            });
-            const value = await response.body.json();
-            if (response.statusCode !== 200) {
-                const detail = (value as { detail?: string; }).detail ?? `answered ${response.statusCode}`;
-                return fail({ kind: WorkerErrorKind.Refused, detail });
-            }
-            return succeed(value as Value);
-        }
-        catch (error) {
-            return fail(toWorkerError(error));
-        }
+    const order = async <Value>(path: string, body: unknown, timeoutMs = orderTimeoutMs) => {
+        const outcome = await http.call({ method: "POST", path, body, headers, timeoutMs });
+        const isDone = outcome.ok && outcome.answer.status === ok;
+        const result: Result<Value, OrderError> = isDone
+            ? succeed(outcome.answer.body as Value)
+            : fail(toError(outcome));
+        return result;
     };
 
     return {
-        report: () => send<WorkerReport>("GET", "/v1/worker"),
-        hold: request => send("POST", "/v1/holds", request),
-        release: gang => send("POST", "/v1/holds/release", gang),
-        start: request => send("POST", "/v1/tasks/start", request),
-        renew: (gangs, leaseMs) => send<RenewReply>("POST", "/v1/tasks/renew", { gangs, leaseMs }),
-        checkpoint: gangs => send<{ tasks: TaskReport[]; }>("POST", "/v1/tasks/checkpoint", { gangs }),
-        stop: gangs => send("POST", "/v1/tasks/stop", { gangs }),
+        start: (start: StartOrder) => order<{ clockMs: number; }>("/v1/runs/start", start),
+        stop: (task, run, fencingToken) => {
+            const stop: StopOrder = { task, run, fencingToken };
+            return order<{ clockMs: number; }>("/v1/runs/stop", stop);
+        },
+        hold: (hold: HoldOrder) => order<WorkerReport>("/v1/runs/hold", hold, orderTimeoutMs + (hold.waitMs ?? 0)),
+        pace: async () => fail({ kind: "refused", refusal: Refusal.Invalid, detail: "workers do not pace tasks" }),
+        close: () => http.close(),
     };
 };
 
-/** Creates the clients of all workers; one client per address is kept. */
-export const createWorkerClients = (options: WorkerClientsOptions): WorkerClients => {
-    const clients = new Map<string, WorkerClient>();
-    const timeoutMs = options.timeoutMs ?? defaultTimeoutMs;
-    return httpAddress => {
-        const known = clients.get(httpAddress);
-        if (known !== undefined) {
-            return known;
+/** Creates the reader of workers' descriptions; one connection an address is kept. */
+export const createWorkerReader = (vm: string): DescribeWorker => {
+    const clients = new Map<string, ReturnType<typeof createHttpClient>>();
+    return async address => {
+        const client = clients.get(address) ?? createHttpClient(address, 1);
+        clients.set(address, client);
+        const headers = { "x-vm": vm };
+        const outcome = await client.call({ method: "GET", path: "/v1/worker", headers, timeoutMs: orderTimeoutMs });
+        if (!outcome.ok) {
+            return fail(outcome.failure.detail);
         }
-        const created = createWorkerClient(httpAddress, options.vmName, timeoutMs);
-        clients.set(httpAddress, created);
-        return created;
+        return outcome.answer.status === ok
+            ? succeed(outcome.answer.body as WorkerDescription)
+            : fail(`status ${outcome.answer.status}`);
     };
 };
--- a/standins/fleet/main.ts
+++ b/standins/fleet/main.ts
@@ -10,9 +10,9 @@
 import { listen } from "../../src/utils/http.js";
 import type { Result } from "../../src/utils/result.js";
 import { createTimerService } from "../../src/utils/timer.js";
+import { createWorkerModel } from "../runs/workerModel.js";
+import type { RunSpan, WorkerModel } from "../runs/workerModel.js";
 import { createTableModel } from "./tableModel.js";
-import { createWorkerModel } from "./workerModel.js";
-import type { RunSpan, WorkerModel } from "./workerModel.js";
 
 type Body = Record<string, unknown>;
 
--- a/standins/platform.ts
+++ b/standins/platform.ts
@@ -1,7 +1,7 @@
 /** Stand-in of the platform: a transactional table and a lagging VM list, with switches for faults. Not the product. */
 import { setTimeout as sleep } from "node:timers/promises";
 import { parseArgs } from "node:util";
-import type { CommitReceipt, Row, Transaction, Vm, VmList } from "../src/platform/types.js";
+import type { ChangedRow, CommitReceipt, Row, Transaction, Vm, VmList } from "../src/platform/types.js";
 import { createJsonServer, listen } from "../src/utils/http.js";
 import type { JsonAnswer, JsonRequest } from "../src/utils/http.js";
 
@@ -21,6 +21,9 @@
 
 const switches: PlatformSwitches = { down: false, slowMs: 0, loseAnswers: 0, cutVms: [], listLagMs: 500 };
 const rows = new Map<string, Row>();
+/** Latest change of every key ever written, in the order of the changes. */
+const changed = new Map<string, ChangedRow>();
+let waiting: (() => void)[] = [];
 const counts = { reads: 0, writes: 0, conflicts: 0, answersLost: 0 };
 let lastVersion = 0;
 let vmList: VmList = { revision: 0, vms: [] };
@@ -32,11 +35,12 @@
     const failed = transaction.conditions.filter(condition => versionOf(condition.key) !== condition.version);
     if (failed.length > 0) {
         counts.conflicts += 1;
-        return { status: 409, body: { keys: failed.map(condition => condition.key) } };
+        const current = transaction.conditions.flatMap(condition => rows.get(condition.key) ?? []);
+        return { status: 409, body: { keys: failed.map(condition => condition.key), rows: current } };
     }
     const receipt: CommitReceipt = { versions: {} };
+    lastVersion += 1;
     for (const write of transaction.writes) {
-        lastVersion += 1;
         counts.writes += 1;
         if (write.value === undefined || write.value === null) {
             rows.delete(write.key);
@@ -44,11 +48,33 @@
         else {
             rows.set(write.key, { key: write.key, version: lastVersion, value: write.value });
         }
+        changed.delete(write.key);
+        changed.set(write.key, { key: write.key, version: lastVersion, value: write.value ?? undefined });
         receipt.versions[write.key] = lastVersion;
     }
+    const woken = waiting;
+    waiting = [];
+    woken.forEach(wake => wake());
     return { status: 200, body: receipt };
 };
 
+const findChanges = (prefix: string, after: number): ChangedRow[] =>
+    [...changed.values()].filter(row => row.version > after && row.key.startsWith(prefix));
+
+const readChanges = async (query: URLSearchParams): Promise<JsonAnswer> => {
+    counts.reads += 1;
+    const prefix = query.get("prefix") ?? "";
+    const after = Number(query.get("after"));
+    const giveUpAtMs = Date.now() + Number(query.get("waitMs") ?? 0);
+    while (findChanges(prefix, after).length === 0 && Date.now() < giveUpAtMs) {
+        await Promise.race([
+            new Promise<void>(resolve => waiting.push(resolve)),
+            sleep(giveUpAtMs - Date.now()),
+        ]);
+    }
+    return { status: 200, body: { rows: findChanges(prefix, after), version: lastVersion } };
+};
+
 const readRows = (query: URLSearchParams): JsonAnswer => {
     counts.reads += 1;
     const key = query.get("key");
@@ -57,9 +83,13 @@
         return { status: 200, body: { rows: row === undefined ? [] : [row] } };
     }
     const prefix = query.get("prefix") ?? "";
-    const found = [...rows.values()].filter(row => row.key.startsWith(prefix));
+    const from = query.get("from") ?? prefix;
+    const before = query.get("before");
+    const found = [...rows.values()].filter(row =>
+        row.key.startsWith(prefix) && row.key >= from && (before === null || row.key < before)
+    );
     found.sort((left, right) => left.key < right.key ? -1 : 1);
-    return { status: 200, body: { rows: found } };
+    return { status: 200, body: { rows: found, version: lastVersion } };
 };
 
 const changeVms = (vms: Vm[]): JsonAnswer => {
@@ -105,6 +135,9 @@
     if (request.path === "/v1/table/rows") {
         return readRows(request.query);
     }
+    if (request.path === "/v1/table/changes") {
+        return readChanges(request.query);
+    }
     if (request.path !== "/v1/table/transactions") {
         return { status: 404, body: { detail: "no such path" } };
     }
--- a/standins/worker/main.ts
+++ b/standins/worker/main.ts
@@ -3,29 +3,36 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { parseArgs } from "node:util";
 import { createRandom } from "../../src/utils/random.js";
-import type { HoldRequest, RenewRequest, StartRequest, WorkerReport } from "../../src/workers/types.js";
+import { createTimerService } from "../../src/utils/timer.js";
+import type { TimerService } from "../../src/utils/timer.js";
+import type { WorkerDescription } from "../../src/workers/types.js";
+import { createGangRegistry } from "../runs/gangs.js";
+import type { GangRegistry } from "../runs/gangs.js";
+import { createWorkerModel } from "../runs/workerModel.js";
+import type { WorkerModel } from "../runs/workerModel.js";
 import { AnswerFault, createCallTable } from "./calls.js";
 import type { CallRequest, CallTable } from "./calls.js";
-import { createTaskTable } from "./tasks.js";
-import type { TaskTable } from "./tasks.js";
+import { answerRuns, toEvent } from "./runs.js";
 import { createSwitches } from "./types.js";
 import type { RecordEvent, WorkerEvent, WorkerSwitches } from "./types.js";
 
 interface StandinWorker {
-    report: Omit<WorkerReport, "tasks" | "leaving">;
-    tasks: TaskTable;
+    description: Omit<WorkerDescription, "leaving">;
+    runs: WorkerModel;
     calls: CallTable;
     switches: WorkerSwitches;
 }
 
-const stepPeriodMs = 20;
 const maxEvents = 2_000_000;
 const events: WorkerEvent[] = [];
+/** Events and spans carry the time of day, so that those of several processes can be compared. */
+const timer: TimerService = { ...createTimerService(), nowMs: () => Date.now() };
 
-const createWorker = (index: number, zone: string, firstNumber: number): StandinWorker => {
+const createWorker = (index: number, zone: string, firstNumber: number, gangs: GangRegistry): StandinWorker => {
     const name = `worker-${zone}-${index}`;
     const rack = `rack-${zone}-${Math.floor(index / 8)}`;
-    const capacity = { accelerators: 8, cores: 64, memoryGb: 250 };
+    const capacity = { accelerators: 8, milliCores: 64_000, memoryMb: 250_000 };
+    const bornMs = Date.now();
     const switches = createSwitches();
     const record: RecordEvent = event => {
         if (events.length < maxEvents) {
@@ -34,8 +41,17 @@
         }
     };
     return {
-        report: { name, availabilityZone: zone, rack, capacity },
-        tasks: createTaskTable(capacity, switches, record),
+        description: { name, availabilityZone: zone, rack, capacity, bornMs },
+        runs: createWorkerModel({
+            id: name,
+            timer,
+            bornMs,
+            spans: [],
+            gangs,
+            failsAll: () => switches.failEverything,
+            savesProgress: () => !switches.ignoreCheckpoint,
+            onSpan: span => record(toEvent(span)),
+        }),
         calls: createCallTable(switches, record, createRandom(firstNumber + index)),
         switches,
     };
@@ -59,9 +75,6 @@
     response.end(text);
 };
 
-const sendRefusal = (response: ServerResponse, refusal: string | undefined): void =>
-    refusal === undefined ? send(response, 200, {}) : send(response, 409, { detail: refusal });
-
 const answerCall = async (worker: StandinWorker, request: CallRequest, response: ServerResponse): Promise<void> => {
     const answer = await worker.calls.run(request);
     if (worker.switches.lateMs > 0) {
@@ -93,36 +106,6 @@
     send(response, answer.status, answer.body, headers);
 };
 
-const answerTasks = async (
-    worker: StandinWorker,
-    path: string,
-    body: unknown,
-    response: ServerResponse,
-): Promise<void> => {
-    switch (path) {
-        case "/v1/holds":
-            return sendRefusal(response, worker.tasks.hold(body as HoldRequest));
-        case "/v1/holds/release":
-            worker.tasks.release(body as HoldRequest);
-            return send(response, 200, {});
-        case "/v1/tasks/start":
-            return sendRefusal(response, worker.tasks.start(body as StartRequest));
-        case "/v1/tasks/renew": {
-            const { gangs, leaseMs } = body as { gangs: RenewRequest[]; leaseMs: number; };
-            return send(response, 200, { tasks: worker.tasks.renew(gangs, leaseMs), leaving: worker.switches.leaving });
-        }
-        case "/v1/tasks/checkpoint": {
-            const saved = worker.tasks.checkpoint((body as { gangs: RenewRequest[]; }).gangs);
-            return saved === undefined ? undefined : send(response, 200, { tasks: saved });
-        }
-        case "/v1/tasks/stop":
-            worker.tasks.stop((body as { gangs: { jobId: string; attempt: number; }[]; }).gangs);
-            return send(response, 200, {});
-        default:
-            return send(response, 404, { detail: "no such path" });
-    }
-};
-
 const answer = async (worker: StandinWorker, message: IncomingMessage, response: ServerResponse): Promise<void> => {
     const body = await readJson(message);
     const path = message.url ?? "/";
@@ -137,11 +120,7 @@
         return undefined;
     }
     if (path === "/v1/worker") {
-        return send(response, 200, {
-            ...worker.report,
-            leaving: worker.switches.leaving,
-            tasks: worker.tasks.reports(),
-        });
+        return send(response, 200, { ...worker.description, leaving: worker.switches.leaving });
     }
     if (path === "/v1/calls") {
         return answerCall(worker, body as CallRequest, response);
@@ -149,7 +128,8 @@
     if (path === "/v1/calls/fence") {
         return send(response, 200, { state: worker.calls.fence((body as CallRequest).requestId) });
     }
-    return answerTasks(worker, path, body, response);
+    const answered = await answerRuns(worker.runs, timer, path, body);
+    return send(response, answered.status, answered.body);
 };
 
 const listenWorker = (worker: StandinWorker): Promise<number> =>
@@ -169,16 +149,16 @@
             seed: { type: "string", default: "1" },
         },
     });
+    const gangs = createGangRegistry(timer);
     const workers = Array.from(
         Array(Number(values.count)).keys(),
-        index => createWorker(index, values.zone, Number(values.seed) * 1_000),
+        index => createWorker(index, values.zone, Number(values.seed) * 1_000, gangs),
     );
     const ports = await Promise.all(workers.map(listenWorker));
-    setInterval(() => workers.forEach(worker => worker.tasks.step()), stepPeriodMs);
     process.stdout.write(
         `${
             JSON.stringify({
-                workers: workers.map((worker, index) => ({ name: worker.report.name, port: ports[index] })),
+                workers: workers.map((worker, index) => ({ name: worker.description.name, port: ports[index] })),
             })
         }\n`,
     );
--- a/standins/worker/types.ts
+++ b/standins/worker/types.ts
@@ -15,7 +15,7 @@
     leaving: boolean;
     /** Says in every answer that it is leaving, without refusing yet. */
     saysLeaving: boolean;
-    /** Checkpoint requests are never answered. */
+    /** The progress of what ends is lost. */
     ignoreCheckpoint: boolean;
 }
 
@@ -26,8 +26,6 @@
     worker: string;
     availabilityZone: string;
     kind:
-        | "taskHeld"
-        | "taskReady"
         | "taskRunning"
         | "taskFinished"
         | "taskFailed"
@@ -37,8 +35,9 @@
         | "callEnded"
         | "callRefused";
     jobId?: string;
-    attempt?: number;
-    members?: number;
+    /** Name of the task and number of its run. */
+    task?: string;
+    run?: number;
     requestId?: string;
     /** Key of the call, if the caller gave one. */
     key?: string;
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -13,10 +13,9 @@
 import type { CurrentVersion, Snapshot } from "../src/configuration/types.js";
 import { parseJsonWithComments } from "../src/utils/jsonWithComments.js";
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
-import { buildShape, buildSourced } from "./fixtures/jobs.js";
+import { buildFacts, buildShape, buildSourced } from "./fixtures/jobs.js";
 import { CommitFault, createFakePlatform, faultsFrom } from "./fixtures/platform.js";
 import type { FakePlatform } from "./fixtures/platform.js";
-import { buildWorkers } from "./fixtures/workers.js";
 
 const zoneOut = (zone: string): SourcedIntent => buildSourced({ name: `${zone}-out`, availabilityZonesOut: [zone] });
 
@@ -110,7 +109,7 @@
     });
 
     it("refuses guarantees that do not fit, also with a zone out, and names the file", () => {
-        const facts = buildWorkers(["a", "b"], 2);
+        const facts = buildFacts(["a", "b"], 2);
         const guarantee = (name: string, count: number, holdsWithZoneOut: boolean): SourcedIntent =>
             buildSourced({ name, customer: name, guarantee: { shape: buildShape(16), count, holdsWithZoneOut } });
         assert.isEmpty(checkTogether([guarantee("fits", 2, false)], facts));
@@ -122,7 +121,7 @@
     });
 
     it("refuses unknown availability zones and statements that stand twice", () => {
-        const facts = buildWorkers(["a", "b"], 2);
+        const facts = buildFacts(["a", "b"], 2);
         assert.match(checkTogether([zoneOut("z")], facts)[0].detail, /unknown availability zone "z"; known: a, b/);
         const twice = checkTogether([customerIntent("alpha"), { ...customerIntent("alpha"), file: "second" }], facts);
         assert.match(twice[0].detail, /stands in alpha.intent.jsonc:1/);
--- a/test/entryVm.test.ts
+++ b/test/entryVm.test.ts
@@ -2,8 +2,9 @@
 import { EndKind } from "../src/execution/types.js";
 import { Acceptance } from "../src/jobs/commands/acceptJob.js";
 import { JobPhase } from "../src/jobs/types.js";
-import { CallFault, createFleet, createStep, createSubmission, findViolations } from "./fixtures/fleet.js";
+import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import type { Fleet } from "./fixtures/fleet.js";
+import { findViolations } from "./fixtures/violations.js";
 
 /** Bound on the time from the end of one planner to the first order of the next. */
 const maxGapMs = 3_000;
--- a/test/gangs.test.ts
+++ b/test/gangs.test.ts
@@ -1,188 +1,164 @@
 import { assert } from "chai";
-import { placeGang, stopGang } from "../src/scheduling/gang.js";
-import type { GangPlan } from "../src/scheduling/gang.js";
-import { changeJob, insertJob, readJob } from "../src/scheduling/jobTable.js";
-import { createLeaseManager } from "../src/scheduling/leaseManager.js";
-import { JobState } from "../src/scheduling/types.js";
-import { fail, succeed } from "../src/utils/result.js";
-import type { Result } from "../src/utils/result.js";
-import { createVirtualTimer } from "../src/utils/virtualTimer.js";
-import { TaskState } from "../src/workers/types.js";
-import { partialMs, runsOf } from "../tools/soak/gangRuns.js";
-import { buildJob, buildShape } from "./fixtures/jobs.js";
-import { CommitFault, createFakePlatform } from "./fixtures/platform.js";
-import { buildWorkers, createFakeWorkers } from "./fixtures/workers.js";
+import { Adjacency } from "../src/configuration/types.js";
+import { EndKind } from "../src/execution/types.js";
+import { JobPhase } from "../src/jobs/types.js";
+import type { RunSpan } from "../standins/runs/workerModel.js";
+import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
+import type { Fleet } from "./fixtures/fleet.js";
+import { findViolations } from "./fixtures/violations.js";
 
-const times = { holdMs: 3_000, leaseMs: 6_000, checkpointGraceMs: 1_200 };
-const renewMs = 1_500;
 const memberCount = 3;
-
-const createWorld = async () => {
-    const timer = createVirtualTimer();
-    const workers = createFakeWorkers(buildWorkers(["a"], memberCount), timer);
-    const platform = createFakePlatform();
-    const spec = buildJob({ shape: buildShape(24), work: { runTimeMs: 600_000 } });
-    await insertJob(platform, {
-        spec,
-        state: JobState.Queued,
-        attempts: 0,
-        progressMs: 0,
-        reason: "",
-        cancelRequested: false,
-        failures: 0,
-        failedOn: [],
-    });
-    const leaseManager = createLeaseManager({
-        vm: "entry",
-        availabilityZone: "a",
-        timer,
-        listWorkers: () => workers.all.map(fake => ({ name: fake.worker.name, httpAddress: fake.worker.name })),
-        clientOf: name => workers.find(name).client,
-        leaseMs: times.leaseMs,
+const settleMs = 1_000;
+/** Lease of what runs on a worker; members of a gang whose planner died may go on for as long. */
+const leaseMs = 5_000;
+/** Longest time from the end of one planner to the first order of the next. */
+const maxGapMs = 3_000;
+
+const wholeWorkers = (taskCount: number) =>
+    createStep({
+        taskCount,
+        gang: true,
+        adjacency: Adjacency.Rack,
+        resources: { milliCores: 8_000, memoryMb: 8_000, accelerators: 8 },
     });
-    const planFor = (planner: string): GangPlan => ({
-        jobId: spec.id,
-        attempt: 1,
-        planner,
-        spec,
-        members: workers.all.map(fake => ({ worker: fake.worker.name, taskCount: 8 })),
-        resumeFromMs: 0,
-    });
-    const decide = async (): Promise<Result<unknown, string>> => {
-        const stored = await readJob(platform, spec.id);
-        if (!stored.ok || stored.value === undefined || stored.value.record.state !== JobState.Queued) {
-            return fail("already decided");
-        }
-        const changed = await changeJob(platform, stored.value, { state: JobState.Placed, attempts: 1 }, []);
-        return changed.ok ? succeed(changed.value) : fail("not recorded");
-    };
-    const place = (planner: string) => placeGang(planFor(planner), workers.clientOf, times, decide);
-    return { timer, workers, platform, leaseManager, place, members: planFor("").members };
-};
 
-type World = Awaited<ReturnType<typeof createWorld>>;
+const startGang = async (workMs = 60_000, prepare: (fleet: Fleet) => void = () => {}): Promise<Fleet> => {
+    const fleet = createFleet({ workerCount: memberCount + 1, vmCount: 2 });
+    await fleet.timer.advance(settleMs);
+    prepare(fleet);
+    await fleet.submit(createSubmission("gang", [wholeWorkers(memberCount)], {}, { workMs }));
+    return fleet;
+};
 
-const keep = async (world: World, durationMs: number): Promise<void> => {
-    for (let passedMs = 0; passedMs < durationMs; passedMs += renewMs) {
-        const round = world.leaseManager.round();
-        await world.timer.advance(renewMs);
-        await round;
-        world.workers.step();
-    }
+const byRun = (spans: readonly RunSpan[]): Map<number, RunSpan[]> => {
+    const runs = new Map<number, RunSpan[]>();
+    spans.forEach(span => runs.set(span.run, [...runs.get(span.run) ?? [], span]));
+    return runs;
 };
 
-const assertNeverPartial = (world: World): void => {
-    const attempts = new Set(world.workers.events.map(event => event.attempt));
-    for (const attempt of attempts) {
-        const runs = runsOf(world.workers.events.filter(event => event.attempt === attempt));
-        const longestMs = runs.length === 0 ? 0 : partialMs(runs, memberCount);
-        assert.isAtMost(longestMs, times.leaseMs, `attempt ${attempt} ran partially`);
+/** The members of a run work at the same time, all of them or none. */
+const assertNeverPartial = (spans: readonly RunSpan[]): void => {
+    for (const [run, members] of byRun(spans)) {
+        assert.lengthOf(members, memberCount, `run ${run}`);
+        const starts = new Set(members.map(span => span.fromMs));
+        const ends = members.map(span => span.toMs ?? Number.POSITIVE_INFINITY);
+        assert.lengthOf([...starts], 1, `run ${run} starts together`);
+        const firstEndMs = Math.min(...ends);
+        const isOver = Number.isFinite(firstEndMs);
+        assert.isTrue(!isOver || Math.max(...ends) - firstEndMs <= leaseMs, `run ${run} ends together`);
     }
 };
 
-const runningCount = (world: World): number =>
-    world.workers.all.filter(fake => fake.tasks.reports().some(task => task.state === TaskState.Running)).length;
+const plannerOf = (fleet: Fleet): string => fleet.planner() ?? assert.fail("nobody plans");
 
-/** Holds the planner's requests up from the given one on. */
-const stallAt = (world: World, step: number, durationMs: number): void => {
-    let requests = 0;
-    world.workers.beforeRequest = async (_worker, request) => {
-        const isPlanners = ["hold", "start", "release"].includes(request);
-        requests += isPlanners ? 1 : 0;
-        if (isPlanners && requests > step) {
-            await world.timer.sleep(durationMs);
+/** Lets the planner make some calls for the gang and then calls back once. */
+const afterCalls = (fleet: Fleet, count: number, strike: (vm: string) => void): void => {
+    let calls = 0;
+    const pass = (vm: string): CallFault => {
+        calls += 1;
+        if (calls === count + 1) {
+            strike(vm);
         }
+        return CallFault.None;
     };
+    const planner = plannerOf(fleet);
+    fleet.faultOfCommit = (vm, { writes }) =>
+        vm === planner && writes.some(write => write.key.endsWith("/progress")) ? pass(vm) : CallFault.None;
+    fleet.faultOfOrder = (vm, kind) => vm === planner && kind === "start" ? pass(vm) : CallFault.None;
 };
 
-const neverMs = 1e9;
-
 describe("gangs", () => {
-    for (let step = 0; step <= 2 * memberCount; step++) {
-        it(`run whole or not at all when the planner dies at request ${step}`, async () => {
-            const world = await createWorld();
-            stallAt(world, step, neverMs);
-            void world.place("planner/1");
-            await keep(world, 30_000);
-            assertNeverPartial(world);
-            assert.include([0, memberCount], runningCount(world));
+    for (let call = 0; call <= memberCount; call++) {
+        it(`run whole or not at all when the planner dies at call ${call}`, async () => {
+            const fleet = await startGang(9_000, prepared => afterCalls(prepared, call, prepared.killVm));
+            await fleet.timer.advance(30_000);
+            assertNeverPartial(fleet.spans);
+            assert.deepEqual(findViolations(fleet.spans), []);
+            assert.equal(fleet.spans.filter(span => span.kind === EndKind.Done).length, memberCount);
         });
 
-        it(`run whole or not at all when the planner is frozen past the lease at request ${step}`, async () => {
-            const world = await createWorld();
-            stallAt(world, step, 10_000);
-            void world.place("planner/1");
-            await keep(world, 30_000);
-            assertNeverPartial(world);
-            assert.include([0, memberCount], runningCount(world));
+        it(`run whole or not at all when the planner is cut off past its term at call ${call}`, async () => {
+            const fleet = await startGang(9_000, prepared =>
+                afterCalls(prepared, call, vm => {
+                    prepared.cutFromTable.add(vm);
+                    prepared.timer.after(10_000, () => prepared.cutFromTable.delete(vm));
+                }));
+            await fleet.timer.advance(30_000);
+            assertNeverPartial(fleet.spans);
+            assert.deepEqual(findViolations(fleet.spans), []);
         });
     }
 
-    it("do not start after their holds have expired", async () => {
-        const world = await createWorld();
-        stallAt(world, memberCount, times.holdMs + 500);
-        const placed = world.place("planner/1");
-        await keep(world, 12_000);
-        assert.isFalse((await placed).ok);
-        assert.isEmpty(world.workers.events.filter(event => event.kind === "taskReady"));
-    });
-
-    it("are placed once when two planners place the same job", async () => {
-        const world = await createWorld();
-        const both = Promise.all([world.place("planner/1"), world.place("planner/2")]);
-        await keep(world, 9_000);
-        assert.isAtMost((await both).filter(result => result.ok).length, 1);
-        assertNeverPartial(world);
-        const planners = new Set(world.workers.all.flatMap(fake => fake.tasks.reports().map(task => task.planner)));
-        assert.isAtMost(planners.size, 1);
+    it("do not start when recording their place took too long", async () => {
+        let held = 0;
+        const fleet = await startGang(2_000, prepared => {
+            prepared.faultOfCommit = (_vm, { writes }) =>
+                writes.some(write => write.key.endsWith("/progress")) && held++ < 2
+                    ? CallFault.RequestLost
+                    : CallFault.None;
+        });
+        await fleet.timer.advance(2_600);
+        assert.isEmpty(fleet.spans);
+        await fleet.timer.advance(6_000);
+        const givenUp = fleet.lines.filter(line => line.message === "placement given up");
+        assert.lengthOf(givenUp, 1, "the place was chosen for what was free long ago");
+        assert.equal(fleet.spans.filter(span => span.kind === EndKind.Done).length, memberCount);
     });
 
-    it("run when the answer to the deciding write is lost", async () => {
-        const world = await createWorld();
-        world.platform.faultOf = () => CommitFault.AnswerLost;
-        const placed = world.place("planner/1");
-        await keep(world, 9_000);
-        assert.isTrue((await placed).ok);
-        assert.equal(runningCount(world), memberCount);
+    it("run once when the answer to the deciding write is lost", async () => {
+        let lost = 0;
+        const fleet = await startGang(2_000, prepared => {
+            prepared.faultOfCommit = (_vm, { writes }) =>
+                writes.some(write => write.key.endsWith("/progress")) && lost++ === 0
+                    ? CallFault.AnswerLost
+                    : CallFault.None;
+        });
+        await fleet.timer.advance(8_000);
+        assert.lengthOf(fleet.spans, memberCount);
+        assertNeverPartial(fleet.spans);
     });
 
-    it("give their holds back when the decision cannot be recorded", async () => {
-        const world = await createWorld();
-        world.platform.faultOf = () => CommitFault.Refused;
-        const placed = world.place("planner/1");
-        await world.timer.advance(100);
-        assert.isFalse((await placed).ok);
-        assert.isTrue(world.workers.all.every(fake => fake.tasks.reports().length === 0));
+    it("start nowhere while their place cannot be recorded", async () => {
+        const fleet = await startGang(2_000, prepared => {
+            prepared.faultOfCommit = (_vm, { writes }) =>
+                writes.some(write => write.key.endsWith("/progress")) ? CallFault.RequestLost : CallFault.None;
+        });
+        await fleet.timer.advance(8_000);
+        assert.isEmpty(fleet.spans);
     });
 
-    it("stop everywhere within a lease when a member is lost", async () => {
-        const world = await createWorld();
-        await world.place("planner/1");
-        await keep(world, 6_000);
-        assert.equal(runningCount(world), memberCount);
-        world.workers.find("a-1").unreachable = true;
-        await keep(world, 12_000);
-        assert.equal(runningCount(world), 0);
-        assertNeverPartial(world);
-        assert.isTrue(world.leaseManager.gangs().some(gang => gang.broken), "the planner is told");
+    it("stop everywhere when a member is lost, and run again as a whole elsewhere", async () => {
+        const fleet = await startGang(20_000);
+        await fleet.timer.advance(2_000);
+        assert.lengthOf(fleet.spans, memberCount);
+        const lost = fleet.spans[0].worker;
+        fleet.removeWorker(lost);
+        await fleet.timer.advance(leaseMs + maxGapMs);
+        assertNeverPartial(fleet.spans);
+        const again = fleet.spans.filter(span => span.run !== fleet.spans[0].run);
+        assert.lengthOf(again, memberCount);
+        assert.isTrue(again.every(span => span.worker !== lost));
     });
 
-    it("lapse within a lease when no leaseManager is left", async () => {
-        const world = await createWorld();
-        await world.place("planner/1");
-        await world.timer.advance(times.leaseMs);
-        world.workers.step();
-        assert.equal(runningCount(world), 0);
+    it("end within a lease when no VM is left", async () => {
+        const fleet = await startGang();
+        await fleet.timer.advance(2_000);
+        [...fleet.vms.keys()].forEach(fleet.killVm);
+        await fleet.timer.advance(leaseMs + 500);
+        assert.isTrue(fleet.spans.every(span => span.toMs !== undefined));
+        assertNeverPartial(fleet.spans);
     });
 
-    it("cannot be started by a late request once their attempt was stopped", async () => {
-        const world = await createWorld();
-        stallAt(world, memberCount, 1_000);
-        const placed = world.place("planner/1");
-        await world.timer.advance(500);
-        await stopGang({ jobId: "job", attempt: 1 }, world.members, world.workers.clientOf);
-        await world.timer.advance(2_000);
-        assert.isFalse((await placed).ok);
-        assert.isEmpty(world.workers.events.filter(event => event.kind === "taskReady"));
+    it("are not joined by a late order once their run was stopped", async () => {
+        let starts = 0;
+        const fleet = await startGang(3_000, prepared => {
+            prepared.faultOfOrder = (_vm, kind) => kind === "start" && starts++ === 0 ? CallFault.Late : CallFault.None;
+        });
+        await fleet.timer.advance(20_000);
+        assertNeverPartial(fleet.spans);
+        assert.deepEqual(findViolations(fleet.spans), []);
+        const phase = fleet.vms.get("vm0")?.phase("gang");
+        await fleet.timer.advance(100);
+        assert.equal(await phase, JobPhase.Succeeded);
     });
 });
--- a/test/guarantees.test.ts
+++ b/test/guarantees.test.ts
@@ -1,216 +1,264 @@
 import { assert } from "chai";
 import fc from "fast-check";
-import { Urgency } from "../src/configuration/types.js";
-import { cellsOf, repairCells, syncCells } from "../src/scheduling/cells.js";
-import { createFleet } from "../src/scheduling/fleet.js";
-import { findGuaranteedOption } from "../src/scheduling/guaranteed.js";
-import { createLedger } from "../src/scheduling/ledger.js";
-import type { Ledger } from "../src/scheduling/ledger.js";
-import type { QueuedJob } from "../src/scheduling/order.js";
-import { DecisionKind, planRound } from "../src/scheduling/plan.js";
-import { createRunTimeModel } from "../src/scheduling/runTimes.js";
-import { AllocationClass } from "../src/scheduling/types.js";
-import { buildGuarantee, buildJob, buildShape } from "./fixtures/jobs.js";
-import { buildWorkers } from "./fixtures/workers.js";
-
-const statements = [
-    buildGuarantee("alpha", 16, 2, true),
-    buildGuarantee("beta", 8, 2, true),
-    buildGuarantee("gamma", 24, 1),
-];
+import { Adjacency } from "../src/configuration/types.js";
+import { assignCells, noPlaces } from "../src/planning/cells.js";
+import type { Cells } from "../src/planning/cells.js";
+import { planRound } from "../src/planning/round.js";
+import type { Candidate, Occupant, Room } from "../src/planning/types.js";
+import type { GuaranteedGang } from "../src/queues/types.js";
+import { createStep } from "./fixtures/fleet.js";
+import { createCandidate, createRacks, createRoundInput, occupyRoom } from "./fixtures/planning.js";
 
-interface World {
-    ledger: Ledger;
-    queue: Map<string, QueuedJob>;
-    nowMs: number;
-    unplaced: string[];
+const gangOf = (name: string, taskCount: number, holdsWithZoneOut = false): GuaranteedGang => ({
+    name,
+    step: createStep({
+        taskCount,
+        gang: true,
+        adjacency: Adjacency.Rack,
+        resources: { milliCores: 1_000, memoryMb: 1_000, accelerators: 1 },
+    }),
+    holdsWithZoneOut,
+});
+
+const gangs = [gangOf("alpha#0", 16, true), gangOf("alpha#1", 16), gangOf("beta#0", 8), gangOf("beta#1", 8)];
+const rackSize = 3;
+
+/** What runs: in its own cell, or on borrowed room. */
+interface Running {
+    occupant: Occupant;
+    gang?: string;
 }
 
-const createWorld = (): World => {
-    const ledger = createLedger(createFleet(buildWorkers(["a", "b", "c"], 6)));
-    const unplaced = syncCells(ledger, cellsOf(statements));
-    return { ledger, queue: new Map(), nowMs: 0, unplaced };
-};
+interface World {
+    rooms: Room[];
+    cells: Cells;
+    running: Running[];
+}
 
-/** Plans until nothing changes; victims leave and queue again at once. */
-const settle = (world: World): void => {
-    for (let rounds = 0; rounds < 6; rounds++) {
-        world.nowMs += 1_000;
-        const { ledger, queue, nowMs } = world;
-        const decisions = planRound({ ledger, queue: [...queue.values()], runTimes: createRunTimeModel(), nowMs });
-        for (const decision of decisions) {
-            if (decision.kind === DecisionKind.Reclaim) {
-                for (const victim of decision.victims) {
-                    ledger.deallocate(victim.job.id);
-                    queue.set(victim.job.id, { spec: victim.job, attempts: victim.attempt, notBeforeMs: 0 });
-                }
-            }
-            else {
-                queue.delete(decision.job.spec.id);
+const refreshFree = (world: World): void => {
+    world.rooms.forEach(room => {
+        room.free = { ...room.capacity };
+    });
+    for (const { occupant } of world.running) {
+        for (const { workerId } of occupant.tasks) {
+            const room = world.rooms.find(candidate => candidate.workerId === workerId);
+            if (room !== undefined) {
+                room.free.accelerators -= occupant.resources.accelerators;
+                room.free.milliCores -= occupant.resources.milliCores;
+                room.free.memoryMb -= occupant.resources.memoryMb;
             }
         }
     }
 };
 
-const usesOf = (ledger: Ledger, unit: string): number =>
-    [...ledger.allocations.values()].filter(allocation => allocation.guaranteeUnit === unit).length;
+const guaranteedCandidate = (world: World, gang: GuaranteedGang): Candidate =>
+    createCandidate(gang.name, {
+        taskCount: gang.step.taskCount,
+        priority: 2,
+        gang: true,
+        guaranteed: true,
+        cell: world.cells.get(gang.name),
+        step: gang.step,
+    });
 
-/** Every unused unit of a guarantee can be had by stopping borrowers alone. */
-const assertReclaimable = (world: World): void => {
-    for (const cell of world.ledger.cells.values()) {
-        const claimed = [...world.ledger.claims.values()].some(claim => claim.guaranteeUnit === cell.unit);
-        if (world.unplaced.includes(cell.unit) || claimed || usesOf(world.ledger, cell.unit) > 0) {
-            continue;
-        }
-        const job = buildJob({ id: "probe", customer: cell.customer, shape: cell.shape, urgency: Urgency.Urgent });
-        const option = findGuaranteedOption(world.ledger, job, world.nowMs);
-        assert.isDefined(option, `${cell.unit} cannot be reclaimed`);
-        assert.isTrue(option?.victims.every(victim => victim.class === AllocationClass.Borrowed));
+/** Places as they are after a change of the workers; what ran in a place that has moved has borrowed its room now. */
+const follow = (world: World): void => {
+    const before = world.cells;
+    const claimed = new Set(world.running.flatMap(({ gang }) => gang ?? []));
+    world.cells = assignCells([...gangs], world.rooms, { cells: before, claimed });
+    for (const running of world.running) {
+        const place = running.gang === undefined ? undefined : world.cells.get(running.gang);
+        const isIn = place !== undefined && running.occupant.tasks.every(task => place.includes(task.workerId));
+        running.gang = isIn ? running.gang : undefined;
+        running.occupant.guaranteed = isIn;
     }
 };
 
-/** No worker holds more than it has. */
-const assertWithinCapacity = (world: World): void => {
-    for (const worker of world.ledger.fleet.workers.values()) {
-        assert.isAtLeast(world.ledger.free(worker).accelerators, 0, `${worker.name} is overbooked`);
-        assert.isAtLeast(world.ledger.outsideCells(worker).accelerators, 0, `cells on ${worker.name} overlap`);
+const openGangs = (world: World): GuaranteedGang[] =>
+    gangs.filter(gang => world.cells.has(gang.name) && !world.running.some(running => running.gang === gang.name));
+
+/** Every guarantee that is not in use gets its whole place at once, whatever runs there. */
+const assertReclaimable = (world: World): void => {
+    for (const gang of openGangs(world)) {
+        refreshFree(world);
+        const round = planRound(createRoundInput({
+            rooms: world.rooms,
+            candidates: [guaranteedCandidate(world, gang)],
+            occupants: world.running.map(({ occupant }) => occupant),
+        }));
+        const places = [
+            ...round.placements.flatMap(({ assignments }) => assignments),
+            ...round.claims.flatMap(claim => claim.assignments),
+        ];
+        assert.sameMembers(places.map(({ workerId }) => workerId), [...world.cells.get(gang.name) ?? []], gang.name);
+        assert.isTrue(round.evictions.every(({ occupant }) => !occupant.guaranteed), "guaranteed work stays");
     }
 };
 
-type Operation =
-    | { kind: "submit"; customer: string; tasks: number; perTask: number; urgency: Urgency; checkpointable: boolean; }
-    | { kind: "finish"; pick: number; }
-    | { kind: "loseWorker"; pick: number; }
-    | { kind: "returnWorkers"; }
-    | { kind: "zone"; zone: string; out: boolean; }
-    | { kind: "shrink"; count: number; };
-
-const operations = fc.array(
-    fc.oneof<fc.Arbitrary<Operation>[]>(
-        fc.record({
-            kind: fc.constant("submit" as const),
-            customer: fc.constantFrom("alpha", "beta", "gamma", "borrower", "other"),
-            tasks: fc.constantFrom(1, 2, 4, 8, 12, 16, 24),
-            perTask: fc.constantFrom(1, 2),
-            urgency: fc.constantFrom(...Object.values(Urgency)),
-            checkpointable: fc.boolean(),
-        }),
-        fc.record({ kind: fc.constant("finish" as const), pick: fc.nat() }),
-        fc.record({ kind: fc.constant("loseWorker" as const), pick: fc.nat() }),
-        fc.record({ kind: fc.constant("returnWorkers" as const) }),
-        fc.record({ kind: fc.constant("zone" as const), zone: fc.constantFrom("a", "b", "c"), out: fc.boolean() }),
-        fc.record({ kind: fc.constant("shrink" as const), count: fc.integer({ min: 1, max: 2 }) }),
-    ),
-    { maxLength: 40 },
+const operation = fc.oneof(
+    fc.record({
+        kind: fc.constant("borrow" as const),
+        pick: fc.nat(),
+        priority: fc.integer({ min: 0, max: 2 }),
+        accelerators: fc.constantFrom(1, 2, 4, 8),
+    }),
+    fc.record({ kind: fc.constant("claim" as const), pick: fc.nat() }),
+    fc.record({ kind: fc.constant("finish" as const), pick: fc.nat() }),
+    fc.record({ kind: fc.constant("lose" as const), pick: fc.nat() }),
+    fc.record({ kind: fc.constant("return" as const) }),
 );
 
-const stopUnusable = (world: World): void => {
-    for (const allocation of [...world.ledger.allocations.values()]) {
-        if (allocation.members.some(member => world.ledger.fleet.workers.get(member.worker)?.usable === false)) {
-            world.ledger.deallocate(allocation.job.id);
-        }
-    }
-    world.unplaced = repairCells(world.ledger);
-};
+type Operation = typeof operation extends fc.Arbitrary<infer Value> ? Value : never;
 
-const apply = (world: World, operation: Operation, index: number): void => {
-    const { ledger } = world;
-    const workers = [...ledger.fleet.workers.values()];
-    const running = [...ledger.allocations.keys()];
-    switch (operation.kind) {
-        case "submit": {
-            const { customer, urgency, checkpointable } = operation;
-            const shape = buildShape(operation.tasks, operation.perTask);
-            const spec = buildJob({
-                id: `job-${index}`,
-                customer,
-                urgency,
-                checkpointable,
-                shape,
-                submittedAtMs: world.nowMs,
-            });
-            world.queue.set(spec.id, { spec, attempts: 0, notBeforeMs: 0 });
+const apply = (world: World, step: Operation, index: number): void => {
+    refreshFree(world);
+    switch (step.kind) {
+        case "borrow": {
+            const room = world.rooms[step.pick % world.rooms.length];
+            const resources = { milliCores: 1_000, memoryMb: 1_000, accelerators: step.accelerators };
+            if (room.usable && room.free.accelerators >= step.accelerators) {
+                const occupant = occupyRoom(room, `borrower-${index}`, {
+                    priority: step.priority,
+                    resources,
+                    evictions: 3,
+                });
+                world.running.push({ occupant });
+            }
             return;
         }
-        case "finish":
-            if (running.length > 0) {
-                ledger.deallocate(running[operation.pick % running.length]);
+        case "claim": {
+            const open = openGangs(world);
+            const gang = open[step.pick % Math.max(1, open.length)] as GuaranteedGang | undefined;
+            if (gang === undefined) {
+                return;
             }
+            const candidate = guaranteedCandidate(world, gang);
+            const round = planRound(
+                createRoundInput({
+                    rooms: world.rooms,
+                    candidates: [candidate],
+                    occupants: world.running.map(({ occupant }) => occupant),
+                }),
+            );
+            const evicted = new Set(round.evictions.map(({ occupant }) => occupant));
+            world.running = world.running.filter(({ occupant }) => !evicted.has(occupant));
+            const tasks = (world.cells.get(gang.name) ?? []).map((workerId, taskIndex) => ({ taskIndex, workerId }));
+            const occupant: Occupant = {
+                key: gang.name,
+                priority: 2,
+                resources: gang.step.resources,
+                tasks,
+                lostCoreMs: 1,
+                evictions: 0,
+                guaranteed: true,
+                resumable: false,
+            };
+            world.running.push({ occupant, gang: gang.name });
             return;
-        case "loseWorker":
-            workers[operation.pick % workers.length].usable = false;
-            return stopUnusable(world);
-        case "returnWorkers":
-            workers.forEach(worker => {
-                worker.usable = true;
-            });
-            return stopUnusable(world);
-        case "zone":
-            workers.filter(worker => worker.availabilityZone === operation.zone).forEach(worker => {
-                worker.usable = !operation.out;
-            });
-            return stopUnusable(world);
-        case "shrink":
-            world.unplaced = syncCells(
-                ledger,
-                cellsOf([buildGuarantee("alpha", 16, operation.count, true), ...statements.slice(1)]),
+        }
+        case "finish":
+            world.running.splice(step.pick % Math.max(1, world.running.length), 1);
+            return;
+        case "lose": {
+            const room = world.rooms[step.pick % world.rooms.length];
+            room.usable = false;
+            world.running = world.running.filter(({ occupant }) =>
+                occupant.tasks.every(task => task.workerId !== room.workerId)
             );
+            return follow(world);
+        }
+        case "return":
+            world.rooms.forEach(room => {
+                room.usable = true;
+            });
+            return follow(world);
     }
 };
 
+const createWorld = (): World => {
+    const rooms = createRacks(4, rackSize);
+    return { rooms, cells: assignCells([...gangs], rooms, noPlaces), running: [] };
+};
+
 describe("guarantees", () => {
     it("can be reclaimed after every step of any sequence of operations", () => {
         fc.assert(
-            fc.property(operations, sequence => {
+            fc.property(fc.array(operation, { maxLength: 40 }), sequence => {
                 const world = createWorld();
-                sequence.forEach((operation, index) => {
-                    apply(world, operation, index);
+                sequence.forEach((step, index) => {
+                    apply(world, step, index);
                     assertReclaimable(world);
-                    settle(world);
-                    assertReclaimable(world);
-                    assertWithinCapacity(world);
                 });
             }),
             { seed: 20, numRuns: 150 },
         );
     });
 
+    it("have places that share no accelerator", () => {
+        const { cells, rooms } = createWorld();
+        const used = new Map<string, number>();
+        [...cells.values()].flat().forEach(worker => used.set(worker, (used.get(worker) ?? 0) + 1));
+        rooms.forEach(room => assert.isAtMost(used.get(room.workerId) ?? 0, room.capacity.accelerators));
+        assert.equal(cells.size, gangs.length);
+    });
+
     it("take back lent accelerators from borrowers that lose least", () => {
         const world = createWorld();
-        for (let index = 0; index < 18; index++) {
-            const spec = buildJob({ id: `borrower-${index}`, shape: buildShape(8), checkpointable: index % 2 === 0 });
-            world.queue.set(spec.id, { spec, attempts: 0, notBeforeMs: 0 });
-        }
-        settle(world);
-        world.nowMs += 3_600_000;
-        const job = buildJob({ id: "owner", customer: "beta", shape: buildShape(8), urgency: Urgency.Urgent });
-        const option = findGuaranteedOption(world.ledger, job, world.nowMs);
-        assert.lengthOf(option?.victims ?? [], 1);
-        assert.isTrue(option?.victims[0].job.checkpointable);
+        const [worker] = world.cells.get("beta#0") ?? [];
+        const room = world.rooms.find(candidate => candidate.workerId === worker);
+        assert.isDefined(room);
+        const whole = { milliCores: 1_000, memoryMb: 1_000, accelerators: 8 };
+        const inTheWay = occupyRoom(room as Room, "in the way", { resources: whole });
+        const elsewhere = world.rooms.filter(other => other !== room).map(other =>
+            occupyRoom(other, other.workerId, { lostCoreMs: 0 })
+        );
+        const candidates = [guaranteedCandidate(world, gangs[2])];
+        const round = planRound(
+            createRoundInput({ rooms: world.rooms, candidates, occupants: [inTheWay, ...elsewhere] }),
+        );
+        assert.deepEqual(
+            round.evictions.map(({ occupant }) => occupant.key),
+            ["in the way"],
+            "only what is in its place",
+        );
     });
 
     it("are not held up by what borrowers have claimed", () => {
         const world = createWorld();
-        const workers = [...world.ledger.fleet.workers.values()].map(worker => ({ worker: worker.name, taskCount: 8 }));
-        const claim = {
-            shape: buildShape(8),
-            class: AllocationClass.Borrowed,
-            readyAtMs: 0,
+        const claims = world.rooms.map(room => ({
+            key: `claim-${room.workerId}`,
+            resources: { milliCores: 1_000, memoryMb: 1_000, accelerators: 8 },
+            assignments: [{ taskIndex: 0, workerId: room.workerId }],
             madeAtMs: 0,
-            backfill: false,
-        };
-        workers.forEach((member, index) =>
-            world.ledger.setClaim({ ...claim, jobId: `claim-${index}`, members: [member] })
-        );
-        assertReclaimable(world);
+        }));
+        const waiting = claims.map(claim => createCandidate(claim.key, { accelerators: 8, priority: 1, gang: true }));
+        const due = guaranteedCandidate(world, gangs[0]);
+        const round = planRound(createRoundInput({ rooms: world.rooms, candidates: [...waiting, due], claims }));
+        const started = round.placements.filter(({ candidate }) => candidate.guaranteed);
+        assert.lengthOf(started, 1);
+    });
+
+    it("keep the places in which their jobs run when others are given anew", () => {
+        const world = createWorld();
+        apply(world, { kind: "claim", pick: 3 }, 0);
+        const [running] = world.running;
+        const place = world.cells.get(running.gang ?? "");
+        world.rooms.filter(room => place?.includes(room.workerId) !== true).slice(0, 6).forEach(room => {
+            room.usable = false;
+        });
+        follow(world);
+        assert.deepEqual(world.cells.get(running.gang ?? ""), place);
+        assert.isTrue(running.occupant.guaranteed);
     });
 
-    it("move to the zones that are left when one is taken out", () => {
+    it("move to the workers that are left, those that must hold with a zone out first", () => {
         const world = createWorld();
-        apply(world, { kind: "zone", zone: "a", out: true }, 0);
-        const mustHold = [...world.ledger.cells.values()].filter(cell => cell.holdsWithZoneOut);
-        assert.lengthOf(mustHold, 4);
-        assert.isTrue(mustHold.every(cell => cell.members.every(member => !member.worker.startsWith("a-"))));
-        assert.isTrue(mustHold.every(cell => cell.members.length > 0));
+        world.rooms.slice(0, 2 * rackSize).forEach(room => {
+            room.usable = false;
+        });
+        follow(world);
+        const usable = new Set(world.rooms.filter(room => room.usable).map(room => room.workerId));
+        assert.isTrue(world.cells.has("alpha#0"));
+        assert.isTrue([...world.cells.values()].flat().every(worker => usable.has(worker)));
     });
 });
--- a/test/planner.test.ts
+++ b/test/planner.test.ts
@@ -1,293 +1,249 @@
 import { assert } from "chai";
-import { publish } from "../src/configuration/commands/publish.js";
-import { createConfigurationFollower } from "../src/configuration/follower.js";
-import { currentVersionKey } from "../src/configuration/types.js";
-import type { CurrentVersion } from "../src/configuration/types.js";
-import { VmKind, VmState } from "../src/platform/types.js";
-import type { Row, Vm } from "../src/platform/types.js";
-import { cancelJob } from "../src/scheduling/commands/cancelJob.js";
-import { submitJob } from "../src/scheduling/commands/submitJob.js";
-import type { JobRequest } from "../src/scheduling/commands/submitJob.js";
-import { readJob } from "../src/scheduling/jobTable.js";
-import { createLeadership } from "../src/scheduling/leadership.js";
-import { createLeaseManager } from "../src/scheduling/leaseManager.js";
-import { planRound } from "../src/scheduling/plan.js";
-import { createPlanner } from "../src/scheduling/planner.js";
-import { JobState } from "../src/scheduling/types.js";
-import type { TimerService } from "../src/utils/timer.js";
-import { createVirtualTimer } from "../src/utils/virtualTimer.js";
-import { buildShape, buildSourced } from "./fixtures/jobs.js";
-import { createFakePlatform } from "./fixtures/platform.js";
-import { buildWorkers, createFakeWorkers } from "./fixtures/workers.js";
-
-const times = { holdMs: 3_000, leaseMs: 6_000, checkpointGraceMs: 1_200 };
-const zones = ["a", "b"];
-const renewMs = 1_500;
-const stepMs = 100;
-
-const base = [
-    buildSourced({
-        name: "owner",
-        customer: "owner",
-        guarantee: { shape: buildShape(16), count: 2, holdsWithZoneOut: true },
-    }),
-    buildSourced({ name: "borrower", customer: "borrower", service: "batch", jobs: { urgency: "mayWait" as never } }),
-    buildSourced({ name: "urgent", customer: "owner", service: "urgent", jobs: { urgency: "urgent" as never } }),
-];
-
-const zoneOut = (zone: string) => buildSourced({ name: "zone-out", availabilityZonesOut: [zone] });
-
-/** A system of two schedulers over fakes, with virtual time. */
-const createSystem = async () => {
-    const timer = createVirtualTimer();
-    const platform = createFakePlatform();
-    const workers = createFakeWorkers(buildWorkers(zones, 4), timer);
-    const vms: Vm[] = workers.all.map(fake => ({
-        name: fake.worker.name,
-        kind: VmKind.Endpoint,
-        state: VmState.Live,
-        availabilityZone: fake.worker.availabilityZone,
-        incarnation: 1,
-        httpAddress: fake.worker.name,
-    }));
-    await publish(platform, { baseVersion: 0, publisher: "north", intents: base }, undefined, 0);
+import { queueConfigurationOf } from "../src/configuration/queries/queueConfiguration.js";
+import { Adjacency, Urgency } from "../src/configuration/types.js";
+import type { Snapshot } from "../src/configuration/types.js";
+import { Acceptance } from "../src/jobs/commands/acceptJob.js";
+import { submitJob } from "../src/jobs/commands/submitJob.js";
+import { JobPhase } from "../src/jobs/types.js";
+import type { JobSubmission, Step } from "../src/jobs/types.js";
+import type { StateTable } from "../src/state/types.js";
+import { StateErrorKind } from "../src/state/types.js";
+import { fail } from "../src/utils/result.js";
+import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
+import type { Fleet } from "./fixtures/fleet.js";
+import { buildFacts, buildShape, buildSourced } from "./fixtures/jobs.js";
+import { findViolations } from "./fixtures/violations.js";
+
+const settleMs = 1_000;
+/** Bound of the brief on the start of guaranteed and urgent work. */
+const urgentBoundMs = 2_600;
+
+const snapshot: Snapshot = {
+    version: 1,
+    publishId: "first",
+    publishedBy: "north",
+    publishedAtMs: 0,
+    statements: [
+        { name: "owner", customer: "owner", guarantee: { shape: buildShape(16), count: 2, holdsWithZoneOut: true } },
+        {
+            name: "borrower",
+            customer: "borrower",
+            service: "batch",
+            jobs: { urgency: Urgency.MayWait, maxAccelerators: 40 },
+        },
+        { name: "urgent", customer: "owner", service: "urgent", jobs: { urgency: Urgency.Urgent } },
+    ].map(intent => ({
+        ...buildSourced(intent).intent,
+        provenance: { file: "file", line: 1, changedInVersion: 1, changedBy: "north", changedAtMs: 0 },
+    })),
+    removed: [],
+};
 
-    const createScheduler = (vm: string, rank: number) => {
-        const follower = createConfigurationFollower(platform, timer);
-        const state = { frozen: false };
-        // nothing of a frozen process runs, not even its timers
-        const ownTimer: TimerService = {
-            ...timer,
-            every: (periodMs, task) => timer.every(periodMs, () => state.frozen ? undefined : task()),
-        };
-        const leadership = createLeadership({
-            vm,
-            processId: vm,
-            platform,
-            timer: ownTimer,
-            follower,
-            takeoverRank: () => rank,
-        });
-        const planner = createPlanner({
-            platform,
-            timer,
-            follower,
-            leadership,
-            times,
-            clientOf: name => workers.find(name).client,
-            listEndpoints: () => vms,
-            plan: planRound,
-            onEvent: () => {},
-        });
-        return { vm, follower, leadership, planner, state };
-    };
-    const schedulers = [createScheduler("one", 0), createScheduler("two", 1)];
-    const leaseManagers = zones.map(zone =>
-        createLeaseManager({
-            vm: "one",
-            availabilityZone: zone,
-            timer,
-            listWorkers: () =>
-                vms.filter(vm => vm.availabilityZone === zone).map(vm => ({
-                    name: vm.name,
-                    httpAddress: vm.httpAddress,
-                })),
-            clientOf: name => workers.find(name).client,
-            leaseMs: times.leaseMs,
-        })
-    );
+const gangStep = (taskCount: number, overrides: Partial<Step> = {}): Step =>
+    createStep({
+        taskCount,
+        gang: true,
+        adjacency: Adjacency.Rack,
+        resources: { milliCores: 1_000, memoryMb: 1_000, accelerators: 1 },
+        ...overrides,
+    });
 
-    const keep = async (): Promise<void> => {
-        const reports = await Promise.all(leaseManagers.map(leaseManager => leaseManager.round()));
-        for (const scheduler of schedulers.filter(candidate => !candidate.state.frozen)) {
-            reports.forEach(report => scheduler.planner.reportZone(report));
+const gangJob = (
+    id: string,
+    customer: string,
+    taskCount: number,
+    workMs: number,
+    overrides: Partial<JobSubmission> = {},
+) => createSubmission(id, [gangStep(taskCount)], { customer, priority: 2, ...overrides }, { workMs });
+
+/** Two zones of four workers on statements of intent. */
+const createSystem = async (): Promise<Fleet> => {
+    const fleet = createFleet({ workerCount: 0, configuration: queueConfigurationOf(snapshot, 65_536) });
+    for (const zone of ["a", "b"]) {
+        for (let index = 0; index < 4; index++) {
+            fleet.addWorker(`${zone}-${index}`, `${zone}-rack`, zone);
         }
-    };
-    timer.every(renewMs, keep);
-    for (const scheduler of schedulers) {
-        timer.every(200, () => scheduler.state.frozen ? undefined : scheduler.planner.round());
-        scheduler.leadership.start();
     }
-
-    const run = async (durationMs: number): Promise<void> => {
-        for (let passedMs = 0; passedMs < durationMs; passedMs += stepMs) {
-            await timer.advance(stepMs);
-            workers.step();
-        }
-    };
-    const submit = async (key: string, change: Partial<JobRequest> = {}): Promise<string> => {
-        const request = {
-            customer: "borrower",
-            service: "batch",
-            shape: buildShape(16),
-            declaredRunTimeMs: 60_000,
-            checkpointable: true,
-            work: { runTimeMs: 600_000 },
-            ...change,
-        };
-        const submitted = await submitJob(
-            platform,
-            schedulers[0].follower.current(),
-            request,
-            key,
-            timer.wallClockMs(),
-        );
-        schedulers.filter(scheduler => !scheduler.state.frozen).forEach(scheduler => scheduler.planner.noticeInbox());
-        return submitted.ok ? submitted.value.record.spec.id : assert.fail(JSON.stringify(submitted.error));
-    };
-    const stateOf = async (id: string): Promise<JobState | undefined> => {
-        const read = await readJob(platform, id);
-        return read.ok ? read.value?.record.state : undefined;
-    };
-    const offer = (intents: typeof base, baseVersion: number) =>
-        publish(platform, { baseVersion, publisher: "north", intents }, undefined, timer.wallClockMs());
-    await run(4_000);
-    return { timer, platform, workers, schedulers, run, submit, stateOf, offer, vms };
+    fleet.notify();
+    await fleet.timer.advance(settleMs);
+    return fleet;
 };
 
-const runningIn = (system: Awaited<ReturnType<typeof createSystem>>, jobId: string): string[] =>
-    system.workers.all.filter(fake => fake.tasks.reports().some(task => task.jobId === jobId)).map(fake =>
-        fake.worker.name
-    );
+const runsOf = (fleet: Fleet, jobId: string) => fleet.spans.filter(span => span.task.startsWith(`${jobId}.`));
+
+const phaseOf = async (fleet: Fleet, jobId: string): Promise<unknown> => {
+    const asked = [...fleet.vms.values()][0].phase(jobId);
+    await fleet.timer.advance(50);
+    return asked;
+};
 
-describe("the planner", () => {
+describe("the planner on statements of intent", () => {
     it("places a gang and reports its end", async () => {
-        const system = await createSystem();
-        const id = await system.submit("plan", { work: { runTimeMs: 2_000 } });
-        await system.run(1_000);
-        assert.equal(await system.stateOf(id), JobState.Placed);
-        assert.lengthOf(runningIn(system, id), 2);
-        await system.run(6_000);
-        assert.equal(await system.stateOf(id), JobState.Done);
-        assert.isEmpty(runningIn(system, id));
+        const fleet = await createSystem();
+        await fleet.submit(gangJob("plan", "borrower", 16, 2_000));
+        await fleet.timer.advance(1_000);
+        assert.equal(await phaseOf(fleet, "plan"), JobPhase.Running);
+        assert.lengthOf([...new Set(runsOf(fleet, "plan").map(span => span.worker))], 2);
+        await fleet.timer.advance(3_000);
+        assert.equal(await phaseOf(fleet, "plan"), JobPhase.Succeeded);
+        assert.isTrue(fleet.spans.every(span => span.toMs !== undefined));
     });
 
-    it("starts an urgent gang on lent accelerators within 2.6 s, also when a borrower ignores its checkpoint", async () => {
-        const system = await createSystem();
+    it("starts a guaranteed gang on lent accelerators within 2.6 s, also when a borrower saves nothing", async () => {
+        const fleet = await createSystem();
+        for (let index = 0; index < 8; index++) {
+            const step = gangStep(8, { checkpointing: index % 2 === 0 });
+            await fleet.submit(
+                createSubmission(`lent-${index}`, [step], { customer: "guest", priority: 0 }, { workMs: 600_000 }),
+            );
+        }
+        await fleet.timer.advance(2_000);
+        assert.lengthOf(fleet.spans, 64, "everything is lent");
+        await fleet.submit(gangJob("due", "owner", 16, 60_000));
+        await fleet.timer.advance(urgentBoundMs);
+        const started = runsOf(fleet, "due");
+        assert.lengthOf(started, 16);
+        assert.isAtMost(new Set(started.map(span => span.worker)).size, 2);
+        assert.lengthOf(fleet.spans.filter(span => span.toMs !== undefined), 16, "no more was taken back than needed");
+    });
+
+    it("keeps a customer within its limit and uses the room for others", async () => {
+        const fleet = await createSystem();
         for (let index = 0; index < 4; index++) {
-            await system.submit(`borrower-${index}`, { work: { runTimeMs: 600_000, ignoresCheckpoint: true } });
+            await fleet.submit(gangJob(`batch-${index}`, "borrower", 16, 600_000));
         }
-        await system.run(2_000);
-        const id = await system.submit("urgent", { customer: "owner", service: "urgent" });
-        await system.run(2_600);
-        assert.equal(await system.stateOf(id), JobState.Placed);
-        assert.lengthOf(runningIn(system, id), 2);
+        await fleet.timer.advance(3_000);
+        assert.lengthOf(runsOf(fleet, "batch-0"), 16);
+        assert.lengthOf(runsOf(fleet, "batch-1"), 16);
+        assert.isEmpty([...runsOf(fleet, "batch-2"), ...runsOf(fleet, "batch-3")], "at most 40 accelerators");
+        await fleet.submit(gangJob("other", "guest", 16, 600_000));
+        await fleet.timer.advance(1_000);
+        assert.lengthOf(runsOf(fleet, "other"), 16);
     });
 
-    it("starts nothing in a zone a few seconds after it was taken out", async () => {
-        const system = await createSystem();
-        const accepted = await system.offer([...base, zoneOut("a")], 1);
-        assert.isTrue(accepted.ok);
-        const acceptedAtMs = system.timer.nowMs();
+    it("starts nothing in a zone once it knows that it was taken out", async () => {
+        const fleet = await createSystem();
+        fleet.operator.evacuatedZones.add("a");
+        fleet.notify();
+        const knownAtMs = fleet.timer.nowMs();
         for (let index = 0; index < 6; index++) {
-            await system.submit(`plan-${index}`, { shape: buildShape(8), work: { runTimeMs: 1_000 } });
-            await system.run(1_000);
+            await fleet.submit(gangJob(`plan-${index}`, "guest", 8, 1_000));
+            await fleet.timer.advance(1_000);
         }
-        const late = system.workers.events.filter(event =>
-            event.availabilityZone === "a" && event.kind === "taskReady" && event.atMs > acceptedAtMs
-        );
-        assert.isEmpty(late);
+        assert.isNotEmpty(fleet.spans);
+        assert.isEmpty(fleet.spans.filter(span => span.worker.startsWith("a-") && span.fromMs > knownAtMs));
     });
 
-    it("cannot record a placement under a version that is no longer current", async () => {
-        const system = await createSystem();
-        const commit = system.platform.commit.bind(system.platform);
+    it("moves work that saves its progress out of a zone that is taken out, and lets the rest end there", async () => {
+        const fleet = await createSystem();
+        ["b"].forEach(zone => fleet.operator.evacuatedZones.add(zone));
+        fleet.notify();
+        await fleet.submit(createSubmission("saves", [gangStep(8, { checkpointing: true })], { customer: "guest" }, {
+            workMs: 20_000,
+        }));
+        await fleet.submit(createSubmission("stays", [gangStep(8)], { customer: "guest" }, { workMs: 20_000 }));
+        await fleet.timer.advance(3_000);
+        fleet.operator.evacuatedZones.clear();
+        fleet.operator.evacuatedZones.add("a");
+        fleet.notify();
+        await fleet.timer.advance(3_000);
+        const places = (id: string) =>
+            new Set(runsOf(fleet, id).filter(span => span.toMs === undefined).map(span => span.worker[0]));
+        assert.deepEqual([...places("saves")], ["b"]);
+        assert.deepEqual([...places("stays")], ["a"]);
+    });
+
+    it("gives a placement up when its zone is taken out while it is being recorded", async () => {
+        const fleet = await createSystem();
         let raced = false;
-        system.platform.commit = async transaction => {
-            const decides = transaction.writes.some(write =>
-                (write.value as { state?: string; })?.state === JobState.Placed
-            );
-            if (decides && !raced) {
+        fleet.faultOfCommit = (_vm, { writes }) => {
+            if (!raced && writes.some(write => write.key.endsWith("/progress"))) {
                 raced = true;
-                const row = system.platform.rows.get(currentVersionKey) as Row<CurrentVersion>;
-                const value = { version: row.value.version, publishId: "other" };
-                await commit({ conditions: [], writes: [{ key: currentVersionKey, value }] });
+                ["a", "b"].forEach(zone => fleet.operator.evacuatedZones.add(zone));
             }
-            return commit(transaction);
+            return CallFault.None;
         };
-        const id = await system.submit("plan");
-        await system.run(300);
+        await fleet.submit(gangJob("plan", "guest", 16, 1_000));
+        await fleet.timer.advance(1_000);
         assert.isTrue(raced);
-        assert.isEmpty(runningIn(system, id), "nothing started on the strength of the old version");
-        await system.run(2_000);
-        assert.equal(await system.stateOf(id), JobState.Placed);
-    });
-
-    it("is replaced when it is frozen, and can decide nothing when it resumes", async () => {
-        const system = await createSystem();
-        const [first, second] = system.schedulers;
-        assert.isTrue(first.leadership.isPlanner());
-        const oldGuards = first.leadership.guards();
-        first.state.frozen = true;
-        await system.run(4_000);
-        assert.isTrue(second.leadership.isPlanner());
-        assert.isTrue(first.leadership.isPlanner(), "the frozen one has not noticed yet");
-        const outdated = await system.platform.commit({ conditions: oldGuards, writes: [{ key: "probe", value: 1 }] });
-        assert.isFalse(outdated.ok);
-        const id = await system.submit("plan");
-        first.state.frozen = false;
-        await system.run(2_000);
-        assert.isFalse(first.leadership.isPlanner());
-        assert.equal(await system.stateOf(id), JobState.Placed);
+        assert.isEmpty(fleet.spans, "nothing started on the strength of the old wishes");
+        fleet.operator.evacuatedZones.clear();
+        fleet.notify();
+        await fleet.timer.advance(4_000);
+        assert.equal(await phaseOf(fleet, "plan"), JobPhase.Succeeded);
     });
 
     it("starts nothing while the platform is down, keeps what runs and goes on afterwards", async () => {
-        const system = await createSystem();
-        const running = await system.submit("running");
-        const waiting = await system.submit("waiting", { shape: buildShape(8) });
-        await system.run(300);
-        system.platform.down = true;
-        const startsBefore = system.workers.events.filter(event => event.kind === "taskReady").length;
-        await system.run(30_000);
-        assert.lengthOf(runningIn(system, running), 2, "leases are renewed without the platform");
-        assert.equal(system.workers.events.filter(event => event.kind === "taskReady").length, startsBefore);
-        system.platform.down = false;
-        await system.run(4_000);
-        assert.equal(await system.stateOf(waiting), JobState.Placed);
-        assert.equal(await system.stateOf(running), JobState.Placed);
+        const fleet = await createSystem();
+        await fleet.submit(gangJob("running", "guest", 16, 30_000));
+        await fleet.timer.advance(1_000);
+        await fleet.submit(gangJob("waiting", "guest", 64, 1_000));
+        await fleet.timer.advance(300);
+        fleet.tableDown = true;
+        const before = fleet.spans.length;
+        await fleet.timer.advance(7_500);
+        assert.lengthOf(fleet.spans, before);
+        assert.isTrue(runsOf(fleet, "running").every(span => span.toMs === undefined), "leases are renewed");
+        fleet.tableDown = false;
+        await fleet.submit(gangJob("next", "guest", 8, 1_000));
+        await fleet.timer.advance(4_000);
+        assert.equal(await phaseOf(fleet, "next"), JobPhase.Succeeded);
+        assert.equal(await phaseOf(fleet, "running"), JobPhase.Running);
     });
 
-    it("runs a gang again, as a new attempt, after a member was lost", async () => {
-        const system = await createSystem();
-        const id = await system.submit("plan");
-        await system.run(2_000);
-        const [lost] = runningIn(system, id);
-        system.workers.find(lost).unreachable = true;
-        await system.run(20_000);
-        const read = await readJob(system.platform, id);
-        const placement = read.ok ? read.value?.record.placement : undefined;
-        assert.equal(placement?.attempt, 2);
-        assert.notInclude(placement?.members.map(member => member.worker) ?? [], lost);
-    });
+    it("leaves nothing running after a thousand cancellations at once", async () => {
+        const fleet = await createSystem();
+        const ids = Array.from({ length: 1_000 }, (_, index) => `wave-${index}`);
+        const [vm] = fleet.vms.values();
+        void Promise.all(ids.map(id => vm.accept(gangJob(id, "guest", 1, 60_000), 3_000)));
+        await fleet.timer.advance(3_000);
+        assert.isNotEmpty(fleet.spans);
+        void Promise.all(ids.map(id => vm.cancel(id)));
+        await fleet.timer.advance(8_000);
+        const phases = await Promise.all(ids.map(id => phaseOf(fleet, id)));
+        assert.isTrue(phases.every(phase => phase === JobPhase.Cancelled));
+        assert.isTrue(fleet.spans.every(span => span.toMs !== undefined));
+    }).timeout(60_000);
 
-    it("leaves no lease behind after a thousand cancellations at once", async () => {
-        const system = await createSystem();
-        const ids: string[] = [];
-        for (let index = 0; index < 1_000; index++) {
-            ids.push(await system.submit(`wave-${index}`, { shape: buildShape(1) }));
-        }
-        await system.run(3_000);
-        await Promise.all(ids.map(id => cancelJob(system.platform, id)));
-        await system.run(8_000);
-        const states = await Promise.all(ids.map(system.stateOf));
-        assert.isTrue(states.every(state => state === JobState.Cancelled));
-        assert.isTrue(system.workers.all.every(fake => fake.tasks.reports().length === 0));
+    it("gives up a job that fails everywhere without leaving any worker out", async () => {
+        const fleet = await createSystem();
+        const work = { workMs: 200, failures: Number.MAX_SAFE_INTEGER };
+        await fleet.submit(createSubmission("fails", [gangStep(8)], { customer: "guest" }, work));
+        await fleet.timer.advance(20_000);
+        assert.equal(await phaseOf(fleet, "fails"), JobPhase.Failed);
+        await fleet.submit(gangJob("whole", "guest", 32, 1_000, { steps: [gangStep(32)] }));
+        await fleet.timer.advance(3_000);
+        assert.equal(await phaseOf(fleet, "whole"), JobPhase.Succeeded, "no worker rests");
+        assert.deepEqual(findViolations(fleet.spans.filter(span => span.task.startsWith("whole"))), []);
     });
+});
+
+describe("a submitted job", () => {
+    const unavailable = async () => fail({ kind: StateErrorKind.Unavailable, detail: "down" } as const);
+    const state: StateTable = { commit: unavailable, read: unavailable, changes: unavailable };
+    const request = { customer: "owner", service: "urgent", declaredRunTimeMs: 1_000, checkpointable: true };
+    const submit = (taskCount: number, accepted: Acceptance, customer = "owner") =>
+        submitJob(
+            { state, snapshot, fleet: buildFacts(["a", "b"], 4), accept: async () => accepted, wallClockMs: 0 },
+            { ...request, customer, shape: buildShape(taskCount) },
+            "key",
+        );
 
-    it("tells at once that a job can never run, and lets others pass", async () => {
-        const system = await createSystem();
-        const never = await system.submit("never", { shape: buildShape(64) });
-        const other = await system.submit("other", { shape: buildShape(8) });
-        await system.run(1_000);
-        assert.equal(await system.stateOf(never), JobState.Rejected);
-        assert.equal(await system.stateOf(other), JobState.Placed);
+    it("that can never run is refused at once with the reason", async () => {
+        const tooLarge = await submit(33, Acceptance.Accepted);
+        assert.equal(tooLarge.ok ? "" : tooLarge.error.kind, "neverFits");
+        const overLimit = await submit(41, Acceptance.Accepted, "borrower");
+        assert.match(overLimit.ok ? "" : overLimit.error.detail, /customer's limit/);
+        const unknown = await submit(1, Acceptance.Accepted, "nobody");
+        assert.equal(unknown.ok ? "" : unknown.error.kind, "unknownCustomer");
     });
 
-    it("gives up a job that fails everywhere without leaving any worker out", async () => {
-        const system = await createSystem();
-        const id = await system.submit("fails", { shape: buildShape(8), work: { fails: true } });
-        await system.run(30_000);
-        assert.equal(await system.stateOf(id), JobState.Failed);
-        assert.deepEqual(system.schedulers[0].planner.dump()?.ejectedWorkers ?? ["no dump"], []);
+    it("is called not run only when nothing was recorded", async () => {
+        const refused = await submit(8, Acceptance.NotRun);
+        assert.equal(refused.ok ? "" : refused.error.kind, "unavailable");
+        const doubtful = await submit(8, Acceptance.Unknown);
+        assert.equal(doubtful.ok ? "" : doubtful.error.kind, "unknown");
+        const unread = await submit(8, Acceptance.Accepted);
+        assert.equal(unread.ok ? "" : unread.error.kind, "unknown");
     });
 });
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -177,11 +177,26 @@
         assert.deepEqual(evictedKeys(build(true)), ["tired"]);
     });
 
-    it("never takes work of the same priority", () => {
+    const displaceEqual = (due: boolean, covered: boolean): string[] => {
         const rooms = createRacks(1, 1);
-        const occupants = [occupyRoom(rooms[0], "equal", { priority: 0 })];
-        const candidates = [createCandidate("urgent", { accelerators: 8, priority: 0, gang: true, guaranteed: true })];
-        assert.deepEqual(evictedKeys(planRound(createRoundInput({ rooms, candidates, occupants }))), []);
+        const occupants = [occupyRoom(rooms[0], "equal", { priority: 0, guaranteed: covered })];
+        const candidates = [createCandidate("urgent", { accelerators: 8, priority: 0, gang: true, guaranteed: due })];
+        return evictedKeys(planRound(createRoundInput({ rooms, candidates, occupants })));
+    };
+
+    it("takes work of the same priority only for a due guarantee, and only what runs on more than its own", () => {
+        assert.deepEqual(displaceEqual(false, false), []);
+        assert.deepEqual(displaceEqual(true, true), []);
+        assert.deepEqual(displaceEqual(true, false), ["equal"]);
+    });
+
+    it("takes urgent work that is beyond its guarantee last", () => {
+        const rooms = createRacks(1, 2);
+        const urgent = occupyRoom(rooms[0], "urgent", { priority: 0, lostCoreMs: 1_000 });
+        const normal = occupyRoom(rooms[1], "normal", { lostCoreMs: 10_000 });
+        const candidates = [createCandidate("due", { accelerators: 8, priority: 0, gang: true, guaranteed: true })];
+        const round = planRound(createRoundInput({ rooms, candidates, occupants: [urgent, normal] }));
+        assert.deepEqual(evictedKeys(round), ["normal"]);
     });
 });
 
@@ -211,6 +226,8 @@
                     tasks: [{ taskIndex: 0, workerId }],
                     lostCoreMs: 10_000,
                     evictions: 0,
+                    guaranteed: false,
+                    resumable: false,
                 })
             )
         );
--- a/test/platformProcesses.test.ts
+++ b/test/platformProcesses.test.ts
@@ -1,7 +1,7 @@
 import { assert } from "chai";
-import { findViolations } from "./fixtures/fleet.js";
 import { startPlatformProcesses, until } from "./fixtures/platformProcesses.js";
 import type { EntryProcess, PlatformProcesses } from "./fixtures/platformProcesses.js";
+import { findViolations } from "./fixtures/violations.js";
 
 /** Bound on the time in which jobs go on after every process was lost. */
 const recoveryMs = 12_000;
