--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -3,9 +3,9 @@
 import { request } from "undici";
 import { collectIntents } from "../src/configuration/queries/collect.js";
 import type { Snapshot } from "../src/configuration/types.js";
+import type { JobView } from "../src/jobs/queries/jobView.js";
+import { JobPhase } from "../src/jobs/types.js";
 import { VmState } from "../src/platform/types.js";
-import { JobState } from "../src/scheduling/types.js";
-import type { JobRecord } from "../src/scheduling/types.js";
 import { sendJson, startLocalCluster, waitUntil } from "../tools/localCluster.js";
 import type { LocalCluster, RunningDaemon } from "../tools/localCluster.js";
 
@@ -74,15 +74,15 @@
         declaredRunTimeMs: runTimeMs,
         work: { runTimeMs },
     };
-    const answer = await sendJson<JobRecord>(`${scheduler.httpAddress}/v1/jobs`, body, {
+    const answer = await sendJson<JobView>(`${scheduler.httpAddress}/v1/jobs`, body, {
         headers: { "idempotency-key": key },
     });
     assert.include([202, 504], answer.status, JSON.stringify(answer.body));
-    return answer.status === 202 ? answer.body.spec.id : undefined;
+    return answer.status === 202 ? answer.body.id : undefined;
 };
 
-const stateOf = async (scheduler: RunningDaemon, id: string): Promise<JobState> => {
-    const answer = await sendJson<JobRecord>(`${scheduler.httpAddress}/v1/jobs/${id}`);
+const stateOf = async (scheduler: RunningDaemon, id: string): Promise<JobPhase> => {
+    const answer = await sendJson<JobView>(`${scheduler.httpAddress}/v1/jobs/${id}`);
     return answer.body.state;
 };
 
@@ -137,7 +137,7 @@
         const restarted = await cluster.restartDaemon(first);
         assert.equal(await cluster.stopDaemon(second), 0);
         await cluster.restartDaemon(second);
-        await waitUntil("the gang is done", 30_000, async () => await stateOf(restarted, id) === JobState.Done);
+        await waitUntil("the gang is done", 30_000, async () => await stateOf(restarted, id) === JobPhase.Succeeded);
         const broken = (await cluster.events()).filter(event => event.jobId === id && event.kind === "taskLapsed");
         assert.isEmpty(broken);
     });
@@ -200,10 +200,10 @@
         await waitUntil(
             "the job is done",
             settleTimeoutMs,
-            async () => await stateOf(cluster.schedulers()[1], id) === JobState.Done,
+            async () => await stateOf(cluster.schedulers()[1], id) === JobPhase.Succeeded,
         );
         const starts = (await cluster.events()).filter(event => event.jobId === id && event.kind === "taskRunning");
-        assert.lengthOf(starts, 2, "each member started once, however often it was submitted");
+        assert.lengthOf(starts, 16, "each task started once, however often the job was submitted");
     });
 
     it("go on with calls that may be repeated while the platform is down, and refuse bookings as not run", async () => {
--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -34,11 +34,11 @@
 
     it("with a wrong unit, an unknown field or a missing one are refused with the line", async () => {
         const wrong = [...lines];
-        wrong[6] = "    \"taskLeaseSeconds\": 6, \"renewMs\": \"1.5 s\"";
+        wrong[6] = "    \"taskLeaseSeconds\": 6, \"heartbeatMs\": \"1.5 s\"";
         const loaded = await load(wrong.join("\n"));
         const problems = loaded.ok ? [] : loaded.error.problems;
         assert.include(problems, "line 7: taskLeaseSeconds: is not a known field");
-        assert.include(problems, "line 7: renewMs: must be integer");
+        assert.include(problems, "line 7: heartbeatMs: must be integer");
         assert.isTrue(problems.some(problem => problem.includes("needs the field \"platformAddress\"")));
     });
 
--- a/tools/capacity.ts
+++ b/tools/capacity.ts
@@ -98,7 +98,6 @@
 const main = async (): Promise<void> => {
     const { values } = parseArgs({
         options: {
-            renew: { type: "string", default: "10000" },
             lease: { type: "string", default: "30000" },
             heartbeat: { type: "string", default: "3000" },
             poll: { type: "string", default: "1000" },
@@ -107,7 +106,6 @@
         },
     });
     const settings = {
-        renewMs: Number(values.renew),
         taskLeaseMs: Number(values.lease),
         heartbeatMs: Number(values.heartbeat),
         pollMs: Number(values.poll),
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -5,6 +5,8 @@
 import { collectIntents } from "../src/configuration/queries/collect.js";
 import type { SourcedIntent } from "../src/configuration/queries/collect.js";
 import type { Snapshot } from "../src/configuration/types.js";
+import type { JobView } from "../src/jobs/queries/jobView.js";
+import { isEnded } from "../src/jobs/types.js";
 import { createRandom } from "../src/utils/random.js";
 import { sendJson, startLocalCluster, waitUntil } from "./localCluster.js";
 import type { LocalCluster } from "./localCluster.js";
@@ -69,19 +71,20 @@
     };
 };
 
-const readEnded = async (cluster: LocalCluster): Promise<Set<string>> => {
-    const answer = await sendJson<{ rows: { key: string; }[]; }>(
-        `${cluster.platformAddress}/v1/table/rows?prefix=ended/`,
+const readEnded = async (cluster: LocalCluster, record: SoakRecord): Promise<Set<string>> => {
+    const [scheduler] = cluster.schedulers();
+    const views = await Promise.all(
+        record.jobs.map(({ id }) => sendJson<JobView>(`${scheduler.httpAddress}/v1/jobs/${id}`)),
     );
-    return new Set(answer.body.rows.map(row => row.key.slice("ended/".length)));
+    return new Set(views.filter(view => view.status === 200 && isEnded(view.body.state)).map(view => view.body.id));
 };
 
 const settle = async (cluster: LocalCluster, record: SoakRecord): Promise<Set<string>> => {
     await waitUntil("all jobs end", settleTimeoutMs, async () => {
-        const ended = await readEnded(cluster);
+        const ended = await readEnded(cluster, record);
         return record.jobs.every(job => ended.has(job.id));
     }).catch(() => {});
-    return readEnded(cluster);
+    return readEnded(cluster, record);
 };
 
 const report = (record: SoakRecord, reports: ReturnType<typeof checkAll>, seed: number): number => {
--- a/tools/soak/checks.ts
+++ b/tools/soak/checks.ts
@@ -55,15 +55,16 @@
     };
 };
 
-const checkGangs = (events: readonly WorkerEvent[]): PointReport => {
+const checkGangs = (record: SoakRecord, events: readonly WorkerEvent[]): PointReport => {
+    const sizes = new Map(record.jobs.map(job => [job.id, job.taskCount]));
     const gangs = groupBy(
         events.filter(event => event.jobId !== undefined),
-        event => `${event.jobId}#${event.attempt}`,
+        event => `${event.jobId}#${event.run}`,
     );
     const violations: string[] = [];
     for (const [gang, own] of gangs) {
         const runs = runsOf(own);
-        const members = own.find(event => event.kind === "taskReady")?.members ?? 0;
+        const members = sizes.get(own[0].jobId ?? "") ?? 0;
         const longest = runs.length === 0 ? 0 : partialMs(runs, members);
         if (longest > taskLeaseMs + checkSlackMs) {
             violations.push(`${gang}: ${runs.length} of ${members} members ran; partial for ${longest} ms`);
@@ -76,7 +77,7 @@
     const jobs = groupBy(events.filter(event => event.jobId !== undefined), event => event.jobId ?? "");
     const violations: string[] = [];
     for (const [job, own] of jobs) {
-        const attempts = [...groupBy(own, event => String(event.attempt)).values()]
+        const attempts = [...groupBy(own, event => String(event.run)).values()]
             .map(runsOf)
             .filter(runs => runs.length > 0)
             .map(runs => ({
@@ -99,7 +100,7 @@
     const late = record.zonesOut.flatMap(note =>
         events.filter(event =>
             event.availabilityZone === note.zone
-            && ["taskReady", "taskRunning"].includes(event.kind)
+            && event.kind === "taskRunning"
             && event.atMs > note.acceptedAtMs + fewSecondsMs
             && event.atMs < note.returnedAtMs
         )
@@ -142,7 +143,7 @@
 const checkLeaving = (record: SoakRecord, events: readonly WorkerEvent[]): PointReport => {
     const isLate = (note: LeavingNote, event: WorkerEvent): boolean =>
         event.worker === note.worker
-        && ["taskReady", "callStarted"].includes(event.kind)
+        && ["taskRunning", "callStarted"].includes(event.kind)
         && event.atMs > note.fromMs + fewSecondsMs
         && event.atMs < note.untilMs;
     const violations = record.leaving.flatMap(note =>
@@ -209,7 +210,7 @@
     ended: ReadonlySet<string>,
 ): PointReport[] => [
     checkJobsEnd(record, ended),
-    checkGangs(events),
+    checkGangs(record, events),
     checkOneAttempt(events),
     checkZonesOut(record, events),
     checkOwnAnswer(record),
--- a/tools/soak/gangRuns.ts
+++ b/tools/soak/gangRuns.ts
@@ -12,7 +12,7 @@
     return groups;
 };
 
-/** Time for which the tasks of a gang ran on one worker. */
+/** Time for which one task of a gang ran. */
 export interface Run {
     worker: string;
     fromMs: number;
@@ -22,12 +22,13 @@
 
 const endKinds = ["taskFinished", "taskFailed", "taskStopped", "taskLapsed"];
 
-/** Runs of one attempt, by the events of its workers. */
+/** Runs of one gang's tasks under one number, by the events of its workers. */
 export const runsOf = (events: readonly WorkerEvent[]): Run[] => {
     const runs: Run[] = [];
     for (const start of events.filter(event => event.kind === "taskRunning")) {
         const end = events.find(event =>
-            event.worker === start.worker && event.atMs >= start.atMs && endKinds.includes(event.kind)
+            event.task === start.task && event.run === start.run && event.atMs >= start.atMs
+            && endKinds.includes(event.kind)
         );
         const finished = end?.kind === "taskFinished";
         runs.push({ worker: start.worker, fromMs: start.atMs, untilMs: end?.atMs ?? Infinity, finished });
--- a/tools/soak/load.ts
+++ b/tools/soak/load.ts
@@ -1,4 +1,5 @@
 /** Callers and submitters of a soak run. */
+import type { JobView } from "../../src/jobs/queries/jobView.js";
 import type { Outcome } from "../../src/routing/types.js";
 import { pickOne } from "../../src/utils/random.js";
 import type { Random } from "../../src/utils/random.js";
@@ -94,15 +95,16 @@
     const cancels = random() < cancelShare;
     try {
         const headers = { "idempotency-key": key };
-        const answer = await sendJson<{ spec: { id: string; }; }>(`${scheduler.httpAddress}/v1/jobs`, body, {
+        const answer = await sendJson<JobView>(`${scheduler.httpAddress}/v1/jobs`, body, {
             headers,
         });
         if (answer.status !== 202) {
             return;
         }
-        record.jobs.push({ id: answer.body.spec.id, guaranteed });
+        const { id, taskCount } = answer.body;
+        record.jobs.push({ id, guaranteed, taskCount });
         if (cancels) {
-            await sendJson(`${scheduler.httpAddress}/v1/jobs/${answer.body.spec.id}`, undefined, { method: "DELETE" });
+            await sendJson(`${scheduler.httpAddress}/v1/jobs/${id}`, undefined, { method: "DELETE" });
         }
     }
     catch {
--- a/tools/soak/record.ts
+++ b/tools/soak/record.ts
@@ -48,7 +48,7 @@
     versions: VersionNote[];
     /** Times at which versions were accepted. */
     accepted: { version: number; atMs: number; }[];
-    jobs: { id: string; guaranteed: boolean; }[];
+    jobs: { id: string; guaranteed: boolean; taskCount: number; }[];
     faults: Record<string, number>;
     /** Processes that were disturbed, with the time until which that may show. */
     disturbed: { process: string; fromMs: number; untilMs: number; }[];
