refactor: one memory of confirmations, members of a gang by name, interfaces beside their types

Change: utils/confirmation.ts, membersWith in jobs/progress.ts, OperatorSource in queues/types.ts, WorkerDirectory in execution/types.ts. Behaviour as before.

--- a/src/execution/endings.ts
+++ b/src/execution/endings.ts
@@ -1,4 +1,4 @@
-import { activeRuns, isJobComplete, taskIdOf, taskKey } from "../jobs/progress.js";
+import { activeRuns, isJobComplete, membersWith, taskIdOf, taskKey } from "../jobs/progress.js";
 import type { JobState, TaskState, Unit } from "../jobs/progress.js";
 import { isEnded, JobPhase } from "../jobs/types.js";
 import type { PlannerContext } from "./context.js";
@@ -85,8 +85,7 @@
             return;
         }
         // any member's checkpoint serves the whole gang, and all have to start from the same one
-        const tasks = task.unit.step.gang ? task.unit.tasks : [task];
-        tasks.forEach(other => {
+        membersWith(task).forEach(other => {
             other.checkpoint = checkpoint;
         });
     };
--- a/src/execution/term.ts
+++ b/src/execution/term.ts
@@ -2,6 +2,7 @@
 import type { Log } from "../node/logs.js";
 import { describeStateError, StateErrorKind } from "../state/types.js";
 import type { StateError, StateRow, StateTable } from "../state/types.js";
+import { createConfirmation } from "../utils/confirmation.js";
 import type { Random } from "../utils/random.js";
 import type { TimerService } from "../utils/timer.js";
 
@@ -214,23 +215,3 @@
         },
     };
 };
-
-/** Age of the latest confirmation, by both clocks: one stands still while a VM is suspended, the other may step. */
-const createConfirmation = (timer: TimerService) => {
-    let atMs = Number.NEGATIVE_INFINITY;
-    let wallMs = Number.NEGATIVE_INFINITY;
-    return {
-        ageMs: (): number => Math.max(timer.nowMs() - atMs, timer.wallClockMs() - wallMs),
-        /** Counts from before the question is sent. */
-        ask: () => {
-            const askedAtMs = timer.nowMs();
-            const askedWallMs = timer.wallClockMs();
-            return {
-                confirm: (): void => {
-                    atMs = askedAtMs;
-                    wallMs = askedWallMs;
-                },
-            };
-        },
-    };
-};
--- a/src/execution/types.ts
+++ b/src/execution/types.ts
@@ -20,6 +20,14 @@
     leavesAtMs?: number;
 }
 
+/** The platform's list of workers, followed while this VM plans. */
+export interface WorkerDirectory {
+    start(): void;
+    stop(): void;
+    workers(): ReadonlyMap<string, WorkerView>;
+    onChange(listener: () => void): void;
+}
+
 /** A task that runs on a worker, as listed by it. */
 export interface RunningTask {
     task: TaskId;
--- a/src/execution/watch.ts
+++ b/src/execution/watch.ts
@@ -1,4 +1,4 @@
-import { RunPhase } from "../jobs/progress.js";
+import { membersWith, RunPhase } from "../jobs/progress.js";
 import type { Run, TaskState } from "../jobs/progress.js";
 import type { PlannerContext } from "./context.js";
 import type { WorkerSession } from "./session.js";
@@ -64,8 +64,7 @@
         if (run === undefined || run.phase !== RunPhase.Running || !unit.step.checkpointing) {
             return;
         }
-        const members = unit.step.gang ? unit.tasks : [task];
-        members.forEach(member => member.run !== undefined && stops.stop(member, member.run, reason));
+        membersWith(task).forEach(member => member.run !== undefined && stops.stop(member, member.run, reason));
     };
 
     const reasonToMove = ({ view }: WorkerSession): string | undefined => {
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -233,6 +233,9 @@
     units: Object.fromEntries([...job.units].map(([key, unit]) => [key, recordUnit(unit)])),
 });
 
+/** The members of a task's gang, or the task alone. */
+export const membersWith = (task: TaskState): readonly TaskState[] => task.unit.step.gang ? task.unit.tasks : [task];
+
 /** Whether all earlier steps of a unit are done. */
 export const isReleased = (unit: Unit): boolean =>
     unit.step.after.every(earlier => unit.job.units.get(unitKeyOf(unit.occurrence, earlier))?.complete === true);
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -1,7 +1,7 @@
 import { startPlanner } from "../execution/planner.js";
 import type { Planner } from "../execution/planner.js";
 import { createTerm } from "../execution/term.js";
-import type { WorkerClient, WorkerView } from "../execution/types.js";
+import type { WorkerClient, WorkerDirectory, WorkerView } from "../execution/types.js";
 import { createJobBook } from "../jobs/book.js";
 import type { JobBook, JobEntry } from "../jobs/book.js";
 import { acceptJob } from "../jobs/commands/acceptJob.js";
@@ -13,7 +13,7 @@
 import { readJob } from "../jobs/queries/readJob.js";
 import { jobParts, jobsTable, plannerLeaseKey, plannerPart, termKey } from "../jobs/rows.js";
 import type { JobPhase, JobSubmission } from "../jobs/types.js";
-import type { OperatorState } from "../queues/types.js";
+import type { OperatorSource } from "../queues/types.js";
 import { createTableFollower } from "../state/follower.js";
 import type { TableFollower } from "../state/follower.js";
 import type { StateRow, StateTable } from "../state/types.js";
@@ -22,23 +22,6 @@
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { Log } from "./logs.js";
 
-/** Where the operator's wishes come from. */
-export interface OperatorSource {
-    current(): OperatorState;
-    /** Time since what is known was confirmed, counted from before it was asked for. */
-    ageMs(): number;
-    /** Called after each change. */
-    onChange(listener: () => void): void;
-}
-
-/** The platform's list of workers, followed while this VM plans. */
-export interface WorkerDirectory {
-    start(): void;
-    stop(): void;
-    workers(): ReadonlyMap<string, WorkerView>;
-    onChange(listener: () => void): void;
-}
-
 /** Options of {@link startEntryVm}. */
 export interface EntryVmOptions {
     vm: string;
--- a/src/node/statementSource.ts
+++ b/src/node/statementSource.ts
@@ -2,9 +2,8 @@
 import { queueConfigurationOf } from "../configuration/queries/queueConfiguration.js";
 import { zonesOutOf } from "../configuration/queries/settings.js";
 import type { Snapshot } from "../configuration/types.js";
-import type { OperatorState } from "../queues/types.js";
+import type { OperatorSource, OperatorState } from "../queues/types.js";
 import type { TimerService } from "../utils/timer.js";
-import type { OperatorSource } from "./entryVm.js";
 
 const toOperatorState = (snapshot: Snapshot, maxBodyBytes: number): OperatorState => ({
     configuration: queueConfigurationOf(snapshot, maxBodyBytes),
--- a/src/queues/types.ts
+++ b/src/queues/types.ts
@@ -69,6 +69,15 @@
     evacuatedZones: ReadonlySet<string>;
 }
 
+/** Where the operator's wishes come from. */
+export interface OperatorSource {
+    current(): OperatorState;
+    /** Time since what is known was confirmed, counted from before it was asked for. */
+    ageMs(): number;
+    /** Called after each change. */
+    onChange(listener: () => void): void;
+}
+
 /** Finds the queue that a caller's request goes to. */
 export const findQueue = (
     configuration: QueueConfiguration,
--- a/src/state/follower.ts
+++ b/src/state/follower.ts
@@ -1,4 +1,5 @@
 import type { Log } from "../node/logs.js";
+import { createConfirmation } from "../utils/confirmation.js";
 import type { TimerService } from "../utils/timer.js";
 import { describeStateError, StateErrorKind } from "./types.js";
 import type { StateError, StateRow, StateTable } from "./types.js";
@@ -37,15 +38,12 @@
 /** Follows the changes of a table and reads it whole when its history is gone. */
 export const createTableFollower = (options: TableFollowerOptions): TableFollower => {
     const { state, timer, log, table } = options;
-    let confirmedAtMs = Number.NEGATIVE_INFINITY;
-    let confirmedWallMs = Number.NEGATIVE_INFINITY;
+    const confirmation = createConfirmation(timer);
     let afterVersion: number | undefined;
     let stopped = false;
     let reachable = true;
 
-    const confirm = (sentAtMs: number, sentWallMs: number): void => {
-        confirmedAtMs = sentAtMs;
-        confirmedWallMs = sentWallMs;
+    const noteAnswer = (): void => {
         if (!reachable) {
             log("info", "table readable again", { table, version: afterVersion });
             reachable = true;
@@ -98,11 +96,11 @@
 
     const follow = async (): Promise<void> => {
         while (!stopped) {
-            const sentAtMs = timer.nowMs();
-            const sentWallMs = timer.wallClockMs();
+            const asked = confirmation.ask();
             const ok = afterVersion === undefined ? await readWhole() : await readChanges(afterVersion);
             if (ok && afterVersion !== undefined) {
-                confirm(sentAtMs, sentWallMs);
+                asked.confirm();
+                noteAnswer();
             }
             await timer.sleep(ok ? options.pauseMs() : retryPauseMs);
         }
@@ -110,8 +108,7 @@
 
     void follow();
     return {
-        // the steady clock stands still while a VM is suspended and the wall clock may step, so the greater age counts
-        ageMs: () => Math.max(timer.nowMs() - confirmedAtMs, timer.wallClockMs() - confirmedWallMs),
+        ageMs: confirmation.ageMs,
         stop: () => {
             stopped = true;
         },
--- a/src/workers/directory.ts
+++ b/src/workers/directory.ts
@@ -1,5 +1,5 @@
 import type { WorkerView } from "../execution/types.js";
-import type { WorkerDirectory } from "../node/entryVm.js";
+import type { WorkerDirectory } from "../execution/types.js";
 import type { Log } from "../node/logs.js";
 import { VmState } from "../platform/types.js";
 import type { Vm } from "../platform/types.js";
