feat(cli): show what a publish would change, and say clearly what is wrong with input

Cause: operators could not see the effect of a publish beforehand; a missing file, a body that is not JSON or a base that is no version ended with "Internal Error" and a stack trace.

--- a/src/cli/intentCommands.ts
+++ b/src/cli/intentCommands.ts
@@ -2,15 +2,19 @@
 import { readFile, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import type { PublishError } from "../configuration/commands/publish.js";
+import { ChangeKind, findChanges } from "../configuration/queries/changes.js";
+import type { StatementChange } from "../configuration/queries/changes.js";
 import { checkTogether } from "../configuration/queries/checkTogether.js";
 import { collectIntents } from "../configuration/queries/collect.js";
-import type { FileProblem } from "../configuration/queries/collect.js";
+import type { FileProblem, SourcedIntent } from "../configuration/queries/collect.js";
+import { findConflicts } from "../configuration/queries/conflicts.js";
 import { explain } from "../configuration/queries/settings.js";
 import type { Snapshot, Statement } from "../configuration/types.js";
 import type { JobView } from "../jobs/queries/jobView.js";
 import type { WorkerFacts } from "../workers/types.js";
 import { BaseCommand, EntryCommand, ExitCode } from "./base.js";
 import { send } from "./client.js";
+import { readJsonFile } from "./input.js";
 
 const baseFile = ".catkinswitch.json";
 
@@ -39,9 +43,12 @@
 
     override async execute(): Promise<number> {
         const collected = await collectIntents(this.tree);
-        const facts = this.fleet === undefined
-            ? undefined
-            : JSON.parse(await readFile(this.fleet, "utf8")) as WorkerFacts[];
+        const fleet = this.fleet === undefined ? undefined : await readJsonFile(this.fleet);
+        if (fleet !== undefined && !fleet.ok) {
+            this.print({ problems: [fleet.error] }, [fleet.error]);
+            return ExitCode.BadInput;
+        }
+        const facts = fleet?.value as WorkerFacts[] | undefined;
         const problems = [...collected.problems, ...checkTogether(collected.intents, facts)];
         const summary = `${collected.intents.length} statements, ${problems.length} problems`;
         this.print({ statements: collected.intents.length, problems }, [...problems.map(problemLine), summary]);
@@ -70,16 +77,34 @@
     }
 };
 
+const changeSigns: Record<ChangeKind, string> = {
+    [ChangeKind.Added]: "+",
+    [ChangeKind.Changed]: "~",
+    [ChangeKind.Removed]: "-",
+};
+
+const changeLines = ({ kind, name, file, fields }: StatementChange): string[] => [
+    `${changeSigns[kind]} ${name}  (${file})`,
+    ...fields.map(({ field, before, after }) =>
+        `    ${field}: ${JSON.stringify(before) ?? "absent"} -> ${JSON.stringify(after) ?? "absent"}`
+    ),
+];
+
 /** Publishes a tree of statements as the next version. */
 export class PublishCommand extends EntryCommand {
     static override paths = [["publish"]];
     static override usage = Command.Usage({
         description: "Publish the statements of intent below a directory",
-        examples: [["Publish as the operations team", "catkinswitch publish intents --as operations"]],
+        details: "Exit codes: 0 accepted or nothing wrong, 1 refused or unknown, 2 the statements are wrong.",
+        examples: [
+            ["Publish as the operations team", "catkinswitch publish intents --as operations"],
+            ["See what it would change", "catkinswitch publish intents --as operations --dry-run"],
+        ],
     });
 
     tree = Option.String({ name: "directory" });
     publisher = Option.String("--as", { required: true, description: "Who publishes" });
+    dryRun = Option.Boolean("--dry-run", false, { description: "Show what would change and publish nothing" });
     base = Option.String("--base", { description: `Version this checkout is based on, default from ${baseFile}` });
 
     override async execute(): Promise<number> {
@@ -90,6 +115,13 @@
             return ExitCode.BadInput;
         }
         const baseVersion = this.base === undefined ? await readBaseVersion(this.tree) : Number(this.base);
+        if (!Number.isInteger(baseVersion) || baseVersion < 0) {
+            this.print({ detail: "bad base version" }, [`--base must be a version, not "${this.base}"`]);
+            return ExitCode.BadInput;
+        }
+        if (this.dryRun) {
+            return this.showChanges(baseVersion, collected.intents);
+        }
         const body = { baseVersion, publisher: this.publisher, intents: collected.intents };
         const answer = await send(`${this.entry}/v1/configurations`, { method: "POST", body });
         if (answer.status !== 200) {
@@ -101,6 +133,20 @@
         return ExitCode.Ok;
     }
 
+    private async showChanges(baseVersion: number, intents: readonly SourcedIntent[]): Promise<number> {
+        const answer = await send(`${this.entry}/v1/configurations`);
+        const current = answer.body as Snapshot;
+        const conflicts = findConflicts(current, baseVersion, intents);
+        if (conflicts.length > 0) {
+            const error: PublishError = { kind: "conflicts", version: current.version, conflicts };
+            return this.refuse({ error, detail: "conflicts" });
+        }
+        const changes = findChanges(current, intents);
+        const summary = `${changes.length} statements would change after version ${current.version}; nothing published`;
+        this.print({ version: current.version, changes }, [...changes.flatMap(changeLines), summary]);
+        return ExitCode.Ok;
+    }
+
     private refuse(problem: { error?: PublishError; detail: string; }): number {
         this.print(problem, problem.error === undefined ? [problem.detail] : describeError(problem.error));
         return problem.error?.kind === "problems" ? ExitCode.BadInput : ExitCode.Refused;
--- a/src/cli/workCommands.ts
+++ b/src/cli/workCommands.ts
@@ -1,10 +1,9 @@
 import { Command, Option } from "clipanion";
-import { readFile } from "node:fs/promises";
 import type { JobView } from "../jobs/queries/jobView.js";
-import { parseJsonWithComments } from "../utils/jsonWithComments.js";
 import { EntryCommand, ExitCode } from "./base.js";
 import { send } from "./client.js";
 import type { CliAnswer } from "./client.js";
+import { parseInput, readJsonFile } from "./input.js";
 
 interface Problem {
     title: string;
@@ -41,7 +40,12 @@
             ...(this.key === undefined ? {} : { "idempotency-key": this.key }),
             ...(this.deadlineMs === undefined ? {} : { "deadline-ms": this.deadlineMs }),
         };
-        const answer = await send(`${this.entry}${path}`, { method: "POST", body: JSON.parse(this.body), headers });
+        const body = parseInput(this.body, "--body");
+        if (!body.ok) {
+            this.print({ detail: body.error }, [body.error]);
+            return ExitCode.BadInput;
+        }
+        const answer = await send(`${this.entry}${path}`, { method: "POST", body: body.value, headers });
         const result = answer.body as { result?: unknown; };
         this.print(answer.body, isOk(answer) ? [`done: ${JSON.stringify(result.result)}`] : problemLines(answer));
         return isOk(answer) ? ExitCode.Ok : ExitCode.Refused;
@@ -63,13 +67,13 @@
     key = Option.String("--key", { description: "Idempotency key" });
 
     override async execute(): Promise<number> {
-        const parsed = parseJsonWithComments(await readFile(this.file, "utf8"));
-        if (!parsed.ok) {
-            this.print(parsed.error, [`${this.file}:${parsed.error.line}: ${parsed.error.detail}`]);
+        const job = await readJsonFile(this.file);
+        if (!job.ok) {
+            this.print({ detail: job.error }, [job.error]);
             return ExitCode.BadInput;
         }
         const headers = this.key === undefined ? undefined : { "idempotency-key": this.key };
-        const answer = await send(`${this.entry}/v1/jobs`, { method: "POST", body: parsed.value.value, headers });
+        const answer = await send(`${this.entry}/v1/jobs`, { method: "POST", body: job.value, headers });
         this.print(answer.body, isOk(answer) ? [jobLine(answer.body as JobView)] : problemLines(answer));
         return isOk(answer) ? ExitCode.Ok : ExitCode.Refused;
     }
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -1,5 +1,10 @@
 import { assert } from "chai";
+import { execFile } from "node:child_process";
+import { cp, mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { promisify } from "node:util";
 import { request } from "undici";
 import { collectIntents } from "../src/configuration/queries/collect.js";
 import type { Snapshot } from "../src/configuration/types.js";
@@ -231,6 +236,23 @@
         };
     };
 
+    it("show what a publish would change without publishing it", async () => {
+        const tree = await mkdtemp(join(tmpdir(), "catkinswitch-dry-"));
+        await cp(examples, tree, { recursive: true });
+        await writeFile(
+            join(tree, "zone.intent.jsonc"),
+            JSON.stringify({ name: "zone-out", owner: "north", reason: "roof", availabilityZonesOut: ["zone-a"] }),
+        );
+        const program = fileURLToPath(new URL("../src/bin/catkinswitch.js", import.meta.url));
+        const entry = cluster.schedulers()[0].httpAddress;
+        const args = [program, "publish", tree, "--as", "north", "--base", "1", "--dry-run", "--entry", entry];
+        const { stdout } = await promisify(execFile)(process.execPath, args);
+        await rm(tree, { recursive: true });
+        assert.match(stdout, /\+ zone-out {2}\(zone\.intent\.jsonc\)/);
+        assert.match(stdout, /1 statements would change after version 1; nothing published/);
+        assert.equal(await versionOf(cluster.schedulers()[0]), 1);
+    });
+
     it("answer bad input with a clear error", async () => {
         const [router] = cluster.routers();
         const [scheduler] = cluster.schedulers();
