fix: keep the place of a guaranteed job that runs while one of its workers does not answer

Cause: a place was given up as soon as one of its workers was not usable, which a silence of 0.7 s is. The job that ran there then counted as lent room, so that another guarantee could have taken it back.

Change: places of jobs that run stay; those of waiting jobs move to workers that answer.

--- a/src/execution/guarantees.ts
+++ b/src/execution/guarantees.ts
@@ -15,6 +15,8 @@
     cell?: readonly string[];
     /** Name of the guaranteed gang whose place that is. */
     gang?: string;
+    /** Whether the job runs there already. */
+    runs?: boolean;
 }
 
 /** Jobs that run on what is guaranteed to their customers. */
@@ -80,19 +82,19 @@
     const covered: [JobState, Cover][] = [];
     const cellFor = (job: JobState, gang: GuaranteedGang): readonly string[] =>
         (cells.get(gang.name) ?? []).slice(0, job.submission.steps[0].taskCount);
-    const cover = (job: JobState, gang: GuaranteedGang | undefined): void => {
+    const cover = (job: JobState, gang: GuaranteedGang | undefined, runs: boolean): void => {
         if (gang !== undefined) {
             free.delete(gang);
-            covered.push([job, { cell: cellFor(job, gang), gang: gang.name }]);
+            covered.push([job, { cell: cellFor(job, gang), gang: gang.name, runs }]);
         }
     };
     // what runs elsewhere has borrowed its room
     for (const job of jobs) {
         const place = placeOf(job);
-        cover(job, place && [...free].find(gang => isSamePlace(place, cellFor(job, gang))));
+        cover(job, place && [...free].find(gang => isSamePlace(place, cellFor(job, gang))), true);
     }
     for (const job of jobs.filter(candidate => placeOf(candidate) === undefined)) {
-        cover(job, [...free].find(gang => fitsGang(job.submission.steps[0], gang.step)));
+        cover(job, [...free].find(gang => fitsGang(job.submission.steps[0], gang.step)), false);
     }
     return covered;
 };
@@ -120,8 +122,11 @@
     guarantees: Guarantees,
 ): Places => {
     const gangs = gangsOf(context);
-    const claimed = new Set([...guarantees.values()].flatMap(({ gang }) => gang ?? []));
-    return { cells: gangs.length === 0 ? cells : moveIdleCells(gangs, rooms, cells, claimed), claimed };
+    const covers = [...guarantees.values()];
+    const claimed = new Set(covers.flatMap(({ gang }) => gang ?? []));
+    const running = new Set(covers.flatMap(({ gang, runs }) => runs === true && gang !== undefined ? [gang] : []));
+    const moved = gangs.length === 0 ? cells : moveIdleCells(gangs, rooms, cells, claimed);
+    return { cells: moved, claimed, running };
 };
 
 /** Places of all guaranteed gangs among the workers as they are now; marks the workers that hold one. */
--- a/src/planning/cells.ts
+++ b/src/planning/cells.ts
@@ -10,12 +10,14 @@
 /** Places as a round left them. */
 export interface Places {
     cells: Cells;
-    /** Gangs whose places are claimed by jobs; these stay where they are. */
+    /** Gangs whose places jobs claim; these do not move to idle room. */
     claimed: ReadonlySet<string>;
+    /** Those of them whose jobs run; their places stay, also while a worker does not answer. */
+    running: ReadonlySet<string>;
 }
 
 /** No places yet. */
-export const noPlaces: Places = { cells: new Map(), claimed: new Set() };
+export const noPlaces: Places = { cells: new Map(), claimed: new Set(), running: new Set() };
 
 const sizeOf = ({ step }: GuaranteedGang): number => step.taskCount * step.resources.accelerators;
 
@@ -33,7 +35,8 @@
     const kept = new Map<string, readonly string[]>();
     for (const gang of gangs) {
         const place = before.cells.get(gang.name);
-        if (place?.length === gang.step.taskCount && place.every(worker => names.has(worker))) {
+        const isUsable = place?.every(worker => names.has(worker)) === true;
+        if (place?.length === gang.step.taskCount && (isUsable || before.running.has(gang.name))) {
             kept.set(gang.name, place);
         }
     }
@@ -52,7 +55,7 @@
         return new Map([...kept, ...added]);
     }
     // unused places stand in the way of others, so they are given anew, the important ones first
-    const used = gangs.filter(gang => kept.has(gang.name) && before.claimed.has(gang.name));
+    const used = gangs.filter(gang => kept.has(gang.name) && before.running.has(gang.name));
     const unused = gangs.filter(gang => !used.includes(gang));
     const anew = findPlaces([...unused].sort(byImportance), facts, used, kept);
     return anew.size + used.length > kept.size + added.size
--- a/test/guarantees.test.ts
+++ b/test/guarantees.test.ts
@@ -65,7 +65,7 @@
 const follow = (world: World): void => {
     const before = world.cells;
     const claimed = new Set(world.running.flatMap(({ gang }) => gang ?? []));
-    world.cells = assignCells([...gangs], world.rooms, { cells: before, claimed });
+    world.cells = assignCells([...gangs], world.rooms, { cells: before, claimed, running: claimed });
     for (const running of world.running) {
         const place = running.gang === undefined ? undefined : world.cells.get(running.gang);
         const isIn = place !== undefined && running.occupant.tasks.every(task => place.includes(task.workerId));
@@ -251,6 +251,19 @@
         assert.isTrue(running.occupant.guaranteed);
     });
 
+    it("keep the place of a job that runs while one of its workers does not answer", () => {
+        const world = createWorld();
+        apply(world, { kind: "claim", pick: 0 }, 0);
+        const [running] = world.running;
+        const place = world.cells.get(running.gang ?? "");
+        world.rooms.filter(room => room.workerId === place?.[0]).forEach(room => {
+            room.usable = false;
+        });
+        follow(world);
+        assert.deepEqual(world.cells.get(running.gang ?? ""), place);
+        assert.isTrue(running.occupant.guaranteed);
+    });
+
     it("move to the workers that are left, those that must hold with a zone out first", () => {
         const world = createWorld();
         world.rooms.slice(0, 2 * rackSize).forEach(room => {
