fix: let a new planner find the places of guaranteed work in the records

Cause: places of guarantees lived in the planner's memory only. A new planner gave all of them anew, and a guaranteed job that ran elsewhere counted as borrowed: urgent work of others took it back (test seen failing: 32 runs where 16 were asked for).

Ruled out: recording the places, since where each task runs is recorded already.

Change: without places, those of whole gangs that run are taken over before others are given.

--- a/src/execution/guarantees.ts
+++ b/src/execution/guarantees.ts
@@ -129,13 +129,33 @@
     return { cells: moved, claimed, running };
 };
 
+/** Places that a new planner finds in the records: whole gangs that run where nobody else can. */
+const inheritPlaces = (context: PlannerContext): Places => {
+    const cells = new Map<string, readonly string[]>();
+    for (const customer of context.operator().configuration?.customers ?? []) {
+        const open = new Set(customer.guaranteedGangs);
+        for (const job of claimingJobs(context, customer)) {
+            const place = placeOf(job);
+            const [step] = job.submission.steps;
+            const gang = place
+                && [...open].find(({ step: whole }) => fitsGang(step, whole) && step.taskCount === whole.taskCount);
+            if (place !== undefined && gang !== undefined) {
+                open.delete(gang);
+                cells.set(gang.name, place);
+            }
+        }
+    }
+    const names = new Set(cells.keys());
+    return { cells, claimed: names, running: names };
+};
+
 /** Places of all guaranteed gangs among the workers as they are now; marks the workers that hold one. */
 export const surveyCells = (context: PlannerContext, rooms: readonly Room[], before: Places): Cells => {
     const gangs = gangsOf(context);
     if (gangs.length === 0) {
         return before.cells;
     }
-    const cells = assignCells(gangs, rooms, before);
+    const cells = assignCells(gangs, rooms, before.cells.size === 0 ? inheritPlaces(context) : before);
     const kept = new Set([...cells.values()].flat());
     rooms.forEach(room => {
         room.hasCell = kept.has(room.workerId);
--- a/test/planner.test.ts
+++ b/test/planner.test.ts
@@ -107,6 +107,25 @@
         assert.lengthOf(fleet.spans.filter(span => span.toMs !== undefined), 16, "no more was taken back than needed");
     });
 
+    it("knows after a change of planner which work runs on a guarantee", async () => {
+        const fleet = await createSystem();
+        fleet.operator.evacuatedZones.add("a");
+        fleet.notify();
+        await fleet.submit(gangJob("short", "owner", 16, 2_000));
+        await fleet.submit(gangJob("kept", "owner", 16, 600_000));
+        await fleet.timer.advance(4_000);
+        fleet.operator.evacuatedZones.clear();
+        ["a-2", "a-3"].forEach(fleet.removeWorker);
+        fleet.killVm(fleet.planner() ?? "");
+        await fleet.timer.advance(6_000);
+        for (let index = 0; index < 3; index++) {
+            await fleet.submit(gangJob(`urgent-${index}`, "guest", 16, 600_000, { priority: 0 }));
+        }
+        await fleet.timer.advance(3_000);
+        assert.lengthOf(runsOf(fleet, "kept"), 16);
+        assert.isTrue(runsOf(fleet, "kept").every(span => span.toMs === undefined));
+    });
+
     it("keeps a customer within its limit and uses the room for others", async () => {
         const fleet = await createSystem();
         for (let index = 0; index < 4; index++) {
--- a/tools/showFailing.ts
+++ b/tools/showFailing.ts
@@ -27,6 +27,22 @@
         tests: "guarantees",
         fails: "have places that share no accelerator",
     },
+    {
+        without: "places that stay while a worker does not answer",
+        file: "planning/cells.js",
+        find: "(isUsable || before.running.has(gang.name))",
+        replace: "isUsable",
+        tests: "guarantees",
+        fails: "keep the place of a job that runs",
+    },
+    {
+        without: "places that a new planner finds in the records",
+        file: "execution/guarantees.js",
+        find: "before.cells.size === 0 ? inheritPlaces(context) : before",
+        replace: "before",
+        tests: "test/planner",
+        fails: "knows after a change of planner",
+    },
     {
         without: "reclaiming a guarantee in its own place",
         file: "planning/preemption.js",
