--- a/src/execution/customerLimits.ts
+++ b/src/execution/customerLimits.ts
@@ -9,13 +9,11 @@
             left.set(name, maxAccelerators);
         }
     }
-    for (const { submission, units } of left.size > 0 ? context.jobs.values() : []) {
-        const { customer = "" } = submission;
+    const limited = [...context.jobs.values()].filter(({ submission }) => left.has(submission.customer ?? ""));
+    for (const { submission: { customer = "" }, units } of limited) {
         const running = [...units.values()].flatMap(unit => unit.tasks.filter(task => task.run !== undefined));
         const used = running.reduce((sum, task) => sum + task.unit.step.resources.accelerators, 0);
-        if (left.has(customer)) {
-            left.set(customer, (left.get(customer) ?? 0) - used);
-        }
+        left.set(customer, (left.get(customer) ?? 0) - used);
     }
     return left;
 };
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -102,12 +102,13 @@
     [Adjacency.AvailabilityZone]: room => room.availabilityZone,
 };
 
-const gangGroupsOf = (home: readonly Room[], { step, ...candidate }: Candidate): Room[][] => {
-    if (step.adjacency === undefined) {
+const gangGroupsOf = (home: readonly Room[], candidate: Candidate): Room[][] => {
+    const { adjacency, mayBeSpread } = candidate.step;
+    if (adjacency === undefined) {
         return [[...home]];
     }
-    const domains = groupBy(home, domainOf[step.adjacency]).filter(domain => couldHold(domain, { ...candidate, step }));
-    return domains.length > 0 || !step.mayBeSpread ? domains : [[...home]];
+    const domains = groupBy(home, domainOf[adjacency]).filter(domain => couldHold(domain, candidate));
+    return domains.length > 0 || !mayBeSpread ? domains : [[...home]];
 };
 
 /** What a worker can take of a candidate. */
@@ -134,7 +135,10 @@
     return offers;
 };
 
-/** Sound workers first, then those that nobody can take back, then those that fill up exactly, then the fullest, so that whole workers stay free. */
+/**
+ * Sound workers first, then those that nobody can take back, then those that fill up exactly, then the fullest, so that
+ * whole workers stay free.
+ */
 const compareOffers = (left: Offer, right: Offer): number =>
     Number(left.avoided) - Number(right.avoided)
     || left.room.suspicion - right.room.suspicion
