fix: do not call a job impossible that was accepted before

Cause: found in reading: a repeated submission was checked against the workers of the moment first. With workers gone in between, a job that was accepted, and may be running, was refused as "neverFits" with the outcome "notRun".

Change: where the check finds a problem, the stored job is looked up; the same job is answered with, and while the table is down a job with a key is unknown rather than not run. Test seen failing.

Result: planner and commandLine pass; formatter, linter and compiler are clean.

--- a/src/jobs/commands/submitJob.ts
+++ b/src/jobs/commands/submitJob.ts
@@ -97,19 +97,32 @@
         : { kind: "neverFits", detail: "no set of workers that is close enough together has room for the shape" };
 };
 
+/** The stored job, if it is the same as the submitted one. */
+const compareStored = (stored: JobEntry, submission: JobSubmission): Result<JobEntry, SubmitError> =>
+    stored.submission !== undefined && isDeepStrictEqual(identityOf(stored.submission), identityOf(submission))
+        ? succeed(stored)
+        : fail({ kind: "keyReused", detail: "the key was used for a different job" });
+
 /** Records a job; a repeated key answers with the first job. */
 export const submitJob = async (
     context: SubmitContext,
     request: JobRequest,
     key: string | undefined,
 ): Promise<Result<JobEntry, SubmitError>> => {
-    const problem = findProblem(request, context);
-    if (problem !== undefined) {
-        return fail(problem);
-    }
     const { customer, service } = request;
     const urgency = jobsSettingOf(context.snapshot, customer, service)?.value.urgency ?? Urgency.Normal;
     const submission = buildSubmission(jobIdOf(customer, key), request, urgency, context.wallClockMs);
+    const problem = findProblem(request, context);
+    if (problem !== undefined) {
+        // a job that was accepted while there was room for it may be running
+        const known = await readJob(context.state, submission.id);
+        if (known === "unavailable" && key !== undefined) {
+            return fail({ kind: "unknown", detail: "the job could not be looked up; submit again with the same key" });
+        }
+        return known === "unavailable" || known?.submission === undefined
+            ? fail(problem)
+            : compareStored(known, submission);
+    }
     switch (await context.accept(submission)) {
         case Acceptance.NotRun:
             return fail({ kind: "unavailable", detail: "neither the platform nor a peer with access answers" });
@@ -119,10 +132,7 @@
             break;
     }
     const stored = await readJob(context.state, submission.id);
-    if (stored === "unavailable" || stored?.submission === undefined) {
-        return fail({ kind: "unknown", detail: "the job could not be read back" });
-    }
-    return isDeepStrictEqual(identityOf(stored.submission), identityOf(submission))
-        ? succeed(stored)
-        : fail({ kind: "keyReused", detail: "the key was used for a different job" });
+    return stored === "unavailable" || stored?.submission === undefined
+        ? fail({ kind: "unknown", detail: "the job could not be read back" })
+        : compareStored(stored, submission);
 };
--- a/test/planner.test.ts
+++ b/test/planner.test.ts
@@ -3,12 +3,12 @@
 import { Adjacency, Urgency } from "../src/configuration/types.js";
 import type { Snapshot } from "../src/configuration/types.js";
 import { Acceptance } from "../src/jobs/commands/acceptJob.js";
-import { submitJob } from "../src/jobs/commands/submitJob.js";
+import { buildSubmission, submitJob } from "../src/jobs/commands/submitJob.js";
 import { JobPhase } from "../src/jobs/types.js";
 import type { JobSubmission, Step } from "../src/jobs/types.js";
 import type { StateTable } from "../src/state/types.js";
 import { StateErrorKind } from "../src/state/types.js";
-import { fail } from "../src/utils/result.js";
+import { fail, succeed } from "../src/utils/result.js";
 import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import type { Fleet } from "./fixtures/fleet.js";
 import { buildFacts, buildShape, buildSourced } from "./fixtures/jobs.js";
@@ -240,23 +240,39 @@
 describe("a submitted job", () => {
     const unavailable = async () => fail({ kind: StateErrorKind.Unavailable, detail: "down" } as const);
     const state: StateTable = { commit: unavailable, read: unavailable, changes: unavailable };
+    const empty: StateTable = { ...state, read: async () => succeed({ rows: [], version: 1 }) };
     const request = { customer: "owner", service: "urgent", declaredRunTimeMs: 1_000, checkpointable: true };
-    const submit = (taskCount: number, accepted: Acceptance, customer = "owner") =>
+    const submit = (taskCount: number, accepted: Acceptance, customer = "owner", table = state) =>
         submitJob(
-            { state, snapshot, fleet: buildFacts(["a", "b"], 4), accept: async () => accepted, wallClockMs: 0 },
+            { state: table, snapshot, fleet: buildFacts(["a", "b"], 4), accept: async () => accepted, wallClockMs: 0 },
             { ...request, customer, shape: buildShape(taskCount) },
             "key",
         );
 
     it("that can never run is refused at once with the reason", async () => {
-        const tooLarge = await submit(33, Acceptance.Accepted);
+        const tooLarge = await submit(33, Acceptance.Accepted, "owner", empty);
         assert.equal(tooLarge.ok ? "" : tooLarge.error.kind, "neverFits");
-        const overLimit = await submit(41, Acceptance.Accepted, "borrower");
+        const overLimit = await submit(41, Acceptance.Accepted, "borrower", empty);
         assert.match(overLimit.ok ? "" : overLimit.error.detail, /customer's limit/);
-        const unknown = await submit(1, Acceptance.Accepted, "nobody");
+        const unknown = await submit(1, Acceptance.Accepted, "nobody", empty);
         assert.equal(unknown.ok ? "" : unknown.error.kind, "unknownCustomer");
     });
 
+    it("that was accepted before is not called impossible when it is submitted again", async () => {
+        const submission = buildSubmission(
+            "owner.key",
+            { ...request, shape: buildShape(33) },
+            Urgency.Urgent,
+            0,
+        );
+        const row = { table: "jobs", part: "", key: "owner.key/job", version: 1, value: submission };
+        const stored: StateTable = { ...state, read: async () => succeed({ rows: [row], version: 1 }) };
+        const again = await submit(33, Acceptance.Accepted, "owner", stored);
+        assert.isTrue(again.ok, "it may be running, so it must not be called not run");
+        const blind = await submit(33, Acceptance.Accepted);
+        assert.equal(blind.ok ? "" : blind.error.kind, "unknown", "nobody can tell while the table is down");
+    });
+
     it("is called not run only when nothing was recorded", async () => {
         const refused = await submit(8, Acceptance.NotRun);
         assert.equal(refused.ok ? "" : refused.error.kind, "unavailable");
