perf: follow only the planner's lease on VMs that do not plan, and let a strong VM plan

Each round went through all remembered jobs, ended ones included, once for each customer. Change: submissions and cancellations, progress, and the lease stand in three tables; VMs follow the lease, which carries the counts of waiting jobs, and the planner alone the submissions. A planner hands its term to a VM that is stronger, or when its own timers fire late. Rounds look at open jobs only, and at what could be taken back only when something finds no room.

--- a/bench/decisionCost.ts
+++ b/bench/decisionCost.ts
@@ -38,7 +38,7 @@
         const guarantees = surveyGuarantees(world, cells);
         places = followIdleRoom(world, rooms, cells, guarantees);
         const candidates = surveyCandidates(world, guarantees);
-        const occupants = surveyOccupants(world, guarantees);
+        const occupants = () => surveyOccupants(world, guarantees);
         const round = planRound({ nowMs: 0, rooms, candidates, occupants, claims: [], expectedUrgent: 0 });
         for (const { candidate, assignments } of round.placements) {
             const job = world.jobs.get(candidate.job.id);
--- a/bench/placementRun.ts
+++ b/bench/placementRun.ts
@@ -92,7 +92,7 @@
     };
 
     const forget = (id: string): void => {
-        world.jobs.delete(id);
+        world.removeJob(id);
         openJobs -= 1;
     };
 
@@ -195,7 +195,7 @@
         places = followIdleRoom(world, current, cells, guarantees);
         waiting = surveyCandidates(world, guarantees);
         noteEntitled(guarantees);
-        const occupants = surveyOccupants(world, guarantees);
+        const occupants = () => surveyOccupants(world, guarantees);
         const expectedUrgent = urgentDemand.expected(nowMs, surveyUrgentUse(world), current);
         const beganMs = performance.now();
         const decided = plan(
--- a/bench/planningWorld.ts
+++ b/bench/planningWorld.ts
@@ -53,6 +53,8 @@
     run(job: JobState, assignments: readonly Assignment[], checkpoint: string): void;
     /** Takes a job's tasks off their workers. */
     clear(job: JobState): void;
+    /** Ends a job that has no runs any more. */
+    removeJob(id: string): void;
     workersOf(job: JobState): string[];
 }
 
@@ -67,6 +69,7 @@
     const sessions = new Map(workers.map(worker => [worker.name, createSession(worker)]));
     const runs = createRunTable();
     const jobs = new Map<string, JobState>();
+    const openJobs = new Set<JobState>();
     const tasksOf = (job: JobState) => [...job.units.values()].flatMap(unit => unit.tasks);
     const find = (name: string): WorkerSession => {
         const session = sessions.get(name);
@@ -81,6 +84,7 @@
         metrics: createEntryMetrics(),
         term: 1,
         jobs,
+        openJobs,
         sessions,
         runs,
         health: createWorkerHealth(timer),
@@ -93,6 +97,7 @@
         addJob: submission => {
             const job = restoreJob(submission, undefined, 0, false, find, timer.nowMs());
             jobs.set(submission.id, job);
+            openJobs.add(job);
             return job;
         },
         run: (job, assignments, checkpoint) => {
@@ -113,6 +118,13 @@
             }
         },
         clear: job => tasksOf(job).forEach(runs.clear),
+        removeJob: id => {
+            const job = jobs.get(id);
+            if (job !== undefined) {
+                jobs.delete(id);
+                openJobs.delete(job);
+            }
+        },
         workersOf: job => [...new Set(tasksOf(job).flatMap(task => task.run?.worker.id ?? []))],
     };
 };
--- a/src/execution/context.ts
+++ b/src/execution/context.ts
@@ -21,6 +21,8 @@
     /** Number of the term, which is the fencing token towards workers. */
     term: number;
     jobs: Map<string, JobState>;
+    /** Those of them that have not ended or still have runs; ended ones are remembered much longer than they last. */
+    openJobs: Set<JobState>;
     /** By worker id; the newest incarnation. */
     sessions: Map<string, WorkerSession>;
     runs: RunTable;
--- a/src/execution/customerLimits.ts
+++ b/src/execution/customerLimits.ts
@@ -9,7 +9,10 @@
             left.set(name, maxAccelerators);
         }
     }
-    const limited = [...context.jobs.values()].filter(({ submission }) => left.has(submission.customer ?? ""));
+    if (left.size === 0) {
+        return left;
+    }
+    const limited = [...context.openJobs].filter(({ submission }) => left.has(submission.customer ?? ""));
     for (const { submission: { customer = "" }, units } of limited) {
         const running = [...units.values()].flatMap(unit => unit.tasks.filter(task => task.run !== undefined));
         const used = running.reduce((sum, task) => sum + task.unit.step.resources.accelerators, 0);
--- a/src/execution/forgetting.ts
+++ b/src/execution/forgetting.ts
@@ -1,6 +1,6 @@
 import { activeRuns } from "../jobs/progress.js";
 import type { JobState } from "../jobs/progress.js";
-import { jobRowKey, JobRowKind, jobsTable, partOfJob } from "../jobs/rows.js";
+import { jobRowKey, JobRowKind, partOfJob, tableOf } from "../jobs/rows.js";
 import { describeStateError } from "../state/types.js";
 import type { StateTable } from "../state/types.js";
 import type { PlannerContext } from "./context.js";
@@ -24,7 +24,9 @@
     }
     for (const [part, jobIds] of byPart) {
         const kinds = Object.values(JobRowKind);
-        const writes = jobIds.flatMap(jobId => kinds.map(kind => ({ table: jobsTable, key: jobRowKey(jobId, kind) })));
+        const writes = jobIds.flatMap(jobId =>
+            kinds.map(kind => ({ table: tableOf(kind), key: jobRowKey(jobId, kind) }))
+        );
         const removed = await state.commit({ part, conditions: [], writes });
         if (removed.ok) {
             jobIds.forEach(jobId => context.jobs.delete(jobId));
--- a/src/execution/guarantees.ts
+++ b/src/execution/guarantees.ts
@@ -26,14 +26,22 @@
 export const acceleratorNeed = (job: JobState): number =>
     Math.max(0, ...job.submission.steps.map(step => step.taskCount * step.resources.accelerators));
 
-/** Unended jobs of a customer that may claim its guarantee, the earliest accepted ones first. */
-const claimingJobs = (context: PlannerContext, customer: QueueCustomer): JobState[] =>
-    [...context.jobs.values()]
-        .filter(({ submission, phase, cancelled }) =>
-            submission.customer === customer.name && submission.priority <= customer.guaranteedUpToPriority
-            && !isEnded(phase) && !cancelled
-        )
-        .sort((first, second) => first.submission.acceptedAtMs - second.submission.acceptedAtMs);
+/** Unended jobs that may claim a guarantee, by the customer's name, the earliest accepted ones first. */
+const claimingJobs = (context: PlannerContext, customers: readonly QueueCustomer[]): Map<string, JobState[]> => {
+    const claiming = new Map(customers.map(customer => [customer.name, [] as JobState[]]));
+    const highest = new Map(customers.map(customer => [customer.name, customer.guaranteedUpToPriority]));
+    for (const job of context.openJobs) {
+        const { customer = "", priority } = job.submission;
+        const isOpen = !isEnded(job.phase) && !job.cancelled;
+        if (isOpen && priority <= (highest.get(customer) ?? Number.NEGATIVE_INFINITY)) {
+            claiming.get(customer)?.push(job);
+        }
+    }
+    claiming.forEach(jobs =>
+        jobs.sort((first, second) => first.submission.acceptedAtMs - second.submission.acceptedAtMs)
+    );
+    return claiming;
+};
 
 const coverByAmount = (
     jobs: readonly JobState[],
@@ -103,15 +111,17 @@
 export const surveyGuarantees = (context: PlannerContext, cells: Cells): Guarantees => {
     const customers = context.operator().configuration?.customers ?? [];
     const holders = customers.filter(customer => customer.guaranteedAccelerators > 0);
+    const claiming = claimingJobs(context, holders);
     return new Map(holders.flatMap(customer => {
-        const jobs = claimingJobs(context, customer);
+        const jobs = claiming.get(customer.name) ?? [];
         return customer.guaranteedGangs === undefined
             ? coverByAmount(jobs, customer)
             : coverByCells(jobs, customer.guaranteedGangs, cells);
     }));
 };
 
-const gangsOf = (context: PlannerContext): GuaranteedGang[] =>
+/** Guaranteed gangs with places of their own. */
+export const guaranteedGangs = (context: PlannerContext): GuaranteedGang[] =>
     (context.operator().configuration?.customers ?? []).flatMap(customer => customer.guaranteedGangs ?? []);
 
 /** Places as they are to be in the next round: those that no job claims may move. */
@@ -121,7 +131,7 @@
     cells: Cells,
     guarantees: Guarantees,
 ): Places => {
-    const gangs = gangsOf(context);
+    const gangs = guaranteedGangs(context);
     const covers = [...guarantees.values()];
     const claimed = new Set(covers.flatMap(({ gang }) => gang ?? []));
     const running = new Set(covers.flatMap(({ gang, runs }) => runs === true && gang !== undefined ? [gang] : []));
@@ -132,9 +142,11 @@
 /** Places that a new planner finds in the records: whole gangs that run where nobody else can. */
 const inheritPlaces = (context: PlannerContext): Places => {
     const cells = new Map<string, readonly string[]>();
-    for (const customer of context.operator().configuration?.customers ?? []) {
+    const customers = context.operator().configuration?.customers ?? [];
+    const claiming = claimingJobs(context, customers);
+    for (const customer of customers) {
         const open = new Set(customer.guaranteedGangs);
-        for (const job of claimingJobs(context, customer)) {
+        for (const job of claiming.get(customer.name) ?? []) {
             const place = placeOf(job);
             const [step] = job.submission.steps;
             const gang = place
@@ -151,7 +163,7 @@
 
 /** Places of all guaranteed gangs among the workers as they are now; marks the workers that hold one. */
 export const surveyCells = (context: PlannerContext, rooms: readonly Room[], before: Places): Cells => {
-    const gangs = gangsOf(context);
+    const gangs = guaranteedGangs(context);
     if (gangs.length === 0) {
         return before.cells;
     }
--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -1,12 +1,18 @@
+import { createJobBook } from "../jobs/book.js";
 import type { JobEntry } from "../jobs/book.js";
 import { objectiveMs } from "../jobs/objective.js";
 import { activeRuns, restoreJob } from "../jobs/progress.js";
 import type { JobState } from "../jobs/progress.js";
+import { countPendingJobs } from "../jobs/queries/pendingJobs.js";
+import type { PendingCounts } from "../jobs/queries/pendingJobs.js";
+import { jobParts, jobsTable } from "../jobs/rows.js";
 import { isEnded, JobPhase } from "../jobs/types.js";
 import type { EntryMetrics } from "../node/entryMetrics.js";
 import type { Log } from "../node/logs.js";
 import type { OperatorState } from "../queues/types.js";
-import type { StateTable } from "../state/types.js";
+import { createTableFollower } from "../state/follower.js";
+import type { TableFollower } from "../state/follower.js";
+import type { StateRow, StateTable } from "../state/types.js";
 import type { TimerService } from "../utils/timer.js";
 import { createRunTable } from "./context.js";
 import type { PlannerContext } from "./context.js";
@@ -32,8 +38,6 @@
     log: Log;
     metrics: EntryMetrics;
     term: number;
-    /** Versions of the term rows of all parts, as last seen. */
-    termVersions: ReadonlyMap<string, number>;
     operator: () => OperatorState;
     /** Workers as last listed. */
     workers: () => ReadonlyMap<string, WorkerView>;
@@ -52,8 +56,8 @@
 
 /** The planner of one term. */
 export interface Planner {
-    /** Takes news of a job. */
-    onJob(jobId: string, entry: JobEntry): void;
+    /** Jobs that wait for their first task to start; `undefined` until the records are taken over. */
+    pendingCounts(): PendingCounts | undefined;
     /** Takes news of the workers or of the operator's wishes. */
     onSurroundings(): void;
     /** What it knows, for people. */
@@ -63,6 +67,10 @@
 
 /** Time between looks for ended jobs to forget; each look removes at most one transaction's worth a part. */
 const forgetEveryMs = 5_000;
+/** Time that a request for new jobs and cancellations waits at the table. */
+const jobsWaitMs = 500;
+/** Pause between such requests, in which the changes of the same moment gather. */
+const jobsPauseMs = 5;
 /** Pause between looks whether they have. */
 const clearLookMs = 4;
 /** Longest wait for workers to tell what runs on them before the first round. */
@@ -71,8 +79,8 @@
 /** Starts to plan for a term: takes over the records, learns what runs, then decides and orders. */
 export const startPlanner = (options: PlannerOptions): Planner => {
     const { timer, log, term } = options;
-    const pendingNews = new Map<string, JobEntry>();
     let recorder: Recorder | undefined;
+    let follower: TableFollower | undefined;
     let over = false;
 
     const context: PlannerContext = {
@@ -81,6 +89,7 @@
         metrics: options.metrics,
         term,
         jobs: new Map(),
+        openJobs: new Set(),
         sessions: new Map(),
         runs: createRunTable(),
         health: createWorkerHealth(timer),
@@ -113,6 +122,7 @@
         const { submission, record, recordVersion, cancelled } = entry;
         const job = restoreJob(submission, record, recordVersion, cancelled, sessions.find, timer.nowMs());
         context.jobs.set(jobId, job);
+        context.openJobs.add(job);
         for (const unit of job.units.values()) {
             unit.tasks.forEach(task => task.run !== undefined && context.runs.set(task, task.run));
         }
@@ -122,21 +132,37 @@
         log("info", "job adopted", describeAdopted(job, timer.wallClockMs()));
     };
 
-    const takeNews = (jobId: string, entry: JobEntry): void => {
-        adopt(jobId, entry);
+    const cancel = (jobId: string): void => {
         const job = context.jobs.get(jobId);
-        if (job === undefined) {
-            return;
-        }
-        if (entry.cancelled && !isEnded(job.phase)) {
+        if (job !== undefined && !isEnded(job.phase)) {
             job.cancelled = true;
             endings.endJob(job, JobPhase.Cancelled, "cancelled by its customer");
         }
-        if (entry.submission === undefined && activeRuns(job).length === 0) {
-            context.jobs.delete(jobId);
+    };
+
+    const takeNews = (entry: JobEntry, jobId: string): void => {
+        adopt(jobId, entry);
+        if (entry.cancelled) {
+            cancel(jobId);
         }
     };
 
+    const followJobs = (afterVersion: number): TableFollower =>
+        createTableFollower({
+            state: options.state,
+            timer,
+            log,
+            table: jobsTable,
+            parts: jobParts,
+            afterVersion,
+            waitMs: () => jobsWaitMs,
+            pauseMs: () => jobsPauseMs,
+            onRows: rows => {
+                readJobNews(rows).forEach(takeNews);
+                rounds.request();
+            },
+        });
+
     const begin = async (): Promise<void> => {
         const startedAtMs = timer.nowMs();
         const inherited = await takeOver({ ...options, isCurrent: () => !over && options.mayRenew() });
@@ -147,9 +173,8 @@
         const { termVersions } = inherited;
         recorder = createRecorder({ state: options.state, timer, log, term, termVersions, onFenced: options.onFenced });
         sessions.sync();
-        inherited.book.entries.forEach((entry, jobId) => takeNews(jobId, entry));
-        pendingNews.forEach((entry, jobId) => takeNews(jobId, entry));
-        pendingNews.clear();
+        inherited.book.entries.forEach(takeNews);
+        follower = followJobs(inherited.version);
         await waitUntilCleared(context);
         log("info", "planning begins", {
             term,
@@ -164,14 +189,7 @@
     const stopForgetting = timer.every(forgetEveryMs, () => forgetEndedJobs(context, options.state, options.retainMs));
 
     return {
-        onJob: (jobId, entry) => {
-            if (recorder === undefined) {
-                pendingNews.set(jobId, entry);
-                return;
-            }
-            takeNews(jobId, entry);
-            rounds.request();
-        },
+        pendingCounts: () => recorder === undefined ? undefined : countPendingJobs(context.openJobs),
         onSurroundings: () => {
             if (recorder !== undefined) {
                 sessions.sync();
@@ -182,6 +200,7 @@
         stop: () => {
             over = true;
             stopForgetting();
+            follower?.stop();
             rounds.stop();
             recorder?.stop();
             sessions.closeAll();
@@ -189,6 +208,13 @@
     };
 };
 
+/** What changed rows tell of each job; a whole read has a job's cancellation before its submission. */
+const readJobNews = (rows: readonly StateRow[]): ReadonlyMap<string, JobEntry> => {
+    const book = createJobBook();
+    rows.forEach(row => book.apply(row));
+    return book.entries;
+};
+
 const waitUntilCleared = async ({ timer, sessions }: PlannerContext): Promise<void> => {
     const giveUpAtMs = timer.nowMs() + clearWaitMs;
     const isOpen = (session: WorkerSession): boolean => !session.isCleared() && session.client !== undefined;
--- a/src/execution/recorder.ts
+++ b/src/execution/recorder.ts
@@ -1,6 +1,6 @@
 import { recordJob } from "../jobs/progress.js";
 import type { JobState } from "../jobs/progress.js";
-import { jobRowKey, JobRowKind, jobsTable, partOfJob, termKey } from "../jobs/rows.js";
+import { jobRowKey, JobRowKind, partOfJob, progressTable, termKey } from "../jobs/rows.js";
 import type { JobRecord } from "../jobs/types.js";
 import type { Log } from "../node/logs.js";
 import { describeStateError, StateErrorKind } from "../state/types.js";
@@ -66,15 +66,15 @@
         state.commit({
             part,
             conditions: [
-                { table: jobsTable, key: termKey, version: options.termVersions.get(part) ?? 0 },
+                { table: progressTable, key: termKey, version: options.termVersions.get(part) ?? 0 },
                 ...batch.jobs.map(({ job }) => ({
-                    table: jobsTable,
+                    table: progressTable,
                     key: jobRowKey(job.submission.id, JobRowKind.Progress),
                     version: job.recordVersion,
                 })),
             ],
             writes: batch.jobs.map(({ job, record }) => ({
-                table: jobsTable,
+                table: progressTable,
                 key: jobRowKey(job.submission.id, JobRowKind.Progress),
                 value: record,
             })),
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -1,12 +1,13 @@
-import { addOccurrence, nextDueAtMs } from "../jobs/progress.js";
+import { activeRuns, addOccurrence, nextDueAtMs } from "../jobs/progress.js";
 import type { JobState, Unit } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
 import { noPlaces } from "../planning/cells.js";
-import { mayDisplaceOthers, planRound } from "../planning/round.js";
-import type { Candidate, RoomClaim, Round } from "../planning/types.js";
+import { planRound } from "../planning/round.js";
+import type { Candidate, Occupant, Room, RoomClaim, Round } from "../planning/types.js";
 import { createUrgentDemand } from "../planning/urgentDemand.js";
 import type { PlannerContext } from "./context.js";
-import { followIdleRoom, surveyCells, surveyGuarantees } from "./guarantees.js";
+import { followIdleRoom, guaranteedGangs, surveyCells, surveyGuarantees } from "./guarantees.js";
+import type { Guarantees } from "./guarantees.js";
 import type { Starts } from "./starts.js";
 import type { Stops } from "./stops.js";
 import { surveyCandidates, surveyOccupants, surveyRooms, surveyUrgentUse } from "./survey.js";
@@ -38,6 +39,8 @@
     return context.jobs.get(key.slice(0, at))?.units.get(key.slice(at + 1));
 };
 
+const isOver = (job: JobState): boolean => isEnded(job.phase) && activeRuns(job).length === 0;
+
 const noteWaiting = ({ metrics }: PlannerContext, candidates: readonly Candidate[]): void => {
     for (const priority of shownPriorities) {
         const waiting = candidates.filter(candidate => candidate.job.priority === priority);
@@ -89,23 +92,33 @@
             return;
         }
         const nowMs = timer.nowMs();
-        context.jobs.forEach(addDueOccurrences);
+        context.openJobs.forEach(job => isOver(job) ? context.openJobs.delete(job) : addDueOccurrences(job));
         watch.moveFromLeaving();
-        const rooms = surveyRooms(context);
-        const cells = surveyCells(context, rooms, places);
+        plan(nowMs);
+        lastRoundMs = timer.nowMs() - nowMs;
+    };
+
+    /** Guarantees with places of their own are looked after also while nothing waits. */
+    const plan = (nowMs: number): void => {
+        const rooms = guaranteedGangs(context).length > 0 ? surveyRooms(context) : undefined;
+        const cells = rooms === undefined ? places.cells : surveyCells(context, rooms, places);
         const guarantees = surveyGuarantees(context, cells);
-        places = followIdleRoom(context, rooms, cells, guarantees);
+        if (rooms !== undefined) {
+            places = followIdleRoom(context, rooms, cells, guarantees);
+        }
         const candidates = surveyCandidates(context, guarantees);
         noteWaiting(context, candidates);
         if (candidates.length > 0) {
-            const mayDisplace = candidates.some(mayDisplaceOthers);
-            const occupants = mayDisplace ? surveyOccupants(context, guarantees) : [];
-            const expectedUrgent = urgentDemand.expected(nowMs, surveyUrgentUse(context), rooms);
-            const round = planRound({ nowMs, rooms, candidates, occupants, claims, expectedUrgent });
-            claims = round.claims;
-            carryOut(context, stops, starts, round);
+            decide(nowMs, rooms ?? surveyRooms(context), candidates, guarantees);
         }
-        lastRoundMs = timer.nowMs() - nowMs;
+    };
+
+    const decide = (nowMs: number, rooms: Room[], candidates: Candidate[], guarantees: Guarantees): void => {
+        const expectedUrgent = urgentDemand.expected(nowMs, surveyUrgentUse(context), rooms);
+        const occupants = (): Occupant[] => surveyOccupants(context, guarantees);
+        const round = planRound({ nowMs, rooms, candidates, occupants, claims, expectedUrgent });
+        claims = round.claims;
+        carryOut(context, stops, starts, round);
     };
 
     const request = (): void => {
--- a/src/execution/survey.ts
+++ b/src/execution/survey.ts
@@ -141,7 +141,7 @@
     const nowMs = context.timer.nowMs();
     const wallMs = context.timer.wallClockMs();
     const candidates: Candidate[] = [];
-    for (const job of context.jobs.values()) {
+    for (const job of context.openJobs) {
         if (isEnded(job.phase) || job.cancelled) {
             continue;
         }
@@ -179,7 +179,7 @@
 export const surveyOccupants = (context: PlannerContext, guarantees: Guarantees): Occupant[] => {
     const nowMs = context.timer.nowMs();
     const occupants: Occupant[] = [];
-    for (const job of context.jobs.values()) {
+    for (const job of context.openJobs) {
         const covered = guarantees.has(job);
         for (const unit of job.units.values()) {
             if (!mayBeTakenBack(unit)) {
@@ -200,7 +200,7 @@
 /** Accelerators that jobs of priority 0 use or wait for. */
 export const surveyUrgentUse = (context: PlannerContext): number => {
     let accelerators = 0;
-    for (const job of context.jobs.values()) {
+    for (const job of context.openJobs) {
         if (job.submission.priority === 0 && !isEnded(job.phase) && !job.cancelled) {
             accelerators += acceleratorNeed(job);
         }
--- a/src/execution/takeover.ts
+++ b/src/execution/takeover.ts
@@ -1,6 +1,6 @@
 import { createJobBook } from "../jobs/book.js";
 import type { JobBook } from "../jobs/book.js";
-import { jobParts, jobsTable, termKey } from "../jobs/rows.js";
+import { jobParts, jobsTable, progressTable, termKey } from "../jobs/rows.js";
 import { StateErrorKind } from "../state/types.js";
 import type { StateRow, StateTable } from "../state/types.js";
 import type { TimerService } from "../utils/timer.js";
@@ -10,8 +10,6 @@
     state: StateTable;
     timer: TimerService;
     term: number;
-    /** Versions of the term rows of all parts, as last seen. */
-    termVersions: ReadonlyMap<string, number>;
     /** Whether the term may still be the present one. */
     isCurrent: () => boolean;
 }
@@ -19,6 +17,8 @@
 /** What was found in the table. */
 export interface Inheritance {
     book: JobBook;
+    /** Version of the jobs table from which on its changes are not in the book. */
+    version: number;
     /** Versions of the term rows; writes of earlier planners are refused from here on. */
     termVersions: Map<string, number>;
 }
@@ -31,8 +31,8 @@
     while (options.isCurrent()) {
         const written = await options.state.commit({
             part,
-            conditions: [{ table: jobsTable, key: termKey, version: versions.get(part) ?? 0 }],
-            writes: [{ table: jobsTable, key: termKey, value: { term: options.term } }],
+            conditions: [{ table: progressTable, key: termKey, version: versions.get(part) ?? 0 }],
+            writes: [{ table: progressTable, key: termKey, value: { term: options.term } }],
         });
         if (written.ok) {
             versions.set(part, written.value.version);
@@ -53,26 +53,36 @@
     return false;
 };
 
-const readPart = async (options: TakeoverOptions, part: string, book: JobBook): Promise<boolean> => {
+/** Reads the rows of one part into the book; resolves with the version as of which, `undefined` when the term is over. */
+const readPart = async (
+    options: TakeoverOptions,
+    table: string,
+    part: string,
+    book: JobBook,
+): Promise<number | undefined> => {
     while (options.isCurrent()) {
-        const read = await options.state.read({ table: jobsTable, part });
+        const read = await options.state.read({ table, part });
         if (read.ok) {
             read.value.rows.forEach((row: StateRow) => book.apply(row));
-            return true;
+            return read.value.version;
         }
         await options.timer.sleep(retryMs);
     }
-    return false;
+    return undefined;
 };
 
 /** Shuts earlier planners out of the records, then reads them; `undefined` when the term is over. */
 export const takeOver = async (options: TakeoverOptions): Promise<Inheritance | undefined> => {
-    const termVersions = new Map(options.termVersions);
+    const termVersions = new Map<string, number>();
     const claimed = await Promise.all(jobParts.map(part => claimPart(options, part, termVersions)));
     if (!claimed.every(Boolean)) {
         return undefined;
     }
     const book = createJobBook();
-    const read = await Promise.all(jobParts.map(part => readPart(options, part, book)));
-    return read.every(Boolean) ? { book, termVersions } : undefined;
+    const readTable = (table: string) => Promise.all(jobParts.map(part => readPart(options, table, part, book)));
+    const [jobVersions, progressVersions] = await Promise.all([jobsTable, progressTable].map(readTable));
+    const versions = jobVersions.filter(version => version !== undefined);
+    return versions.length === jobParts.length && progressVersions.every(version => version !== undefined)
+        ? { book, termVersions, version: Math.min(...versions) }
+        : undefined;
 };
--- a/src/execution/term.ts
+++ b/src/execution/term.ts
@@ -1,10 +1,11 @@
-import { jobsTable, plannerLeaseKey, plannerPart } from "../jobs/rows.js";
+import type { PendingCounts } from "../jobs/queries/pendingJobs.js";
+import { plannerLeaseKey, plannerPart, plannerTable } from "../jobs/rows.js";
 import type { Log } from "../node/logs.js";
 import { describeStateError, StateErrorKind } from "../state/types.js";
 import type { StateError, StateRow, StateTable } from "../state/types.js";
 import { createConfirmation } from "../utils/confirmation.js";
-import type { Random } from "../utils/random.js";
-import type { TimerService } from "../utils/timer.js";
+import { createCandidacy } from "./candidacy.js";
+import type { CandidacyOptions } from "./candidacy.js";
 
 /** Row that says which VM plans. */
 export interface PlannerLease {
@@ -14,22 +15,21 @@
     term: number;
     /** Counts the renewals, so that the row changes with each. */
     beat: number;
+    /** Jobs that wait, as counted at the renewal. @default nothing is known of them */
+    pending?: PendingCounts;
 }
 
 /** Options of {@link createTerm}. */
-export interface TermOptions {
+export interface TermOptions extends CandidacyOptions {
     state: StateTable;
-    timer: TimerService;
     log: Log;
     vm: string;
     /** Age of what is known of the jobs table, lease included. */
     followerAgeMs: () => number;
     /** Whether this VM may become the planner. */
     isCandidate: () => boolean;
-    /** Processing power of this VM as a share of the strongest one's, 0 to 1. */
-    relativePower: () => number;
-    /** Spreads the tries of several VMs. */
-    random: Random;
+    /** Jobs that wait, for the other VMs; `undefined` while it is not known. */
+    pendingCounts: () => PendingCounts | undefined;
     onGained: (term: number) => void;
     onLost: (term: number, reason: string) => void;
 }
@@ -53,40 +53,54 @@
 
 /** Time between renewals; three fit into the time in which orders may be sent. */
 const renewMs = 500;
-/** Time since the last confirmation in which orders may be sent; shorter than {@link takeOverMs}. */
+/** Time since the last confirmation in which orders may be sent; shorter than the silence before a takeover. */
 const orderMs = 1_500;
-/** Time without a renewal after which another VM takes over; with its reads it stays under 3 s. */
-const takeOverMs = 2_000;
 /** Time since the last confirmation in which leases of running tasks are renewed; covers a usual outage. */
 export const renewLeasesMs = 8_000;
 /** Age of the lease row above which its holder is not judged; a copy of a table without changes gets 1.3 s old. */
 const maxViewAgeMs = 1_700;
 const tickMs = 100;
-/** Delay of a VM without any power, so that a strong one takes the term first; with it a gap stays under 3 s. */
-const weakDelayMs = 600;
-/** Random delay that keeps VMs from trying at the same moment. */
-const spreadMs = 150;
+
+/** The lease as this VM holds it. */
+interface OwnTerm {
+    term: number;
+    /** Version of the lease row. */
+    version: number;
+    beat: number;
+}
 
 const asLease = (row: StateRow | undefined): PlannerLease | undefined => row?.value as PlannerLease | undefined;
 
+const isLease = (row: StateRow): boolean => row.key === plannerLeaseKey;
+
 /** The lease row in a refusal. */
 const rowOf = (error: StateError): StateRow | undefined =>
-    error.kind === StateErrorKind.Conflict ? error.rows.find(row => row.key === plannerLeaseKey) : undefined;
+    error.kind === StateErrorKind.Conflict ? error.rows.find(isLease) : undefined;
 
 const isHeldBy = (row: StateRow, vm: string, term: number): boolean =>
     asLease(row)?.holder === vm && asLease(row)?.term === term;
 
+const writeLease = (state: StateTable, version: number, lease: PlannerLease) =>
+    state.commit({
+        part: plannerPart,
+        conditions: [{ table: plannerTable, key: plannerLeaseKey, version }],
+        writes: [{ table: plannerTable, key: plannerLeaseKey, value: lease }],
+    });
+
+const emptyLease = (state: StateTable, { version, term, beat }: OwnTerm, pending: PendingCounts | undefined) =>
+    writeLease(state, version, { holder: "", term, beat: beat + 1, pending });
+
 /** Takes part in choosing the planner through a lease row in the table. */
 export const createTerm = (options: TermOptions): Term => {
     const { state, timer, log, vm } = options;
     let row: StateRow | undefined;
     let changedAtMs = timer.nowMs();
-    let own: { term: number; version: number; beat: number; } | undefined;
+    let own: OwnTerm | undefined;
     const confirmation = createConfirmation(timer);
     let busy = false;
     let renewedAtMs = Number.NEGATIVE_INFINITY;
     let stopped = false;
-    const delayMs = options.random() * spreadMs;
+    const candidacy = createCandidacy(options);
 
     const observe = (changed: StateRow): void => {
         if (changed.version > (row?.version ?? -1)) {
@@ -96,31 +110,25 @@
     };
 
     const lose = (reason: string): void => {
-        const lost = own;
-        if (lost !== undefined) {
+        if (own !== undefined) {
+            const { term } = own;
             own = undefined;
             changedAtMs = timer.nowMs();
-            log("warn", "term lost", { term: lost.term, reason });
-            options.onLost(lost.term, reason);
+            log("warn", "term lost", { term, reason });
+            options.onLost(term, reason);
         }
     };
 
-    const write = (version: number, lease: PlannerLease) =>
-        state.commit({
-            part: plannerPart,
-            conditions: [{ table: jobsTable, key: plannerLeaseKey, version }],
-            writes: [{ table: jobsTable, key: plannerLeaseKey, value: lease }],
-        });
-
-    const renew = async (mine: { term: number; version: number; beat: number; }): Promise<void> => {
+    const renew = async (mine: OwnTerm): Promise<void> => {
         const asked = confirmation.ask();
         const beat = mine.beat + 1;
-        const written = await write(mine.version, { holder: vm, term: mine.term, beat });
+        const pending = options.pendingCounts() ?? asLease(row)?.pending;
+        const written = await writeLease(state, mine.version, { holder: vm, term: mine.term, beat, pending });
         if (own !== mine) {
             return;
         }
         if (written.ok) {
-            own = { term: mine.term, version: written.value.version, beat };
+            own = { ...mine, version: written.value.version, beat };
             asked.confirm();
             return;
         }
@@ -135,7 +143,7 @@
         }
     };
 
-    const isHolderSilent = (): boolean => {
+    const isDue = (): boolean => {
         if (options.followerAgeMs() > maxViewAgeMs) {
             changedAtMs = timer.nowMs();
             return false;
@@ -143,17 +151,15 @@
         const lease = asLease(row);
         // a lease in the own name is of an earlier process on this VM, which is gone
         const released = lease === undefined || lease.holder === "" || lease.holder === vm;
-        const silentMs = timer.nowMs() - changedAtMs;
-        const handicapMs = (1 - options.relativePower()) * weakDelayMs;
-        return silentMs > (released ? 0 : takeOverMs + delayMs) + handicapMs;
+        return candidacy.isDue(timer.nowMs() - changedAtMs, released);
     };
 
     const take = async (): Promise<void> => {
-        const read = await state.read({ table: jobsTable, part: plannerPart });
+        const read = await state.read({ table: plannerTable, part: plannerPart });
         if (!read.ok) {
             return;
         }
-        const found = read.value.rows.find(candidate => candidate.key === plannerLeaseKey);
+        const found = read.value.rows.find(isLease);
         if ((found?.version ?? 0) !== (row?.version ?? 0)) {
             if (found !== undefined) {
                 observe(found);
@@ -161,30 +167,44 @@
             return;
         }
         const asked = confirmation.ask();
-        const term = (asLease(found)?.term ?? 0) + 1;
-        const written = await write(found?.version ?? 0, { holder: vm, term, beat: 1 });
+        const { term: before = 0, pending } = asLease(found) ?? {};
+        const term = before + 1;
+        const written = await writeLease(state, found?.version ?? 0, { holder: vm, term, beat: 1, pending });
         if (!written.ok) {
-            const isConflict = written.error.kind === StateErrorKind.Conflict;
             log("info", "term not gained", { term, reason: describeStateError(written.error) });
-            changedAtMs = isConflict ? timer.nowMs() : changedAtMs;
+            changedAtMs = written.error.kind === StateErrorKind.Conflict ? timer.nowMs() : changedAtMs;
             return;
         }
         own = { term, version: written.value.version, beat: 1 };
+        candidacy.noteGained();
         asked.confirm();
         log("info", "term gained", { term, previous: asLease(found)?.holder, silentMs: timer.nowMs() - changedAtMs });
         options.onGained(term);
     };
 
+    /** Stops planning, then lets others have the term; what was ordered is in the records. */
+    const handOver = async (mine: OwnTerm, reason: string): Promise<void> => {
+        own = undefined;
+        options.onLost(mine.term, reason);
+        const written = await emptyLease(state, mine, asLease(row)?.pending);
+        log("info", "term handed over", { term: mine.term, reason, ok: written.ok });
+    };
+
     const tick = async (): Promise<void> => {
         if (busy || stopped) {
             return;
         }
         busy = true;
-        if (own !== undefined && timer.nowMs() - renewedAtMs >= renewMs) {
+        const reason = own === undefined ? undefined : candidacy.reasonToYield();
+        if (own !== undefined && reason !== undefined) {
+            candidacy.noteYielded();
+            await handOver(own, reason);
+        }
+        else if (own !== undefined && timer.nowMs() - renewedAtMs >= renewMs) {
             renewedAtMs = timer.nowMs();
             await renew(own);
         }
-        else if (own === undefined && options.isCandidate() && isHolderSilent()) {
+        else if (own === undefined && options.isCandidate() && isDue()) {
             await take();
         }
         busy = false;
@@ -199,15 +219,10 @@
         mayRenew: () => own !== undefined && confirmation.ageMs() < renewLeasesMs,
         lose,
         release: async () => {
-            const mine = own;
             stopped = true;
-            if (mine === undefined) {
-                return;
+            if (own !== undefined) {
+                await handOver(own, "this VM stops");
             }
-            own = undefined;
-            options.onLost(mine.term, "handed over");
-            const written = await write(mine.version, { holder: "", term: mine.term, beat: mine.beat + 1 });
-            log("info", "term handed over", { term: mine.term, ok: written.ok });
         },
         stop: () => {
             stopped = true;
--- a/src/jobs/book.ts
+++ b/src/jobs/book.ts
@@ -12,12 +12,11 @@
     cancelled: boolean;
 }
 
-/** Local copy of all jobs, filled from the table's changes. */
+/** Jobs as the rows of the table tell them. */
 export interface JobBook {
     entries: Map<string, JobEntry>;
     /** Takes a changed row; tells which job it was of. */
     apply(row: StateRow): string | undefined;
-    clear(): void;
 }
 
 /** State of a job as shown to its customer; `undefined` when there is no such job. */
@@ -65,6 +64,5 @@
             }
             return parsed.jobId;
         },
-        clear: () => entries.clear(),
     };
 };
--- a/src/jobs/commands/cancelStoredJob.ts
+++ b/src/jobs/commands/cancelStoredJob.ts
@@ -1,5 +1,4 @@
 import { describeStateError, StateErrorKind } from "../../state/types.js";
-import type { JobBook } from "../book.js";
 import { phaseOf } from "../book.js";
 import { readJob } from "../queries/readJob.js";
 import { jobRowKey, JobRowKind, jobsTable, partOfJob } from "../rows.js";
@@ -22,12 +21,9 @@
 /** Stores a cancellation; the planner stops what runs. */
 export const cancelStoredJob = async (
     context: JobCommandContext,
-    book: JobBook,
     jobId: string,
 ): Promise<Cancellation> => {
-    const entry = book.entries.get(jobId)?.submission === undefined
-        ? await readJob(context.state, jobId)
-        : book.entries.get(jobId);
+    const entry = await readJob(context.state, jobId);
     if (entry === "unavailable") {
         return Cancellation.Unavailable;
     }
--- a/src/jobs/queries/pendingJobs.ts
+++ b/src/jobs/queries/pendingJobs.ts
@@ -1,14 +1,16 @@
-import type { JobBook } from "../book.js";
-import { phaseOf } from "../book.js";
+import type { JobState } from "../progress.js";
 import { JobPhase } from "../types.js";
 
-/** Number of a queue's accepted jobs of which no task has started. */
-export const countPendingJobs = (book: JobBook, queue: string): number => {
-    let count = 0;
-    for (const entry of book.entries.values()) {
-        if (entry.submission?.queue === queue && phaseOf(entry) === JobPhase.Queued) {
-            count += 1;
+/** Accepted jobs of which no task has started, by queue; queues without any are absent. */
+export type PendingCounts = Record<string, number>;
+
+/** Counts the jobs of which no task has started. */
+export const countPendingJobs = (jobs: Iterable<JobState>): PendingCounts => {
+    const counts: PendingCounts = {};
+    for (const { submission, phase } of jobs) {
+        if (phase === JobPhase.Queued) {
+            counts[submission.queue] = (counts[submission.queue] ?? 0) + 1;
         }
     }
-    return count;
+    return counts;
 };
--- a/src/jobs/queries/readJob.ts
+++ b/src/jobs/queries/readJob.ts
@@ -1,23 +1,21 @@
 import type { StateTable } from "../../state/types.js";
 import { createJobBook } from "../book.js";
 import type { JobEntry } from "../book.js";
-import { jobsTable, partOfJob } from "../rows.js";
+import { jobsTable, partOfJob, progressTable } from "../rows.js";
 
 /** First character after `/`, which ends the range of a job's rows. */
 const afterSlash = "0";
 
 /** Reads what is stored of a job; `undefined` when there is no such job. */
 export const readJob = async (state: StateTable, jobId: string): Promise<JobEntry | "unavailable" | undefined> => {
-    const read = await state.read({
-        table: jobsTable,
-        part: partOfJob(jobId),
-        from: `${jobId}/`,
-        before: `${jobId}${afterSlash}`,
-    });
-    if (!read.ok) {
-        return "unavailable";
-    }
+    const range = { part: partOfJob(jobId), from: `${jobId}/`, before: `${jobId}${afterSlash}` };
+    const reads = await Promise.all([jobsTable, progressTable].map(table => state.read({ table, ...range })));
     const book = createJobBook();
-    read.value.rows.forEach(row => book.apply(row));
+    for (const read of reads) {
+        if (!read.ok) {
+            return "unavailable";
+        }
+        read.value.rows.forEach(row => book.apply(row));
+    }
     return book.entries.get(jobId);
 };
--- a/src/jobs/rows.ts
+++ b/src/jobs/rows.ts
@@ -1,6 +1,12 @@
-/** Table of jobs, their progress, cancellations and the planner's term. */
+/** Table of submissions and cancellations; entry VMs write it, the planner follows it. */
 export const jobsTable = "jobs";
 
+/** Table of the jobs' progress and of the term that may write it; in the same parts as the jobs. */
+export const progressTable = "progress";
+
+/** Table of the planner's lease, which every entry VM follows. */
+export const plannerTable = "planner";
+
 /** Parts over which jobs are spread; a part takes 200 transactions a second, the platform 800. */
 export const jobParts: readonly string[] = ["p0", "p1", "p2", "p3", "p4", "p5", "p6", "p7"];
 
@@ -20,6 +26,9 @@
     Cancellation = "cancel",
 }
 
+/** Table that holds a kind of row. */
+export const tableOf = (kind: JobRowKind): string => kind === JobRowKind.Progress ? progressTable : jobsTable;
+
 /** Key of a row of a job. */
 export const jobRowKey = (jobId: string, kind: JobRowKind): string => `${jobId}/${kind}`;
 
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -1,22 +1,23 @@
 import { startPlanner } from "../execution/planner.js";
 import type { Planner } from "../execution/planner.js";
 import { createTerm } from "../execution/term.js";
+import type { PlannerLease } from "../execution/term.js";
 import type { WorkerClient, WorkerDirectory, WorkerView } from "../execution/types.js";
-import { createJobBook } from "../jobs/book.js";
-import type { JobBook, JobEntry } from "../jobs/book.js";
+import type { JobEntry } from "../jobs/book.js";
 import { acceptJob } from "../jobs/commands/acceptJob.js";
 import type { Acceptance } from "../jobs/commands/acceptJob.js";
 import { cancelStoredJob } from "../jobs/commands/cancelStoredJob.js";
 import type { Cancellation } from "../jobs/commands/cancelStoredJob.js";
 import { queryJobPhase } from "../jobs/queries/jobPhase.js";
-import { countPendingJobs } from "../jobs/queries/pendingJobs.js";
+import type { PendingCounts } from "../jobs/queries/pendingJobs.js";
 import { readJob } from "../jobs/queries/readJob.js";
-import { jobParts, jobsTable, plannerLeaseKey, plannerPart, termKey } from "../jobs/rows.js";
+import { plannerLeaseKey, plannerPart, plannerTable } from "../jobs/rows.js";
 import type { JobPhase, JobSubmission } from "../jobs/types.js";
 import type { OperatorSource } from "../queues/types.js";
 import { createTableFollower } from "../state/follower.js";
 import type { TableFollower } from "../state/follower.js";
 import type { StateRow, StateTable } from "../state/types.js";
+import { createLatenessMeter } from "../utils/lateness.js";
 import type { Random } from "../utils/random.js";
 import type { TimerService } from "../utils/timer.js";
 import type { EntryMetrics } from "./entryMetrics.js";
@@ -50,8 +51,8 @@
     /** What is stored of a job; `undefined` when there is no such job. */
     job(jobId: string): Promise<JobEntry | "unavailable" | undefined>;
     pending(queue: string): number;
-    /** Time since the local copy of the jobs was confirmed. */
-    jobsAgeMs(): number;
+    /** Time since what is known of the planner was confirmed. */
+    plannerAgeMs(): number;
     isPlanner(): boolean;
     dump(): unknown;
     /** Hands the term over and stops planning; requests are answered until the process ends. */
@@ -64,32 +65,33 @@
  * which has to stay below the age up to which the planner's lease is judged.
  */
 const waitMs = 500;
-/** Pause between requests on a VM that does not plan: its copy serves counts, which may be 2 s old. */
-const followerPauseMs = 300;
-/** Pause on the planner, which acts on each change. */
-const plannerPauseMs = 5;
+/** Pause between requests: the lease changes twice a second, and the counts in it may be 2 s old. */
+const pauseMs = 300;
+/** Share of the strongest VM's processing power below which the term is left to a stronger one. */
+const minPlannerPower = 0.7;
+/** Lateness of timers above which this VM is too slow to plan: leases are renewed and orders sent every second. */
+const maxLatenessMs = 150;
 
 /** Starts an entry VM. */
 export const startEntryVm = (options: EntryVmOptions): EntryVm => {
     const { state, timer, log, operator, directory, metrics } = options;
-    const book: JobBook = createJobBook();
-    const termVersions = new Map<string, number>();
+    const lateness = createLatenessMeter(timer);
+    let published: PendingCounts = {};
     let planner: Planner | undefined;
     let retired = false;
 
     const onRow = (row: StateRow): void => {
         if (row.part === plannerPart && row.key === plannerLeaseKey) {
             term.observe(row);
-            return;
+            published = (row.value as PlannerLease | undefined)?.pending ?? published;
         }
-        if (row.key === termKey) {
-            termVersions.set(row.part, row.version);
-            return;
-        }
-        const jobId = book.apply(row);
-        if (jobId !== undefined && planner !== undefined) {
-            planner.onJob(jobId, book.entries.get(jobId) ?? { recordVersion: 0, cancelled: false });
+    };
+
+    const reasonToYield = (): string | undefined => {
+        if (lateness.meanMs() > maxLatenessMs) {
+            return "this VM is too slow to plan";
         }
+        return options.relativePower() < minPlannerPower ? "a stronger VM is there" : undefined;
     };
 
     const onGained = (number: number): void => {
@@ -101,7 +103,6 @@
             log,
             metrics,
             term: number,
-            termVersions,
             operator: operator.current,
             workers: directory.workers,
             clientOf: options.clientOf,
@@ -124,11 +125,10 @@
         state,
         timer,
         log,
-        table: jobsTable,
-        parts: [...jobParts, plannerPart],
+        table: plannerTable,
+        parts: [plannerPart],
         waitMs: () => waitMs,
-        pauseMs: () => planner === undefined ? followerPauseMs : plannerPauseMs,
-        onReset: () => book.clear(),
+        pauseMs: () => pauseMs,
         onRows: rows => rows.forEach(onRow),
     });
 
@@ -140,6 +140,8 @@
         followerAgeMs: follower.ageMs,
         isCandidate: () => !retired && operator.current().configuration !== undefined,
         relativePower: options.relativePower,
+        reasonToYield,
+        pendingCounts: () => planner?.pendingCounts(),
         random: options.random ?? Math.random,
         onGained,
         onLost,
@@ -151,18 +153,19 @@
 
     return {
         accept: (submission, deadlineMs) => acceptJob(context, submission, deadlineMs),
-        cancel: jobId => cancelStoredJob(context, book, jobId),
-        phase: jobId => queryJobPhase(state, book, jobId),
+        cancel: jobId => cancelStoredJob(context, jobId),
+        phase: jobId => queryJobPhase(state, jobId),
         job: jobId => readJob(state, jobId),
-        pending: queue => countPendingJobs(book, queue),
-        jobsAgeMs: follower.ageMs,
+        pending: queue => (planner?.pendingCounts() ?? published)[queue] ?? 0,
+        plannerAgeMs: follower.ageMs,
         isPlanner: () => planner !== undefined,
         dump: () => ({
             vm: options.vm,
             configurationVersion: operator.current().configuration?.version,
             configurationAgeMs: operator.ageMs(),
-            jobsAgeMs: follower.ageMs(),
-            jobs: book.entries.size,
+            plannerAgeMs: follower.ageMs(),
+            latenessMs: Math.round(lateness.meanMs()),
+            pending: planner?.pendingCounts() ?? published,
             term: term.current(),
             planner: planner?.dump(),
         }),
@@ -171,6 +174,7 @@
             await term.release();
         },
         stop: () => {
+            lateness.stop();
             follower.stop();
             term.stop();
             onLost();
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -1,6 +1,7 @@
 import { orderCandidates, Tier, tierOf } from "./order.js";
 import { gangGroups, isMostlyIdle, leaveRackAfterMs, mixAfterMs, placeGang, placeTasks } from "./placement.js";
 import { findDisplacement, indexOccupants } from "./preemption.js";
+import type { OccupantIndex } from "./preemption.js";
 import { fitCount, occupiedBy, take } from "./resources.js";
 import type { Assignment, Candidate, Occupant, Room, RoomClaim, Round } from "./types.js";
 
@@ -9,7 +10,8 @@
     nowMs: number;
     rooms: Room[];
     candidates: readonly Candidate[];
-    occupants: readonly Occupant[];
+    /** Runs that can be taken back; asked for when something finds no room. */
+    occupants: () => readonly Occupant[];
     /** Room kept since earlier rounds. */
     claims: readonly RoomClaim[];
     /** Accelerators that work of priority 0 is expected to ask for soon, beyond what it uses now. */
@@ -166,7 +168,7 @@
     const holdClaims = (ofDue: boolean): void =>
         claims.forEach(claim => due.has(claim.key) === ofDue && holdClaim(rooms, claim, 1));
     holdClaims(true);
-    const occupants = indexOccupants(input.occupants);
+    let occupants: OccupantIndex | undefined;
     const hopeless = createHopeless();
     const evicted = new Set<Occupant>();
     let reservations = 0;
@@ -188,6 +190,7 @@
     };
 
     const displace = (candidate: Candidate): boolean => {
+        occupants ??= indexOccupants(input.occupants());
         const displacement = findDisplacement(input.rooms, occupants, candidate, evicted);
         if (displacement === undefined) {
             return false;
--- a/src/state/follower.ts
+++ b/src/state/follower.ts
@@ -14,6 +14,8 @@
     parts: readonly string[];
     /** Time that a request for changes waits at the platform. */
     waitMs: () => number;
+    /** Version from which on changes are followed. @default the table is read whole first */
+    afterVersion?: number;
     /** Pause between two requests, which bounds their rate. */
     pauseMs: () => number;
     /** Takes changed rows in order. */
@@ -39,7 +41,7 @@
 export const createTableFollower = (options: TableFollowerOptions): TableFollower => {
     const { state, timer, log, table } = options;
     const confirmation = createConfirmation(timer);
-    let afterVersion: number | undefined;
+    let { afterVersion } = options;
     let stopped = false;
     let reachable = true;
 
--- a/standins/fleet/main.ts
+++ b/standins/fleet/main.ts
@@ -109,8 +109,9 @@
 const readFeed = async (url: URL): Promise<Reply> => {
     const name = url.searchParams.get("table") ?? "";
     const after = Number(url.searchParams.get("after"));
-    if (table.changes(name, after)?.rows.length === 0) {
-        await waitForChange(Number(url.searchParams.get("wait-ms") ?? 0));
+    const untilMs = timer.nowMs() + Number(url.searchParams.get("wait-ms") ?? 0);
+    while (timer.nowMs() < untilMs && table.changes(name, after)?.rows.length === 0) {
+        await waitForChange(untilMs - timer.nowMs());
     }
     const changes = table.changes(name, after);
     return changes === undefined
--- a/tools/showFailing.ts
+++ b/tools/showFailing.ts
@@ -238,7 +238,7 @@
     {
         without: "on entry VMs: records that only the present term may write",
         file: "execution/recorder.js",
-        find: "{ table: jobsTable, key: termKey, version: options.termVersions.get(part) ?? 0 },",
+        find: "{ table: progressTable, key: termKey, version: options.termVersions.get(part) ?? 0 },",
         replace: "",
         tests: "interleavings",
         fails: "under every choice of two faults",
