fix: leave work that saves nothing where it is when its zone is taken out

Change: the planner and the bench move a run only if it has saved something or is too young to tell. Racks that are already broken into are filled first.

--- a/bench/placementRun.ts
+++ b/bench/placementRun.ts
@@ -2,8 +2,9 @@
 import TinyQueue from "tinyqueue";
 import { followIdleRoom, surveyCells, surveyGuarantees } from "../src/execution/guarantees.js";
 import type { Guarantees } from "../src/execution/guarantees.js";
+import { savesProgress } from "../src/execution/savedProgress.js";
 import { surveyCandidates, surveyOccupants, surveyRooms, surveyUrgentUse } from "../src/execution/survey.js";
-import { RunPhase } from "../src/jobs/progress.js";
+import { activeRuns, RunPhase } from "../src/jobs/progress.js";
 import type { JobState } from "../src/jobs/progress.js";
 import { noPlaces } from "../src/planning/cells.js";
 import { fitsSomewhere } from "../src/planning/emptyFleet.js";
@@ -241,8 +242,10 @@
         const names = new Set(
             workload.workers.filter(worker => worker.availabilityZone === zone).map(({ name }) => name),
         );
+        const canMove = (job: JobState): boolean =>
+            activeRuns(job).every(({ task, run }) => savesProgress(task, run, nowMs));
         for (const { job } of [...running.values()]) {
-            if (job.submission.steps[0].checkpointing && world.workersOf(job).some(worker => names.has(worker))) {
+            if (canMove(job) && world.workersOf(job).some(worker => names.has(worker))) {
                 evict(job.submission.id);
             }
         }
--- a/src/execution/survey.ts
+++ b/src/execution/survey.ts
@@ -8,6 +8,7 @@
 import { withinLimits } from "./customerLimits.js";
 import { acceleratorNeed } from "./guarantees.js";
 import type { Guarantees } from "./guarantees.js";
+import { savesProgress } from "./savedProgress.js";
 import type { WorkerSession } from "./session.js";
 
 /** Time lost by work that is stopped and resumed: the stop, the wait for a place and the reading of its progress. */
@@ -30,13 +31,6 @@
     return Math.max(unit.step.estimateMs - elapsedMs, elapsedMs * overrunShare);
 };
 
-/** Time within which work that saves its progress has done so for the first time; workers save every second or so. */
-const firstSaveMs = 3_000;
-
-/** Whether a run can go on elsewhere; one that declares so and has saved nothing in its time so far cannot. */
-const savesProgress = ({ unit, checkpoint }: TaskState, run: Run, nowMs: number): boolean =>
-    unit.step.checkpointing && (checkpoint !== "" || nowMs - run.orderedAtMs < firstSaveMs);
-
 const isMovable = (task: TaskState, nowMs: number): boolean =>
     task.run !== undefined && task.unit.job.submission.priority > 0 && savesProgress(task, task.run, nowMs);
 
--- a/src/execution/watch.ts
+++ b/src/execution/watch.ts
@@ -1,6 +1,7 @@
 import { membersWith, RunPhase } from "../jobs/progress.js";
 import type { Run, TaskState } from "../jobs/progress.js";
 import type { PlannerContext } from "./context.js";
+import { savesProgress } from "./savedProgress.js";
 import type { WorkerSession } from "./session.js";
 import type { Stops } from "./stops.js";
 
@@ -60,8 +61,8 @@
     };
 
     const moveTask = (task: TaskState, reason: string): void => {
-        const { unit, run } = task;
-        if (run === undefined || run.phase !== RunPhase.Running || !unit.step.checkpointing) {
+        const { run } = task;
+        if (run === undefined || run.phase !== RunPhase.Running || !savesProgress(task, run, context.timer.nowMs())) {
             return;
         }
         membersWith(task).forEach(member => member.run !== undefined && stops.stop(member, member.run, reason));
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -120,30 +120,41 @@
     lent: boolean;
     /** Accelerators left over once it has taken that. */
     leftover: number;
+    /** Accelerators that are free in its rack. */
+    rackFree: number;
 }
 
+const sumFreeByRack = (rooms: readonly Room[]): Map<string, number> => {
+    const free = new Map<string, number>();
+    rooms.forEach(({ rack, free: { accelerators } }) => free.set(rack, (free.get(rack) ?? 0) + accelerators));
+    return free;
+};
+
 const offersOf = (rooms: readonly Room[], candidate: Candidate): Offer[] => {
     const offers: Offer[] = [];
+    const freeInRacks = sumFreeByRack(rooms);
     for (const room of rooms) {
         const count = mixesWell(room, candidate) ? countOn(room, candidate) : 0;
         if (count > 0) {
             const leftover = room.free.accelerators - candidate.step.resources.accelerators * count;
             const lent = room.hasCell && !candidate.guaranteed;
-            offers.push({ room, count, avoided: candidate.avoid.has(room.workerId), lent, leftover });
+            const rackFree = freeInRacks.get(room.rack) ?? 0;
+            offers.push({ room, count, avoided: candidate.avoid.has(room.workerId), lent, leftover, rackFree });
         }
     }
     return offers;
 };
 
 /**
- * Sound workers first, then those that nobody can take back, then those that fill up exactly, then the fullest, so that
- * whole workers stay free.
+ * Sound workers first, then those that nobody can take back, then those that fill up exactly, in the fullest racks, then
+ * the fullest, so that whole workers and racks stay free.
  */
 const compareOffers = (left: Offer, right: Offer): number =>
     Number(left.avoided) - Number(right.avoided)
     || left.room.suspicion - right.room.suspicion
     || Number(left.lent) - Number(right.lent)
     || left.leftover - right.leftover
+    || left.rackFree - right.rackFree
     || left.room.free.accelerators - right.room.free.accelerators
     || left.room.free.milliCores - right.room.free.milliCores
     || (left.room.workerId < right.room.workerId ? -1 : 1);
--- a/test/planner.test.ts
+++ b/test/planner.test.ts
@@ -10,7 +10,7 @@
 import { StateErrorKind } from "../src/state/types.js";
 import { fail, succeed } from "../src/utils/result.js";
 import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
-import type { Fleet } from "./fixtures/fleet.js";
+import type { Fleet, FleetOptions } from "./fixtures/fleet.js";
 import { buildFacts, buildShape, buildSourced } from "./fixtures/jobs.js";
 import { findViolations } from "./fixtures/violations.js";
 
@@ -57,8 +57,9 @@
 ) => createSubmission(id, [gangStep(taskCount)], { customer, priority: 2, ...overrides }, { workMs });
 
 /** Two zones of four workers on statements of intent. */
-const createSystem = async (): Promise<Fleet> => {
-    const fleet = createFleet({ workerCount: 0, configuration: queueConfigurationOf(snapshot, 65_536) });
+const createSystem = async (options: FleetOptions = {}): Promise<Fleet> => {
+    const configuration = queueConfigurationOf(snapshot, 65_536);
+    const fleet = createFleet({ workerCount: 0, configuration, ...options });
     for (const zone of ["a", "b"]) {
         for (let index = 0; index < 4; index++) {
             fleet.addWorker(`${zone}-${index}`, `${zone}-rack`, zone);
@@ -172,6 +173,21 @@
         assert.deepEqual([...places("stays")], ["a"]);
     });
 
+    it("lets work that says it saves progress and has saved none end in a zone that is taken out", async () => {
+        const fleet = await createSystem({ savesProgress: () => false });
+        fleet.operator.evacuatedZones.add("b");
+        fleet.notify();
+        const step = gangStep(8, { checkpointing: true });
+        await fleet.submit(createSubmission("boasts", [step], { customer: "guest" }, { workMs: 20_000 }));
+        await fleet.timer.advance(10_000);
+        fleet.operator.evacuatedZones.clear();
+        fleet.operator.evacuatedZones.add("a");
+        fleet.notify();
+        await fleet.timer.advance(12_000);
+        assert.lengthOf(runsOf(fleet, "boasts"), 8, "no work was thrown away");
+        assert.equal(await phaseOf(fleet, "boasts"), JobPhase.Succeeded);
+    });
+
     it("gives a placement up when its zone is taken out while it is being recorded", async () => {
         const fleet = await createSystem();
         let raced = false;
