fix: leave no process behind when the demo cannot start, and wait for slow ones

Cause: a process that was not ready within 15 s of wall time failed the demo, and nobody ended those that had started; their pipes kept the demo itself alive (seen beside eight busy processes). Change: one module starts children of the demo, the soak and the tests, ends them with its own process, and waits for readiness up to two minutes, less if the process ends. Tests: a daemon that refuses its settings leaves none running (all ran on before); a process that starts 16 s late is waited for (was given up after 15 s).

--- a/demo/run.ts
+++ b/demo/run.ts
@@ -6,7 +6,8 @@
 import { fileURLToPath } from "node:url";
 import type { JobView } from "../src/jobs/queries/jobView.js";
 import { JobPhase } from "../src/jobs/types.js";
-import { sendJson, startLocalCluster, waitForExit, waitUntil } from "../tools/localCluster.js";
+import { readyTimeoutMs, waitForExit } from "../tools/childProcesses.js";
+import { sendJson, startLocalCluster, waitUntil } from "../tools/localCluster.js";
 import type { LocalCluster } from "../tools/localCluster.js";
 
 const root = fileURLToPath(new URL("../..", import.meta.url));
@@ -163,7 +164,7 @@
     say(`started the platform, 24 workers in 3 zones and ${cluster.daemons.length} daemons on 6 entry VMs`);
     let failure: unknown;
     try {
-        await waitUntil("a planner knows all workers", 10_000, async () => {
+        await waitUntil("a planner knows all workers", readyTimeoutMs, async () => {
             const fleet = await sendJson<{ rows: { value: unknown[]; }[]; }>(
                 `${cluster.platformAddress}/v1/table/rows?key=fleet`,
             );
--- /dev/null
+++ b/test/localCluster.test.ts
@@ -0,0 +1,25 @@
+import { assert } from "chai";
+import { firstLine, runningChildren, startChild, stopChild } from "../tools/childProcesses.js";
+import { startLocalCluster } from "../tools/localCluster.js";
+
+/** Longer than a process took to start beside eight busy ones. */
+const slowStartMs = 16_000;
+
+describe("the processes of the tools", () => {
+    it("are all ended when one of them cannot start", async () => {
+        const before = runningChildren().length;
+        const options = { zones: ["zone-a"], workersPerZone: 1, schedulerSettings: { noSuchSetting: 1 } };
+        const failure = await startLocalCluster(options).catch((error: unknown) => String(error));
+        assert.include(String(failure), "noSuchSetting");
+        assert.lengthOf(runningChildren(), before);
+    });
+
+    it("are waited for on a machine that is slow", async () => {
+        const child = startChild("standins/platform.js", []);
+        child.kill("SIGSTOP");
+        const ready = firstLine<{ listening: number; }>(child);
+        setTimeout(() => child.kill("SIGCONT"), slowStartMs);
+        assert.isAbove((await ready).listening, 0);
+        await stopChild(child);
+    });
+});
--- a/tools/localCluster.ts
+++ b/tools/localCluster.ts
@@ -1,15 +1,14 @@
 /** Starts the stand-ins and the daemons as processes on loopback, for the demo, the soak run and tests. */
-import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
 import { request } from "undici";
 import { VmKind, VmState } from "../src/platform/types.js";
 import type { Vm } from "../src/platform/types.js";
 import type { PlatformSwitches } from "../standins/platform.js";
 import type { WorkerEvent, WorkerSwitches } from "../standins/worker/types.js";
+import { firstLine, runningChildren, startChild, stopChild, waitForExit } from "./childProcesses.js";
 
 /** Options of {@link startLocalCluster}. */
 export interface LocalClusterOptions {
@@ -71,38 +70,6 @@
     stop(): Promise<(number | undefined)[]>;
 }
 
-/** Flags that keep the heap of a daemon small; operators start the daemons with them too. */
-const memoryFlags = ["--max-semi-space-size=1", "--optimize-for-size"];
-const directory = fileURLToPath(new URL("..", import.meta.url));
-const firstLineTimeoutMs = 15_000;
-
-const firstLine = <Value>(child: ChildProcess): Promise<Value> =>
-    new Promise((resolve, reject) => {
-        let text = "";
-        const timeout = setTimeout(() => reject(new Error("a process did not start in time")), firstLineTimeoutMs);
-        child.once("exit", code => reject(new Error(`a process ended with ${code} before it was ready`)));
-        child.stdout?.on("data", (chunk: Buffer) => {
-            text += chunk.toString("utf8");
-            if (text.includes("\n")) {
-                clearTimeout(timeout);
-                resolve(JSON.parse(text.split("\n")[0]) as Value);
-            }
-        });
-    });
-
-const start = (program: string, args: string[]): ChildProcess =>
-    spawn(process.execPath, [...memoryFlags, join(directory, program), ...args], {
-        stdio: ["ignore", "pipe", "pipe"],
-    });
-
-/** Resolves with the exit code of a process, `undefined` if a signal ended it. */
-export const waitForExit = (child: ChildProcess): Promise<number | undefined> => {
-    if (child.exitCode !== null || child.signalCode !== null) {
-        return Promise.resolve(child.exitCode ?? undefined);
-    }
-    return new Promise(resolve => child.once("exit", code => resolve(code ?? undefined)));
-};
-
 /** Sends a JSON request and returns the parsed answer. */
 export const sendJson = async <Value>(
     url: string,
@@ -118,7 +85,14 @@
 };
 
 const startWorkers = async (zone: string, count: number, seed: number): Promise<RunningWorkers> => {
-    const child = start("standins/worker/main.js", ["--zone", zone, "--count", String(count), "--seed", String(seed)]);
+    const child = startChild("standins/worker/main.js", [
+        "--zone",
+        zone,
+        "--count",
+        String(count),
+        "--seed",
+        String(seed),
+    ]);
     const ready = await firstLine<{ workers: { name: string; port: number; }[]; }>(child);
     const workers = ready.workers.map(worker => ({
         name: worker.name,
@@ -155,7 +129,7 @@
         };
         const file = join(settingsDirectory, `${plan.vm}-${plan.role}.jsonc`);
         await writeFile(file, JSON.stringify(settings, undefined, 4));
-        const child = start(`src/bin/${plan.role}.js`, [file]);
+        const child = startChild(`src/bin/${plan.role}.js`, [file]);
         const log: string[] = [];
         collectLog(child, log);
         const ready = await firstLine<{ httpPort: number; peerPort: number; }>(child).catch((error: unknown) => {
@@ -193,17 +167,23 @@
 
 const portOf = (address: string): number => Number(address.slice(address.lastIndexOf(":") + 1));
 
-const stopChild = async (child: ChildProcess): Promise<void> => {
-    child.kill("SIGCONT");
-    child.kill("SIGKILL");
-    await waitForExit(child);
+/** Starts a local system and registers its VMs with the platform; what was started ends when the rest cannot. */
+export const startLocalCluster = async (options: LocalClusterOptions = {}): Promise<LocalCluster> => {
+    const settingsDirectory = await mkdtemp(join(tmpdir(), "catkinswitch-"));
+    const before = new Set(runningChildren());
+    try {
+        return await startProcesses(options, settingsDirectory);
+    }
+    catch (error) {
+        await Promise.all(runningChildren().filter(child => !before.has(child)).map(stopChild));
+        await rm(settingsDirectory, { recursive: true });
+        throw error;
+    }
 };
 
-/** Starts a local system and registers its VMs with the platform. */
-export const startLocalCluster = async (options: LocalClusterOptions = {}): Promise<LocalCluster> => {
+const startProcesses = async (options: LocalClusterOptions, settingsDirectory: string): Promise<LocalCluster> => {
     const zones = options.zones ?? ["zone-a", "zone-b", "zone-c"];
-    const settingsDirectory = await mkdtemp(join(tmpdir(), "catkinswitch-"));
-    const platformChild = start("standins/platform.js", []);
+    const platformChild = startChild("standins/platform.js", []);
     const { listening } = await firstLine<{ listening: number; }>(platformChild);
     const platformAddress = `http://127.0.0.1:${listening}`;
     const workers = await Promise.all(
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -8,6 +8,7 @@
 import type { JobView } from "../src/jobs/queries/jobView.js";
 import { isEnded } from "../src/jobs/types.js";
 import { createRandom } from "../src/utils/random.js";
+import { readyTimeoutMs } from "./childProcesses.js";
 import { sendJson, startLocalCluster, waitUntil } from "./localCluster.js";
 import type { LocalCluster } from "./localCluster.js";
 import { checkAll } from "./soak/checks.js";
@@ -122,7 +123,7 @@
     const unavailable = new Set<string>();
     const publish = createPublisher(cluster, record, examples.intents);
     const context: FaultContext = { cluster, record, random, unavailable, publish };
-    await waitUntil("the first publish is accepted", 15_000, () => publish(undefined));
+    await waitUntil("the first publish is accepted", readyTimeoutMs, () => publish(undefined));
     await sleep(2_000);
 
     const balancer = startBalancer(cluster);
