fix: judge by its declared time whether a run stands still

Cause: a run without a new percent or checkpoint for 2.5 s was stopped as standing still. Progress comes in whole percents, so work of more than four minutes that saves nothing was stopped again and again (a test: 34 runs in 200 s of one task of four hours, declared as one). Change: 0.3 of the declared time, at least 1.5 s (2.5 s for a gang that has not begun); a run first seen without progress has stood since its start. Conclusion: a fault for work of hours, and a gain for short work.

--- a/src/execution/watch.ts
+++ b/src/execution/watch.ts
@@ -13,8 +13,15 @@
     moveFromLeaving(): void;
 }
 
-/** Time without progress after which a run is moved; the slowest work seen advances every second. */
-const standstillMs = 2_500;
+/**
+ * Share of its declared time without progress after which a run stands still. Progress comes in whole percents, on a slow
+ * worker and away from its data some 25 times as slowly as declared.
+ */
+const standstillShare = 0.3;
+/** Least time without progress: two looks at the worker. */
+const minStandstillMs = 1_500;
+/** Least time for a gang that has not begun: its members wait for each other. */
+const minGangStandstillMs = 2_500;
 /** Least time that a leaving worker has left when its work is taken off: a stop, its report and a start elsewhere. */
 const moveBeforeMs = 900;
 /** Time for which work that stood still rather waits than go back to its worker. */
@@ -29,6 +36,13 @@
     sinceMs: number;
 }
 
+/** Time without progress after which a run stands still. */
+const standstillMs = ({ unit: { step } }: TaskState, run: Run): number =>
+    Math.max(
+        step.gang && run.percent === 0 ? minGangStandstillMs : minStandstillMs,
+        step.estimateMs * standstillShare,
+    );
+
 /** Creates the part of a planner that moves work in trouble. */
 export const createWatch = (context: PlannerContext, stops: Stops): Watch => {
     const progress = new WeakMap<TaskState, Progress>();
@@ -38,10 +52,12 @@
         const known = progress.get(task);
         const moved = known?.run !== run || known.percent !== run.percent || known.checkpoint !== task.checkpoint;
         if (moved || run.phase !== RunPhase.Running || run.percent >= fullPercent || task.unit.step.longRunning) {
-            progress.set(task, { run, percent: run.percent, checkpoint: task.checkpoint, sinceMs: nowMs });
+            // a run that is first seen without progress has made none since its start
+            const sinceMs = known?.run !== run && run.percent === 0 ? Math.min(nowMs, run.answeredAtMs) : nowMs;
+            progress.set(task, { run, percent: run.percent, checkpoint: task.checkpoint, sinceMs });
             return false;
         }
-        return nowMs - known.sinceMs > standstillMs;
+        return nowMs - known.sinceMs > standstillMs(task, run);
     };
 
     const onReport = (session: WorkerSession): void => {
--- a/test/entryVm.test.ts
+++ b/test/entryVm.test.ts
@@ -187,6 +187,23 @@
 });
 
 describe("a worker in trouble", () => {
+    it("on which a short task stands still loses it after two looks", async () => {
+        const fleet = await startedFleet({ savesProgress: () => false });
+        await fleet.submit(createSubmission("a1", [createStep({ estimateMs: 2_500 })], {}, { workMs: 3_600_000 }));
+        await fleet.timer.advance(3_500);
+        const [first] = fleet.spans;
+        assert.isBelow((first.toMs ?? Infinity) - first.fromMs, 2_700);
+    });
+
+    it("keeps long work whose progress shows only every few seconds", async () => {
+        const fleet = await startedFleet({ savesProgress: () => false });
+        const hours = { workMs: 4 * 3_600_000 };
+        await fleet.submit(createSubmission("a1", [createStep({ estimateMs: hours.workMs / 4 })], {}, hours));
+        await fleet.timer.advance(200_000);
+        assert.lengthOf(fleet.spans, 1);
+        assert.isUndefined(fleet.spans[0].toMs);
+    });
+
     it("that is gone for good gives its tasks up once their lease has lapsed", async () => {
         const fleet = await startedFleet();
         await fleet.submit(createSubmission("a1", [createStep({ taskCount: 8 })], {}, { workMs: 3_000 }));
