fix: keep one unexpected error from ending a process or holding up other work

Cause: an error while a stored job was adopted, a report or changed rows were taken, or a round was planned ended the process as an unhandled rejection; a stored job that cannot be adopted would have ended each next planner too. Change: such an error is logged with its stack where it happens; the one job, report or batch of rows is left out. Tests: a job without steps in the table, then the same under the next planner (no later job ran before); a follower whose taking of rows fails once (it ended).

--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -14,6 +14,7 @@
 import type { TableFollower } from "../state/follower.js";
 import type { StateRow, StateTable } from "../state/types.js";
 import type { TimerService } from "../utils/timer.js";
+import { attempt } from "../utils/unexpected.js";
 import { createRunTable } from "./context.js";
 import type { PlannerContext } from "./context.js";
 import { createEndings } from "./endings.js";
@@ -140,12 +141,17 @@
         }
     };
 
-    const takeNews = (entry: JobEntry, jobId: string): void => {
-        adopt(jobId, entry);
-        if (entry.cancelled) {
-            cancel(jobId);
-        }
-    };
+    /** A job that cannot be taken is left out, so that it holds up no other. */
+    const takeNews = (entry: JobEntry, jobId: string): void =>
+        attempt(
+            () => {
+                adopt(jobId, entry);
+                if (entry.cancelled) {
+                    cancel(jobId);
+                }
+            },
+            detail => log("error", "a job could not be taken", { jobId, detail }),
+        );
 
     const followJobs = (afterVersion: number): TableFollower =>
         createTableFollower({
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -5,6 +5,7 @@
 import { planRound } from "../planning/round.js";
 import type { Candidate, Occupant, Room, RoomClaim, Round } from "../planning/types.js";
 import { createUrgentDemand } from "../planning/urgentDemand.js";
+import { attempt } from "../utils/unexpected.js";
 import type { PlannerContext } from "./context.js";
 import { followIdleRoom, guaranteedGangs, surveyCells, surveyGuarantees } from "./guarantees.js";
 import type { Guarantees } from "./guarantees.js";
@@ -92,14 +93,18 @@
             return;
         }
         const nowMs = timer.nowMs();
+        attempt(() => plan(nowMs), detail => context.log("error", "a planning round failed", { detail }));
+        lastRoundMs = timer.nowMs() - nowMs;
+    };
+
+    const prepare = (): void => {
         context.openJobs.forEach(job => isOver(job) ? context.openJobs.delete(job) : addDueOccurrences(job));
         watch.moveFromLeaving();
-        plan(nowMs);
-        lastRoundMs = timer.nowMs() - nowMs;
     };
 
     /** Guarantees with places of their own are looked after also while nothing waits. */
     const plan = (nowMs: number): void => {
+        prepare();
         const rooms = guaranteedGangs(context).length > 0 ? surveyRooms(context) : undefined;
         const cells = rooms === undefined ? places.cells : surveyCells(context, rooms, places);
         const guarantees = surveyGuarantees(context, cells);
--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -2,6 +2,7 @@
 import type { TaskId } from "../jobs/types.js";
 import type { Log } from "../node/logs.js";
 import type { TimerService } from "../utils/timer.js";
+import { attempt } from "../utils/unexpected.js";
 import { Refusal } from "./types.js";
 import type { OrderError, WorkerClient, WorkerReport, WorkerView } from "./types.js";
 import { createWorkerLease } from "./workerLease.js";
@@ -148,7 +149,7 @@
         ends.confirmed = Math.max(ends.confirmed, acknowledged);
         ends.listed = Math.max(ends.listed, acknowledged, ...held.value.ended.map(end => end.number));
         cleared = true;
-        listener.onReport(session, held.value, sentAtMs);
+        attempt(() => listener.onReport(session, held.value, sentAtMs), noteUnexpected(log, options.id));
         return true;
     };
 
@@ -212,6 +213,9 @@
     return session;
 };
 
+const noteUnexpected = (log: Log, worker: string) => (detail: string): void =>
+    log("error", "a report could not be taken", { worker, detail });
+
 /** Notices when a worker stops answering and when it answers again. */
 const createContact = (timer: TimerService, log: Log, worker: string) => {
     let lastAnswerAtMs = timer.nowMs();
--- a/src/state/follower.ts
+++ b/src/state/follower.ts
@@ -1,6 +1,7 @@
 import type { Log } from "../node/logs.js";
 import { createConfirmation } from "../utils/confirmation.js";
 import type { TimerService } from "../utils/timer.js";
+import { attempt } from "../utils/unexpected.js";
 import { describeStateError, StateErrorKind } from "./types.js";
 import type { StateError, StateRow, StateTable } from "./types.js";
 
@@ -60,6 +61,13 @@
         }
     };
 
+    /** Rows that cannot be taken are passed over: read again, they would fail again. */
+    const takeRows = (rows: readonly StateRow[]): void =>
+        attempt(
+            () => options.onRows(rows),
+            detail => log("error", "rows could not be taken", { table, rows: rows.length, detail }),
+        );
+
     const readWhole = async (): Promise<boolean> => {
         const reads = await Promise.all(options.parts.map(part => state.read({ table, part })));
         const rows: StateRow[] = [];
@@ -73,7 +81,7 @@
             oldest = Math.min(oldest, read.value.version);
         }
         options.onReset?.();
-        options.onRows(rows);
+        takeRows(rows);
         afterVersion = oldest;
         log("info", "table read whole", { table, rows: rows.length, version: oldest });
         return true;
@@ -91,7 +99,7 @@
         }
         afterVersion = Math.max(after, changes.value.version);
         if (changes.value.rows.length > 0) {
-            options.onRows(changes.value.rows);
+            takeRows(changes.value.rows);
         }
         return true;
     };
