feat: read the settings again when they change, and keep the present ones when the new ones are wrong

Cause: SIGHUP was only logged, so a bound that changed by it came into force at the next start (the large site changes settings by 'hup' on a third of its VMs). Change: the file is read and checked again; the bound on removed keys and the grace of a stop come into force at once, the log names what waits for the next start; wrong settings are told and change nothing. Test: real processes, a wrong file, then a changed one.

--- a/test/platformProcesses.test.ts
+++ b/test/platformProcesses.test.ts
@@ -96,4 +96,16 @@
         await until(() => isPhase(processes, second, jobId(1), "succeeded"), 3_000, "the other VM plans");
         assert.isTrue(first.lines.some(line => line.message === "stopped"));
     });
+
+    it("take settings that change while they run, and keep the present ones when the new ones are wrong", async () => {
+        const vm = await processes.startVm("a");
+        const told = (message: string) => vm.lines.find(line => line.message === message)?.context;
+        const wasTold = (message: string) => until(async () => told(message) !== undefined, 5_000, message);
+        await vm.changeSettings(text => text.replace("\"revokeMs\":5000", "\"revokeMs\":\"soon\""));
+        await wasTold("changed settings cannot be used, the present ones stay");
+        await vm.changeSettings(text => text.replace("\"soon\"", "4000").replace("\"statusS\":120", "\"statusS\":90"));
+        await wasTold("settings read again");
+        assert.deepInclude(told("settings read again"), { inForce: ["revokeMs"], atNextStart: ["statusS"] });
+        assert.equal((await processes.request(vm, "GET", "/bookings/")).status, 200);
+    });
 });
