fix: throw no work of hours away for a large gang that waited long

Change: such a gang moves only what goes on elsewhere; urgent work and due guarantees take back as before. Test: a gang that waited 8 hours takes three runs that save nothing back without the change, none with it.

--- a/src/planning/preemption.ts
+++ b/src/planning/preemption.ts
@@ -15,14 +15,20 @@
 /** Times that lost urgent work counts: others make way first. */
 const urgentLossFactor = 20;
 
-/** A large gang that was passed for long moves small work that loses little by it. */
-const mayMove = (candidate: Candidate, occupant: Occupant): boolean =>
-    tierOf(candidate) === Tier.Passed && occupant.resumable && occupant.priority > 0
-    && occupant.tasks.length * occupant.resources.accelerators < largeGang;
+/** A large gang that was passed for long moves work that loses little by it: less important or small. */
+const mayMove = (candidate: Candidate, occupant: Occupant): boolean => {
+    const isSmall = occupant.tasks.length * occupant.resources.accelerators < largeGang;
+    return tierOf(candidate) === Tier.Passed && occupant.resumable && occupant.priority > 0
+        && (isSmall || occupant.priority > candidate.job.priority);
+};
+
+/** Urgent work takes the place of all that is not. */
+const isUrgentOver = (candidate: Candidate, occupant: Occupant): boolean =>
+    candidate.job.priority === 0 && occupant.priority > 0;
 
 /** A due guarantee takes back whatever is lent; other work only what is less important and was not taken back often. */
 const mayDisplace = (candidate: Candidate, occupant: Occupant): boolean => {
-    const isLess = occupant.priority > candidate.job.priority || mayMove(candidate, occupant);
+    const isLess = isUrgentOver(candidate, occupant) || mayMove(candidate, occupant);
     return !occupant.guaranteed && (candidate.guaranteed || (isLess && occupant.evictions < maxEvictions));
 };
 
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -198,6 +198,18 @@
         const round = planRound(createRoundInput({ rooms, candidates, occupants: [urgent, normal] }));
         assert.deepEqual(evictedKeys(round), ["normal"]);
     });
+
+    it("moves for a large gang that was passed for long only what goes on elsewhere", () => {
+        const displaceFor = (resumable: boolean): string[] => {
+            const rooms = createRacks(1, 3);
+            const occupants = rooms.map(room => occupyRoom(room, room.workerId, { priority: 2, resumable }));
+            const gang = createCandidate("gang", { taskCount: 3, accelerators: 8, priority: 1, gang: true });
+            const waited = { ...gang, waitingMs: 8 * 3_600_000 };
+            return evictedKeys(planRound(createRoundInput({ rooms, candidates: [waited], occupants })));
+        };
+        assert.lengthOf(displaceFor(true), 3);
+        assert.isEmpty(displaceFor(false), "hours of work that saves nothing are not thrown away for it");
+    });
 });
 
 /** Urgent gangs of whole workers come in series while small work flows in: the load of henhold-ne's worst day. */
