fix: answer for a job as last known while the table is out of reach

Cause: VMs that do not plan keep no copy of the jobs any more, so each question for a job's state was refused while the table was out of reach (found in reading the change; it was answered from the copy before). Test: a job that was asked for before is answered during an outage, one that was not is not made up. Conclusion: as before the tables were divided, for jobs that were asked for at that VM.

--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -8,6 +8,7 @@
 import type { Acceptance } from "../jobs/commands/acceptJob.js";
 import { cancelStoredJob } from "../jobs/commands/cancelStoredJob.js";
 import type { Cancellation } from "../jobs/commands/cancelStoredJob.js";
+import { createKnownPhases } from "../jobs/knownPhases.js";
 import { queryJobPhase } from "../jobs/queries/jobPhase.js";
 import type { PendingCounts } from "../jobs/queries/pendingJobs.js";
 import { readJob } from "../jobs/queries/readJob.js";
@@ -76,6 +77,7 @@
 export const startEntryVm = (options: EntryVmOptions): EntryVm => {
     const { state, timer, log, operator, directory, metrics } = options;
     const lateness = createLatenessMeter(timer);
+    const knownPhases = createKnownPhases();
     let published: PendingCounts = {};
     let planner: Planner | undefined;
     let retired = false;
@@ -154,7 +156,7 @@
     return {
         accept: (submission, deadlineMs) => acceptJob(context, submission, deadlineMs),
         cancel: jobId => cancelStoredJob(context, jobId),
-        phase: jobId => queryJobPhase(state, jobId),
+        phase: jobId => queryJobPhase(state, knownPhases, jobId),
         job: jobId => readJob(state, jobId),
         pending: queue => (planner?.pendingCounts() ?? published)[queue] ?? 0,
         plannerAgeMs: follower.ageMs,
--- a/test/entryVm.test.ts
+++ b/test/entryVm.test.ts
@@ -59,6 +59,19 @@
         assert.lengthOf(fleet.spans, 4, "what ran went on under the next planner");
     });
 
+    it("is answered for as last known while the table is out of reach", async () => {
+        const fleet = await startedFleet();
+        await fleet.submit(createSubmission("a1", [createStep()], {}, { workMs: 3_000 }));
+        await fleet.submit(createSubmission("a2", [createStep()], {}, { workMs: 300 }));
+        await fleet.timer.advance(1_000);
+        assert.equal(await phaseOn(fleet, "vm1", "a1"), JobPhase.Running);
+        assert.equal(await phaseOn(fleet, "vm1", "a2"), JobPhase.Succeeded);
+        fleet.tableDown = true;
+        assert.equal(await phaseOn(fleet, "vm1", "a1"), JobPhase.Running);
+        assert.equal(await phaseOn(fleet, "vm1", "a2"), JobPhase.Succeeded);
+        assert.equal(await phaseOn(fleet, "vm1", "a3"), "unavailable", "nothing is made up");
+    });
+
     it("is the same job when it is submitted again", async () => {
         const fleet = await startedFleet();
         const submission = createSubmission("a1", [createStep()]);
