fix: count a VM as weak until it knows how strong the others are

Cause: after all processes started at once each VM took itself for the strongest until it had read the others' entries, so a weak one could take the term for 3 s or more. Test: a VM counts itself as weak until the others' entries are read (counted 1 before).

--- a/src/state/peerDirectory.ts
+++ b/src/state/peerDirectory.ts
@@ -16,7 +16,7 @@
 export interface PeerDirectory {
     /** The others, in random order that changes with each reading. */
     others(): readonly Peer[];
-    /** Processing power of this VM as a share of the strongest registered one's. */
+    /** Processing power of this VM as a share of the strongest registered one's; 0 until the others are known. */
     relativePower(): number;
     /** Removes the own entry. */
     leave(): Promise<void>;
@@ -42,6 +42,7 @@
 ): PeerDirectory => {
     let peers: Peer[] = [];
     let registered = false;
+    let known = false;
 
     const register = async (): Promise<void> => {
         const row = { table: vmsTable, key: own.name, value: { address: own.address, cores: own.cores } };
@@ -58,6 +59,7 @@
         }
         const read = await state.read({ table: vmsTable, part: "" });
         if (read.ok) {
+            known = true;
             peers = read.value.rows
                 .map(row => toPeer(row.key, row.value))
                 .filter(peer => peer.name !== own.name && peer.address !== "")
@@ -71,7 +73,7 @@
     const unsubscribe = timer.every(readMs, refresh);
     return {
         others: () => peers,
-        relativePower: () => own.cores / Math.max(own.cores, ...peers.map(peer => peer.cores)),
+        relativePower: () => known ? own.cores / Math.max(own.cores, ...peers.map(peer => peer.cores)) : 0,
         leave: async () => {
             await state.commit({ part: "", conditions: [], writes: [{ table: vmsTable, key: own.name }] });
         },
--- a/test/planningVm.test.ts
+++ b/test/planningVm.test.ts
@@ -1,7 +1,9 @@
 import { assert } from "chai";
 import { Acceptance } from "../src/jobs/commands/acceptJob.js";
 import { jobsTable, plannerTable, progressTable } from "../src/jobs/rows.js";
+import { createPeerDirectory } from "../src/state/peerDirectory.js";
 import { createLatenessMeter } from "../src/utils/lateness.js";
+import { succeed } from "../src/utils/result.js";
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
 import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import type { Fleet } from "./fixtures/fleet.js";
@@ -67,6 +69,22 @@
         }
     });
 
+    it("counts itself as weak until it has read how strong the others are", async () => {
+        const timer = createVirtualTimer();
+        const strong = { table: "vms", part: "", key: "b", version: 1, value: { address: "b:1", cores: 2 } };
+        const read = async () => {
+            await timer.sleep(50);
+            return succeed({ rows: [strong], version: 1 });
+        };
+        const state = { commit: async () => succeed({ version: 1 }), read, changes: read };
+        const own = { name: "a", address: "a:1", cores: 1 };
+        const peers = createPeerDirectory(state, timer, () => {}, own);
+        assert.equal(peers.relativePower(), 0);
+        await timer.advance(100);
+        assert.equal(peers.relativePower(), 0.5);
+        peers.stop();
+    });
+
     it("finds out that its processor cannot keep up by how late its timers fire", async () => {
         const timer = createVirtualTimer();
         let busyMs = 0;
