refactor: keep two names to the modules that use them

Cause: the round asks for occupants itself, so nobody else asks whether work may displace others; the silence before a takeover is judged in candidacy alone. Found in reading the change. Change: mayDisplaceOthers and takeOverMs are no longer exported. Behaviour as before. Checks: build, format, lint, and the tests of planning, planner, guarantees, gangs and entry VMs (78 passed).

--- a/src/execution/candidacy.ts
+++ b/src/execution/candidacy.ts
@@ -23,7 +23,7 @@
 }
 
 /** Time without a renewal after which another VM takes over; with its reads it stays under 3 s. */
-export const takeOverMs = 2_000;
+const takeOverMs = 2_000;
 /** Delay of a VM without any power, so that a strong one takes the term first; with it a gap stays under 3 s. */
 const weakDelayMs = 600;
 /** Random delay that keeps VMs from trying at the same moment. */
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -61,7 +61,7 @@
 };
 
 /** Whether less important work makes way for a candidate. */
-export const mayDisplaceOthers = (candidate: Candidate): boolean =>
+const mayDisplaceOthers = (candidate: Candidate): boolean =>
     candidate.guaranteed || tierOf(candidate) === Tier.Passed
     || (candidate.job.priority === 0 && tierOf(candidate) <= Tier.Urgent);
 
