feat(state): hedge table operations that get no answer

Cause: a VM whose way to the table was cut waited 1.2 s for its own attempt, once for each of the eighteen parts, before it asked a peer; urgent jobs accepted there started 1.2 s late. Ruled out: the follower itself and the pool of connections; the other feeds of the same VM were readable after 0.3 s. Load patterns: urgent jobs on a VM that is cut off from the table; history dropped during a burst.

--- /dev/null
+++ b/src/state/reachability.ts
@@ -0,0 +1,104 @@
+import type { Log } from "../node/logs.js";
+import type { Result } from "../utils/result.js";
+import type { TimerService } from "../utils/timer.js";
+import { describeStateError, StateErrorKind } from "./types.js";
+import type { StateError, StateTable } from "./types.js";
+
+/** The part of a table that an operation accesses; reachability is tracked for each, as parts fail independently. */
+export interface TablePart {
+    table: string;
+    part: string;
+}
+
+/** Options of {@link createReachability}. */
+export interface ReachabilityOptions {
+    /** Access to the table without a relay. */
+    direct: StateTable;
+    timer: TimerService;
+    log: Log;
+}
+
+/** Tracks which parts of tables cannot be reached directly and probes them until they can. */
+export interface Reachability {
+    /** Records the result of a direct operation. */
+    recordResult(target: TablePart, result: Result<unknown, StateError>): void;
+    /** Records that a part is not reachable directly, although a direct operation on it has not failed yet. */
+    markUnreachable(target: TablePart, reason: string): void;
+    isUnreachable(target: TablePart): boolean;
+    /** Calls the listener once when the part becomes reachable; returns a function that removes it. */
+    onceReachable(target: TablePart, listener: () => void): () => void;
+    stop(): void;
+}
+
+/** Interval of probes of unreachable parts. */
+const probeIntervalMs = 500;
+/** Minimum time between rounds of probes that follow a part's recovery, of which an outage's end brings many. */
+const minRecoveryProbeIntervalMs = 50;
+/** Range of keys that holds no rows, read by probes. */
+const probeRange = { from: "~", before: "~~" };
+
+/** Whether the table itself answered; a failed condition and lost history are answers too. */
+export const isAnswered = (result: Result<unknown, StateError>): boolean =>
+    result.ok || result.error.kind === StateErrorKind.Conflict || result.error.kind === StateErrorKind.HistoryLost;
+
+const keyOf = ({ table, part }: TablePart): string => `${table}/${part}`;
+
+/** Creates a tracker that assumes every part to be reachable until an operation on it fails. */
+export const createReachability = ({ direct, timer, log }: ReachabilityOptions): Reachability => {
+    const unreachable = new Map<string, TablePart>();
+    const listenersByPart = new Map<string, Set<() => void>>();
+    let recoveryProbedAtMs = Number.NEGATIVE_INFINITY;
+
+    const probe = async (target: TablePart): Promise<void> =>
+        recordResult(target, await direct.read({ ...target, ...probeRange }));
+
+    const probeAll = (): void => unreachable.forEach(target => void probe(target));
+
+    const markReachable = (target: TablePart): void => {
+        const key = keyOf(target);
+        if (!unreachable.delete(key)) {
+            return;
+        }
+        log("info", "table part reachable directly again", { table: target.table, part: target.part });
+        const listeners = listenersByPart.get(key);
+        listenersByPart.delete(key);
+        listeners?.forEach(listener => listener());
+        // the other parts have probably recovered with this one
+        if (timer.nowMs() - recoveryProbedAtMs >= minRecoveryProbeIntervalMs) {
+            recoveryProbedAtMs = timer.nowMs();
+            probeAll();
+        }
+    };
+
+    const markUnreachable = (target: TablePart, reason: string): void => {
+        const { table, part } = target;
+        if (!unreachable.has(keyOf(target))) {
+            log("warn", "table part not reachable directly, relaying through peers", { table, part, reason });
+            unreachable.set(keyOf(target), { table, part });
+        }
+    };
+
+    const recordResult = (target: TablePart, result: Result<unknown, StateError>): void => {
+        if (isAnswered(result)) {
+            markReachable(target);
+        }
+        else if (!result.ok) {
+            markUnreachable(target, describeStateError(result.error));
+        }
+    };
+
+    const unsubscribe = timer.every(probeIntervalMs, probeAll);
+    return {
+        recordResult,
+        markUnreachable,
+        isUnreachable: target => unreachable.has(keyOf(target)),
+        onceReachable: (target, listener) => {
+            const key = keyOf(target);
+            const listeners = listenersByPart.get(key) ?? new Set();
+            listeners.add(listener);
+            listenersByPart.set(key, listeners);
+            return () => listeners.delete(listener);
+        },
+        stop: unsubscribe,
+    };
+};
--- a/src/state/relay.ts
+++ b/src/state/relay.ts
@@ -2,7 +2,10 @@
 import { fail } from "../utils/result.js";
 import type { Result } from "../utils/result.js";
 import type { TimerService } from "../utils/timer.js";
-import { describeStateError, StateErrorKind } from "./types.js";
+import { createHedgeDelay } from "./hedgeDelay.js";
+import { createReachability, isAnswered } from "./reachability.js";
+import type { TablePart } from "./reachability.js";
+import { StateErrorKind } from "./types.js";
 import type { ReadRange, RowsAt, StateError, StateTable, StateTransaction } from "./types.js";
 
 /** Table operation that one VM performs on behalf of another. */
@@ -37,25 +40,10 @@
     stop(): void;
 }
 
-/** The part of a table that an operation accesses; reachability is tracked for each, as parts fail independently. */
-interface TablePart {
-    table: string;
-    part: string;
-}
-
 /** Peers tried for one operation: two in case one cannot reach the table either, no more to limit load in an outage. */
 const maxPeersPerOperation = 2;
-/** Time between probes of unreachable parts. */
-const probeIntervalMs = 500;
 /** Time for which a peer that could not perform an operation is not tried again. */
 const peerCooldownMs = 1_500;
-/** Range of keys that holds no rows, read by probes. */
-const probeRange = { from: "~", before: "~~" };
-
-/** Whether the table itself answered; a failed condition and lost history are answers too. */
-const isAnswered = (result: Result<unknown, StateError>): boolean =>
-    result.ok || result.error.kind === StateErrorKind.Conflict || result.error.kind === StateErrorKind.HistoryLost;
-
 const tablePartOf = (request: RelayRequest): TablePart => {
     switch (request.operation) {
         case "commit":
@@ -67,8 +55,6 @@
     }
 };
 
-const keyOf = ({ table, part }: TablePart): string => `${table}/${part}`;
-
 const performDirectly = (table: StateTable, request: RelayRequest): Promise<RelayReply> => {
     switch (request.operation) {
         case "commit":
@@ -80,36 +66,78 @@
     }
 };
 
-/** Tracks which parts of tables cannot be reached directly and probes them until they can. */
-const createReachability = ({ direct, timer, log }: RelayedTableOptions) => {
-    const unreachable = new Map<string, TablePart>();
-    const recordResult = (target: TablePart, result: Result<unknown, StateError>): void => {
-        const key = keyOf(target);
-        const reachable = isAnswered(result);
-        if (reachable && unreachable.delete(key)) {
-            log("info", "table part reachable directly again", { table: target.table, part: target.part });
-        }
-        else if (!reachable && !unreachable.has(key)) {
-            const reason = result.ok ? "" : describeStateError(result.error);
-            log("warn", "table part not reachable directly, relaying through peers", {
-                table: target.table,
-                part: target.part,
-                reason,
+/** Time that the table itself may wait before it answers an operation. */
+const longPollMsOf = (request: RelayRequest): number => request.operation === "changes" ? request.waitMs : 0;
+
+/** One way to perform an operation: directly or through a peer. */
+interface Attempt {
+    perform(): Promise<RelayReply>;
+    /** Called when the next attempt starts because this one has no answer yet. */
+    onOvertaken(): void;
+}
+
+/** Options of {@link race}. */
+interface RaceOptions {
+    attempts: Attempt[];
+    timer: TimerService;
+    /** Time without an answer after which the next attempt starts beside those in progress. */
+    hedgeDelayMs: number;
+    /** Calls the listener when a further attempt has become possible; returns a function that removes it. */
+    onFurtherAttempt: (listener: (attempt: Attempt) => void) => () => void;
+}
+
+/** A write without an answer may have taken effect, whatever another attempt returns. */
+const combineErrors = (errors: readonly StateError[]): StateError =>
+    errors.find(error => error.kind === StateErrorKind.NoAnswer) ?? errors[0];
+
+/**
+ * Starts the attempts one after the other, the next when one fails or gives no answer for some time, and resolves with
+ * the first answer of the table.
+ */
+const race = ({ attempts, timer, hedgeDelayMs, onFurtherAttempt }: RaceOptions): Promise<RelayReply> =>
+    new Promise(resolve => {
+        const waiting = [...attempts];
+        const errors: StateError[] = [];
+        let inProgress = 0;
+        let settled = false;
+        let cancelHedge = (): void => {};
+        const settle = (reply: RelayReply): void => {
+            settled = true;
+            cancelHedge();
+            removeListener();
+            resolve(reply);
+        };
+        const start = async (attempt: Attempt): Promise<void> => {
+            inProgress += 1;
+            cancelHedge();
+            cancelHedge = timer.after(hedgeDelayMs, () => {
+                const next = waiting.shift();
+                if (next !== undefined) {
+                    attempt.onOvertaken();
+                    void start(next);
+                }
             });
-            unreachable.set(key, { table: target.table, part: target.part });
-        }
-    };
-    const probe = async (target: TablePart): Promise<void> =>
-        recordResult(target, await direct.read({ ...target, ...probeRange }));
-    const unsubscribe = timer.every(probeIntervalMs, async () => {
-        await Promise.all([...unreachable.values()].map(probe));
+            const reply = await attempt.perform();
+            inProgress -= 1;
+            if (settled) {
+                return;
+            }
+            if (reply.ok || isAnswered(reply)) {
+                settle(reply);
+                return;
+            }
+            errors.push(reply.error);
+            const next = waiting.shift();
+            if (next !== undefined) {
+                void start(next);
+            }
+            else if (inProgress === 0) {
+                settle(fail(combineErrors(errors)));
+            }
+        };
+        const removeListener = onFurtherAttempt(attempt => void start(attempt));
+        void start(waiting.shift() as Attempt);
     });
-    return {
-        recordResult,
-        isUnreachable: (target: TablePart): boolean => unreachable.has(keyOf(target)),
-        stop: unsubscribe,
-    };
-};
 
 /**
  * Creates a table that falls back to relaying through other VMs. A write may be sent both directly and through peers;
@@ -118,31 +146,58 @@
 export const createRelayedTable = (options: RelayedTableOptions): RelayedTable => {
     const { direct, timer } = options;
     const reachability = createReachability(options);
+    const hedgeDelay = createHedgeDelay();
     const cooldownUntilMs = new Map<string, number>();
 
-    const performViaPeers = async (request: RelayRequest, directError: StateError): Promise<RelayReply> => {
-        let error = directError;
-        const isAvailable = (peer: RelayPeer): boolean => (cooldownUntilMs.get(peer.name) ?? 0) <= timer.nowMs();
-        for (const peer of options.peers().filter(isAvailable).slice(0, maxPeersPerOperation)) {
-            const reply = await peer.perform(request);
-            if (isAnswered(reply)) {
-                return reply;
-            }
-            cooldownUntilMs.set(peer.name, timer.nowMs() + peerCooldownMs);
-            // once one attempt got no answer, the write may have taken effect whatever later attempts return
-            error = !reply.ok && error.kind !== StateErrorKind.NoAnswer ? reply.error : error;
+    const performAndRecord = async (request: RelayRequest): Promise<RelayReply> => {
+        const startedAtMs = timer.nowMs();
+        const result = await performDirectly(direct, request);
+        reachability.recordResult(tablePartOf(request), result);
+        if (request.operation !== "changes" && isAnswered(result)) {
+            hedgeDelay.recordAnswer(timer.nowMs() - startedAtMs);
         }
-        return fail(error);
+        return result;
     };
 
+    const createDirectAttempt = (request: RelayRequest): Attempt => ({
+        perform: () => performAndRecord(request),
+        onOvertaken: () => reachability.markUnreachable(tablePartOf(request), "no answer yet"),
+    });
+
+    const createPeerAttempt = (peer: RelayPeer, request: RelayRequest): Attempt => {
+        const startCooldown = (): void => void cooldownUntilMs.set(peer.name, timer.nowMs() + peerCooldownMs);
+        return {
+            perform: async () => {
+                const reply = await peer.perform(request);
+                if (!isAnswered(reply)) {
+                    startCooldown();
+                }
+                return reply;
+            },
+            onOvertaken: startCooldown,
+        };
+    };
+
+    const peerAttempts = (request: RelayRequest): Attempt[] =>
+        options.peers()
+            .filter(peer => (cooldownUntilMs.get(peer.name) ?? 0) <= timer.nowMs())
+            .slice(0, maxPeersPerOperation)
+            .map(peer => createPeerAttempt(peer, request));
+
     const perform = async (request: RelayRequest): Promise<RelayReply> => {
         const target = tablePartOf(request);
-        if (reachability.isUnreachable(target)) {
-            return performViaPeers(request, { kind: StateErrorKind.Unavailable, detail: "the own way is closed" });
+        const isUnreachable = reachability.isUnreachable(target);
+        const viaPeers = peerAttempts(request);
+        if (isUnreachable && viaPeers.length === 0) {
+            return fail({ kind: StateErrorKind.Unavailable, detail: "the own way is closed" });
         }
-        const result = await performDirectly(direct, request);
-        reachability.recordResult(target, result);
-        return result.ok || isAnswered(result) ? result : performViaPeers(request, result.error);
+        const directAttempt = createDirectAttempt(request);
+        return race({
+            attempts: isUnreachable ? viaPeers : [directAttempt, ...viaPeers],
+            timer,
+            hedgeDelayMs: longPollMsOf(request) + hedgeDelay.delayMs(),
+            onFurtherAttempt: listener => reachability.onceReachable(target, () => listener(directAttempt)),
+        });
     };
 
     return {
@@ -151,15 +206,12 @@
         read: range => perform({ operation: "read", range }) as Promise<Result<RowsAt, StateError>>,
         changes: (table, afterVersion, waitMs) =>
             perform({ operation: "changes", table, afterVersion, waitMs }) as Promise<Result<RowsAt, StateError>>,
-        performForPeer: async request => {
-            const target = tablePartOf(request);
-            if (reachability.isUnreachable(target)) {
-                return fail({ kind: StateErrorKind.Unavailable, detail: "the relaying VM has no way either" });
-            }
-            const result = await performDirectly(direct, request);
-            reachability.recordResult(target, result);
-            return result;
-        },
+        performForPeer: request =>
+            reachability.isUnreachable(tablePartOf(request))
+                ? Promise.resolve(
+                    fail({ kind: StateErrorKind.Unavailable, detail: "the relaying VM has no way either" }),
+                )
+                : performAndRecord(request),
         stop: reachability.stop,
     };
 };
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -2,10 +2,13 @@
 import { createRelayedTable } from "../src/state/relay.js";
 import type { RelayedTable, RelayPeer } from "../src/state/relay.js";
 import { StateErrorKind } from "../src/state/types.js";
-import type { StateTable } from "../src/state/types.js";
+import type { ReadRange, StateError, StateTable, StateTransaction } from "../src/state/types.js";
 import { fail, succeed } from "../src/utils/result.js";
+import type { Result } from "../src/utils/result.js";
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
+import type { VirtualTimer } from "../src/utils/virtualTimer.js";
 import { createTableModel } from "../standins/fleet/tableModel.js";
+import type { TableModel } from "../standins/fleet/tableModel.js";
 
 const unavailable = fail({ kind: StateErrorKind.Unavailable as const, detail: "unreachable" });
 
@@ -114,3 +117,158 @@
         assert.isTrue(!written.ok && written.error.kind === StateErrorKind.NoAnswer);
     });
 });
+
+/** A table whose operations get no answer while `isSilent` says so, as when packets are lost on the way to it. */
+const createSilenceableTable = (timer: VirtualTimer, model: TableModel, isSilent: () => boolean): StateTable => {
+    const timeoutMs = 1_200;
+    const answer = async <Value>(value: () => Result<Value, StateError>): Promise<Result<Value, StateError>> => {
+        if (isSilent()) {
+            await timer.sleep(timeoutMs);
+            return fail({ kind: StateErrorKind.NoAnswer, detail: "silent" });
+        }
+        await timer.sleep(4);
+        return value();
+    };
+    return {
+        commit: transaction => answer(() => model.commit(transaction)),
+        read: range => answer(() => succeed(model.read(range))),
+        changes: (table, after) => answer(() => succeed(model.changes(table, after) ?? { rows: [], version: after })),
+    };
+};
+
+const silentPeer = (timer: VirtualTimer, name: string): RelayPeer => ({
+    name,
+    perform: async () => {
+        await timer.sleep(1_400);
+        return fail({ kind: StateErrorKind.NoAnswer, detail: "silent" });
+    },
+});
+
+/** Resolves with the result of a call and the virtual time that it took, to a resolution of 10 ms. */
+const timed = async <Value>(timer: VirtualTimer, call: Promise<Value>): Promise<{ value: Value; tookMs: number; }> => {
+    const startedAtMs = timer.nowMs();
+    let outcome: { value: Value; tookMs: number; } | undefined;
+    void call.then(value => outcome = { value, tookMs: timer.nowMs() - startedAtMs });
+    while (outcome === undefined) {
+        await timer.advance(10);
+    }
+    return outcome;
+};
+
+describe("a VM whose operations on the table get no answer", () => {
+    const commit = (table: StateTable, part: string) =>
+        table.commit({ part, conditions: [], writes: [{ table: "jobs", key: "k", value: 1 }] });
+
+    it("writes to every part through a peer well before its own attempt has timed out", async () => {
+        const timer = createVirtualTimer();
+        const model = createTableModel();
+        const reachableTable = createSilenceableTable(timer, model, () => false);
+        const table = createRelayedTable({
+            direct: createSilenceableTable(timer, model, () => true),
+            timer,
+            log: () => {},
+            peers: () => [{
+                name: "b",
+                perform: request =>
+                    request.operation === "commit"
+                        ? reachableTable.commit(request.transaction)
+                        : Promise.resolve(unavailable),
+            }],
+        });
+        for (const part of ["p0", "p1", "p0"]) {
+            const { value, tookMs } = await timed(timer, commit(table, part));
+            assert.isTrue(value.ok);
+            assert.isAtMost(tookMs, 300);
+        }
+    });
+
+    it("does not wait for a silent peer while another one answers", async () => {
+        const timer = createVirtualTimer();
+        const model = createTableModel();
+        const reachableTable = createSilenceableTable(timer, model, () => false);
+        const table = createRelayedTable({
+            direct: createSilenceableTable(timer, model, () => true),
+            timer,
+            log: () => {},
+            peers: () => [
+                silentPeer(timer, "b"),
+                { name: "c", perform: request => reachableTable.read((request as { range: ReadRange; }).range) },
+            ],
+        });
+        const { value, tookMs } = await timed(timer, table.read({ table: "jobs", part: "p0" }));
+        assert.isTrue(value.ok);
+        assert.isAtMost(tookMs, 500);
+    });
+
+    it("gets the changes as soon as the table is reachable again, whatever its peers do", async () => {
+        const timer = createVirtualTimer();
+        const model = createTableModel();
+        let reset = true;
+        const reachableTable = createSilenceableTable(timer, model, () => false);
+        const direct: StateTable = {
+            ...reachableTable,
+            read: async range => reset ? unavailable : reachableTable.read(range),
+            changes: async (name, after, waitMs) => reset ? unavailable : reachableTable.changes(name, after, waitMs),
+        };
+        const peers = [silentPeer(timer, "b"), silentPeer(timer, "c")];
+        const table = createRelayedTable({ direct, timer, log: () => {}, peers: () => peers });
+        timer.after(100, () => reset = false);
+        const { value, tookMs } = await timed(timer, table.changes("jobs", 0, 500));
+        assert.isTrue(value.ok);
+        assert.isAtMost(tookMs, 700);
+    });
+
+    it("repeats few operations while the table is slow for every VM", async () => {
+        const timer = createVirtualTimer();
+        const model = createTableModel();
+        const slowTable: StateTable = {
+            ...createSilenceableTable(timer, model, () => false),
+            commit: async transaction => {
+                await timer.sleep(250);
+                return model.commit(transaction);
+            },
+        };
+        let relayed = 0;
+        const table = createRelayedTable({
+            direct: slowTable,
+            timer,
+            log: () => {},
+            peers: () => [{
+                name: "b",
+                perform: request => {
+                    relayed += 1;
+                    return slowTable.commit((request as { transaction: StateTransaction; }).transaction);
+                },
+            }],
+        });
+        for (let index = 0; index < 40; index++) {
+            await timed(timer, commit(table, "p0"));
+            await timer.advance(100);
+        }
+        assert.isAtMost(relayed, 10);
+    });
+
+    it("probes all parts when one of them has recovered, without a burst of probes", async () => {
+        const timer = createVirtualTimer();
+        const model = createTableModel();
+        let down = true;
+        let reads = 0;
+        const reachableTable = createSilenceableTable(timer, model, () => false);
+        const direct: StateTable = {
+            ...reachableTable,
+            commit: async transaction => down ? unavailable : reachableTable.commit(transaction),
+            read: async range => {
+                reads += 1;
+                return down ? unavailable : reachableTable.read(range);
+            },
+        };
+        const table = createRelayedTable({ direct, timer, log: () => {}, peers: () => [] });
+        const parts = Array.from({ length: 20 }, (_, index) => `p${index}`);
+        await Promise.all(parts.map(part => commit(table, part)));
+        down = false;
+        reads = 0;
+        await timer.advance(600);
+        assert.isAtMost(reads, 2 * parts.length);
+        assert.isTrue((await timed(timer, commit(table, "p19"))).value.ok);
+    });
+});
