feat(cli): report late, failed and refused jobs from logs

The report shows for each queue where late jobs lost their time (before acceptance, before adoption, before the first start, in restarts, while running), which disturbance the logs show meanwhile, the work thrown away by reason and the worst spans. It reads logs as streams; its memory grows with the number of jobs. Lines about stopped and ended runs name the priority, the run time, the unsaved time and the cores of the run; lines about adopted jobs name the customer.

--- a/src/bin/catkinswitch.ts
+++ b/src/bin/catkinswitch.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { Builtins, Cli } from "clipanion";
 import { CheckCommand, ExplainCommand, PublishCommand } from "../cli/intentCommands.js";
+import { ReportCommand } from "../cli/reportCommand.js";
 import { TraceCommand } from "../cli/traceCommand.js";
 import { CallCommand, CancelCommand, DumpCommand, StatusCommand, SubmitCommand } from "../cli/workCommands.js";
 
@@ -16,4 +17,5 @@
 cli.register(CancelCommand);
 cli.register(DumpCommand);
 cli.register(TraceCommand);
+cli.register(ReportCommand);
 void cli.runExit(process.argv.slice(2));
--- a/src/execution/context.ts
+++ b/src/execution/context.ts
@@ -1,6 +1,7 @@
 import type { JobState, Run, TaskState } from "../jobs/progress.js";
 import type { EntryMetrics } from "../node/entryMetrics.js";
 import type { Log } from "../node/logs.js";
+import { coreEquivalentsOf } from "../planning/resources.js";
 import type { OperatorState } from "../queues/types.js";
 import type { TimerService } from "../utils/timer.js";
 import type { WorkerSession } from "./session.js";
@@ -43,6 +44,14 @@
     isTermOver: () => boolean;
 }
 
+/** Fields of log lines about a run that say what stopping it now would throw away. */
+export const describeRunWork = (task: TaskState, run: Run, nowMs: number) => ({
+    priority: task.unit.job.submission.priority,
+    ranMs: Math.round(nowMs - run.orderedAtMs),
+    unsavedMs: Math.round(nowMs - (task.checkpoint === "" ? run.orderedAtMs : run.checkpointedAtMs)),
+    cores: coreEquivalentsOf(task.unit.step.resources),
+});
+
 /** Creates an empty table of runs. */
 export const createRunTable = (): RunTable => {
     const bySession = new Map<WorkerSession, Set<TaskState>>();
--- a/src/execution/endedRunHandler.ts
+++ b/src/execution/endedRunHandler.ts
@@ -1,6 +1,7 @@
 import { activeRuns, gangMembersOf, isJobComplete, taskIdOf, taskKey } from "../jobs/progress.js";
-import type { JobState, TaskState, Unit } from "../jobs/progress.js";
+import type { JobState, Run, TaskState, Unit } from "../jobs/progress.js";
 import { isEnded, JobPhase } from "../jobs/types.js";
+import { describeRunWork } from "./context.js";
 import type { PlannerContext } from "./context.js";
 import type { RunStopper } from "./runStopper.js";
 import type { WorkerSession } from "./session.js";
@@ -9,8 +10,8 @@
 
 /** Applies ended runs to the state of their tasks and jobs. */
 export interface EndedRunHandler {
-    /** Applies the end of a task's current run, which the caller has already removed from the task. */
-    applyEnd(task: TaskState, end: EndedRun, session: WorkerSession): void;
+    /** Applies the end of a run, which was the task's current one until the caller removed it. */
+    applyEnd(task: TaskState, run: Run, end: EndedRun): void;
     /** Applies the end of a run that was abandoned before; a success or failure still counts. */
     applyStaleEnd(task: TaskState, end: EndedRun, session: WorkerSession): void;
     /** Stores a checkpoint for a task and the other members of its gang; an empty one is ignored. */
@@ -97,11 +98,13 @@
         }
     };
 
-    const applyEnd = (task: TaskState, end: EndedRun, session: WorkerSession): void => {
+    const applyEnd = (task: TaskState, run: Run, end: EndedRun): void => {
         const { unit } = task;
+        const session = run.worker;
+        const work = describeRunWork(task, run, timer.nowMs());
         updateCheckpoint(task, end.checkpoint);
         const name = taskKey(taskIdOf(task));
-        log("info", "run ended", { task: name, run: end.run, kind: end.kind, worker: session.id });
+        log("info", "run ended", { task: name, run: end.run, kind: end.kind, worker: session.id, ...work });
         if (unit.step.longRunning) {
             applyLongRunningEnd(task, end, session);
             return;
--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -246,6 +246,7 @@
     priority: submission.priority,
     tasks: submission.steps.map(step => step.taskCount),
     accelerators: submission.steps.map(step => step.resources.accelerators),
+    customer: submission.customer,
     objectiveMs: Math.round(objectiveMs(submission)),
     ageMs: wallMs - submission.acceptedAtMs,
 });
--- a/src/execution/reportHandler.ts
+++ b/src/execution/reportHandler.ts
@@ -1,6 +1,7 @@
 import { RunPhase, taskIdOf, taskKey, unitKeyOf } from "../jobs/progress.js";
 import type { JobState, Run, TaskState } from "../jobs/progress.js";
 import type { TaskId } from "../jobs/types.js";
+import { describeRunWork } from "./context.js";
 import type { PlannerContext } from "./context.js";
 import type { EndedRunHandler } from "./endedRunHandler.js";
 import type { RunStopper } from "./runStopper.js";
@@ -38,8 +39,9 @@
             return undefined;
         }
         if (task.run?.number === end.run && task.run.worker === session) {
+            const { run } = task;
             runs.clear(task);
-            endedRuns.applyEnd(task, end, session);
+            endedRuns.applyEnd(task, run, end);
         }
         else {
             endedRuns.applyStaleEnd(task, end, session);
@@ -82,7 +84,8 @@
 
     const abandonRun = (task: TaskState, run: Run, reason: string): void => {
         const name = taskKey(taskIdOf(task));
-        log("info", "run is over", { task: name, run: run.number, worker: run.worker.id, reason });
+        const work = describeRunWork(task, run, timer.nowMs());
+        log("info", "run is over", { task: name, run: run.number, worker: run.worker.id, reason, ...work });
         runs.clear(task);
         if (task.unit.step.gang && !task.unit.complete) {
             runStopper.stopMembers(task.unit, run.number, "another member is lost");
--- a/src/execution/runStopper.ts
+++ b/src/execution/runStopper.ts
@@ -1,5 +1,6 @@
 import { RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
 import type { Run, TaskState, Unit } from "../jobs/progress.js";
+import { describeRunWork } from "./context.js";
 import type { PlannerContext } from "./context.js";
 
 /** Stops runs and repeats stop orders until the worker answers. */
@@ -44,7 +45,8 @@
         run.phase = RunPhase.Stopping;
         run.orderAnsweredAtMs = Number.POSITIVE_INFINITY;
         const name = taskKey(taskIdOf(task));
-        log("info", "stopping a run", { task: name, run: run.number, worker: run.worker.id, reason });
+        const work = describeRunWork(task, run, timer.nowMs());
+        log("info", "stopping a run", { task: name, run: run.number, worker: run.worker.id, reason, ...work });
         void sendStop(task, run);
     };
 
--- a/src/jobs/commands/acceptJob.ts
+++ b/src/jobs/commands/acceptJob.ts
@@ -40,7 +40,8 @@
 ): Promise<Acceptance> => {
     const { state, timer, log } = context;
     const key = jobRowKey(submission.id, JobRowKind.Submission);
-    const giveUpAtMs = timer.nowMs() + deadlineMs * retryShareOfDeadline;
+    const startedAtMs = timer.nowMs();
+    const giveUpAtMs = startedAtMs + deadlineMs * retryShareOfDeadline;
     let mayHaveArrived = false;
     for (let attempt = 1;; attempt++) {
         const written = await state.commit({
@@ -52,8 +53,10 @@
             log("info", "job accepted", {
                 jobId: submission.id,
                 queue: submission.queue,
+                priority: submission.priority,
                 version: written.value.version,
                 attempt,
+                tookMs: Math.round(timer.nowMs() - startedAtMs),
             });
             return Acceptance.Accepted;
         }
