feat(execution): log for whom work is preempted and what it loses

The line names the priority of the job, whether it claims a guarantee, the time until its latest start, its own work and the work that its victims lose. Stops of runs that save checkpoints count as saved in the report, since a worker saves a checkpoint when it stops a run.

--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -1,6 +1,7 @@
 import { activeRuns, addOccurrence, nextDueAtMs } from "../jobs/progress.js";
 import type { JobState, Unit } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
+import { untilLatestStartMs, workOf } from "../planning/order.js";
 import { noReservations } from "../planning/reservations.js";
 import { planRound } from "../planning/round.js";
 import type { Candidate, Occupant, PreemptionClaim, Round, WorkerInfo } from "../planning/types.js";
@@ -50,6 +51,27 @@
     }
 };
 
+/** Logs for whom runs are preempted, how long that work can wait and how much work is lost. */
+const logPreemptions = ({ log }: PlannerContext, candidates: readonly Candidate[], { evictions }: Round): void => {
+    const victimsByKey = new Map<string, Occupant[]>();
+    evictions.forEach(({ occupant, forKey }) =>
+        victimsByKey.set(forKey, [...victimsByKey.get(forKey) ?? [], occupant])
+    );
+    for (const candidate of candidates.filter(({ key }) => victimsByKey.has(key))) {
+        const victims = victimsByKey.get(candidate.key) ?? [];
+        log("info", "preempting other work", {
+            unit: candidate.key,
+            priority: candidate.job.priority,
+            guaranteed: candidate.guaranteed,
+            slackMs: Math.round(untilLatestStartMs(candidate)),
+            waitingMs: Math.round(candidate.waitingMs),
+            coreMs: Math.round(workOf(candidate)),
+            victims: victims.length,
+            lostCoreMs: Math.round(victims.reduce((sum, victim) => sum + victim.lostCoreMs, 0)),
+        });
+    }
+};
+
 const applyRound = (context: PlannerContext, runStopper: RunStopper, runStarter: RunStarter, round: Round): void => {
     for (const { occupant, forKey } of round.evictions) {
         const unit = findUnit(context, occupant.key);
@@ -136,6 +158,7 @@
         const occupants = (): Occupant[] => collectOccupants(context, guarantees);
         const round = planRound({ nowMs, workers, candidates, occupants, claims, urgentHeadroom });
         claims = round.claims;
+        logPreemptions(context, candidates, round);
         applyRound(context, runStopper, runStarter, round);
     };
 
--- a/src/execution/runStopper.ts
+++ b/src/execution/runStopper.ts
@@ -46,7 +46,16 @@
         run.orderAnsweredAtMs = Number.POSITIVE_INFINITY;
         const name = taskKey(taskIdOf(task));
         const work = describeRunWork(task, run, timer.nowMs());
-        log("info", "stopping a run", { task: name, run: run.number, worker: run.worker.id, reason, ...work });
+        // a run that saves checkpoints saves one when it is stopped
+        const unsavedMs = task.unit.step.checkpointing ? 0 : work.unsavedMs;
+        log("info", "stopping a run", {
+            task: name,
+            run: run.number,
+            worker: run.worker.id,
+            reason,
+            ...work,
+            unsavedMs,
+        });
         void sendStop(task, run);
     };
 
--- a/src/planning/order.ts
+++ b/src/planning/order.ts
@@ -1,3 +1,4 @@
+import { coreEquivalentsOf } from "./resources.js";
 import type { Candidate } from "./types.js";
 
 /** Tiers in which waiting work is placed; lower values first. */
@@ -45,9 +46,13 @@
 };
 
 /** Time until the latest start with which the job still meets its objective; negative once that has passed. */
-const untilLatestStartMs = (candidate: Candidate): number =>
+export const untilLatestStartMs = (candidate: Candidate): number =>
     candidate.timeToObjectiveMs - candidate.remainingCriticalPathMs;
 
+/** Work that waits, by declared run times, in core-milliseconds with accelerators included. */
+export const workOf = ({ step, taskIndexes }: Candidate): number =>
+    taskIndexes.length * step.estimateMs * coreEquivalentsOf(step.resources);
+
 /** Sorts waiting work by tier, then by priority, then by latest start. */
 export const orderCandidates = (candidates: readonly Candidate[]): Candidate[] =>
     candidates
