feat(state): confirm local copies at once after an outage

Ruled out: raising the age up to which a configuration counts as confirmed; during an outage nothing can be stored anyway. Load pattern: a backlog of callers when the table is back.

--- a/src/state/follower.ts
+++ b/src/state/follower.ts
@@ -35,8 +35,8 @@
     stop(): void;
 }
 
-/** Pause after a failed request: short compared with staleness limits, long enough for the platform's rate limits. */
-const retryPauseMs = 250;
+/** Pause after a failed request; while no way to the table is open, a request fails without a call. */
+const retryPauseMs = 100;
 
 /** Follows the changes of a table; reads it in full when the platform no longer has the requested history. */
 export const createTableFollower = (options: TableFollowerOptions): TableFollower => {
@@ -88,7 +88,8 @@
     };
 
     const readChanges = async (after: number): Promise<boolean> => {
-        const changes = await state.changes(table, after, options.waitMs());
+        // after a failure, an answer without changes confirms the local copy; a long poll would delay it
+        const changes = await state.changes(table, after, reachable ? options.waitMs() : 0);
         if (!changes.ok) {
             if (changes.error.kind === StateErrorKind.HistoryLost) {
                 afterVersion = undefined;
--- a/src/state/reachability.ts
+++ b/src/state/reachability.ts
@@ -31,7 +31,9 @@
 }
 
 /** Interval of probes of unreachable parts. */
-const probeIntervalMs = 500;
+const probeIntervalMs = 250;
+/** Unreachable parts probed at a time, in turn, to limit the load during an outage of the whole table. */
+const maxProbesAtOnce = 4;
 /** Minimum time between rounds of probes that follow a part's recovery, of which an outage's end brings many. */
 const minRecoveryProbeIntervalMs = 50;
 /** Range of keys that holds no rows, read by probes. */
@@ -87,7 +89,15 @@
         }
     };
 
-    const unsubscribe = timer.every(probeIntervalMs, probeAll);
+    /** Probes the parts that were probed least recently. */
+    const probeNext = (): void =>
+        [...unreachable].slice(0, maxProbesAtOnce).forEach(([key, target]) => {
+            unreachable.delete(key);
+            unreachable.set(key, target);
+            void probe(target);
+        });
+
+    const unsubscribe = timer.every(probeIntervalMs, probeNext);
     return {
         recordResult,
         markUnreachable,
