feat(execution): allow for failed runs in a job's objective

The time that users allow a job includes runs that fail by its own fault. Change: the objective is extended by the slack factor times the time spent in failed runs. Load pattern: urgent gangs with a failing member on a full fleet.

--- a/src/execution/endedRunHandler.ts
+++ b/src/execution/endedRunHandler.ts
@@ -115,6 +115,7 @@
             return;
         }
         if (end.kind === EndKind.Failed) {
+            unit.failedRunMs += timer.nowMs() - run.orderedAtMs;
             countFailure(task, end.run, session);
         }
         if (unit.step.gang && !unit.complete) {
--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -117,6 +117,7 @@
 ): Candidate => {
     const { submission } = unit.job;
     const ageMs = wallMs - unit.dueAtMs;
+    const allowedMs = objectiveMs(submission) + submission.slackFactor * unit.failedRunMs;
     unit.readySinceMs ??= nowMs;
     return {
         key: unit.key,
@@ -127,7 +128,7 @@
         mustAvoid: nowMs < unit.mustAvoidUntilMs,
         runningOn: countRunningByWorker(unit),
         waitingMs: nowMs - unit.readySinceMs,
-        timeToObjectiveMs: unit.step.longRunning ? Number.MAX_SAFE_INTEGER : objectiveMs(submission) - ageMs,
+        timeToObjectiveMs: unit.step.longRunning ? Number.MAX_SAFE_INTEGER : allowedMs - ageMs,
         timeToExpiryMs: unit.step.longRunning ? Number.MAX_SAFE_INTEGER : expiresAfterMs(submission) - ageMs,
         remainingCriticalPathMs: remainingCriticalPathMs(unit),
         guaranteed: unit.step.after.length === 0 && guarantees.has(unit.job),
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -68,6 +68,8 @@
     avoidedWorkers: Set<string>;
     /** Monotonic time until which its tasks wait rather than run on avoided workers; then these are the last choice. */
     mustAvoidUntilMs: number;
+    /** Time spent in runs that failed; the objective allows for the work that has to be repeated. */
+    failedRunMs: number;
     /** Number of times that its runs were preempted. */
     evictions: number;
     /** Monotonic time before which its tasks are not started again. */
@@ -121,6 +123,7 @@
         complete: false,
         avoidedWorkers: new Set(),
         mustAvoidUntilMs: Number.NEGATIVE_INFINITY,
+        failedRunMs: 0,
         evictions: 0,
         notBeforeMs: Number.NEGATIVE_INFINITY,
     };
