feat(planning): preempt in proportion to the work that is lost

Change: a job that claims no guarantee preempts only if the work lost is at most twice its own; it waits for room otherwise. A claimed guarantee is due whatever is lost. Load pattern: urgent gangs on a fleet full of gangs that save no checkpoints.

--- a/src/planning/preemption.ts
+++ b/src/planning/preemption.ts
@@ -1,4 +1,4 @@
-import { largeGangAccelerators, Tier, tierOf } from "./order.js";
+import { largeGangAccelerators, Tier, tierOf, workOf } from "./order.js";
 import { fittingTasks, gangDomains } from "./placement.js";
 import { coreEquivalentsOf, subtractResources } from "./resources.js";
 import type { Assignment, Candidate, Occupant, WorkerInfo } from "./types.js";
@@ -143,6 +143,13 @@
     return undefined;
 };
 
+/** Work of others that preempting may lose for an urgent job, as a multiple of the job's own work. */
+const maxLostWorkFactor = 2;
+
+/** Whether the work that is lost stands in proportion to the job's own; a claimed guarantee is due whatever is lost. */
+const isWorthwhile = (plan: PreemptionPlan, candidate: Candidate): boolean =>
+    candidate.guaranteed || totalCost(plan) <= workOf(candidate) * maxLostWorkFactor;
+
 const totalCost = (plan: PreemptionPlan): number =>
     plan.victims.reduce((sum, victim) => sum + preemptionCost(victim), 0);
 
@@ -190,5 +197,6 @@
         : gangDomains(workers, candidate)
             .map(domain => planInDomain(domain, candidate, index, evicted))
             .filter(plan => plan !== undefined)
+            .filter(plan => isWorthwhile(plan, candidate))
             .sort((left, right) => totalCost(left) - totalCost(right))
             .at(0);
