--- a/test/entryVm.test.ts
+++ b/test/entryVm.test.ts
@@ -122,6 +122,27 @@
         assert.equal(fleet.rowCount(), 9, "only the planner's lease and a term row for each part remain");
     });
 
+    it("keeps its place before less urgent work when a run of it has failed", async () => {
+        const fleet = await createStartedFleet({ workerCount: 2 });
+        const wholeWorker = { resources: { milliCores: 8_000, memoryMb: 16_000, accelerators: 8 } };
+        const submitOther = (id: string, workMs: number) => {
+            const steps = [createStep({ ...wholeWorker, estimateMs: workMs })];
+            return fleet.submit(createSubmission(id, steps, { customer: "guest", priority: 2 }, { workMs }));
+        };
+        const urgent = { customer: "guest", priority: 0, slackFactor: 1.5, targetLatencyMs: 250 };
+        await fleet.submit(createSubmission("a1", [createStep(wholeWorker)], urgent, { workMs: 1_000, failures: 1 }));
+        await submitOther("b1", 1_300);
+        await submitOther("b2", 9_000);
+        await submitOther("b3", 9_000);
+        await fleet.timer.advance(4_000);
+        assert.deepEqual(
+            fleet.spans.slice(0, 4).map(span => span.task.split(".")[0]),
+            ["a1", "b1", "b2", "a1"],
+            "it does not run where it failed, and gets the next worker",
+        );
+        assert.equal(await jobPhaseOn(fleet, "vm1", "a1"), JobPhase.Succeeded);
+    });
+
     it("fails after as many failed runs as its queue allows", async () => {
         const fleet = await createStartedFleet();
         const work = { workMs: 200, failures: 99 };
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -215,6 +215,23 @@
         assert.deepEqual(evictedKeys(round), ["normal"]);
     });
 
+    const evictFor = (lostCoreMs: number, guaranteed: boolean): string[] => {
+        const workers = createRacks(1, 1);
+        const occupants = [addOccupant(workers[0], "long-running", { lostCoreMs })];
+        // one second on a worker's eight accelerators and four cores
+        const candidates = [createCandidate("urgent", { accelerators: 8, priority: 0, gang: true, guaranteed })];
+        return evictedKeys(planRound(createRoundInput({ workers, candidates, occupants })));
+    };
+
+    it("does not lose much more work for an urgent job than the job does itself", () => {
+        assert.deepEqual(evictFor(100_000, false), ["long-running"]);
+        assert.deepEqual(evictFor(500_000, false), []);
+    });
+
+    it("reclaims a guarantee whatever work is lost", () => {
+        assert.deepEqual(evictFor(500_000, true), ["long-running"]);
+    });
+
     it("preempts only resumable work for a starved large gang", () => {
         const evictForStarvedGang = (resumable: boolean): string[] => {
             const workers = createRacks(1, 3);
