--- a/src/tracing/report.ts
+++ b/src/tracing/report.ts
@@ -2,7 +2,7 @@
 import { createDisturbances } from "./disturbances.js";
 import type { Disturbance } from "./disturbances.js";
 import { addToHistory, delaysOf, isLate, jobIdOfLine, mainDelayOf, stopReasonOf } from "./jobHistory.js";
-import type { JobHistory, StopReason , DelayKind} from "./jobHistory.js";
+import type { DelayKind, JobHistory, StopReason } from "./jobHistory.js";
 import type { LogLine } from "./logLines.js";
 
 /** Counts of a queue's jobs, by outcome and by where late ones lost most of their time. */
