--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -22,7 +22,7 @@
 const replaySeeds = async (load: Load, seedCount: number): Promise<ReplayResult[]> => {
     const results: ReplayResult[] = [];
     for (let seed = 1; seed <= seedCount; seed++) {
-        results.push(await replayLoad(load, seed));
+        results.push((await replayLoad(load, seed)).result);
     }
     return results;
 };
--- a/bench/experiment/readLoad.ts
+++ b/bench/experiment/readLoad.ts
@@ -107,7 +107,9 @@
         return succeed(value);
     }
     const problems = (check.errors ?? []).map(({ instancePath, message, params }) => {
-        const path = instancePath.split("/").slice(1).map(part => /^\d+$/.test(part) ? Number(part) : part);
+        const parts = instancePath.split("/").slice(1).map(part => /^\d+$/.test(part) ? Number(part) : part);
+        const { additionalProperty } = params as { additionalProperty?: string; };
+        const path = additionalProperty === undefined ? parts : [...parts, additionalProperty];
         return `${file}:${lineOf(path)}: ${instancePath || "the load"} ${message ?? ""} ${JSON.stringify(params)}`;
     });
     return fail(problems.join("\n"));
--- a/bench/experiment/replayLoad.ts
+++ b/bench/experiment/replayLoad.ts
@@ -4,8 +4,10 @@
 import { Acceptance } from "../../src/jobs/commands/acceptJob.js";
 import { JobPhase } from "../../src/jobs/types.js";
 import type { JobSubmission } from "../../src/jobs/types.js";
+import type { LogLine } from "../../src/tracing/logLines.js";
 import { createRandom, pickOne } from "../../src/utils/random.js";
 import type { Random } from "../../src/utils/random.js";
+import type { RunSpan } from "../../standins/runs/workerModel.js";
 import { createFleet, createStep, createSubmission } from "../../test/fixtures/fleet.js";
 import type { Fleet } from "../../test/fixtures/fleet.js";
 import { FaultKind } from "./types.js";
@@ -166,8 +168,18 @@
     }, 0);
 };
 
+/** A replay that has ended. */
+export interface Replay {
+    result: ReplayResult;
+    /** Every span in which a task ran. */
+    spans: readonly RunSpan[];
+    logLines: readonly LogLine[];
+    /** Wall-clock time at which the load began. */
+    startedAtMs: number;
+}
+
 /** Replays a load; the seed decides the arrivals, their sizes and which VMs they reach. */
-export const replayLoad = async (load: Load, seed: number): Promise<ReplayResult> => {
+export const replayLoad = async (load: Load, seed: number): Promise<Replay> => {
     const random = createRandom(seed);
     const fleet = createFleet({ workerCount: 0, vmCount: load.vms });
     for (let index = 0; index < load.racks * load.workersPerRack; index++) {
@@ -176,22 +188,22 @@
     await fleet.timer.advance(settleMs);
     const arrivals = createArrivals(load, random);
     const arrivalsById = new Map(arrivals.map(arrival => [arrival.submission.id, arrival]));
-    const startMs = fleet.timer.nowMs();
+    const startedAtMs = fleet.timer.wallClockMs();
     arrivals.forEach(arrival => fleet.timer.after(arrival.atMs, () => void submit(fleet, arrival, random)));
     load.faults.forEach(fault => fleet.timer.after(fault.atMs, () => injectFault(fleet, fault, random)));
     await fleet.timer.advance(load.durationMs);
     for (const { message, fields, timeMs } of fleet.logLines) {
         const arrival = arrivalsById.get(String(fields.jobId));
         if (message === "job ended" && fields.phase === JobPhase.Succeeded && arrival !== undefined) {
-            const endedMs = timeMs - (fleet.timer.wallClockMs() - fleet.timer.nowMs()) - startMs;
-            arrival.durationMs ??= endedMs - arrival.atMs;
+            arrival.durationMs ??= timeMs - startedAtMs - arrival.atMs;
         }
     }
     const owed = arrivals.filter(arrival => !arrival.isCancelled);
-    return {
+    const result: ReplayResult = {
         seed,
         streams: load.streams.map(stream => outcomeOf(stream, owed.filter(arrival => arrival.stream === stream))),
         earnedShare: shareEarned(owed),
         lostAcceleratorS: sumLostWork(fleet, arrivals),
     };
+    return { result, spans: fleet.spans, logLines: fleet.logLines, startedAtMs };
 };
--- /dev/null
+++ b/test/loads.test.ts
@@ -0,0 +1,55 @@
+import { assert } from "chai";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { readLoad } from "../bench/experiment/readLoad.js";
+import { replayLoad } from "../bench/experiment/replayLoad.js";
+import type { Replay } from "../bench/experiment/replayLoad.js";
+
+const loadFolder = fileURLToPath(new URL("../../bench/loads", import.meta.url));
+/** Work of others that an urgent job without a guarantee may cost, as a multiple of its own. */
+const maxLostWorkFactor = 2;
+/** Bound on the time from the end of an outage of the table until every local copy is current again. */
+const recoveryMs = 500;
+
+const replay = async (name: string, seed: number): Promise<Replay> => {
+    const load = readLoad(join(loadFolder, `${name}.jsonc`));
+    assert.isTrue(load.ok, load.ok ? "" : load.error);
+    return load.ok ? replayLoad(load.value, seed) : assert.fail();
+};
+
+describe("under a replayed load", () => {
+    it("urgent jobs without a guarantee lose at most twice their own work on a full fleet", async () => {
+        const replays = await Promise.all([1, 2, 3].map(seed => replay("urgentOnFullFleet", seed)));
+        const preemptions = replays
+            .flatMap(({ logLines }) => logLines)
+            .filter(({ message }) => message === "preempting other work");
+        assert.isNotEmpty(preemptions);
+        for (const { fields } of preemptions.filter(line => line.fields.guaranteed === false)) {
+            assert.isAtMost(Number(fields.lostCoreMs), Number(fields.coreMs) * maxLostWorkFactor, `${fields.unit}`);
+        }
+    });
+
+    it("every copy is current soon after an outage of the table", async () => {
+        const { logLines, startedAtMs } = await replay("backlogAfterOutage", 1);
+        const outageEndMs = startedAtMs + 19_000;
+        const confirmed = logLines.filter(({ message }) => message === "table readable again");
+        assert.isNotEmpty(confirmed);
+        confirmed.forEach(({ timeMs, vm, fields }) =>
+            assert.isAtMost(timeMs - outageEndMs, recoveryMs, `${vm} ${String(fields.table)}`)
+        );
+    });
+});
+
+describe("a load file", () => {
+    it("with an unknown field or a missing one is rejected with its line", () => {
+        const load = readLoad(join(loadFolder, "../../test/data/badLoad.jsonc"));
+        assert.isFalse(load.ok);
+        assert.match(load.ok ? "" : load.error, /badLoad\.jsonc:4: .*workersPerRak/s);
+        assert.match(load.ok ? "" : load.error, /required.*durationMs/s);
+    });
+
+    it("that does not exist is rejected with its name", () => {
+        const load = readLoad("nowhere.jsonc");
+        assert.match(load.ok ? "" : load.error, /nowhere\.jsonc: cannot be read/);
+    });
+});
