--- a/src/state/relay.ts
+++ b/src/state/relay.ts
@@ -2,7 +2,8 @@
 import { fail } from "../utils/result.js";
 import type { Result } from "../utils/result.js";
 import type { TimerService } from "../utils/timer.js";
-import { createHedgeDelay } from "./hedgeDelay.js";
+import { createHedging } from "./hedging.js";
+import type { Hedging } from "./hedging.js";
 import { createReachability, isAnswered } from "./reachability.js";
 import type { TablePart } from "./reachability.js";
 import { StateErrorKind } from "./types.js";
@@ -80,7 +81,9 @@
 interface RaceOptions {
     attempts: Attempt[];
     timer: TimerService;
-    /** Time without an answer after which the next attempt starts beside those in progress. */
+    /** Decides whether the next attempt starts beside those in progress. */
+    hedging: Hedging;
+    /** Time without an answer after which it does. */
     hedgeDelayMs: number;
     /** Calls the listener when a further attempt has become possible; returns a function that removes it. */
     onFurtherAttempt: (listener: (attempt: Attempt) => void) => () => void;
@@ -94,7 +97,7 @@
  * Starts the attempts one after the other, the next when one fails or gives no answer for some time, and resolves with
  * the first answer of the table.
  */
-const race = ({ attempts, timer, hedgeDelayMs, onFurtherAttempt }: RaceOptions): Promise<RelayReply> =>
+const race = ({ attempts, timer, hedging, hedgeDelayMs, onFurtherAttempt }: RaceOptions): Promise<RelayReply> =>
     new Promise(resolve => {
         const waiting = [...attempts];
         const errors: StateError[] = [];
@@ -107,22 +110,33 @@
             removeListener();
             resolve(reply);
         };
-        const start = async (attempt: Attempt): Promise<void> => {
+        const startHedge = (overtaken: Attempt): void => {
+            const next = waiting.at(0);
+            if (next === undefined) {
+                return;
+            }
+            if (hedging.tryHedge()) {
+                waiting.shift();
+                overtaken.onOvertaken();
+                void start(next, true);
+            }
+            else {
+                cancelHedge = timer.after(hedgeDelayMs, () => startHedge(overtaken));
+            }
+        };
+        const start = async (attempt: Attempt, isHedge = false): Promise<void> => {
             inProgress += 1;
             cancelHedge();
-            cancelHedge = timer.after(hedgeDelayMs, () => {
-                const next = waiting.shift();
-                if (next !== undefined) {
-                    attempt.onOvertaken();
-                    void start(next);
-                }
-            });
+            cancelHedge = timer.after(hedgeDelayMs, () => startHedge(attempt));
             const reply = await attempt.perform();
             inProgress -= 1;
             if (settled) {
                 return;
             }
             if (reply.ok || isAnswered(reply)) {
+                if (isHedge) {
+                    hedging.recordWin();
+                }
                 settle(reply);
                 return;
             }
@@ -146,7 +160,7 @@
 export const createRelayedTable = (options: RelayedTableOptions): RelayedTable => {
     const { direct, timer } = options;
     const reachability = createReachability(options);
-    const hedgeDelay = createHedgeDelay();
+    const hedging = createHedging();
     const cooldownUntilMs = new Map<string, number>();
 
     const performAndRecord = async (request: RelayRequest): Promise<RelayReply> => {
@@ -154,7 +168,7 @@
         const result = await performDirectly(direct, request);
         reachability.recordResult(tablePartOf(request), result);
         if (request.operation !== "changes" && isAnswered(result)) {
-            hedgeDelay.recordAnswer(timer.nowMs() - startedAtMs);
+            hedging.recordAnswer(timer.nowMs() - startedAtMs);
         }
         return result;
     };
@@ -195,7 +209,8 @@
         return race({
             attempts: isUnreachable ? viaPeers : [directAttempt, ...viaPeers],
             timer,
-            hedgeDelayMs: longPollMsOf(request) + hedgeDelay.delayMs(),
+            hedging,
+            hedgeDelayMs: longPollMsOf(request) + hedging.delayMs(),
             onFurtherAttempt: listener => reachability.onceReachable(target, () => listener(directAttempt)),
         });
     };
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -248,6 +248,52 @@
         assert.isAtMost(relayed, 10);
     });
 
+    const createTableBeside = (timer: VirtualTimer, direct: StateTable, peerTable: StateTable) => {
+        const counts = { relayed: 0 };
+        const table = createRelayedTable({
+            direct,
+            timer,
+            log: () => {},
+            peers: () => [{
+                name: "b",
+                perform: request => {
+                    counts.relayed += 1;
+                    return peerTable.commit((request as { transaction: StateTransaction; }).transaction);
+                },
+            }],
+        });
+        return { table, counts };
+    };
+    const allParts = Array.from({ length: 16 }, (_, index) => `p${index}`);
+
+    it("repeats few of the operations in progress when the table becomes slow for every VM", async () => {
+        const timer = createVirtualTimer();
+        const model = createTableModel();
+        const slowTable: StateTable = {
+            ...createSilenceableTable(timer, model, () => false),
+            commit: async transaction => {
+                await timer.sleep(400);
+                return model.commit(transaction);
+            },
+        };
+        const { table, counts } = createTableBeside(timer, slowTable, slowTable);
+        await timed(timer, Promise.all(allParts.map(part => commit(table, part))));
+        assert.isAtMost(counts.relayed, 4);
+    });
+
+    it("writes to all parts at once through a peer soon after its way was cut", async () => {
+        const timer = createVirtualTimer();
+        const model = createTableModel();
+        const { table } = createTableBeside(
+            timer,
+            createSilenceableTable(timer, model, () => true),
+            createSilenceableTable(timer, model, () => false),
+        );
+        const { value, tookMs } = await timed(timer, Promise.all(allParts.map(part => commit(table, part))));
+        assert.isTrue(value.every(written => written.ok));
+        assert.isAtMost(tookMs, 900);
+    });
+
     it("probes all parts when one of them has recovered, without a burst of probes", async () => {
         const timer = createVirtualTimer();
         const model = createTableModel();
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -328,7 +328,7 @@
     {
         without: "hedged operations on the table",
         file: "state/relay.js",
-        find: "longPollMsOf(request) + hedgeDelay.delayMs()",
+        find: "longPollMsOf(request) + hedging.delayMs()",
         replace: "60_000",
         tests: "test/relay",
         fails: "writes to every part through a peer well before its own attempt has timed out",
