feat(execution): leases outlast a partition of some seconds

Found on the way: a new planner forgot the leases of earlier planners with a worker's first answer, before its own first renewal was on its way. A worker that fell silent in between had its runs started elsewhere at once, while they ran on. The bound of earlier leases is now the longest that can have been granted until the answer. Change: leases last 8 s, 5 s for workers with long-running tasks, which are due elsewhere soon.

--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -35,8 +35,10 @@
     fencingToken: number;
     /** Whether the planner may still renew leases. */
     mayRenew: () => boolean;
-    /** Length of the leases that the session grants. */
-    leaseMs: number;
+    /** Length of the lease that the next poll grants. */
+    leaseMs: (session: WorkerSession) => number;
+    /** Longest lease that any poll grants. */
+    maxLeaseMs: number;
     /** Monotonic time by which every lease granted by earlier planners has expired, if it is not renewed. */
     earlierLeasesExpireAtMs: number;
     listener: SessionListener;
@@ -84,7 +86,7 @@
 /** Opens a session: polls the worker for its runs, renews their lease and passes on the reports. */
 export const createWorkerSession = (options: WorkerSessionOptions): WorkerSession => {
     const { timer, log, client, fencingToken, listener } = options;
-    const lease = createWorkerLease(timer, options.leaseMs, options.earlierLeasesExpireAtMs);
+    const lease = createWorkerLease(timer, options.maxLeaseMs, options.earlierLeasesExpireAtMs);
     const contact = createContactTracker(timer, log, options.id);
     /** Highest numbers of ended runs: reported, to be acknowledged as recorded, acknowledged in an answered poll. */
     const endNumbers = { listed: 0, acknowledged: 0, confirmed: 0 };
@@ -131,7 +133,7 @@
         const sentAtMs = timer.nowMs();
         // a renewal without an answer may have extended the lease, so none is sent until the worker answers again
         const mayRenew = synced && contact.silentMs() === 0 && options.mayRenew();
-        const untilClockMs = mayRenew ? lease.untilClockMs() : undefined;
+        const untilClockMs = mayRenew ? lease.untilClockMs(options.leaseMs(session)) : undefined;
         lease.recordLease(untilClockMs ?? 0);
         const skipLongPoll = pollPause.consumeSkipLongPoll();
         const mayLongPoll = synced && endNumbers.listed === endNumbers.acknowledged && listener.isBusy(session)
@@ -151,7 +153,7 @@
             return true;
         }
         recordAnswer(answer.value.clockMs);
-        lease.dropEarlierLeases();
+        lease.boundEarlierLeases();
         endNumbers.confirmed = Math.max(endNumbers.confirmed, acknowledged);
         endNumbers.listed = Math.max(endNumbers.listed, acknowledged, ...answer.value.ended.map(end => end.number));
         synced = true;
--- a/src/execution/workerLease.ts
+++ b/src/execution/workerLease.ts
@@ -10,8 +10,11 @@
     untilClockMs(maxMs?: number): number;
     /** Monotonic time by which every lease sent to the worker has expired and its runs have certainly ended. */
     expiresAtMs(): number;
-    /** Disregards the leases of earlier planners; to be called once the worker has reported its runs. */
-    dropEarlierLeases(): void;
+    /**
+     * Bounds the leases of earlier planners by the longest one that could have been granted until now; to be called
+     * once the worker has answered, after which it refuses their renewals.
+     */
+    boundEarlierLeases(): void;
 }
 
 /** Upper bound on real time per unit of time on a worker's clock, which may run 2 % slow. */
@@ -47,8 +50,9 @@
                 : clock.atMs + (sentUntilClockMs - clock.clockMs) * slowClockFactor + expiryMarginMs;
             return Math.max(earlierExpiryMs, ownExpiryMs);
         },
-        dropEarlierLeases: () => {
-            earlierExpiryMs = Number.NEGATIVE_INFINITY;
+        boundEarlierLeases: () => {
+            const latestExpiryMs = timer.nowMs() + leaseMs * slowClockFactor + expiryMarginMs;
+            earlierExpiryMs = Math.min(earlierExpiryMs, latestExpiryMs);
         },
     };
 };
--- a/src/execution/workerSessions.ts
+++ b/src/execution/workerSessions.ts
@@ -38,8 +38,10 @@
     closeAll(): void;
 }
 
-/** Lease of a worker's runs: outlasts a change of planner and bounds the wait for a worker that stopped answering. */
-const leaseMs = 5_000;
+/** Lease of a worker's runs: outlasts a change of planner and a network partition of some seconds. */
+const leaseMs = 8_000;
+/** Lease of a worker with long-running tasks, which are to be started elsewhere soon after it was lost. */
+const longRunningLeaseMs = 5_000;
 /** Time without an answer after which an unlisted worker is presumed gone; orders may take effect up to 12 s late. */
 const maxFenceWaitMs = 15_000;
 const restartedReason = "the worker has started anew";
@@ -48,8 +50,13 @@
 export const createWorkerSessions = (options: WorkerSessionsOptions): WorkerSessions => {
     const { context, reports, runMonitor } = options;
     const { sessions, runs, timer } = context;
-    const effectiveLeaseMs = Math.min(leaseMs, options.maxLeaseMs);
-    const earlierLeasesExpireAtMs = timer.nowMs() + (leaseRenewalWindowMs + effectiveLeaseMs) * slowClockFactor;
+    const maxLeaseMs = Math.min(leaseMs, options.maxLeaseMs);
+    const earlierLeasesExpireAtMs = timer.nowMs() + (leaseRenewalWindowMs + maxLeaseMs) * slowClockFactor;
+
+    const leaseMsOf = (session: WorkerSession): number =>
+        [...runs.tasksOn(session)].some(task => task.unit.step.longRunning)
+            ? Math.min(longRunningLeaseMs, maxLeaseMs)
+            : maxLeaseMs;
 
     const openSession = (id: string, bornMs: number, descriptor: WorkerDescriptor | undefined): WorkerSession => {
         const session = createWorkerSession({
@@ -61,7 +68,8 @@
             log: context.log,
             fencingToken: context.term,
             mayRenew: options.mayRenew,
-            leaseMs: effectiveLeaseMs,
+            leaseMs: leaseMsOf,
+            maxLeaseMs,
             earlierLeasesExpireAtMs,
             listener: {
                 isBusy: busy => runs.tasksOn(busy).size > 0,
