--- a/src/execution/candidacy.ts
+++ b/src/execution/candidacy.ts
@@ -47,7 +47,7 @@
         mayAcquire: (silentMs, released) => {
             const powerDelayMs = (1 - options.relativePower()) * maxPowerDelayMs;
             const cooldownOver = timer.nowMs() - handedOverAtMs > handoverCooldownMs;
-            return cooldownOver && silentMs > (released ? 0 : takeoverSilenceMs) + jitterMs + powerDelayMs;
+            return cooldownOver && silentMs > (released ? 0 : takeoverSilenceMs + jitterMs) + powerDelayMs;
         },
         recordAcquired: () => {
             acquiredAtMs = timer.nowMs();
--- a/src/execution/workerSessions.ts
+++ b/src/execution/workerSessions.ts
@@ -42,6 +42,8 @@
 const leaseMs = 8_000;
 /** Lease of a worker with long-running tasks, which are to be started elsewhere soon after it was lost. */
 const longRunningLeaseMs = 5_000;
+/** Number of the first term, before which no planner granted leases. */
+const firstTerm = 1;
 /** Time without an answer after which an unlisted worker is presumed gone; orders may take effect up to 12 s late. */
 const maxFenceWaitMs = 15_000;
 const restartedReason = "the worker has started anew";
@@ -51,7 +53,9 @@
     const { context, reports, runMonitor } = options;
     const { sessions, runs, timer } = context;
     const maxLeaseMs = Math.min(leaseMs, options.maxLeaseMs);
-    const earlierLeasesExpireAtMs = timer.nowMs() + (leaseRenewalWindowMs + maxLeaseMs) * slowClockFactor;
+    const earlierLeasesExpireAtMs = context.term === firstTerm
+        ? Number.NEGATIVE_INFINITY
+        : timer.nowMs() + (leaseRenewalWindowMs + maxLeaseMs) * slowClockFactor;
 
     const leaseMsOf = (session: WorkerSession): number =>
         [...runs.tasksOn(session)].some(task => task.unit.step.longRunning)
--- a/src/state/hedging.ts
+++ b/src/state/hedging.ts
@@ -15,8 +15,8 @@
 /** Limits of the delay; an operation in another availability zone takes some milliseconds. */
 const minDelayMs = 120;
 const maxDelayMs = 900;
-/** Weight of a duration below the usual one; a longer one becomes the usual one at once. */
-const decayWeight = 0.1;
+/** Weight of the latest duration in the usual one. */
+const latestWeight = 0.25;
 /** Further attempts that may start before any of them has got the first answer. */
 const maxBudget = 4;
 /** Share of a further attempt that an answer to the first attempt adds to the budget. */
@@ -34,7 +34,7 @@
     };
     return {
         recordAnswer: durationMs => {
-            usualMs = durationMs > usualMs ? durationMs : usualMs + (durationMs - usualMs) * decayWeight;
+            usualMs += (durationMs - usualMs) * latestWeight;
             addToBudget(budgetPerAnswer);
         },
         delayMs: () => Math.min(Math.max(usualMs * usualDurationFactor, minDelayMs), maxDelayMs),
