--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -155,6 +155,35 @@
     return outcome;
 };
 
+/** A VM whose only peer commits to `peerTable`; counts the operations that the peer was asked for. */
+const createTableBeside = (timer: VirtualTimer, direct: StateTable, peerTable: StateTable) => {
+    const counts = { relayed: 0 };
+    const table = createRelayedTable({
+        direct,
+        timer,
+        log: () => {},
+        peers: () => [{
+            name: "b",
+            perform: request => {
+                counts.relayed += 1;
+                return peerTable.commit((request as { transaction: StateTransaction; }).transaction);
+            },
+        }],
+    });
+    return { table, counts };
+};
+
+const allParts = Array.from({ length: 16 }, (_, index) => `p${index}`);
+
+/** A table that commits only after `commitMs`. */
+const createSlowTable = (timer: VirtualTimer, model: TableModel, commitMs: number): StateTable => ({
+    ...createSilenceableTable(timer, model, () => false),
+    commit: async transaction => {
+        await timer.sleep(commitMs);
+        return model.commit(transaction);
+    },
+});
+
 describe("a VM whose operations on the table get no answer", () => {
     const commit = (table: StateTable, part: string) =>
         table.commit({ part, conditions: [], writes: [{ table: "jobs", key: "k", value: 1 }] });
@@ -162,19 +191,11 @@
     it("writes to every part through a peer well before its own attempt has timed out", async () => {
         const timer = createVirtualTimer();
         const model = createTableModel();
-        const reachableTable = createSilenceableTable(timer, model, () => false);
-        const table = createRelayedTable({
-            direct: createSilenceableTable(timer, model, () => true),
+        const { table } = createTableBeside(
             timer,
-            log: () => {},
-            peers: () => [{
-                name: "b",
-                perform: request =>
-                    request.operation === "commit"
-                        ? reachableTable.commit(request.transaction)
-                        : Promise.resolve(unavailable),
-            }],
-        });
+            createSilenceableTable(timer, model, () => true),
+            createSilenceableTable(timer, model, () => false),
+        );
         for (const part of ["p0", "p1", "p0"]) {
             const { value, tookMs } = await timed(timer, commit(table, part));
             assert.isTrue(value.ok);
@@ -220,62 +241,18 @@
 
     it("repeats few operations while the table is slow for every VM", async () => {
         const timer = createVirtualTimer();
-        const model = createTableModel();
-        const slowTable: StateTable = {
-            ...createSilenceableTable(timer, model, () => false),
-            commit: async transaction => {
-                await timer.sleep(250);
-                return model.commit(transaction);
-            },
-        };
-        let relayed = 0;
-        const table = createRelayedTable({
-            direct: slowTable,
-            timer,
-            log: () => {},
-            peers: () => [{
-                name: "b",
-                perform: request => {
-                    relayed += 1;
-                    return slowTable.commit((request as { transaction: StateTransaction; }).transaction);
-                },
-            }],
-        });
+        const slowTable = createSlowTable(timer, createTableModel(), 250);
+        const { table, counts } = createTableBeside(timer, slowTable, slowTable);
         for (let index = 0; index < 40; index++) {
             await timed(timer, commit(table, "p0"));
             await timer.advance(100);
         }
-        assert.isAtMost(relayed, 10);
+        assert.isAtMost(counts.relayed, 10);
     });
 
-    const createTableBeside = (timer: VirtualTimer, direct: StateTable, peerTable: StateTable) => {
-        const counts = { relayed: 0 };
-        const table = createRelayedTable({
-            direct,
-            timer,
-            log: () => {},
-            peers: () => [{
-                name: "b",
-                perform: request => {
-                    counts.relayed += 1;
-                    return peerTable.commit((request as { transaction: StateTransaction; }).transaction);
-                },
-            }],
-        });
-        return { table, counts };
-    };
-    const allParts = Array.from({ length: 16 }, (_, index) => `p${index}`);
-
     it("repeats few of the operations in progress when the table becomes slow for every VM", async () => {
         const timer = createVirtualTimer();
-        const model = createTableModel();
-        const slowTable: StateTable = {
-            ...createSilenceableTable(timer, model, () => false),
-            commit: async transaction => {
-                await timer.sleep(400);
-                return model.commit(transaction);
-            },
-        };
+        const slowTable = createSlowTable(timer, createTableModel(), 400);
         const { table, counts } = createTableBeside(timer, slowTable, slowTable);
         await timed(timer, Promise.all(allParts.map(part => commit(table, part))));
         assert.isAtMost(counts.relayed, 4);
