--- a/test/commandLine.test.ts
+++ b/test/commandLine.test.ts
@@ -91,4 +91,20 @@
             /--base must be a version, not "latest"/,
         );
     });
+
+    it("reports from logs, and says which file cannot be read or that no log line was found", () => {
+        const log = join(directory, "vm.log");
+        const line = {
+            context: { vm: "vm1", jobId: "a1", queue: "bookings", priority: 0, objectiveMs: 500, ageMs: 10 },
+            message: "job adopted",
+            time: 1_000,
+        };
+        writeFileSync(log, `prefix ${JSON.stringify(line)}\nnot a log line\n`);
+        const reported = run("report", "--json", log);
+        assert.equal(reported.code, 0);
+        assert.deepInclude(JSON.parse(reported.text).queues[0], { queue: "bookings", accepted: 1, unfinished: 1 });
+        assertBadInput(run("report", log, join(directory, "missing.log")), /missing\.log: cannot be read/);
+        writeFileSync(log, "nothing\n");
+        assert.equal(run("report", log).code, 1);
+    });
 });
