fix(state): limit the operations that are hedged at a time in place of a budget

Cause: the budget ran out where it was needed: on a VM whose way is cut, an attempt through a silent peer used it up, and no direct answer refilled it. Change: at most four operations of a VM are attempted several ways at a time. Where a further attempt is answered first, its slot goes to the next operation at once; where the first attempt is, waiting operations ask again after the delay. Load pattern: a table that turns slow for all VMs, against a VM that is cut off from it. Sixteen operations in progress when the table turns slow are repeated at most four times, sixteen and more before.

--- /dev/null
+++ b/src/state/hedgeDelay.ts
@@ -0,0 +1,26 @@
+/** Learns from the durations of answered operations when an operation without an answer is attempted another way. */
+export interface HedgeDelay {
+    /** Records the duration of an operation that the table answered. */
+    recordAnswer(durationMs: number): void;
+    /** Time without an answer after which an operation is attempted another way. */
+    delayMs(): number;
+}
+
+/** Multiple of the usual duration, so that a table that is slow for every VM gets few operations twice. */
+const usualDurationFactor = 4;
+/** Limits of the delay; an operation in another availability zone takes some milliseconds. */
+const minDelayMs = 120;
+const maxDelayMs = 900;
+/** Weight of the latest duration in the usual one. */
+const latestWeight = 0.25;
+
+/** Creates a learner that has seen no answer yet. */
+export const createHedgeDelay = (): HedgeDelay => {
+    let usualMs = 0;
+    return {
+        recordAnswer: durationMs => {
+            usualMs += (durationMs - usualMs) * latestWeight;
+        },
+        delayMs: () => Math.min(Math.max(usualMs * usualDurationFactor, minDelayMs), maxDelayMs),
+    };
+};
--- a/src/state/relay.ts
+++ b/src/state/relay.ts
@@ -2,8 +2,9 @@
 import { fail } from "../utils/result.js";
 import type { Result } from "../utils/result.js";
 import type { TimerService } from "../utils/timer.js";
-import { createHedging } from "./hedging.js";
-import type { Hedging } from "./hedging.js";
+import { createHedgeDelay } from "./hedgeDelay.js";
+import { createHedgeSlots } from "./hedgeSlots.js";
+import type { HedgeSlots, HedgeTicket } from "./hedgeSlots.js";
 import { createReachability, isAnswered } from "./reachability.js";
 import type { TablePart } from "./reachability.js";
 import { StateErrorKind } from "./types.js";
@@ -81,10 +82,9 @@
 interface RaceOptions {
     attempts: Attempt[];
     timer: TimerService;
-    /** Decides whether the next attempt starts beside those in progress. */
-    hedging: Hedging;
-    /** Time without an answer after which it does. */
+    /** Time without an answer after which the next attempt starts beside those in progress, once a slot is free. */
     hedgeDelayMs: number;
+    hedgeSlots: HedgeSlots;
     /** Calls the listener when a further attempt has become possible; returns a function that removes it. */
     onFurtherAttempt: (listener: (attempt: Attempt) => void) => () => void;
 }
@@ -97,47 +97,60 @@
  * Starts the attempts one after the other, the next when one fails or gives no answer for some time, and resolves with
  * the first answer of the table.
  */
-const race = ({ attempts, timer, hedging, hedgeDelayMs, onFurtherAttempt }: RaceOptions): Promise<RelayReply> =>
+const race = ({ attempts, timer, hedgeDelayMs, hedgeSlots, onFurtherAttempt }: RaceOptions): Promise<RelayReply> =>
     new Promise(resolve => {
         const waiting = [...attempts];
         const errors: StateError[] = [];
         let inProgress = 0;
         let settled = false;
         let cancelHedge = (): void => {};
-        const settle = (reply: RelayReply): void => {
+        /** Set from the first further attempt on; an operation takes one slot, however many ways it is attempted. */
+        let ticket: HedgeTicket | undefined;
+        let hasSlot = false;
+        const settle = (reply: RelayReply, wonByHedge: boolean): void => {
             settled = true;
             cancelHedge();
+            ticket?.release(wonByHedge);
             removeListener();
             resolve(reply);
         };
-        const startHedge = (overtaken: Attempt): void => {
-            const next = waiting.at(0);
-            if (next === undefined) {
+        const startNextBeside = (overtaken: Attempt): void => {
+            const next = waiting.shift();
+            if (next !== undefined) {
+                overtaken.onOvertaken();
+                void start(next);
+            }
+        };
+        const hedge = (overtaken: Attempt): void => {
+            if (waiting.length === 0) {
                 return;
             }
-            if (hedging.tryHedge()) {
-                waiting.shift();
-                overtaken.onOvertaken();
-                void start(next, true);
+            if (hasSlot) {
+                startNextBeside(overtaken);
+                return;
+            }
+            cancelHedge = timer.after(hedgeDelayMs, () => hedge(overtaken));
+            if (ticket === undefined) {
+                ticket = hedgeSlots.request(() => {
+                    hasSlot = true;
+                    startNextBeside(overtaken);
+                });
             }
             else {
-                cancelHedge = timer.after(hedgeDelayMs, () => startHedge(overtaken));
+                ticket.retry();
             }
         };
-        const start = async (attempt: Attempt, isHedge = false): Promise<void> => {
+        const start = async (attempt: Attempt): Promise<void> => {
             inProgress += 1;
             cancelHedge();
-            cancelHedge = timer.after(hedgeDelayMs, () => startHedge(attempt));
+            cancelHedge = timer.after(hedgeDelayMs, () => hedge(attempt));
             const reply = await attempt.perform();
             inProgress -= 1;
             if (settled) {
                 return;
             }
             if (reply.ok || isAnswered(reply)) {
-                if (isHedge) {
-                    hedging.recordWin();
-                }
-                settle(reply);
+                settle(reply, attempt !== attempts[0]);
                 return;
             }
             errors.push(reply.error);
@@ -146,7 +159,7 @@
                 void start(next);
             }
             else if (inProgress === 0) {
-                settle(fail(combineErrors(errors)));
+                settle(fail(combineErrors(errors)), false);
             }
         };
         const removeListener = onFurtherAttempt(attempt => void start(attempt));
@@ -160,7 +173,8 @@
 export const createRelayedTable = (options: RelayedTableOptions): RelayedTable => {
     const { direct, timer } = options;
     const reachability = createReachability(options);
-    const hedging = createHedging();
+    const hedgeDelay = createHedgeDelay();
+    const hedgeSlots = createHedgeSlots();
     const cooldownUntilMs = new Map<string, number>();
 
     const performAndRecord = async (request: RelayRequest): Promise<RelayReply> => {
@@ -168,7 +182,7 @@
         const result = await performDirectly(direct, request);
         reachability.recordResult(tablePartOf(request), result);
         if (request.operation !== "changes" && isAnswered(result)) {
-            hedging.recordAnswer(timer.nowMs() - startedAtMs);
+            hedgeDelay.recordAnswer(timer.nowMs() - startedAtMs);
         }
         return result;
     };
@@ -209,8 +223,8 @@
         return race({
             attempts: isUnreachable ? viaPeers : [directAttempt, ...viaPeers],
             timer,
-            hedging,
-            hedgeDelayMs: longPollMsOf(request) + hedging.delayMs(),
+            hedgeDelayMs: longPollMsOf(request) + hedgeDelay.delayMs(),
+            hedgeSlots,
             onFurtherAttempt: listener => reachability.onceReachable(target, () => listener(directAttempt)),
         });
     };
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -334,10 +334,10 @@
         fails: "completes its runs, which are neither given up nor started elsewhere",
     },
     {
-        without: "a budget of hedged operations",
-        file: "state/hedging.js",
-        find: "if (budget < 1)",
-        replace: "if (false)",
+        without: "a limit of hedged operations at a time",
+        file: "state/hedgeSlots.js",
+        find: "if (freeSlots > 0)",
+        replace: "if (true)",
         tests: "test/relay",
         fails: "repeats few of the operations in progress when the table becomes slow",
     },
@@ -352,7 +352,7 @@
     {
         without: "hedged operations on the table",
         file: "state/relay.js",
-        find: "longPollMsOf(request) + hedging.delayMs()",
+        find: "longPollMsOf(request) + hedgeDelay.delayMs()",
         replace: "60_000",
         tests: "test/relay",
         fails: "writes to every part through a peer well before its own attempt has timed out",
