--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -336,8 +336,8 @@
     {
         without: "a limit of hedged operations at a time",
         file: "state/hedgeSlots.js",
-        find: "if (freeSlots > 0)",
-        replace: "if (true)",
+        find: "freeSlots > 0 && waiting.has(start)",
+        replace: "waiting.has(start)",
         tests: "test/relay",
         fails: "repeats few of the operations in progress when the table becomes slow",
     },
