fix(state): count a way as closed only when another one was answered first

Cause: a part counted as unreachable as soon as an operation on it was hedged. Change: a way counts as closed, and a peer as silent, when an attempt that started later was answered first; an attempt that is added when a part recovers is one of its own. The race of attempts has its own file. Load pattern: a table that is slow for all VMs under a stream of submissions. The new test fails on the code before.

--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -68,7 +68,7 @@
     avoidedWorkers: Set<string>;
     /** Monotonic time until which its tasks wait rather than run on avoided workers; then these are the last choice. */
     mustAvoidUntilMs: number;
-    /** Time spent in runs that failed; the objective allows for the work that has to be repeated. */
+    /** Time spent in runs that failed under the present planner; the objective allows for the work to be repeated. */
     failedRunMs: number;
     /** Number of times that its runs were preempted. */
     evictions: number;
--- /dev/null
+++ b/src/state/race.ts
@@ -0,0 +1,110 @@
+import { fail } from "../utils/result.js";
+import type { Result } from "../utils/result.js";
+import type { TimerService } from "../utils/timer.js";
+import type { HedgeSlots, HedgeTicket } from "./hedgeSlots.js";
+import { isAnswered } from "./reachability.js";
+import { StateErrorKind } from "./types.js";
+import type { StateError } from "./types.js";
+
+/** One way to perform an operation: directly or through a peer. */
+export interface Attempt<Value> {
+    perform(): Promise<Result<Value, StateError>>;
+    /** Called when an attempt that started later got the first answer while this one had none. */
+    onOvertaken(): void;
+}
+
+/** Options of {@link race}. */
+export interface RaceOptions<Value> {
+    /** In the order in which they start; there is at least one. */
+    attempts: Attempt<Value>[];
+    timer: TimerService;
+    /** Time without an answer after which the next attempt starts beside those in progress, once a slot is free. */
+    hedgeDelayMs: number;
+    hedgeSlots: HedgeSlots;
+    /** Calls the listener when a further attempt has become possible; returns a function that removes it. */
+    onFurtherAttempt: (listener: (attempt: Attempt<Value>) => void) => () => void;
+}
+
+/** A write without an answer may have taken effect, whatever another attempt returns. */
+const combineErrors = (errors: readonly StateError[]): StateError =>
+    errors.find(error => error.kind === StateErrorKind.NoAnswer) ?? errors[0];
+
+/**
+ * Starts the attempts one after the other, the next when one fails or gives no answer for some time, and resolves with
+ * the first answer of the table.
+ */
+export const race = <Value>(options: RaceOptions<Value>): Promise<Result<Value, StateError>> =>
+    new Promise(resolve => {
+        const { attempts, timer, hedgeDelayMs, hedgeSlots, onFurtherAttempt } = options;
+        const waiting = [...attempts];
+        const errors: StateError[] = [];
+        /** In the order in which they started. */
+        const inProgress = new Set<Attempt<Value>>();
+        let settled = false;
+        let cancelHedge = (): void => {};
+        /** Set from the first request for a slot on; an operation takes one, however many ways it is attempted. */
+        let ticket: HedgeTicket | undefined;
+        let hasSlot = false;
+
+        const settle = (reply: Result<Value, StateError>, wonByHedge: boolean): void => {
+            settled = true;
+            cancelHedge();
+            ticket?.release(wonByHedge);
+            removeListener();
+            resolve(reply);
+        };
+
+        const startNext = (): void => {
+            const next = waiting.shift();
+            if (next !== undefined) {
+                void start(next);
+            }
+        };
+
+        const hedge = (): void => {
+            if (waiting.length === 0) {
+                return;
+            }
+            if (hasSlot) {
+                startNext();
+                return;
+            }
+            cancelHedge = timer.after(hedgeDelayMs, hedge);
+            if (ticket === undefined) {
+                ticket = hedgeSlots.request(() => {
+                    hasSlot = true;
+                    startNext();
+                });
+            }
+            else {
+                ticket.retry();
+            }
+        };
+
+        const start = async (attempt: Attempt<Value>): Promise<void> => {
+            inProgress.add(attempt);
+            cancelHedge();
+            cancelHedge = timer.after(hedgeDelayMs, hedge);
+            const reply = await attempt.perform();
+            if (settled) {
+                return;
+            }
+            if (reply.ok || isAnswered(reply)) {
+                const started = [...inProgress];
+                started.slice(0, started.indexOf(attempt)).forEach(overtaken => overtaken.onOvertaken());
+                settle(reply, attempt !== attempts[0]);
+                return;
+            }
+            inProgress.delete(attempt);
+            errors.push(reply.error);
+            if (waiting.length > 0) {
+                startNext();
+            }
+            else if (inProgress.size === 0) {
+                settle(fail(combineErrors(errors)), false);
+            }
+        };
+
+        const removeListener = onFurtherAttempt(attempt => void start(attempt));
+        void start(waiting.shift() as Attempt<Value>);
+    });
--- a/src/state/relay.ts
+++ b/src/state/relay.ts
@@ -4,7 +4,8 @@
 import type { TimerService } from "../utils/timer.js";
 import { createHedgeDelay } from "./hedgeDelay.js";
 import { createHedgeSlots } from "./hedgeSlots.js";
-import type { HedgeSlots, HedgeTicket } from "./hedgeSlots.js";
+import { race } from "./race.js";
+import type { Attempt } from "./race.js";
 import { createReachability, isAnswered } from "./reachability.js";
 import type { TablePart } from "./reachability.js";
 import { StateErrorKind } from "./types.js";
@@ -16,8 +17,11 @@
     | { operation: "read"; range: ReadRange; }
     | { operation: "changes"; table: string; afterVersion: number; waitMs: number; };
 
+/** Value of a relayed operation that succeeded. */
+type RelayValue = RowsAt | { version: number; };
+
 /** Result of a relayed operation. */
-export type RelayReply = Result<RowsAt | { version: number; }, StateError>;
+export type RelayReply = Result<RelayValue, StateError>;
 
 /** Another VM that may be able to reach the table. */
 export interface RelayPeer {
@@ -46,6 +50,7 @@
 const maxPeersPerOperation = 2;
 /** Time for which a peer that could not perform an operation is not tried again. */
 const peerCooldownMs = 1_500;
+
 const tablePartOf = (request: RelayRequest): TablePart => {
     switch (request.operation) {
         case "commit":
@@ -71,101 +76,6 @@
 /** Time that the table itself may wait before it answers an operation. */
 const longPollMsOf = (request: RelayRequest): number => request.operation === "changes" ? request.waitMs : 0;
 
-/** One way to perform an operation: directly or through a peer. */
-interface Attempt {
-    perform(): Promise<RelayReply>;
-    /** Called when the next attempt starts because this one has no answer yet. */
-    onOvertaken(): void;
-}
-
-/** Options of {@link race}. */
-interface RaceOptions {
-    attempts: Attempt[];
-    timer: TimerService;
-    /** Time without an answer after which the next attempt starts beside those in progress, once a slot is free. */
-    hedgeDelayMs: number;
-    hedgeSlots: HedgeSlots;
-    /** Calls the listener when a further attempt has become possible; returns a function that removes it. */
-    onFurtherAttempt: (listener: (attempt: Attempt) => void) => () => void;
-}
-
-/** A write without an answer may have taken effect, whatever another attempt returns. */
-const combineErrors = (errors: readonly StateError[]): StateError =>
-    errors.find(error => error.kind === StateErrorKind.NoAnswer) ?? errors[0];
-
-/**
- * Starts the attempts one after the other, the next when one fails or gives no answer for some time, and resolves with
- * the first answer of the table.
- */
-const race = ({ attempts, timer, hedgeDelayMs, hedgeSlots, onFurtherAttempt }: RaceOptions): Promise<RelayReply> =>
-    new Promise(resolve => {
-        const waiting = [...attempts];
-        const errors: StateError[] = [];
-        let inProgress = 0;
-        let settled = false;
-        let cancelHedge = (): void => {};
-        /** Set from the first further attempt on; an operation takes one slot, however many ways it is attempted. */
-        let ticket: HedgeTicket | undefined;
-        let hasSlot = false;
-        const settle = (reply: RelayReply, wonByHedge: boolean): void => {
-            settled = true;
-            cancelHedge();
-            ticket?.release(wonByHedge);
-            removeListener();
-            resolve(reply);
-        };
-        const startNextBeside = (overtaken: Attempt): void => {
-            const next = waiting.shift();
-            if (next !== undefined) {
-                overtaken.onOvertaken();
-                void start(next);
-            }
-        };
-        const hedge = (overtaken: Attempt): void => {
-            if (waiting.length === 0) {
-                return;
-            }
-            if (hasSlot) {
-                startNextBeside(overtaken);
-                return;
-            }
-            cancelHedge = timer.after(hedgeDelayMs, () => hedge(overtaken));
-            if (ticket === undefined) {
-                ticket = hedgeSlots.request(() => {
-                    hasSlot = true;
-                    startNextBeside(overtaken);
-                });
-            }
-            else {
-                ticket.retry();
-            }
-        };
-        const start = async (attempt: Attempt): Promise<void> => {
-            inProgress += 1;
-            cancelHedge();
-            cancelHedge = timer.after(hedgeDelayMs, () => hedge(attempt));
-            const reply = await attempt.perform();
-            inProgress -= 1;
-            if (settled) {
-                return;
-            }
-            if (reply.ok || isAnswered(reply)) {
-                settle(reply, attempt !== attempts[0]);
-                return;
-            }
-            errors.push(reply.error);
-            const next = waiting.shift();
-            if (next !== undefined) {
-                void start(next);
-            }
-            else if (inProgress === 0) {
-                settle(fail(combineErrors(errors)), false);
-            }
-        };
-        const removeListener = onFurtherAttempt(attempt => void start(attempt));
-        void start(waiting.shift() as Attempt);
-    });
-
 /**
  * Creates a table that falls back to relaying through other VMs. A write may be sent both directly and through peers;
  * this is safe because every write is idempotent: it is conditional on the version it replaces or sets the same value.
@@ -187,12 +97,12 @@
         return result;
     };
 
-    const createDirectAttempt = (request: RelayRequest): Attempt => ({
+    const createDirectAttempt = (request: RelayRequest): Attempt<RelayValue> => ({
         perform: () => performAndRecord(request),
-        onOvertaken: () => reachability.markUnreachable(tablePartOf(request), "no answer yet"),
+        onOvertaken: () => reachability.markUnreachable(tablePartOf(request), "a peer was answered first"),
     });
 
-    const createPeerAttempt = (peer: RelayPeer, request: RelayRequest): Attempt => {
+    const createPeerAttempt = (peer: RelayPeer, request: RelayRequest): Attempt<RelayValue> => {
         const startCooldown = (): void => void cooldownUntilMs.set(peer.name, timer.nowMs() + peerCooldownMs);
         return {
             perform: async () => {
@@ -206,7 +116,7 @@
         };
     };
 
-    const peerAttempts = (request: RelayRequest): Attempt[] =>
+    const peerAttempts = (request: RelayRequest): Attempt<RelayValue>[] =>
         options.peers()
             .filter(peer => (cooldownUntilMs.get(peer.name) ?? 0) <= timer.nowMs())
             .slice(0, maxPeersPerOperation)
@@ -219,13 +129,13 @@
         if (isUnreachable && viaPeers.length === 0) {
             return fail({ kind: StateErrorKind.Unavailable, detail: "the own way is closed" });
         }
-        const directAttempt = createDirectAttempt(request);
         return race({
-            attempts: isUnreachable ? viaPeers : [directAttempt, ...viaPeers],
+            attempts: isUnreachable ? viaPeers : [createDirectAttempt(request), ...viaPeers],
             timer,
             hedgeDelayMs: longPollMsOf(request) + hedgeDelay.delayMs(),
             hedgeSlots,
-            onFurtherAttempt: listener => reachability.onceReachable(target, () => listener(directAttempt)),
+            onFurtherAttempt: listener =>
+                reachability.onceReachable(target, () => listener(createDirectAttempt(request))),
         });
     };
 
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -258,6 +258,27 @@
         assert.isAtMost(counts.relayed, 4);
     });
 
+    it("refuses nothing while the table is only slow, for every VM", async () => {
+        const timer = createVirtualTimer();
+        const slowTable = createSlowTable(timer, createTableModel(), 400);
+        const vms = new Map<string, RelayedTable>();
+        for (const name of ["a", "b", "c"]) {
+            const peers = (): RelayPeer[] =>
+                [...vms].filter(([other]) => other !== name).map(([other, vm]) => ({
+                    name: other,
+                    perform: request => vm.performForPeer(request),
+                }));
+            vms.set(name, createRelayedTable({ direct: slowTable, timer, log: () => {}, peers }));
+        }
+        const writes: ReturnType<typeof commit>[] = [];
+        for (let index = 0; index < 10; index++) {
+            vms.forEach(vm => writes.push(commit(vm, "p0")));
+            await timer.advance(70);
+        }
+        const { value } = await timed(timer, Promise.all(writes));
+        assert.isTrue(value.every(written => written.ok));
+    });
+
     it("writes to all parts at once through a peer soon after its way was cut", async () => {
         const timer = createVirtualTimer();
         const model = createTableModel();
