feat(planning): spare only work that cannot be resumed after three preemptions

Resumable runs lose half a second each time and were spared after three preemptions all the same, so that urgent work waited for them. Change: the limit holds for runs that lose their work; what the others lose is weighed like all work. Load pattern: urgent bursts on a fleet full of resumable work.

--- a/src/planning/preemption.ts
+++ b/src/planning/preemption.ts
@@ -9,7 +9,7 @@
     assignments: Assignment[];
 }
 
-/** Preemptions of a step's runs after which only a claimed guarantee may preempt them again. */
+/** Preemptions of runs that cannot be resumed after which only a claimed guarantee may preempt them again. */
 const maxEvictions = 3;
 
 /** Weight of lost urgent work, so that other runs are preempted first. */
@@ -28,11 +28,12 @@
 
 /**
  * A claimed guarantee preempts every run that is not covered by a guarantee itself; other work preempts only less
- * important runs that were not preempted often.
+ * important runs that can be resumed or were not preempted often.
  */
 const mayPreempt = (candidate: Candidate, occupant: Occupant): boolean => {
     const hasPrecedence = isMoreUrgent(candidate, occupant) || mayMigrateForStarved(candidate, occupant);
-    return !occupant.guaranteed && (candidate.guaranteed || (hasPrecedence && occupant.evictions < maxEvictions));
+    const isSpared = !occupant.resumable && occupant.evictions >= maxEvictions;
+    return !occupant.guaranteed && (candidate.guaranteed || (hasPrecedence && !isSpared));
 };
 
 const preemptionCost = (occupant: Occupant): number =>
