--- a/test/loads.test.ts
+++ b/test/loads.test.ts
@@ -8,6 +8,8 @@
 const loadFolder = fileURLToPath(new URL("../../bench/loads", import.meta.url));
 /** Work of others that an urgent job without a guarantee may cost, as a multiple of its own. */
 const maxLostWorkFactor = 2;
+/** Aim for urgent work on a fleet that can make room for it at little loss. */
+const minUrgentShare = 0.9;
 /** Bound on the time from the end of an outage of the table until every local copy is current again. */
 const recoveryMs = 500;
 
@@ -29,6 +31,12 @@
         }
     });
 
+    it("urgent bursts find room on a fleet of resumable work", async () => {
+        const { result } = await replay("resumableFleet", 1);
+        const urgent = result.streams.find(({ stream }) => stream === "matches");
+        assert.isAtLeast(urgent?.earnedShare ?? 0, minUrgentShare);
+    });
+
     it("every copy is current soon after an outage of the table", async () => {
         const { logLines, startedAtMs } = await replay("backlogAfterOutage", 1);
         const outageEndMs = startedAtMs + 19_000;
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -178,15 +178,16 @@
         assert.deepEqual(evictedKeys(round), ["gang"]);
     });
 
-    it("does not preempt work that was preempted often, except for a claimed guarantee", () => {
-        const planWithPreemptedThrice = (guaranteed: boolean): Round => {
+    it("does not preempt work that was preempted often, except for a claimed guarantee or if it is resumable", () => {
+        const planWithPreemptedThrice = (guaranteed: boolean, resumable = false): Round => {
             const workers = createRacks(1, 1);
-            const occupants = [addOccupant(workers[0], "often-preempted", { evictions: 3 })];
+            const occupants = [addOccupant(workers[0], "often-preempted", { evictions: 3, resumable })];
             const candidates = [createCandidate("urgent", { accelerators: 8, priority: 0, gang: true, guaranteed })];
             return planRound(createRoundInput({ workers, candidates, occupants }));
         };
         assert.deepEqual(evictedKeys(planWithPreemptedThrice(false)), []);
         assert.deepEqual(evictedKeys(planWithPreemptedThrice(true)), ["often-preempted"]);
+        assert.deepEqual(evictedKeys(planWithPreemptedThrice(false, true)), ["often-preempted"]);
     });
 
     const evictForEqualPriority = (claimsGuarantee: boolean, isCovered: boolean): string[] => {
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -1,8 +1,4 @@
 /** Mechanisms that can be switched off in a scratch copy of the build, each with the test that must fail without it. */
-import { cpSync, mkdtempSync, readFileSync, symlinkSync, writeFileSync } from "node:fs";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { fileURLToPath } from "node:url";
 
 /** A change of compiled code that disables a mechanism. */
 export interface Mutant {
@@ -341,6 +337,14 @@
         tests: "test/relay",
         fails: "repeats few of the operations in progress when the table becomes slow",
     },
+    {
+        without: "preempting resumable work however often it was preempted",
+        file: "planning/preemption.js",
+        find: "!occupant.resumable && occupant.evictions",
+        replace: "occupant.evictions",
+        tests: "test/planning",
+        fails: "or if it is resumable",
+    },
     {
         without: "an objective that allows for failed runs",
         file: "execution/roundInput.js",
@@ -367,29 +371,5 @@
     },
 ];
 
-const root = fileURLToPath(new URL("../..", import.meta.url));
-
-/** Creates a copy of the build in a temporary folder; the caller removes it. */
-export const createScratchCopy = (): string => {
-    const copy = mkdtempSync(join(tmpdir(), "catkinswitch-failing-"));
-    cpSync(join(root, "dist"), join(copy, "dist"), { recursive: true });
-    cpSync(join(root, "examples"), join(copy, "examples"), { recursive: true });
-    cpSync(join(root, "package.json"), join(copy, "package.json"));
-    cpSync(join(root, "KNOWN-RED.txt"), join(copy, "KNOWN-RED.txt"));
-    symlinkSync(join(root, "node_modules"), join(copy, "node_modules"));
-    return copy;
-};
-
 /** Mutants whose mechanism's name contains a text. */
 export const findMutants = (text: string): Mutant[] => mutants.filter(mutant => mutant.without.includes(text));
-
-/** Applies a mutant to a copy and returns a function that restores it; throws if the mutant no longer applies. */
-export const applyMutant = (copy: string, mutant: Mutant): () => void => {
-    const path = join(copy, "dist/src", mutant.file);
-    const original = readFileSync(path, "utf8");
-    if (!original.includes(mutant.find)) {
-        throw new Error(`${mutant.file} does not contain: ${mutant.find}`);
-    }
-    writeFileSync(path, original.replaceAll(mutant.find, mutant.replace));
-    return () => writeFileSync(path, original);
-};
--- a/tools/showFailing.ts
+++ b/tools/showFailing.ts
@@ -2,8 +2,9 @@
 import { spawnSync } from "node:child_process";
 import { rmSync } from "node:fs";
 import { join } from "node:path";
-import { applyMutant, createScratchCopy, findMutants } from "./mutants.js";
+import { findMutants } from "./mutants.js";
 import type { Mutant } from "./mutants.js";
+import { applyMutant, createScratchCopy } from "./scratchCopy.js";
 
 /** Runs a mutant's tests and returns whether the expected test failed. */
 const isDetected = (copy: string, mutant: Mutant): boolean => {
