--- a/bench/experiment.ts
+++ b/bench/experiment.ts
@@ -4,7 +4,10 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
+import { fail, succeed } from "../src/utils/result.js";
+import type { Result } from "../src/utils/result.js";
 import { findMutants } from "../tools/mutants.js";
+import type { Mutant } from "../tools/mutants.js";
 import { applyMutant, createScratchCopy } from "../tools/scratchCopy.js";
 import { plotEarnedShares } from "./experiment/plot.js";
 import type { Variant } from "./experiment/plot.js";
@@ -28,23 +31,27 @@
     return results;
 };
 
+/** Finds the mechanism that a text names; the error lists what it matches. */
+const findMechanism = (text: string): Result<Mutant, string> => {
+    const found = findMutants(text);
+    const names = found.map(mutant => mutant.without).join("; ") || "none";
+    return found.length === 1
+        ? succeed(found[0])
+        : fail(`--without "${text}" must name one mechanism of tools/mutants.ts; found: ${names}`);
+};
+
 /** Replays in a scratch copy of the build in which one mechanism is switched off. */
-const replayWithout = (mechanism: string, loadFile: string, seedCount: number): Variant => {
-    const mutants = findMutants(mechanism);
-    if (mutants.length !== 1) {
-        const found = mutants.map(mutant => mutant.without).join("; ") || "none";
-        throw new Error(`--without ${mechanism} must name one mechanism; found: ${found}`);
-    }
+const replayWithout = (mutant: Mutant, loadFile: string, seedCount: number): Variant => {
     const copy = createScratchCopy();
     try {
-        applyMutant(copy, mutants[0]);
+        applyMutant(copy, mutant);
         const script = join(copy, "dist/bench/experiment.js");
         const args = [script, "--load", loadFile, "--seeds", String(seedCount), "--json"];
         const run = spawnSync(process.execPath, args, { encoding: "utf8", maxBuffer: Number.POSITIVE_INFINITY });
         if (run.status !== 0) {
-            throw new Error(`the replay without ${mutants[0].without} failed: ${run.stderr}`);
+            throw new Error(`the replay without ${mutant.without} failed: ${run.stderr}`);
         }
-        return { name: `without ${mutants[0].without}`, results: JSON.parse(run.stdout) as ReplayResult[] };
+        return { name: `without ${mutant.without}`, results: JSON.parse(run.stdout) as ReplayResult[] };
     }
     finally {
         rmSync(copy, { recursive: true });
@@ -69,6 +76,34 @@
     }
 };
 
+interface Options {
+    loadFile: string;
+    load: Load;
+    seedCount: number;
+    mechanisms: Mutant[];
+}
+
+/** Checks the arguments; the error says what is wrong with them. */
+const resolveOptions = (loadFile: string | undefined, seeds: string, without: string[]): Result<Options, string> => {
+    const seedCount = Number(seeds);
+    if (loadFile === undefined || !Number.isInteger(seedCount) || seedCount < 1) {
+        return fail(usage);
+    }
+    const load = readLoad(loadFile);
+    if (!load.ok) {
+        return load;
+    }
+    const mechanisms: Mutant[] = [];
+    for (const text of without) {
+        const found = findMechanism(text);
+        if (!found.ok) {
+            return found;
+        }
+        mechanisms.push(found.value);
+    }
+    return succeed({ loadFile, load: load.value, seedCount, mechanisms });
+};
+
 const main = async (): Promise<void> => {
     const { values } = parseArgs({
         options: {
@@ -79,22 +114,21 @@
             json: { type: "boolean", default: false },
         },
     });
-    const seedCount = Number(values.seeds);
-    const load = values.load === undefined ? undefined : readLoad(values.load);
-    if (values.load === undefined || load?.ok !== true || !Number.isInteger(seedCount) || seedCount < 1) {
-        console.error(load?.ok === false ? load.error : usage);
+    const options = resolveOptions(values.load, values.seeds, values.without);
+    if (!options.ok) {
+        console.error(options.error);
         process.exitCode = badInputExitCode;
         return;
     }
-    const results = await replaySeeds(load.value, seedCount);
+    const { loadFile, load, seedCount, mechanisms } = options.value;
+    const results = await replaySeeds(load, seedCount);
     if (values.json) {
         console.log(JSON.stringify(results));
         return;
     }
-    const loadFile = values.load;
     const variants = [
         { name: "as it is", results },
-        ...values.without.map(mechanism => replayWithout(mechanism, loadFile, seedCount)),
+        ...mechanisms.map(mutant => replayWithout(mutant, loadFile, seedCount)),
     ];
     variants.forEach(variant => printVariant(variant, results));
     if (values.svg !== undefined) {
--- a/bench/experiment/plot.ts
+++ b/bench/experiment/plot.ts
@@ -9,33 +9,35 @@
     results: readonly ReplayResult[];
 }
 
-const plotHeight = 220;
+const plotWidth = 360;
 
 /** Draws the shares of value earned by stream and variant, with 95 % confidence intervals, as SVG. */
 export const plotEarnedShares = async (variants: readonly Variant[]): Promise<string> => {
     const values = variants.flatMap(({ name, results }) =>
         results.flatMap(result =>
-            result.streams.map(({ stream, earnedShare }) => ({ variant: name, stream, earnedShare }))
+            result.streams
+                .filter(({ jobs }) => jobs > 0)
+                .map(({ stream, earnedShare }) => ({ variant: name, stream, earnedShare }))
         )
     );
-    const x = { field: "variant", type: "nominal", title: null } as const;
+    const y = { field: "variant", type: "nominal", title: null, axis: { labelLimit: plotWidth } } as const;
     const spec: TopLevelSpec = {
         data: { values },
-        height: plotHeight,
-        facet: { column: { field: "stream", type: "nominal", title: "share of value earned, mean and 95 % interval" } },
+        facet: { row: { field: "stream", type: "nominal", title: "share of value earned, mean and 95 % interval" } },
         spec: {
+            width: plotWidth,
             layer: [
                 {
                     mark: "bar",
                     encoding: {
-                        x,
-                        y: { field: "earnedShare", aggregate: "mean", type: "quantitative", scale: { domain: [0, 1] } },
+                        y,
+                        x: { field: "earnedShare", aggregate: "mean", type: "quantitative", scale: { domain: [0, 1] } },
                         color: { field: "variant", type: "nominal", legend: null },
                     },
                 },
                 {
                     mark: { type: "errorbar", extent: "ci" },
-                    encoding: { x, y: { field: "earnedShare", type: "quantitative", title: "" } },
+                    encoding: { y, x: { field: "earnedShare", type: "quantitative", title: null } },
                 },
             ],
         },
