--- a/src/planning/preemption.ts
+++ b/src/planning/preemption.ts
@@ -9,7 +9,7 @@
     assignments: Assignment[];
 }
 
-/** Preemptions of runs that cannot be resumed after which only a claimed guarantee may preempt them again. */
+/** Preemptions of a step's runs after which only claimed guarantees, and urgent work if it can be resumed, preempt it. */
 const maxEvictions = 3;
 
 /** Weight of lost urgent work, so that other runs are preempted first. */
@@ -32,7 +32,8 @@
  */
 const mayPreempt = (candidate: Candidate, occupant: Occupant): boolean => {
     const hasPrecedence = isMoreUrgent(candidate, occupant) || mayMigrateForStarved(candidate, occupant);
-    const isSpared = !occupant.resumable && occupant.evictions >= maxEvictions;
+    const mayResumeOften = occupant.resumable && isMoreUrgent(candidate, occupant);
+    const isSpared = occupant.evictions >= maxEvictions && !mayResumeOften;
     return !occupant.guaranteed && (candidate.guaranteed || (hasPrecedence && !isSpared));
 };
 
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -234,15 +234,18 @@
     });
 
     it("preempts only resumable work for a starved large gang", () => {
-        const evictForStarvedGang = (resumable: boolean): string[] => {
+        const evictForStarvedGang = (resumable: boolean, evictions = 0): string[] => {
             const workers = createRacks(1, 3);
-            const occupants = workers.map(worker => addOccupant(worker, worker.workerId, { priority: 2, resumable }));
+            const occupants = workers.map(worker =>
+                addOccupant(worker, worker.workerId, { priority: 2, resumable, evictions })
+            );
             const gang = createCandidate("gang", { taskCount: 3, accelerators: 8, priority: 1, gang: true });
             const starved = { ...gang, waitingMs: 8 * 3_600_000 };
             return evictedKeys(planRound(createRoundInput({ workers, candidates: [starved], occupants })));
         };
         assert.lengthOf(evictForStarvedGang(true), 3);
         assert.isEmpty(evictForStarvedGang(false), "work without checkpoints would be lost");
+        assert.isEmpty(evictForStarvedGang(true, 3), "it was preempted often");
     });
 });
 
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -340,8 +340,8 @@
     {
         without: "preempting resumable work however often it was preempted",
         file: "planning/preemption.js",
-        find: "!occupant.resumable && occupant.evictions",
-        replace: "occupant.evictions",
+        find: "occupant.resumable && isMoreUrgent(candidate, occupant)",
+        replace: "false",
         tests: "test/planning",
         fails: "or if it is resumable",
     },
