refactor(cli): trace reads logs by the reader of report

Cause: trace kept its own loop that read whole files and parsed their lines, beside the streaming reader that report brought; report also wrote the length of its spans as a literal. Change: both commands call readLogs, with the same message and exit code for a file that cannot be read; the text of the report takes the length from its constant. Checked: format, lint, build, 24 tests of command line, report and tracing pass.

--- a/src/cli/reportCommand.ts
+++ b/src/cli/reportCommand.ts
@@ -1,7 +1,7 @@
 import { SingleBar } from "cli-progress";
 import { Command, Option } from "clipanion";
 import { readLogs } from "../tracing/readLogs.js";
-import { createReportCollector } from "../tracing/report.js";
+import { createReportCollector, spanMs } from "../tracing/report.js";
 import type { LoadReport, QueueReport } from "../tracing/report.js";
 import { BaseCommand, ExitCode } from "./base.js";
 
@@ -35,7 +35,7 @@
             Math.round(coreSeconds)
         } core-seconds unsaved`
     ),
-    "spans of 2 s with most late and failed jobs:",
+    `spans of ${spanMs / 1_000} s with most late and failed jobs:`,
     ...worstSpans.map(({ fromS, jobs, late, failed }) =>
         `  from ${fromS} s: ${late} late, ${failed} failed of ${jobs}`
     ),
--- a/src/cli/traceCommand.ts
+++ b/src/cli/traceCommand.ts
@@ -1,8 +1,7 @@
 import { Command, Option } from "clipanion";
-import { readFile } from "node:fs/promises";
 import { Cause, findCause } from "../tracing/findCause.js";
-import { parseLogLine } from "../tracing/logLines.js";
 import type { LogLine } from "../tracing/logLines.js";
+import { readLogs } from "../tracing/readLogs.js";
 import { BaseCommand, ExitCode } from "./base.js";
 
 const formatLine = (line: LogLine): string => {
@@ -25,13 +24,10 @@
 
     override async execute(): Promise<number> {
         const lines: LogLine[] = [];
-        for (const file of this.logs) {
-            const text = await readFile(file, "utf8").catch((error: unknown) => error as Error);
-            if (typeof text !== "string") {
-                this.context.stderr.write(`${file}: cannot be read: ${text.message}\n`);
-                return ExitCode.BadInput;
-            }
-            lines.push(...text.split("\n").map(parseLogLine).filter(line => line !== undefined));
+        const read = await readLogs({ files: this.logs, onLine: line => lines.push(line) });
+        if (!read.ok) {
+            this.context.stderr.write(`${read.error}\n`);
+            return ExitCode.BadInput;
         }
         const explanation = findCause(lines, this.jobId);
         this.print(explanation, [
