feat(execution): log runs that are neither started nor ended for seconds

Cause: a run that a planner records and never orders left no trace in logs or metrics; a job that stands still for that reason looked like one that waits for room. No decision changes.

--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -19,6 +19,7 @@
 import type { PlannerContext } from "./context.js";
 import { createEndedRunHandler } from "./endedRunHandler.js";
 import { deleteExpiredJobs } from "./jobRetention.js";
+import { createOverdueRunMonitor } from "./overdueRuns.js";
 import { createRecorder } from "./recorder.js";
 import type { Recorder } from "./recorder.js";
 import { createReportHandler } from "./reportHandler.js";
@@ -70,6 +71,8 @@
 
 /** Interval between deletions of expired jobs; each deletes at most one transaction of jobs from a part. */
 const deletionIntervalMs = 5_000;
+/** Interval between checks for runs that are neither started nor ended. */
+const overdueCheckIntervalMs = 1_000;
 /** Time for which a request for new jobs and cancellations waits at the table for a change. */
 const jobsLongPollMs = 500;
 /** Pause between these requests, so that changes of the same moment arrive in one answer. */
@@ -194,10 +197,10 @@
     };
 
     void takeOverAndPlan();
-    const unsubscribe = timer.every(
-        deletionIntervalMs,
-        () => deleteExpiredJobs(context, options.state, options.retainMs),
-    );
+    const subscriptions = [
+        timer.every(deletionIntervalMs, () => deleteExpiredJobs(context, options.state, options.retainMs)),
+        timer.every(overdueCheckIntervalMs, createOverdueRunMonitor(context).check),
+    ];
 
     return {
         pendingCounts: () => recorder === undefined ? undefined : countPendingJobs(context.openJobs),
@@ -210,7 +213,7 @@
         dump: () => ({ ...dumpContext(context), unrecorded: recorder?.pendingCount() ?? 0, claims: rounds.claims() }),
         stop: () => {
             termOver = true;
-            unsubscribe();
+            subscriptions.forEach(unsubscribe => unsubscribe());
             follower?.stop();
             rounds.stop();
             recorder?.stop();
--- a/src/execution/workerSessions.ts
+++ b/src/execution/workerSessions.ts
@@ -1,5 +1,5 @@
-import { RunPhase } from "../jobs/progress.js";
-import type { Run } from "../jobs/progress.js";
+import { RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
+import type { Run, TaskState } from "../jobs/progress.js";
 import type { PlannerContext } from "./context.js";
 import { leaseRenewalWindowMs } from "./plannerElection.js";
 import type { ReportHandler } from "./reportHandler.js";
@@ -94,6 +94,7 @@
     const moveRuns = (from: WorkerSession, to: WorkerSession, shouldMove: (run: Run) => boolean): void => {
         for (const task of [...runs.tasksOn(from)]) {
             if (task.run !== undefined && shouldMove(task.run)) {
+                logMovedRun(context, task, task.run);
                 const phase = task.run.phase === RunPhase.Recording ? RunPhase.Recording : RunPhase.Unknown;
                 runs.set(task, { ...task.run, phase, worker: to });
             }
@@ -184,3 +185,11 @@
         closeAll: () => sessions.forEach(session => session.close()),
     };
 };
+
+const logMovedRun = ({ log }: PlannerContext, task: TaskState, { number, worker, phase }: Run): void =>
+    log("info", "run moved to the worker's next session", {
+        task: taskKey(taskIdOf(task)),
+        run: number,
+        worker: worker.id,
+        phase,
+    });
--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -18,6 +18,8 @@
     recordTermChange(change: "gained" | "lost"): void;
     /** Sets the number of tasks of a priority that wait to be placed. */
     setWaitingTasks(priority: number, count: number): void;
+    /** Sets the number of runs that have been in a phase for longer than recording and ordering take. */
+    setOverdueRuns(phase: string, count: number): void;
     /** Returns all metrics in the Prometheus text format. */
     render(): Promise<string>;
 }
@@ -85,6 +87,12 @@
         labelNames: ["priority"],
         registers,
     });
+    const overdueRuns = new Gauge({
+        name: "catkinswitch_overdue_runs",
+        help: "Runs that are neither started nor ended in the usual time, by phase; only on the planner.",
+        labelNames: ["phase"],
+        registers,
+    });
     return {
         recordRequest: (method, status, durationMs) => requests.observe({ method, status }, durationMs / msPerSecond),
         recordRefusal: reason => refusals.inc({ reason }),
@@ -95,6 +103,7 @@
         recordJobEnd: (phase, priority, durationMs) => jobs.observe({ phase, priority }, durationMs / msPerSecond),
         recordTermChange: change => terms.inc({ change }),
         setWaitingTasks: (priority, count) => waiting.set({ priority }, count),
+        setOverdueRuns: (phase, count) => overdueRuns.set({ phase }, count),
         render: () => registry.metrics(),
     };
 };
--- a/test/workerRestarts.test.ts
+++ b/test/workerRestarts.test.ts
@@ -47,3 +47,17 @@
         assert.deepEqual(findViolations(fleet.spans), []);
     });
 });
+
+describe("a run that is neither started nor ended for seconds", () => {
+    it("is logged once with its phase and whether its worker answers", async () => {
+        const fleet = createFleet({ workerCount: 1 });
+        await fleet.timer.advance(1_000);
+        fleet.orderFault = (_vm, kind) => kind === "hold" ? CallFault.None : CallFault.RequestLost;
+        await fleet.submit(createSubmission("a1", [createStep()]));
+        await fleet.timer.advance(6_000);
+        const lines = fleet.logLines.filter(({ message }) => message === "run overdue");
+        assert.deepEqual(lines.map(({ fields }) => [fields.task, fields.phase, fields.worker]), [
+            ["a1.0.0.0", "stopping", "w0"],
+        ]);
+    });
+});
