fix(execution): plan again what was being recorded when its worker restarted

What callers saw: a job was accepted and shown as running, nothing of it ran although there was room, and it stayed so until another VM became the planner. Cause: a task's run is recorded before the order to start it is sent. If its worker was listed with a new incarnation in between, the run moved to the new session as a copy in the phase 'recording'. The starter compares runs by identity: the copy was not the run that it had placed, so it neither ordered nor abandoned it, and no other part handles a run that is being recorded. A gang with such a member is never placed, an independent task never either. Class: state that is replaced by a copy while an operation on the original is in progress. Change: a run that is being recorded is withdrawn when its worker's session is replaced, since no order was sent; the starter records and plans again a placement of which a run was withdrawn. Ruled out: a second start of the same run, as run numbers only rise and the withdrawn one was never sent. Checked: workerRestarts, entryVm, planner, interleavings pass (40 tests), format, lint, build.

--- a/src/execution/runStarter.ts
+++ b/src/execution/runStarter.ts
@@ -149,6 +149,11 @@
             abandonPlacement(unit, placed, problem);
             return;
         }
+        if (!placed.every(isCurrent)) {
+            // the record names runs that were withdrawn since; their tasks are placed again
+            void context.record(unit.job);
+            context.requestRound();
+        }
         for (const entry of placed.filter(isCurrent)) {
             entry.run.phase = RunPhase.Starting;
             entry.run.orderedAtMs = timer.nowMs();
--- a/src/execution/workerSessions.ts
+++ b/src/execution/workerSessions.ts
@@ -90,17 +90,6 @@
         return session;
     };
 
-    /** Reassigns runs to another session of the same worker; whether a started run is alive there is then unknown. */
-    const moveRuns = (from: WorkerSession, to: WorkerSession, shouldMove: (run: Run) => boolean): void => {
-        for (const task of [...runs.tasksOn(from)]) {
-            if (task.run !== undefined && shouldMove(task.run)) {
-                logMovedRun(context, task, task.run);
-                const phase = task.run.phase === RunPhase.Recording ? RunPhase.Recording : RunPhase.Unknown;
-                runs.set(task, { ...task.run, phase, worker: to });
-            }
-        }
-    };
-
     /** Closes the session of an incarnation that has ended, and abandons its runs. */
     const closeSession = (session: WorkerSession, reason: string): void => {
         if (session.closed) {
@@ -116,7 +105,7 @@
 
     /** Moves the runs that were never reported, since the next incarnation may have received their start orders. */
     const replaceSession = (session: WorkerSession, successor: WorkerSession): void => {
-        moveRuns(session, successor, run => run.firstListedAtMs === undefined);
+        moveRuns(context, session, successor, run => run.firstListedAtMs === undefined);
         closeSession(session, restartedReason);
     };
 
@@ -132,7 +121,7 @@
         }
         const opened = openSession(descriptor.id, descriptor.bornMs, descriptor);
         if (existing?.bornMs === descriptor.bornMs) {
-            moveRuns(existing, opened, () => true);
+            moveRuns(context, existing, opened, () => true);
         }
         if (existing !== undefined) {
             replaceSession(existing, opened);
@@ -186,6 +175,31 @@
     };
 };
 
+/**
+ * Reassigns runs to another session of the same worker; whether a started run is alive there is then unknown. A run that
+ * is still being recorded is withdrawn, as no order for it was sent.
+ */
+const moveRuns = (
+    context: PlannerContext,
+    from: WorkerSession,
+    to: WorkerSession,
+    shouldMove: (run: Run) => boolean,
+): void => {
+    for (const task of [...context.runs.tasksOn(from)]) {
+        const { run } = task;
+        if (run === undefined || !shouldMove(run)) {
+            continue;
+        }
+        logMovedRun(context, task, run);
+        if (run.phase === RunPhase.Recording) {
+            context.runs.clear(task);
+        }
+        else {
+            context.runs.set(task, { ...run, phase: RunPhase.Unknown, worker: to });
+        }
+    }
+};
+
 const logMovedRun = ({ log }: PlannerContext, task: TaskState, { number, worker, phase }: Run): void =>
     log("info", "run moved to the worker's next session", {
         task: taskKey(taskIdOf(task)),
