feat(logs): write logs in pieces that a collector takes whole

Cause: lines that are collected for 50 ms go out in one write, of 64 KiB and more when a planner starts. What was left of a batch when the process exited was lost as well. Change: at most 4 KiB a write, cut at a line; flush also writes what no write was started for yet. Ruled out: lines dropped by the buffer's limit, which leave a line of their own. The test writes to a file, where a write is taken whole, so it passed before; it guards the order of the pieces and the flush.

--- a/src/utils/boundedWriter.ts
+++ b/src/utils/boundedWriter.ts
@@ -11,13 +11,26 @@
 const batchDelayMs = 50;
 /** Limit on lines buffered for a slow reader; lines beyond it are dropped and counted. */
 const maxPendingBytes = 512 * 1024;
+/** Maximum size of one write, at which a pipe takes it whole and collectors that read in small pieces lose nothing. */
+const maxWriteBytes = 4_096;
+
+/** End of the next write: after the last whole line that fits, or within a line that does not. */
+const endOfWrite = (buffer: Buffer, offset: number): number => {
+    const limit = offset + maxWriteBytes;
+    if (limit >= buffer.length) {
+        return buffer.length;
+    }
+    const newline = buffer.lastIndexOf("\n", limit - 1);
+    return newline < offset ? limit : newline + 1;
+};
 
 /** Creates a writer that drops lines instead of blocking on a slow reader and writes a line with their count. */
 export const createBoundedWriter = (fileDescriptor: number): BoundedWriter => {
     let pendingLines: string[] = [];
     let pendingBytes = 0;
     let droppedCount = 0;
-    let isWriting = false;
+    /** Text of a batch that no write was started for yet; set while a batch is being written. */
+    let unwritten: Buffer | undefined;
     let isScheduled = false;
 
     const drainPending = (): string => {
@@ -31,16 +44,18 @@
         return text;
     };
 
-    const writeBuffer = (buffer: Buffer, offset: number): void => {
-        write(fileDescriptor, buffer, offset, buffer.length - offset, undefined, (error, written) => {
+    const writeBuffer = (buffer: Buffer): void => {
+        const length = endOfWrite(buffer, 0);
+        unwritten = buffer.subarray(length);
+        write(fileDescriptor, buffer, 0, length, undefined, (error, written) => {
             const isBusy = (error as NodeJS.ErrnoException | null)?.code === "EAGAIN";
-            const end = offset + (error === null ? written : 0);
-            if (end < buffer.length && (error === null || isBusy)) {
-                setTimeout(() => writeBuffer(buffer, end), isBusy ? batchDelayMs : 0);
+            const rest = buffer.subarray(error === null ? written : 0);
+            if (rest.length > 0 && (error === null || isBusy)) {
+                setTimeout(() => writeBuffer(rest), isBusy ? batchDelayMs : 0);
                 return;
             }
             // an error other than EAGAIN means that the reader is closed, so there is nowhere to report it
-            isWriting = false;
+            unwritten = undefined;
             schedule();
         });
     };
@@ -49,13 +64,12 @@
         isScheduled = false;
         const text = drainPending();
         if (text !== "") {
-            isWriting = true;
-            writeBuffer(Buffer.from(text), 0);
+            writeBuffer(Buffer.from(text));
         }
     };
 
     const schedule = (): void => {
-        if (!isWriting && !isScheduled && (pendingLines.length > 0 || droppedCount > 0)) {
+        if (unwritten === undefined && !isScheduled && (pendingLines.length > 0 || droppedCount > 0)) {
             isScheduled = true;
             setTimeout(writePending, batchDelayMs).unref();
         }
@@ -74,7 +88,7 @@
         },
         flush: () => {
             try {
-                writeSync(fileDescriptor, drainPending());
+                writeSync(fileDescriptor, `${unwritten?.toString() ?? ""}${drainPending()}`);
             }
             catch {
                 // the reader is closed or busy while the process exits, so the lines are lost
