fix(execution): answer the requests that are in progress when a stopping process has to exit

Callers whose request waited for the table while its VM stopped saw their connection end without an answer: the process exited at a fixed time whatever was in progress. With a grace period of 2 s the exit followed the closing of the listener at once, so that even requests that had just been read were broken off.

A server registers its open requests. Late results of their handlers are discarded.

--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { OpenRequests } from "./openRequests.js";
 
 /** An HTTP response with a JSON body; a body that is a string is sent as it is. */
 export interface JsonAnswer {
@@ -28,6 +29,8 @@
 export interface JsonServerOptions {
     /** Maximum size of a request body in bytes; larger ones are answered with status 413. @default 65536 */
     maxBodyBytes?: number;
+    /** Registry of the requests in progress. @default none */
+    openRequests?: OpenRequests;
 }
 
 const defaultMaxBodyBytes = 65_536;
@@ -73,6 +76,9 @@
 };
 
 const writeAnswer = (response: ServerResponse, answer: JsonAnswer): void => {
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
     // a string is sent as it is, for formats other than JSON
     const text = typeof answer.body === "string" ? answer.body : JSON.stringify(answer.body ?? {});
     response.writeHead(answer.status, {
@@ -100,17 +106,31 @@
     response: ServerResponse,
     handler: JsonHandler,
     maxBodyBytes: number,
+    openRequests: OpenRequests | undefined,
 ): Promise<void> => {
     const abortController = new AbortController();
-    response.once("close", () => abortController.abort());
+    const url = new URL(message.url ?? "/", "http://localhost");
+    const method = message.method ?? "GET";
+    const openRequest = openRequests?.add(method, url.pathname, answer => writeAnswer(response, answer));
+    response.once("close", () => {
+        if (openRequest !== undefined) {
+            openRequests?.remove(openRequest);
+        }
+        abortController.abort();
+    });
     const bodyResult = await readBody(message, maxBodyBytes);
+    if (response.headersSent) {
+        return;
+    }
     if (bodyResult.kind !== "parsed") {
         writeAnswer(response, invalidBodyAnswer(bodyResult.kind, maxBodyBytes));
         return;
     }
-    const url = new URL(message.url ?? "/", "http://localhost");
+    if (openRequest !== undefined) {
+        openRequest.isHandled = true;
+    }
     const request = {
-        method: message.method ?? "GET",
+        method,
         path: url.pathname,
         query: url.searchParams,
         headers: message.headers,
@@ -124,14 +144,12 @@
 export const createJsonServer = (handler: JsonHandler, options: JsonServerOptions = {}): Server => {
     const maxBodyBytes = options.maxBodyBytes ?? defaultMaxBodyBytes;
     return createServer((message, response) => {
-        answerRequest(message, response, handler, maxBodyBytes).catch((error: unknown) => {
-            if (!response.headersSent && !response.destroyed) {
-                writeAnswer(
-                    response,
-                    problemAnswer({ title: "internal error", status: 500, detail: String(error), outcome: "unknown" }),
-                );
-            }
-        });
+        answerRequest(message, response, handler, maxBodyBytes, options.openRequests).catch((error: unknown) =>
+            writeAnswer(
+                response,
+                problemAnswer({ title: "internal error", status: 500, detail: String(error), outcome: "unknown" }),
+            )
+        );
     });
 };
 
