fix(execution): read what has arrived before a server closes its listener and idle connections

Callers saw their connection reset although their request, or their new connection, had reached the VM before it closed: the kernel resets connections that wait to be accepted and idle ones with unread data. A busy process leaves many of both, because the timer of the stop fires before the event loop turns to its sockets.

Evidence: test/http.test.ts closes a server in the same turn in which a request is sent on an idle connection, or in which a connection is opened. On the unfixed code both are reset; now both are answered.

Closing waits for one turn of the event loop, for the platform's entry VM as for the daemons, whose closeGracefully it is. The stop does the same before it answers the last requests. Ruled out: a fresh connection without a request is not counted as idle by Node.js and was answered before, too. What stays is the time of a request on the network: HTTP/1.1 lets a server close an idle connection at any time.

--- a/src/node/gracefulStop.ts
+++ b/src/node/gracefulStop.ts
@@ -16,6 +16,8 @@
     handOver: () => void;
     /** Stops accepting connections and closes those that are idle. */
     closeListener: () => void;
+    /** Resolves when the requests that have reached the process are registered as open. */
+    readArrived: () => Promise<void>;
     /** Answer of a request that is still in progress when the process has to exit. */
     interruptedAnswer: (request: OpenRequest) => JsonAnswer;
     exit: () => void;
@@ -55,6 +57,7 @@
         options.closeListener();
         log("info", "listener closed", { ...openRequests.summarize() });
         await timer.sleep(graceMs * (1 - acceptShare) - exitMarginMs);
+        await options.readArrived();
         const { openRequests: interrupted, oldestMs } = openRequests.summarize();
         openRequests.interrupt(options.interruptedAnswer);
         await Promise.race([openRequests.drained(), timer.sleep(exitMarginMs * lastAnswersShare)]);
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -163,9 +163,18 @@
         });
     });
 
+/** Resolves after the event loop has accepted the connections and read the data that had arrived. */
+export const readArrived = async (): Promise<void> => {
+    // the first callback may run without polling the sockets again, the second runs one turn of the event loop later
+    await new Promise<void>(resolve => setImmediate(() => setImmediate(resolve)));
+};
+
 /** Stops accepting connections and resolves when all requests in progress have been answered. */
-export const closeGracefully = (server: Server): Promise<void> =>
-    new Promise(resolve => {
+export const closeGracefully = async (server: Server): Promise<void> => {
+    // closing resets connections in the backlog and idle ones with unread data, and a busy event loop leaves both
+    await readArrived();
+    await new Promise<void>(resolve => {
         server.close(() => resolve());
         server.closeIdleConnections();
     });
+};
--- a/test/gracefulStop.test.ts
+++ b/test/gracefulStop.test.ts
@@ -18,6 +18,7 @@
         describe: () => ({}),
         handOver: () => record("hand over"),
         closeListener: () => record("close"),
+        readArrived: () => Promise.resolve(),
         interruptedAnswer,
         exit: () => record("exit"),
     });
--- /dev/null
+++ b/test/http.test.ts
@@ -0,0 +1,46 @@
+import { assert } from "chai";
+import type { Server } from "node:http";
+import { closeGracefully, createJsonServer, listen } from "../src/utils/http.js";
+import { formatRequest, openCallerConnection } from "./fixtures/callerConnection.js";
+import type { CallerConnection } from "./fixtures/callerConnection.js";
+
+describe("a JSON server", () => {
+    let server: Server;
+    let address: string;
+    const connections: CallerConnection[] = [];
+
+    const track = (connection: CallerConnection | undefined): CallerConnection => {
+        assert.isDefined(connection);
+        connections.push(connection as CallerConnection);
+        return connection as CallerConnection;
+    };
+
+    beforeEach(async () => {
+        server = createJsonServer(async request => ({ status: 200, body: { path: request.path } }));
+        address = `127.0.0.1:${await listen(server, "127.0.0.1", 0)}`;
+    });
+
+    afterEach(() => {
+        connections.splice(0).forEach(connection => connection.destroy());
+        server.closeAllConnections();
+        server.close();
+    });
+
+    it("answers a request that arrived on an idle connection before it closes gracefully", async () => {
+        const connection = track(await openCallerConnection(address));
+        await connection.request(formatRequest("GET", "/first"));
+        const answer = connection.request(formatRequest("GET", "/second"));
+        void closeGracefully(server);
+        assert.deepInclude(await answer, { status: 200, body: { path: "/second" } });
+    });
+
+    it("serves a connection that waited to be accepted when it closes gracefully", async () => {
+        const opening = openCallerConnection(address);
+        // the kernel has completed the handshake once the connection has been requested, in the next tick
+        await new Promise<void>(resolve => process.nextTick(resolve));
+        void closeGracefully(server);
+        const connection = track(await opening);
+        assert.deepInclude(await connection.request(formatRequest("GET", "/first")), { status: 200 });
+        assert.isUndefined(await openCallerConnection(address), "the listener is closed");
+    });
+});
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -369,6 +369,22 @@
         tests: "test/follower",
         fails: "confirms its copy at once when the table answers again",
     },
+    {
+        without: "answering open requests before the process exits",
+        file: "node/gracefulStop.js",
+        find: "openRequests.interrupt(options.interruptedAnswer);",
+        replace: "",
+        tests: "gracefulStop",
+        fails: "answers open requests by what may have happened",
+    },
+    {
+        without: "reading what has arrived before a server closes",
+        file: "utils/http.js",
+        find: "await readArrived();",
+        replace: "",
+        tests: "http.test",
+        fails: "answers a request that arrived on an idle connection",
+    },
 ];
 
 /** Mutants whose mechanism's name contains a text. */
