--- a/test/platformProcesses.test.ts
+++ b/test/platformProcesses.test.ts
@@ -118,4 +118,13 @@
         assert.deepInclude(findContext("settings read again"), { inForce: ["revokeMs"], atNextStart: ["statusS"] });
         assert.equal((await processes.request(vm, "GET", "/bookings/")).status, 200);
     });
+
+    it("read the settings again after a SIGHUP that arrived while they were starting", async () => {
+        const vm = await processes.startVm("a", { signalWhileStarting: "SIGHUP" });
+        await waitUntil(
+            async () => vm.lines.some(line => line.message === "settings read again"),
+            5_000,
+            "the settings have been read again",
+        );
+    });
 });
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -385,6 +385,14 @@
         tests: "http.test",
         fails: "answers a request that arrived on an idle connection",
     },
+    {
+        without: "reading the settings again after a signal during the start",
+        file: "../platform/signals.js",
+        find: "if (isReloadPending)",
+        replace: "if (false)",
+        tests: "platformProcesses",
+        fails: "read the settings again after a SIGHUP that arrived while they were starting",
+    },
 ];
 
 /** Mutants whose mechanism's name contains a text. */
