feat(execution): show requests whose connection ended without an answer, late answers and the course of a stop

What a caller saw of a stop or a slow table was in no log and no metric. Now the process writes one line and counts

- each connection that was closed before the answer to its request was complete, with path, age and who closed it,
- each answer that came later than the caller waits,
- requests in progress and the age of the oldest when a stop begins, when the listener closes and when the process exits, and how many connections were accepted after the stop had begun.

--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -6,6 +6,14 @@
     recordRequest(method: string, status: number, durationMs: number): void;
     /** Counts a refused request; `reason` becomes a label, so it is one of a few fixed texts. */
     recordRefusal(reason: string): void;
+    /** Counts an answer that came later than its caller waits. */
+    recordLateAnswer(method: string): void;
+    /** Counts a connection that was closed before the answer to its request was complete. */
+    recordBrokenAnswer(closedBy: string): void;
+    /** Counts a caller's connection that was accepted after the stop of the process had begun. */
+    recordConnectionWhileStopping(): void;
+    /** Sets the function that counts the requests in progress, called when metrics are read. */
+    watchOpenRequests(count: () => number): void;
     /** Records a completed call to the platform's table. */
     recordTableCall(operation: string, outcome: string, durationMs: number): void;
     /** Records a completed order to a worker. */
@@ -45,6 +53,32 @@
         labelNames: ["reason"],
         registers,
     });
+    const lateAnswers = new Counter({
+        name: "catkinswitch_late_answers_total",
+        help: "Answers that came later than the caller waits, by method.",
+        labelNames: ["method"],
+        registers,
+    });
+    const brokenAnswers = new Counter({
+        name: "catkinswitch_broken_answers_total",
+        help: "Connections closed before the answer to their request was complete, by who closed them.",
+        labelNames: ["closed_by"],
+        registers,
+    });
+    const connectionsWhileStopping = new Counter({
+        name: "catkinswitch_stopping_connections_total",
+        help: "Callers' connections accepted after the stop of the process had begun.",
+        registers,
+    });
+    let countOpenRequests = (): number => 0;
+    new Gauge({
+        name: "catkinswitch_open_requests",
+        help: "Callers' requests in progress.",
+        registers,
+        collect() {
+            this.set(countOpenRequests());
+        },
+    });
     const tableCalls = new Histogram({
         name: "catkinswitch_table_call_seconds",
         help: "Time of a call to the platform's table, by operation and outcome.",
@@ -88,6 +122,12 @@
     return {
         recordRequest: (method, status, durationMs) => requests.observe({ method, status }, durationMs / msPerSecond),
         recordRefusal: reason => refusals.inc({ reason }),
+        recordLateAnswer: method => lateAnswers.inc({ method }),
+        recordBrokenAnswer: closedBy => brokenAnswers.inc({ closed_by: closedBy }),
+        recordConnectionWhileStopping: () => connectionsWhileStopping.inc(),
+        watchOpenRequests: count => {
+            countOpenRequests = count;
+        },
         recordTableCall: (operation, outcome, durationMs) =>
             tableCalls.observe({ operation, outcome }, durationMs / msPerSecond),
         recordOrder: (kind, outcome, durationMs) => orders.observe({ kind, outcome }, durationMs / msPerSecond),
--- a/src/node/gracefulStop.ts
+++ b/src/node/gracefulStop.ts
@@ -12,6 +12,8 @@
     graceMs: () => number;
     /** Further fields of the log line with which the stop begins. */
     describe: () => Record<string, unknown>;
+    /** Called for each connection that is accepted after the stop has begun. */
+    onLateConnection: () => void;
     /** Called first: hands over what other VMs can take. Not awaited, as the table may be unreachable. */
     handOver: () => void;
     /** Stops accepting connections and closes those that are idle. */
@@ -26,6 +28,8 @@
 /** A stop of the process in steps within its grace period. */
 export interface GracefulStop {
     isStopping(): boolean;
+    /** Called for each connection that the listener accepts. */
+    onConnection(): void;
     /** Stops the process; further calls do nothing. */
     stop(): Promise<void>;
 }
@@ -43,6 +47,7 @@
 export const createGracefulStop = (options: GracefulStopOptions): GracefulStop => {
     const { timer, log, openRequests } = options;
     let isStopping = false;
+    let lateConnections = 0;
 
     const stop = async (): Promise<void> => {
         if (isStopping) {
@@ -55,15 +60,27 @@
         options.handOver();
         await timer.sleep(graceMs * acceptShare);
         options.closeListener();
-        log("info", "listener closed", { ...openRequests.summarize() });
+        log("info", "listener closed", { lateConnections, ...openRequests.summarize() });
         await timer.sleep(graceMs * (1 - acceptShare) - exitMarginMs);
         await options.readArrived();
         const { openRequests: interrupted, oldestMs } = openRequests.summarize();
         openRequests.interrupt(options.interruptedAnswer);
         await Promise.race([openRequests.drained(), timer.sleep(exitMarginMs * lastAnswersShare)]);
-        log("info", "stopped", { interrupted, oldestMs, unanswered: openRequests.summarize().openRequests });
+        log("info", "stopped", {
+            lateConnections,
+            interrupted,
+            oldestMs,
+            unanswered: openRequests.summarize().openRequests,
+        });
         options.exit();
     };
 
-    return { isStopping: () => isStopping, stop };
+    const onConnection = (): void => {
+        if (isStopping) {
+            lateConnections += 1;
+            options.onLateConnection();
+        }
+    };
+
+    return { isStopping: () => isStopping, onConnection, stop };
 };
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { ClosedBy } from "./openRequests.js";
 import type { OpenRequests } from "./openRequests.js";
 
 /** An HTTP response with a JSON body; a body that is a string is sent as it is. */
@@ -101,6 +102,15 @@
         : problemAnswer({ title: "malformed body", status: 400, detail: "the body is not JSON", ...extensions });
 };
 
+/** Tells who closed the connection of a response that is not complete; `undefined` if the response is complete. */
+const closedByOf = (response: ServerResponse): ClosedBy | undefined => {
+    if (response.writableFinished) {
+        return undefined;
+    }
+    const { socket } = response.req;
+    return socket.errored !== null || socket.readableEnded ? ClosedBy.Caller : ClosedBy.Server;
+};
+
 const answerRequest = async (
     message: IncomingMessage,
     response: ServerResponse,
@@ -114,7 +124,7 @@
     const openRequest = openRequests?.add(method, url.pathname, answer => writeAnswer(response, answer));
     response.once("close", () => {
         if (openRequest !== undefined) {
-            openRequests?.remove(openRequest);
+            openRequests?.remove(openRequest, closedByOf(response));
         }
         abortController.abort();
     });
--- a/test/gracefulStop.test.ts
+++ b/test/gracefulStop.test.ts
@@ -7,15 +7,16 @@
 
 const setUp = (graceMs: number) => {
     const timer = createVirtualTimer();
-    const openRequests = createOpenRequests(timer.nowMs);
+    const openRequests = createOpenRequests({ nowMs: timer.nowMs });
     const events: string[] = [];
     const record = (event: string): void => void events.push(`${timer.nowMs()} ${event}`);
-    const { stop } = createGracefulStop({
+    const { stop, onConnection } = createGracefulStop({
         timer,
         log: (_level, message, fields) => record(`${message} ${JSON.stringify(fields)}`),
         openRequests,
         graceMs: () => graceMs,
         describe: () => ({}),
+        onLateConnection: () => record("late connection"),
         handOver: () => record("hand over"),
         closeListener: () => record("close"),
         readArrived: () => Promise.resolve(),
@@ -29,7 +30,7 @@
         request.isHandled = isHandled;
         return request;
     };
-    return { timer, openRequests, events, stop, addRequest };
+    return { timer, openRequests, events, stop, onConnection, addRequest };
 };
 
 describe("a graceful stop", () => {
@@ -42,8 +43,8 @@
             "0 stopping {\"graceMs\":6000,\"openRequests\":0,\"oldestMs\":0}",
             "0 hand over",
             "3000 close",
-            "3000 listener closed {\"openRequests\":0,\"oldestMs\":0}",
-            "5000 stopped {\"interrupted\":0,\"oldestMs\":0,\"unanswered\":0}",
+            "3000 listener closed {\"lateConnections\":0,\"openRequests\":0,\"oldestMs\":0}",
+            "5000 stopped {\"lateConnections\":0,\"interrupted\":0,\"oldestMs\":0,\"unanswered\":0}",
             "5000 exit",
         ]);
     });
@@ -59,13 +60,13 @@
             "1500 GET 503 close",
             "1500 DELETE 504 close",
         ]);
-        requests.forEach(openRequests.remove);
+        requests.forEach(request => openRequests.remove(request));
         const late = addRequest("POST");
         assert.equal(events.at(-1), "1600 POST 503 close");
         openRequests.remove(late);
         await timer.advance(0);
         assert.deepEqual(events.slice(-2), [
-            "1600 stopped {\"interrupted\":4,\"oldestMs\":1500,\"unanswered\":0}",
+            "1600 stopped {\"lateConnections\":0,\"interrupted\":4,\"oldestMs\":1500,\"unanswered\":0}",
             "1600 exit",
         ]);
     });
@@ -76,8 +77,19 @@
         void stop();
         await timer.advance(6_000);
         assert.deepEqual(events.slice(-2), [
-            "5500 stopped {\"interrupted\":1,\"oldestMs\":5000,\"unanswered\":1}",
+            "5500 stopped {\"lateConnections\":0,\"interrupted\":1,\"oldestMs\":5000,\"unanswered\":1}",
             "5500 exit",
         ]);
     });
+
+    it("counts the connections that are accepted after it has begun", async () => {
+        const { timer, events, stop, onConnection } = setUp(6_000);
+        onConnection();
+        void stop();
+        onConnection();
+        onConnection();
+        await timer.advance(3_000);
+        assert.lengthOf(events.filter(event => event.endsWith("late connection")), 2);
+        assert.equal(events.at(-1), "3000 listener closed {\"lateConnections\":2,\"openRequests\":0,\"oldestMs\":0}");
+    });
 });
--- a/test/platformProcesses.test.ts
+++ b/test/platformProcesses.test.ts
@@ -1,4 +1,5 @@
 import { assert } from "chai";
+import { formatRequest, openCallerConnection } from "./fixtures/callerConnection.js";
 import { startPlatformProcesses, waitUntil } from "./fixtures/platformProcesses.js";
 import type { EntryVmProcess, PlatformProcesses } from "./fixtures/platformProcesses.js";
 import { findViolations } from "./fixtures/violations.js";
@@ -127,4 +128,33 @@
             "the settings have been read again",
         );
     });
+
+    it("report connections closed before the answer and answers after the deadline", async () => {
+        const vm = await processes.startVm("a");
+        await processes.control("switches", { tableSilent: true });
+        const impatient = await openCallerConnection(vm.callers);
+        await impatient?.send(formatRequest("GET", `/bookings/${jobId(1)}`));
+        await waitUntil(async () => /open_requests 1/.test(await processes.metrics(vm)), 5_000, "the request is read");
+        impatient?.destroy();
+        const late = await openCallerConnection(vm.callers);
+        await late?.request(formatRequest("GET", `/bookings/${jobId(2)}`, { headers: { "deadline-ms": "50" } }));
+        late?.destroy();
+        const findContext = (message: string) => vm.lines.find(line => line.message === message)?.context;
+        await waitUntil(
+            async () =>
+                findContext("connection closed before the answer") !== undefined
+                && findContext("answered after the caller's deadline") !== undefined,
+            5_000,
+            "both are logged",
+        );
+        assert.deepInclude(findContext("connection closed before the answer"), {
+            path: `/bookings/${jobId(1)}`,
+            isHandled: true,
+            closedBy: "caller",
+        });
+        assert.deepInclude(findContext("answered after the caller's deadline"), { status: 503, deadlineMs: 50 });
+        const metrics = await processes.metrics(vm);
+        assert.include(metrics, "catkinswitch_broken_answers_total{closed_by=\"caller\"} 1");
+        assert.include(metrics, "catkinswitch_late_answers_total{method=\"GET\"} 1");
+    });
 });
