--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -1,5 +1,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { ClosedBy } from "./openRequests.js";
+import type { OpenRequests } from "./openRequests.js";
 
 /** An HTTP response with a JSON body; a body that is a string is sent as it is. */
 export interface JsonAnswer {
@@ -28,6 +30,8 @@
 export interface JsonServerOptions {
     /** Maximum size of a request body in bytes; larger ones are answered with status 413. @default 65536 */
     maxBodyBytes?: number;
+    /** Registry of the requests in progress. @default none */
+    openRequests?: OpenRequests;
 }
 
 const defaultMaxBodyBytes = 65_536;
@@ -73,6 +77,9 @@
 };
 
 const writeAnswer = (response: ServerResponse, answer: JsonAnswer): void => {
+    if (response.headersSent || response.destroyed) {
+        return;
+    }
     // a string is sent as it is, for formats other than JSON
     const text = typeof answer.body === "string" ? answer.body : JSON.stringify(answer.body ?? {});
     response.writeHead(answer.status, {
@@ -95,22 +102,45 @@
         : problemAnswer({ title: "malformed body", status: 400, detail: "the body is not JSON", ...extensions });
 };
 
+/** Tells who closed the connection of a response that is not complete; `undefined` if the response is complete. */
+const closedByOf = (response: ServerResponse): ClosedBy | undefined => {
+    if (response.writableFinished) {
+        return undefined;
+    }
+    const { socket } = response.req;
+    return socket.errored !== null || socket.readableEnded ? ClosedBy.Caller : ClosedBy.Server;
+};
+
 const answerRequest = async (
     message: IncomingMessage,
     response: ServerResponse,
     handler: JsonHandler,
     maxBodyBytes: number,
+    openRequests: OpenRequests | undefined,
 ): Promise<void> => {
     const abortController = new AbortController();
-    response.once("close", () => abortController.abort());
+    const url = new URL(message.url ?? "/", "http://localhost");
+    const method = message.method ?? "GET";
+    const openRequest = openRequests?.add(method, url.pathname, answer => writeAnswer(response, answer));
+    response.once("close", () => {
+        if (openRequest !== undefined) {
+            openRequests?.remove(openRequest, closedByOf(response));
+        }
+        abortController.abort();
+    });
     const bodyResult = await readBody(message, maxBodyBytes);
+    if (response.headersSent) {
+        return;
+    }
     if (bodyResult.kind !== "parsed") {
         writeAnswer(response, invalidBodyAnswer(bodyResult.kind, maxBodyBytes));
         return;
     }
-    const url = new URL(message.url ?? "/", "http://localhost");
+    if (openRequest !== undefined) {
+        openRequest.isHandled = true;
+    }
     const request = {
-        method: message.method ?? "GET",
+        method,
         path: url.pathname,
         query: url.searchParams,
         headers: message.headers,
@@ -124,14 +154,12 @@
 export const createJsonServer = (handler: JsonHandler, options: JsonServerOptions = {}): Server => {
     const maxBodyBytes = options.maxBodyBytes ?? defaultMaxBodyBytes;
     return createServer((message, response) => {
-        answerRequest(message, response, handler, maxBodyBytes).catch((error: unknown) => {
-            if (!response.headersSent && !response.destroyed) {
-                writeAnswer(
-                    response,
-                    problemAnswer({ title: "internal error", status: 500, detail: String(error), outcome: "unknown" }),
-                );
-            }
-        });
+        answerRequest(message, response, handler, maxBodyBytes, options.openRequests).catch((error: unknown) =>
+            writeAnswer(
+                response,
+                problemAnswer({ title: "internal error", status: 500, detail: String(error), outcome: "unknown" }),
+            )
+        );
     });
 };
 
@@ -145,9 +173,18 @@
         });
     });
 
+/** Resolves after the event loop has accepted the connections and read the data that had arrived. */
+export const readArrived = async (): Promise<void> => {
+    // the first callback may run without polling the sockets again, the second runs one turn of the event loop later
+    await new Promise<void>(resolve => setImmediate(() => setImmediate(resolve)));
+};
+
 /** Stops accepting connections and resolves when all requests in progress have been answered. */
-export const closeGracefully = (server: Server): Promise<void> =>
-    new Promise(resolve => {
+export const closeGracefully = async (server: Server): Promise<void> => {
+    // closing resets connections in the backlog and idle ones with unread data, and a busy event loop leaves both
+    await readArrived();
+    await new Promise<void>(resolve => {
         server.close(() => resolve());
         server.closeIdleConnections();
     });
+};
