fix(execution): start jobs that a VM with another wall clock accepted

Callers: a job accepted by a VM whose wall clock is ahead did not start until the planner's clock had caught up, with room for it. A job accepted by a VM whose clock is behind counted as that much older, so that it was planned as one that is too late to be useful. Cause: the acceptance time, by the clock of the accepting VM, served as the time from which the tasks may run and as the start of the job's age, both by the planner's clock. A planner whose clock stepped back held waiting jobs up as well. Change: only scheduled occurrences have a due time. The age of other jobs is monotonic, from an estimate made when they are adopted: the difference of the wall clocks, at least 0 and at most the time since the follower's previous request, after which the job was stored. Ruled out: retention, which keeps ended jobs a minute longer than clocks differ; the order within guarantees and limits, where seconds change the order only.

--- a/bench/simulatedPlanner.ts
+++ b/bench/simulatedPlanner.ts
@@ -97,7 +97,11 @@
         isTermOver: () => false,
         evacuatedZones,
         addJob: submission => {
-            const job = restoreJob(submission, undefined, 0, false, findSession, timer.nowMs());
+            const job = restoreJob(
+                submission,
+                { recordVersion: 0, cancelled: false },
+                { findSession, nowMs: timer.nowMs(), ageMs: timer.nowMs() - submission.acceptedAtMs },
+            );
             jobs.set(submission.id, job);
             openJobs.add(job);
             return job;
--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -7,6 +7,7 @@
 import type { PendingCounts } from "../jobs/queries/pendingJobs.js";
 import { jobParts, jobsTable } from "../jobs/rows.js";
 import { isEnded, JobPhase } from "../jobs/types.js";
+import type { JobSubmission } from "../jobs/types.js";
 import type { EntryMetrics } from "../node/entryMetrics.js";
 import type { Log } from "../node/logs.js";
 import type { OperatorState } from "../queues/types.js";
@@ -79,6 +80,16 @@
 /** Maximum wait before the first round for workers to report their runs. */
 const maxSyncWaitMs = 250;
 
+/**
+ * Estimates the time since a job was accepted, by a VM whose wall clock may differ. A job that the follower found was
+ * stored after the follower's previous request.
+ */
+const estimateAgeMs = (
+    { acceptedAtMs }: JobSubmission,
+    wallMs: number,
+    followerAgeMs = Number.POSITIVE_INFINITY,
+): number => Math.min(Math.max(0, wallMs - acceptedAtMs), followerAgeMs);
+
 /** Starts the planner of a term: fences earlier planners, reads stored jobs and workers' reports, then plans. */
 export const startPlanner = (options: PlannerOptions): Planner => {
     const { timer, log, term } = options;
@@ -119,11 +130,12 @@
     const rounds = createRoundScheduler(context, runStopper, runStarter, runMonitor);
 
     const adoptJob = (jobId: string, stored: StoredJob): void => {
-        if (stored.submission === undefined || context.jobs.has(jobId)) {
+        const { submission } = stored;
+        if (submission === undefined || context.jobs.has(jobId)) {
             return;
         }
-        const { submission, record, recordVersion, cancelled } = stored;
-        const job = restoreJob(submission, record, recordVersion, cancelled, sessions.findOrOpen, timer.nowMs());
+        const ageMs = estimateAgeMs(submission, timer.wallClockMs(), follower?.ageMs());
+        const job = restoreJob(submission, stored, { findSession: sessions.findOrOpen, nowMs: timer.nowMs(), ageMs });
         context.jobs.set(jobId, job);
         context.openJobs.add(job);
         for (const unit of job.units.values()) {
@@ -132,11 +144,10 @@
         if (isEnded(job.phase)) {
             activeRuns(job).forEach(({ task, run }) => runStopper.stop(task, run, `job ${job.phase}`));
         }
-        log("info", "job adopted", describeAdopted(job, timer.wallClockMs()));
+        log("info", "job adopted", describeAdopted(job, ageMs));
     };
 
-    const cancelJob = (jobId: string): void => {
-        const job = context.jobs.get(jobId);
+    const cancelJob = (job: JobState | undefined): void => {
         if (job !== undefined && !isEnded(job.phase)) {
             job.cancelled = true;
             endedRuns.endJob(job, JobPhase.Cancelled, "cancelled by its customer");
@@ -149,7 +160,7 @@
             () => {
                 adoptJob(jobId, stored);
                 if (stored.cancelled) {
-                    cancelJob(jobId);
+                    cancelJob(context.jobs.get(jobId));
                 }
             },
             detail => log("error", "a job could not be taken", { jobId, detail }),
@@ -237,7 +248,7 @@
     }
 };
 
-const describeAdopted = ({ submission, phase, recordVersion, cancelled }: JobState, wallMs: number) => ({
+const describeAdopted = ({ submission, phase, recordVersion, cancelled }: JobState, ageMs: number) => ({
     jobId: submission.id,
     phase,
     version: recordVersion,
@@ -248,7 +259,7 @@
     accelerators: submission.steps.map(step => step.resources.accelerators),
     customer: submission.customer,
     objectiveMs: Math.round(objectiveMs(submission)),
-    ageMs: wallMs - submission.acceptedAtMs,
+    ageMs: Math.round(ageMs),
 });
 
 const dumpContext = (context: PlannerContext) => ({
--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -105,8 +105,10 @@
     return unit.step.gang && waiting.length < unit.tasks.length ? [] : waiting;
 };
 
+const isDue = ({ dueAtMs }: Unit, wallMs: number): boolean => dueAtMs === undefined || dueAtMs <= wallMs;
+
 const isWaiting = (unit: Unit, nowMs: number, wallMs: number): boolean =>
-    !unit.complete && unit.dueAtMs <= wallMs && unit.notBeforeMs <= nowMs && areDependenciesComplete(unit);
+    !unit.complete && isDue(unit, wallMs) && unit.notBeforeMs <= nowMs && areDependenciesComplete(unit);
 
 const toCandidate = (
     unit: Unit,
@@ -116,7 +118,7 @@
     wallMs: number,
 ): Candidate => {
     const { submission } = unit.job;
-    const ageMs = wallMs - unit.dueAtMs;
+    const ageMs = unit.dueAtMs === undefined ? nowMs - unit.job.acceptedAtMs : wallMs - unit.dueAtMs;
     const allowedMs = objectiveMs(submission) + submission.slackFactor * unit.failedRunMs;
     unit.readySinceMs ??= nowMs;
     return {
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -1,4 +1,5 @@
 import type { WorkerSession } from "../execution/session.js";
+import type { StoredJob } from "./projection.js";
 import { JobPhase } from "./types.js";
 import type { JobRecord, JobSubmission, Step, TaskId, UnitRecord } from "./types.js";
 
@@ -58,8 +59,8 @@
     occurrence: number;
     stepIndex: number;
     step: Step;
-    /** Wall-clock time from which its tasks may run. */
-    dueAtMs: number;
+    /** Wall-clock time from which its tasks may run; unset for a job without scheduled occurrences. */
+    dueAtMs?: number;
     /** Monotonic time since which its tasks can be started; unset while earlier steps are not complete. */
     readySinceMs?: number;
     tasks: TaskState[];
@@ -79,6 +80,8 @@
 /** A job and its progress. */
 export interface JobState {
     submission: JobSubmission;
+    /** Estimated monotonic time of acceptance, which a step of the wall clock does not change. */
+    acceptedAtMs: number;
     /** Whether its customer has cancelled it. */
     cancelled: boolean;
     phase: JobPhase;
@@ -110,7 +113,7 @@
 /** Key of a task: `jobId.occurrence.step.index`, for maps and log lines. */
 export const taskKey = (task: TaskId): string => `${task.jobId}.${task.occurrence}.${task.step}.${task.index}`;
 
-const createUnit = (job: JobState, occurrence: number, stepIndex: number, dueAtMs: number): Unit => {
+const createUnit = (job: JobState, occurrence: number, stepIndex: number): Unit => {
     const step = job.submission.steps[stepIndex];
     const unit: Unit = {
         key: `${job.submission.id}.${unitKeyOf(occurrence, stepIndex)}`,
@@ -118,7 +121,7 @@
         occurrence,
         stepIndex,
         step,
-        dueAtMs,
+        dueAtMs: dueAtMs(job.submission, occurrence),
         tasks: [],
         complete: false,
         avoidedWorkers: new Set(),
@@ -133,9 +136,9 @@
     return unit;
 };
 
-/** Wall-clock time at which an occurrence is due. */
-export const dueAtMs = (job: JobSubmission, occurrence: number): number =>
-    job.repeatCount === 0 ? job.acceptedAtMs : job.startAtMs + occurrence * job.intervalMs;
+/** Wall-clock time at which an occurrence is due; `undefined` for a job without scheduled occurrences. */
+const dueAtMs = (job: JobSubmission, occurrence: number): number | undefined =>
+    job.repeatCount === 0 ? undefined : job.startAtMs + occurrence * job.intervalMs;
 
 /** Number of occurrences of a job. */
 export const occurrenceCount = (job: JobSubmission): number => Math.max(1, job.repeatCount);
@@ -145,8 +148,7 @@
     const occurrence = job.createdOccurrences;
     job.createdOccurrences += 1;
     job.submission.steps.forEach((_, stepIndex) => {
-        const unit = createUnit(job, occurrence, stepIndex, dueAtMs(job.submission, occurrence));
-        job.units.set(unitKeyOf(occurrence, stepIndex), unit);
+        job.units.set(unitKeyOf(occurrence, stepIndex), createUnit(job, occurrence, stepIndex));
     });
 };
 
@@ -154,7 +156,7 @@
 export const nextDueAtMs = (job: JobState): number =>
     job.createdOccurrences >= occurrenceCount(job.submission)
         ? Number.POSITIVE_INFINITY
-        : dueAtMs(job.submission, job.createdOccurrences);
+        : dueAtMs(job.submission, job.createdOccurrences) ?? Number.NEGATIVE_INFINITY;
 
 /** Returns the session of a recorded worker, by its id and incarnation. */
 export type FindSession = (workerId: string, bornMs: number) => WorkerSession;
@@ -186,17 +188,24 @@
     }
 };
 
+/** Options of {@link restoreJob}. */
+export interface RestoreJobOptions {
+    findSession: FindSession;
+    /** Monotonic time. */
+    nowMs: number;
+    /** Estimated time since the job was accepted. */
+    ageMs: number;
+}
+
 /** Restores the state of a job from its rows; whether its recorded runs are alive is not known yet. */
 export const restoreJob = (
     submission: JobSubmission,
-    record: JobRecord | undefined,
-    recordVersion: number,
-    cancelled: boolean,
-    findSession: FindSession,
-    nowMs: number,
+    { record, recordVersion, cancelled }: Omit<StoredJob, "submission">,
+    { findSession, nowMs, ageMs }: RestoreJobOptions,
 ): JobState => {
     const job: JobState = {
         submission,
+        acceptedAtMs: nowMs - ageMs,
         cancelled,
         phase: record?.phase ?? JobPhase.Queued,
         reason: record?.reason,
