fix(node): treat an answer of a peer that is not a reply as an unknown outcome

Callers: a submission could be answered with 503 (not stored, never runs) although the peer that relayed it had stored it; and a process whose peer answered 200 with a body that is not a reply ended with an unexpected error, cutting off every request in progress. Cause: any status but 200 counted as "nothing took effect", and the body of a 200 was used unchecked: a reply that is undefined or has no error made the race's attempt reject, which nobody handles. Change: the reply's shape is checked; statuses 400 to 499 are rejections before the operation, every other answer leaves the outcome unknown, so that the write is retried under its condition. Evidence: 11 of the 15 new tests failed before (500, 502 and 503 as unavailable, five bodies never settle the commit, a body without a value counted as committed); they pass now. The handler of our own peers fails only before it performs an operation, so the wrong 503 needs another program, or a later version, at the peer's address. Ruled out: 413 for a relayed transaction, as the relay takes bodies as large as the table does.

--- a/src/node/relayPeer.ts
+++ b/src/node/relayPeer.ts
@@ -2,7 +2,7 @@
 import type { RelayPeer, RelayReply, RelayRequest } from "../state/relay.js";
 import { StateErrorKind } from "../state/types.js";
 import { createHttpClient } from "../utils/httpJsonClient.js";
-import type { HttpClient } from "../utils/httpJsonClient.js";
+import type { HttpAnswer, HttpClient } from "../utils/httpJsonClient.js";
 import { fail } from "../utils/result.js";
 
 /** Path under which a VM performs table operations for another VM. */
@@ -11,6 +11,35 @@
 const relayTimeoutMs = 900;
 const maxConnections = 4;
 const okStatus = 200;
+const minRejectionStatus = 400;
+const minServerErrorStatus = 500;
+
+const isErrorKind = (kind: unknown): boolean => Object.values<unknown>(StateErrorKind).includes(kind);
+
+/** Whether a parsed body is a reply to the operation. */
+const isReply = (body: unknown, { operation }: RelayRequest): body is RelayReply => {
+    const { ok, value, error } = (body ?? {}) as {
+        ok?: unknown;
+        value?: { version?: unknown; rows?: unknown; };
+        error?: { kind?: unknown; rows?: unknown; };
+    };
+    return ok === true
+        ? Number.isFinite(value?.version) && (operation === "commit" || Array.isArray(value?.rows))
+        : ok === false && isErrorKind(error?.kind)
+            && (error?.kind !== StateErrorKind.Conflict || Array.isArray(error.rows));
+};
+
+/** A peer rejects a request before it performs it; any other answer that is not a reply leaves the outcome unknown. */
+const decodeReply = (peerName: string, request: RelayRequest, { status, body }: HttpAnswer): RelayReply => {
+    if (status === okStatus && isReply(body, request)) {
+        return body;
+    }
+    const isRejection = status >= minRejectionStatus && status < minServerErrorStatus;
+    return fail({
+        kind: isRejection ? StateErrorKind.Unavailable : StateErrorKind.NoAnswer,
+        detail: `${peerName} answered ${status} without a reply`,
+    });
+};
 
 /** Creates relay clients for other VMs; one HTTP client for each address is created and reused. */
 export const createRelayPeers = (others: () => readonly Peer[]): () => RelayPeer[] => {
@@ -32,10 +61,7 @@
             const kind = outcome.failure.notSent ? StateErrorKind.Unavailable : StateErrorKind.NoAnswer;
             return fail({ kind, detail: `${peer.name}: ${outcome.failure.detail}` });
         }
-        if (outcome.answer.status !== okStatus) {
-            return fail({ kind: StateErrorKind.Unavailable, detail: `${peer.name} answered ${outcome.answer.status}` });
-        }
-        return outcome.answer.body as RelayReply;
+        return decodeReply(peer.name, request, outcome.answer);
     };
     return () => others().map(peer => ({ name: peer.name, perform: request => perform(peer, request) }));
 };
--- /dev/null
+++ b/test/relayPeer.test.ts
@@ -0,0 +1,95 @@
+import { assert } from "chai";
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import { createRelayPeers } from "../src/node/relayPeer.js";
+import { createRelayedTable } from "../src/state/relay.js";
+import type { RelayReply } from "../src/state/relay.js";
+import { StateErrorKind } from "../src/state/types.js";
+import type { StateTable, StateTransaction } from "../src/state/types.js";
+import { listen } from "../src/utils/http.js";
+import { fail } from "../src/utils/result.js";
+import { createVirtualTimer } from "../src/utils/virtualTimer.js";
+
+const transaction: StateTransaction = {
+    part: "p0",
+    conditions: [],
+    writes: [{ table: "jobs", key: "k", value: 1 }],
+};
+
+describe("a commit through a peer", () => {
+    let server: Server | undefined;
+
+    afterEach(() => {
+        server?.close();
+        server?.closeAllConnections();
+    });
+
+    /** A peer that gives every request the same answer. */
+    const createPeerAnswering = async (status: number, text: string) => {
+        server = createServer((message, response) => {
+            message.resume();
+            message.on("end", () => response.writeHead(status).end(text));
+        });
+        const port = await listen(server, "127.0.0.1", 0);
+        return createRelayPeers(() => [{ name: "b", address: `127.0.0.1:${port}`, cores: 1 }]);
+    };
+
+    const commitThrough = async (status: number, text: string): Promise<RelayReply> => {
+        const [peer] = (await createPeerAnswering(status, text))();
+        return peer.perform({ operation: "commit", transaction });
+    };
+
+    const kindOf = (reply: RelayReply): StateErrorKind | undefined => reply.ok ? undefined : reply.error.kind;
+
+    it("has the peer's reply as its result", async () => {
+        assert.deepEqual(await commitThrough(200, "{\"ok\":true,\"value\":{\"version\":7}}"), {
+            ok: true,
+            value: { version: 7 },
+        });
+        const conflict = "{\"ok\":false,\"error\":{\"kind\":\"conflict\",\"rows\":[]}}";
+        assert.equal(kindOf(await commitThrough(200, conflict)), StateErrorKind.Conflict);
+    });
+
+    for (const status of [500, 502, 503]) {
+        it(`may have taken effect when the peer answers with status ${status}`, async () => {
+            assert.equal(kindOf(await commitThrough(status, "{}")), StateErrorKind.NoAnswer);
+        });
+    }
+
+    for (const status of [400, 404, 413]) {
+        it(`has not taken effect when the peer rejects the request with status ${status}`, async () => {
+            assert.equal(kindOf(await commitThrough(status, "{}")), StateErrorKind.Unavailable);
+        });
+    }
+
+    for (
+        const text of [
+            "",
+            "{\"ok\":tr",
+            "null",
+            "[]",
+            "{}",
+            "{\"ok\":true}",
+            "{\"ok\":false}",
+            "{\"ok\":false,\"error\":{}}",
+        ]
+    ) {
+        it(`may have taken effect when the peer's reply is ${JSON.stringify(text)}`, async () => {
+            const createPeers = await createPeerAnswering(200, text);
+            const unavailable = fail({ kind: StateErrorKind.Unavailable as const, detail: "unreachable" });
+            const direct: StateTable = {
+                commit: async () => unavailable,
+                read: async () => unavailable,
+                changes: async () => unavailable,
+            };
+            const table = createRelayedTable({
+                direct,
+                timer: createVirtualTimer(),
+                log: () => {},
+                peers: createPeers,
+            });
+            const written = await table.commit(transaction);
+            assert.isTrue(!written.ok && written.error.kind === StateErrorKind.NoAnswer, JSON.stringify(written));
+        });
+    }
+});
