fix(execution): go on recording a part when the rows of a job in it are gone

Callers: accepted jobs were never started and their states stayed as they were: every job of an eighth of all ids stood still until the next change of planner, which also wrote to the table without a pause. Cause: a progress row that no longer exists fails the recorder's condition for good. The conflict names no row for it, so no version was adopted, and the same transaction was repeated at once, for ever. A row disappears under its planner when the deletion after the retention time takes effect and its answer is lost, or when an earlier planner's deletion arrives late; the job is written again when a worker that was away reports an end of it. Change: a job whose row a conflict does not name was deleted and leaves the batch as recorded, so that the end is acknowledged. A conflict without the term's row says nothing, and is retried after a pause. Evidence: the three new tests failed before (501 commits in a second of virtual time; on whole entry VMs the next job of the part is not started); they pass now. Ruled out: writing the row again, which would leave a row without a submission that nobody deletes.

--- a/src/execution/recorder.ts
+++ b/src/execution/recorder.ts
@@ -4,7 +4,7 @@
 import type { JobRecord } from "../jobs/types.js";
 import type { Log } from "../node/logs.js";
 import { describeStateError, StateErrorKind } from "../state/types.js";
-import type { StateRow, StateTable } from "../state/types.js";
+import type { StateError, StateRow, StateTable } from "../state/types.js";
 import type { TimerService } from "../utils/timer.js";
 
 /** Options of {@link createRecorder}. */
@@ -22,7 +22,10 @@
 
 /** Writes the progress of jobs to the table, batching the jobs of one part into transactions. */
 export interface Recorder {
-    /** Resolves with true once the job's present state is written, with false if the term ended first. */
+    /**
+     * Resolves with true once the job's present state is written, or once its rows turn out to be deleted; with false if
+     * the term ended first.
+     */
     record(job: JobState): Promise<boolean>;
     /** Number of jobs in the queues, without those that are being written. */
     pendingCount(): number;
@@ -47,6 +50,16 @@
     jobs: { job: JobState; record: JobRecord; resolvers: ((recorded: boolean) => void)[]; }[];
 }
 
+const findProgressRow = ({ submission }: JobState, rows: readonly StateRow[]): StateRow | undefined =>
+    rows.find(row => row.key === jobRowKey(submission.id, JobRowKind.Progress));
+
+/** Rows of a conflict; `undefined` without the term's row, which every write names and which is never deleted. */
+const toConflict = (error: StateError): { termVersion: number; rows: readonly StateRow[]; } | undefined => {
+    const rows = error.kind === StateErrorKind.Conflict ? error.rows : [];
+    const termRow = rows.find(row => row.key === termKey);
+    return termRow === undefined ? undefined : { termVersion: termRow.version, rows };
+};
+
 /** Creates the recorder of a term. Each write requires the part's term row and fails once a later term has begun. */
 export const createRecorder = (options: RecorderOptions): Recorder => {
     const { state, timer, log, term } = options;
@@ -84,30 +97,28 @@
             })),
         });
 
-    /**
-     * Adopts the row versions in a conflict, which an earlier attempt without an answer may have written; returns false
-     * if a later term has begun.
-     */
-    const updateVersions = (part: string, batch: Batch, rows: readonly StateRow[]): boolean => {
-        const termRow = rows.find(row => row.key === termKey);
-        if (termRow !== undefined && termRow.version !== options.termVersions.get(part)) {
-            return false;
-        }
+    /** Adopts the row versions in a conflict, which an earlier attempt without an answer may have written. */
+    const updateVersions = (batch: Batch, rows: readonly StateRow[]): void => {
         for (const { job } of batch.jobs) {
-            const key = jobRowKey(job.submission.id, JobRowKind.Progress);
-            const row = rows.find(candidate => candidate.key === key);
-            if (row !== undefined) {
-                job.recordVersion = row.version;
-            }
+            job.recordVersion = findProgressRow(job, rows)?.version ?? job.recordVersion;
+        }
+    };
+
+    /** Takes the jobs out of a batch whose rows were deleted after their retention time: nothing is to be written. */
+    const dropDeletedJobs = (batch: Batch, rows: readonly StateRow[]): void => {
+        const isDeleted = (job: JobState): boolean => job.recordVersion > 0 && findProgressRow(job, rows) === undefined;
+        const deleted = batch.jobs.filter(({ job }) => isDeleted(job));
+        if (deleted.length > 0) {
+            log("warn", "progress of deleted jobs", { jobIds: deleted.map(({ job }) => job.submission.id) });
+            batch.jobs = batch.jobs.filter(({ job }) => !isDeleted(job));
+            resolveBatch({ jobs: deleted }, true);
         }
-        return true;
     };
 
     /** Whether the rows in a conflict show that an earlier attempt has written the batch. */
     const isWritten = (batch: Batch, rows: readonly StateRow[]): boolean =>
         batch.jobs.every(({ job, record }) => {
-            const key = jobRowKey(job.submission.id, JobRowKind.Progress);
-            const found = rows.find(row => row.key === key)?.value as JobRecord | undefined;
+            const found = findProgressRow(job, rows)?.value as JobRecord | undefined;
             return found?.term === term && found.sequence === record.sequence;
         });
 
@@ -116,7 +127,7 @@
     };
 
     const writeBatch = async (part: string, batch: Batch): Promise<void> => {
-        while (!stopped) {
+        while (!stopped && batch.jobs.length > 0) {
             const written = await commit(part, batch);
             if (written.ok) {
                 batch.jobs.forEach(({ job }) => {
@@ -125,12 +136,15 @@
                 resolveBatch(batch, true);
                 return;
             }
-            if (written.error.kind === StateErrorKind.Conflict) {
-                if (!updateVersions(part, batch, written.error.rows)) {
+            const conflict = toConflict(written.error);
+            if (conflict !== undefined) {
+                if (conflict.termVersion !== options.termVersions.get(part)) {
                     options.onFenced("the table names a later term");
                     break;
                 }
-                if (isWritten(batch, written.error.rows)) {
+                dropDeletedJobs(batch, conflict.rows);
+                updateVersions(batch, conflict.rows);
+                if (isWritten(batch, conflict.rows)) {
                     resolveBatch(batch, true);
                     return;
                 }
--- /dev/null
+++ b/test/recorder.test.ts
@@ -0,0 +1,142 @@
+import { assert } from "chai";
+import { createRecorder } from "../src/execution/recorder.js";
+import type { Recorder } from "../src/execution/recorder.js";
+import { restoreJob } from "../src/jobs/progress.js";
+import type { JobState } from "../src/jobs/progress.js";
+import { jobParts, jobRowKey, JobRowKind, partOfJob, progressTable, termKey } from "../src/jobs/rows.js";
+import type { JobSubmission } from "../src/jobs/types.js";
+import { StateErrorKind } from "../src/state/types.js";
+import type { StateError, StateTable, StateTransaction } from "../src/state/types.js";
+import { fail } from "../src/utils/result.js";
+import type { Result } from "../src/utils/result.js";
+import { createVirtualTimer } from "../src/utils/virtualTimer.js";
+import { createTableModel } from "../standins/fleet/tableModel.js";
+import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
+
+const term = 1;
+const callMs = 2;
+
+type CommitResult = Result<{ version: number; }, StateError>;
+
+const createTerm = () => {
+    const timer = createVirtualTimer();
+    const model = createTableModel();
+    const termVersions = new Map(jobParts.map(part => {
+        const written = model.commit({
+            part,
+            conditions: [],
+            writes: [{ table: progressTable, key: termKey, value: { term } }],
+        });
+        return [part, written.ok ? written.value.version : 0];
+    }));
+    const fixture = {
+        timer,
+        model,
+        commits: [] as StateTransaction[],
+        fenced: false,
+        /** Answers a commit in place of the table. */
+        intercept: (): CommitResult | undefined => undefined,
+        recorder: undefined as Recorder | undefined,
+        createJob: (submission: JobSubmission): JobState =>
+            restoreJob(submission, { recordVersion: 0, cancelled: false }, {
+                findSession: () => assert.fail("the job has no runs"),
+                nowMs: timer.nowMs(),
+                ageMs: 0,
+            }),
+        /** Records jobs in the same turn; resolves with the results so far, after a time. */
+        record: async (jobs: readonly JobState[], waitMs = 1_000): Promise<(boolean | undefined)[]> => {
+            const results: (boolean | undefined)[] = jobs.map(() => undefined);
+            jobs.forEach((job, index) =>
+                void fixture.recorder?.record(job).then(recorded => results[index] = recorded)
+            );
+            await timer.advance(waitMs);
+            return results;
+        },
+        deleteRows: (jobId: string): void => {
+            const writes = [{ table: progressTable, key: jobRowKey(jobId, JobRowKind.Progress) }];
+            model.commit({ part: partOfJob(jobId), conditions: [], writes });
+        },
+        storedRecord: (jobId: string): unknown =>
+            model.read({ table: progressTable, part: partOfJob(jobId) }).rows
+                .find(row => row.key === jobRowKey(jobId, JobRowKind.Progress))?.value,
+    };
+    const state: Pick<StateTable, "commit"> = {
+        commit: async transaction => {
+            fixture.commits.push(transaction);
+            await timer.sleep(callMs);
+            return fixture.intercept() ?? model.commit(transaction);
+        },
+    };
+    fixture.recorder = createRecorder({
+        state: state as StateTable,
+        timer,
+        log: () => {},
+        term,
+        termVersions,
+        onFenced: () => {
+            fixture.fenced = true;
+        },
+    });
+    return fixture;
+};
+
+/** Ids of jobs in the same part. */
+const idsOfOnePart = (count: number): string[] => {
+    const ids: string[] = [];
+    for (let index = 0; ids.length < count; index++) {
+        const id = `job${index}`;
+        if (partOfJob(id) === jobParts[0]) {
+            ids.push(id);
+        }
+    }
+    return ids;
+};
+
+describe("the recorder of a term", () => {
+    it("writes the other jobs of a part when the rows of one were deleted", async () => {
+        const fixture = createTerm();
+        const [deleted, other] = idsOfOnePart(2).map(id => fixture.createJob(createSubmission(id, [createStep()])));
+        assert.deepEqual(await fixture.record([deleted, other]), [true, true]);
+        fixture.deleteRows(deleted.submission.id);
+        fixture.commits.length = 0;
+        assert.deepEqual(await fixture.record([deleted, other]), [true, true]);
+        assert.isAtMost(fixture.commits.length, 2);
+        assert.isUndefined(fixture.storedRecord(deleted.submission.id), "the deleted row is not written again");
+        assert.equal((fixture.storedRecord(other.submission.id) as { sequence: number; }).sequence, 2);
+    });
+
+    it("pauses before it repeats a write that was refused without the rows it conflicts with", async () => {
+        const fixture = createTerm();
+        const [job] = idsOfOnePart(1).map(id => fixture.createJob(createSubmission(id, [createStep()])));
+        await fixture.record([job]);
+        fixture.commits.length = 0;
+        fixture.intercept = () => fail({ kind: StateErrorKind.Conflict, rows: [] });
+        assert.deepEqual(await fixture.record([job]), [undefined]);
+        assert.isAtMost(fixture.commits.length, 6);
+        fixture.intercept = () => undefined;
+        await fixture.timer.advance(1_000);
+        assert.equal((fixture.storedRecord(job.submission.id) as { sequence: number; }).sequence, 2);
+    });
+});
+
+describe("a job in the same part as one whose deletion got no answer", () => {
+    it("runs although a worker reports an end of the deleted job", async () => {
+        const fleet = createFleet({ workerCount: 2 });
+        await fleet.timer.advance(1_000);
+        const [deletedId, nextId] = idsOfOnePart(2);
+        await fleet.submit(createSubmission(deletedId, [createStep()], {}, { workMs: 3_000 }));
+        await fleet.timer.advance(500);
+        const silent = fleet.workers.get(fleet.spans[0].worker);
+        assert.isDefined(silent);
+        silent!.unreachable = true;
+        await fleet.timer.advance(20_000);
+        fleet.commitFault = (_vm, { writes }) =>
+            writes.some(write => write.value === undefined) ? CallFault.AnswerLost : CallFault.None;
+        await fleet.timer.advance(40_000);
+        silent!.unreachable = false;
+        await fleet.timer.advance(2_000);
+        await fleet.submit(createSubmission(nextId, [createStep()]));
+        await fleet.timer.advance(3_000);
+        assert.isDefined(fleet.spans.find(span => span.task.startsWith(`${nextId}.`)), "it was started");
+    });
+});
