fix(execution): bound the size of the recorder's transactions

Callers: jobs of an eighth of all ids stood still when many large ones of them changed at once. Cause: up to 40 records were written in one transaction, whatever their size. Of 40 jobs with 400 running tasks each, which have checkpoints and failed runs, that is about 2 MB of JSON; the platform takes 1 MB with the values in base64. It refuses such a transaction whenever it is repeated, and the part's queue waits for it. Change: a transaction takes as many records as fit into 650 kB of JSON, at least one. Ruled out: the other transactions: a deletion has 90 entries without values, the rest one or two rows; and the relay's limit on a request, which is as large as the platform's.

--- a/src/execution/recorder.ts
+++ b/src/execution/recorder.ts
@@ -35,6 +35,8 @@
 
 /** Jobs in one transaction; the platform accepts 100 entries, and each job needs two. */
 const maxJobsPerCommit = 40;
+/** Size of the records in one transaction as JSON; the platform accepts requests of 1 MB, with values in base64. */
+const maxBytesPerCommit = 650_000;
 /** Delay before a transaction that was refused or got no answer is retried. */
 const retryPauseMs = 200;
 
@@ -68,13 +70,16 @@
 
     const dequeueBatch = (queue: PartQueue): Batch => {
         const batch: Batch = { jobs: [] };
+        let sizeBytes = 0;
         for (const [job, resolvers] of queue.waiting) {
-            if (batch.jobs.length === maxJobsPerCommit) {
+            const record = { ...toJobRecord(job, term), sequence: job.sequence + 1 };
+            sizeBytes += Buffer.byteLength(JSON.stringify(record));
+            if (batch.jobs.length > 0 && (batch.jobs.length === maxJobsPerCommit || sizeBytes > maxBytesPerCommit)) {
                 break;
             }
             queue.waiting.delete(job);
-            job.sequence += 1;
-            batch.jobs.push({ job, record: toJobRecord(job, term), resolvers });
+            job.sequence = record.sequence;
+            batch.jobs.push({ job, record, resolvers });
         }
         return batch;
     };
--- a/test/recorder.test.ts
+++ b/test/recorder.test.ts
@@ -1,10 +1,13 @@
 import { assert } from "chai";
+import { createTableClient } from "../platform/table.js";
 import { createRecorder } from "../src/execution/recorder.js";
 import type { Recorder } from "../src/execution/recorder.js";
+import type { WorkerSession } from "../src/execution/session.js";
 import { restoreJob } from "../src/jobs/progress.js";
 import type { JobState } from "../src/jobs/progress.js";
 import { jobParts, jobRowKey, JobRowKind, partOfJob, progressTable, termKey } from "../src/jobs/rows.js";
-import type { JobSubmission } from "../src/jobs/types.js";
+import { JobPhase } from "../src/jobs/types.js";
+import type { JobRecord, JobSubmission } from "../src/jobs/types.js";
 import { StateErrorKind } from "../src/state/types.js";
 import type { StateError, StateTable, StateTransaction } from "../src/state/types.js";
 import { fail } from "../src/utils/result.js";
@@ -18,6 +21,32 @@
 
 type CommitResult = Result<{ version: number; }, StateError>;
 
+const maxEntries = 100;
+const maxRequestBytes = 1_000_000;
+const maxRowBytes = 65_536;
+
+/** Encodes a transaction as it is sent to the platform's table. */
+const encode = async (transaction: StateTransaction): Promise<string> => {
+    let body: unknown;
+    await createTableClient({
+        call: async call => {
+            body = call.body;
+            return { ok: true, answer: { status: 200, body: {} } };
+        },
+        close: () => {},
+    }).commit(transaction);
+    return JSON.stringify(body);
+};
+
+/** The table's refusal of a transaction that is over its limits. */
+const refuseOverLimits = async (transaction: StateTransaction): Promise<CommitResult | undefined> => {
+    const { conditions, writes } = transaction;
+    const rowBytes = writes.map(({ value }) => Buffer.byteLength(JSON.stringify(value) ?? ""));
+    const isOver = conditions.length + writes.length > maxEntries || rowBytes.some(bytes => bytes > maxRowBytes)
+        || (await encode(transaction)).length > maxRequestBytes;
+    return isOver ? fail({ kind: StateErrorKind.Unavailable, detail: "over the limits" }) : undefined;
+};
+
 const createTerm = () => {
     const timer = createVirtualTimer();
     const model = createTableModel();
@@ -37,9 +66,9 @@
         /** Answers a commit in place of the table. */
         intercept: (): CommitResult | undefined => undefined,
         recorder: undefined as Recorder | undefined,
-        createJob: (submission: JobSubmission): JobState =>
-            restoreJob(submission, { recordVersion: 0, cancelled: false }, {
-                findSession: () => assert.fail("the job has no runs"),
+        createJob: (submission: JobSubmission, record?: JobRecord): JobState =>
+            restoreJob(submission, { record, recordVersion: 0, cancelled: false }, {
+                findSession: (id, bornMs) => ({ id, bornMs }) as WorkerSession,
                 nowMs: timer.nowMs(),
                 ageMs: 0,
             }),
@@ -64,7 +93,7 @@
         commit: async transaction => {
             fixture.commits.push(transaction);
             await timer.sleep(callMs);
-            return fixture.intercept() ?? model.commit(transaction);
+            return fixture.intercept() ?? await refuseOverLimits(transaction) ?? model.commit(transaction);
         },
     };
     fixture.recorder = createRecorder({
@@ -92,7 +121,42 @@
     return ids;
 };
 
+/** Record of a job whose tasks all run; each has a checkpoint and two failed runs. */
+const createRecord = (taskCount: number): JobRecord => {
+    const indexes = Array.from({ length: taskCount }, (_, index) => index);
+    return {
+        sequence: 0,
+        term,
+        phase: JobPhase.Running,
+        units: {
+            "0.0": {
+                complete: false,
+                done: [],
+                failedRuns: Object.fromEntries(indexes.map(index => [index, [40_001, 41_001]])),
+                checkpoints: Object.fromEntries(indexes.map(index => [index, "00000bb87a21d94b"])),
+                runs: indexes.map(index => ({
+                    index,
+                    run: 42_001,
+                    workerId: `worker-${String(index).padStart(9, "0")}`,
+                    bornMs: 1_781_234_567_890,
+                })),
+            },
+        },
+    };
+};
+
 describe("the recorder of a term", () => {
+    it("divides the records of many large jobs into transactions that the table takes", async () => {
+        const fixture = createTerm();
+        const taskCount = 400;
+        const jobs = idsOfOnePart(40).map(id =>
+            fixture.createJob(createSubmission(id, [createStep({ taskCount })]), createRecord(taskCount))
+        );
+        const recorded = await fixture.record(jobs);
+        assert.deepEqual(recorded, jobs.map(() => true));
+        assert.isAtMost(fixture.commits.length, 4, "it does not write them one by one");
+    });
+
     it("writes the other jobs of a part when the rows of one were deleted", async () => {
         const fixture = createTerm();
         const [deleted, other] = idsOfOnePart(2).map(id => fixture.createJob(createSubmission(id, [createStep()])));
