fix(jobs): store the progress of scheduled jobs in a form that always fits a row

Callers: a job with many occurrences stood still after some hundred of them, and every job in the same eighth of all ids with it. Cause: its record listed every unit so far, complete ones at 80 bytes each; after some 770 the record is over the 64 KiB of a row, and the table refuses every transaction with it. Occurrences that overlap had the same effect without a limit, as all that are due were started. Change: occurrences in which a step is complete are stored as ranges, units in their initial state are omitted, and a further occurrence starts only while the incomplete units of the job have at most 600 tasks. Records in the earlier form are read as before. Evidence: with the table's limits enforced, a job with thousands of complete occurrences was not recorded before; 100 overlapping occurrences of 80 tasks were not recorded without the limit on open tasks (both seen failing). Both tests pass now, and the ranges restore what was complete, with a gap.

--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -1,4 +1,4 @@
-import { activeRuns, addOccurrence, nextDueAtMs } from "../jobs/progress.js";
+import { activeRuns, addDueOccurrences } from "../jobs/progress.js";
 import type { JobState, Unit } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
 import { untilLatestStartMs, workOf } from "../planning/order.js";
@@ -109,12 +109,6 @@
     let started = false;
     let lastRoundDurationMs = 0;
 
-    const addDueOccurrences = (job: JobState): void => {
-        while (!isEnded(job.phase) && nextDueAtMs(job) <= timer.wallClockMs()) {
-            addOccurrence(job);
-        }
-    };
-
     const runRound = (): void => {
         cancelScheduled = undefined;
         if (!context.mayOrder()) {
@@ -126,7 +120,14 @@
     };
 
     const prepareRound = (): void => {
-        context.openJobs.forEach(job => isFinished(job) ? context.openJobs.delete(job) : addDueOccurrences(job));
+        for (const job of context.openJobs) {
+            if (isFinished(job)) {
+                context.openJobs.delete(job);
+            }
+            else if (!isEnded(job.phase)) {
+                addDueOccurrences(job, timer.wallClockMs());
+            }
+        }
         runMonitor.evacuateRuns();
     };
 
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -144,7 +144,7 @@
 export const occurrenceCount = (job: JobSubmission): number => Math.max(1, job.repeatCount);
 
 /** Creates the units of a job's next occurrence. */
-export const addOccurrence = (job: JobState): void => {
+const addOccurrence = (job: JobState): void => {
     const occurrence = job.createdOccurrences;
     job.createdOccurrences += 1;
     job.submission.steps.forEach((_, stepIndex) => {
@@ -152,11 +152,27 @@
     });
 };
 
-/** Wall-clock time at which the next occurrence to be created is due; infinite after the last. */
-export const nextDueAtMs = (job: JobState): number =>
-    job.createdOccurrences >= occurrenceCount(job.submission)
-        ? Number.POSITIVE_INFINITY
-        : dueAtMs(job.submission, job.createdOccurrences) ?? Number.NEGATIVE_INFINITY;
+/** Tasks in the incomplete units of one job beyond which no further occurrence starts: its record has to fit a row. */
+const maxOpenTasks = 600;
+
+const countOpenTasks = (job: JobState): number =>
+    [...job.units.values()].reduce((sum, unit) => sum + (unit.complete ? 0 : unit.tasks.length), 0);
+
+const isNextOccurrenceDue = ({ submission, createdOccurrences }: JobState, wallMs: number): boolean =>
+    createdOccurrences < occurrenceCount(submission) && (dueAtMs(submission, createdOccurrences) ?? wallMs) <= wallMs;
+
+/** Creates the units of a job's occurrences that are due. */
+export const addDueOccurrences = (job: JobState, wallMs: number): void => {
+    if (!isNextOccurrenceDue(job, wallMs)) {
+        return;
+    }
+    const addedTasks = job.submission.steps.reduce((sum, step) => sum + step.taskCount, 0);
+    let openTasks = countOpenTasks(job);
+    while (isNextOccurrenceDue(job, wallMs) && (openTasks === 0 || openTasks + addedTasks <= maxOpenTasks)) {
+        addOccurrence(job);
+        openTasks += addedTasks;
+    }
+};
 
 /** Returns the session of a recorded worker, by its id and incarnation. */
 export type FindSession = (workerId: string, bornMs: number) => WorkerSession;
@@ -188,6 +204,26 @@
     }
 };
 
+const completeUnitRecord: UnitRecord = { complete: true, done: [], failedRuns: {}, checkpoints: {}, runs: [] };
+
+/** Calls `action` with the key of each unit that a record names in a range of complete occurrences. */
+const forEachCompleteUnit = (record: JobRecord | undefined, action: (unitKey: string) => void): void => {
+    for (const [stepIndex, ranges] of Object.entries(record?.completeOccurrences ?? {})) {
+        for (const [first, last] of ranges) {
+            for (let occurrence = first; occurrence <= last; occurrence++) {
+                action(unitKeyOf(occurrence, Number(stepIndex)));
+            }
+        }
+    }
+};
+
+/** Highest number of an occurrence in a record; -1 if there is none. */
+const lastRecordedOccurrence = (record: JobRecord | undefined): number => {
+    const ofUnits = Object.keys(record?.units ?? {}).map(key => Number(key.split(".")[0]));
+    const ofRanges = Object.values(record?.completeOccurrences ?? {}).flatMap(ranges => ranges.map(([, last]) => last));
+    return [...ofUnits, ...ofRanges].reduce((highest, occurrence) => Math.max(highest, occurrence), -1);
+};
+
 /** Options of {@link restoreJob}. */
 export interface RestoreJobOptions {
     findSession: FindSession;
@@ -215,11 +251,16 @@
         units: new Map(),
         createdOccurrences: 0,
     };
-    const recordedOccurrences = Object.keys(record?.units ?? {}).map(key => Number(key.split(".")[0]));
-    const occurrencesToCreate = submission.repeatCount === 0 ? 1 : Math.max(-1, ...recordedOccurrences) + 1;
+    const occurrencesToCreate = submission.repeatCount === 0 ? 1 : lastRecordedOccurrence(record) + 1;
     while (job.createdOccurrences < occurrencesToCreate) {
         addOccurrence(job);
     }
+    forEachCompleteUnit(record, unitKey => {
+        const unit = job.units.get(unitKey);
+        if (unit !== undefined) {
+            restoreUnit(unit, completeUnitRecord, findSession, nowMs);
+        }
+    });
     for (const [key, unitRecord] of Object.entries(record?.units ?? {})) {
         const unit = job.units.get(key);
         if (unit !== undefined) {
@@ -249,15 +290,42 @@
     return record;
 };
 
+const isInitial = ({ complete, done, failedRuns, checkpoints, runs }: UnitRecord): boolean =>
+    !complete && done.length === 0 && runs.length === 0 && Object.keys(failedRuns).length === 0
+    && Object.keys(checkpoints).length === 0;
+
+/** Adds an occurrence to ranges that end before it. */
+const appendOccurrence = (ranges: [first: number, last: number][], occurrence: number): void => {
+    const lastRange = ranges.at(-1);
+    if (lastRange?.[1] === occurrence - 1) {
+        lastRange[1] = occurrence;
+    }
+    else {
+        ranges.push([occurrence, occurrence]);
+    }
+};
+
 /** Converts the progress of a job to the form in which it is stored. */
-export const toJobRecord = (job: JobState, term: number): JobRecord => ({
-    sequence: job.sequence,
-    term,
-    phase: job.phase,
-    endedAtMs: job.endedAtMs,
-    reason: job.reason,
-    units: Object.fromEntries([...job.units].map(([key, unit]) => [key, toUnitRecord(unit)])),
-});
+export const toJobRecord = (job: JobState, term: number): JobRecord => {
+    const units: Record<string, UnitRecord> = {};
+    const completeOccurrences: Record<string, [first: number, last: number][]> = {};
+    // in the order of their occurrences
+    for (const [key, unit] of job.units) {
+        // a run of a complete unit still has to be known
+        const isPlainlyComplete = unit.complete && unit.tasks.every(task => task.run === undefined);
+        if (job.submission.repeatCount > 0 && isPlainlyComplete) {
+            appendOccurrence(completeOccurrences[unit.stepIndex] ??= [], unit.occurrence);
+            continue;
+        }
+        const record = toUnitRecord(unit);
+        if (!isInitial(record)) {
+            units[key] = record;
+        }
+    }
+    const { sequence, phase, endedAtMs, reason } = job;
+    const record = { sequence, term, phase, endedAtMs, reason, units };
+    return job.submission.repeatCount > 0 ? { ...record, completeOccurrences } : record;
+};
 
 /** Members of a task's gang, itself included; just the task if it is in none. */
 export const gangMembersOf = (task: TaskState): readonly TaskState[] => task.unit.step.gang ? task.unit.tasks : [task];
--- a/src/jobs/types.ts
+++ b/src/jobs/types.ts
@@ -132,6 +132,8 @@
     endedAtMs?: number;
     /** Human-readable reason for the end. */
     reason?: string;
-    /** Units by key: `occurrence.step`. */
+    /** Units by key: `occurrence.step`; without those in their initial state and those in `completeOccurrences`. */
     units: Record<string, UnitRecord>;
+    /** Ranges of occurrences, both ends inclusive, in which a step is complete; by index of the step. @default none */
+    completeOccurrences?: Record<string, [first: number, last: number][]>;
 }
--- a/test/recorder.test.ts
+++ b/test/recorder.test.ts
@@ -3,8 +3,8 @@
 import { createRecorder } from "../src/execution/recorder.js";
 import type { Recorder } from "../src/execution/recorder.js";
 import type { WorkerSession } from "../src/execution/session.js";
-import { restoreJob } from "../src/jobs/progress.js";
-import type { JobState } from "../src/jobs/progress.js";
+import { addDueOccurrences, restoreJob } from "../src/jobs/progress.js";
+import type { JobState, Run } from "../src/jobs/progress.js";
 import { jobParts, jobRowKey, JobRowKind, partOfJob, progressTable, termKey } from "../src/jobs/rows.js";
 import { JobPhase } from "../src/jobs/types.js";
 import type { JobRecord, JobSubmission } from "../src/jobs/types.js";
@@ -145,6 +145,33 @@
     };
 };
 
+/** Submission of a job of two steps that is due every second. */
+const createScheduled = (repeatCount: number, taskCount: number): JobSubmission => {
+    const steps = [createStep({ taskCount }), createStep({ taskCount, after: [0] })];
+    return createSubmission(idsOfOnePart(1)[0], steps, { repeatCount, startAtMs: 1_000, intervalMs: 1_000 });
+};
+
+/** Creates occurrences up to a number and completes all units. */
+const completeOccurrencesUntil = (job: JobState, occurrences: number): void => {
+    const lastDueAtMs = job.submission.startAtMs + (occurrences - 1) * job.submission.intervalMs;
+    while (job.createdOccurrences < occurrences) {
+        addDueOccurrences(job, lastDueAtMs);
+        job.units.forEach(unit => unit.complete = true);
+    }
+    for (const unit of job.units.values()) {
+        unit.complete = true;
+        unit.tasks.forEach(task => task.run = undefined);
+    }
+};
+
+const runAllOpenTasks = (job: JobState): void => {
+    const tasks = [...job.units.values()].filter(({ complete }) => !complete).flatMap(unit => unit.tasks);
+    for (const [index, task] of tasks.entries()) {
+        const worker = { id: `worker-${String(index).padStart(9, "0")}`, bornMs: 1_781_234_567_890 };
+        task.run = { number: 42_001, worker } as Run;
+    }
+};
+
 describe("the recorder of a term", () => {
     it("divides the records of many large jobs into transactions that the table takes", async () => {
         const fixture = createTerm();
@@ -157,6 +184,39 @@
         assert.isAtMost(fixture.commits.length, 4, "it does not write them one by one");
     });
 
+    it("stores a job with thousands of complete occurrences, which are restored as complete", async () => {
+        const fixture = createTerm();
+        const submission = createScheduled(3_000, 2);
+        const job = fixture.createJob(submission);
+        completeOccurrencesUntil(job, 2_990);
+        const reopened = job.units.get("17.1");
+        assert.isDefined(reopened);
+        reopened!.complete = false;
+        assert.deepEqual(await fixture.record([job]), [true]);
+        const restored = fixture.createJob(submission, fixture.storedRecord(submission.id) as JobRecord);
+        assert.equal(restored.createdOccurrences, 2_990);
+        const openUnits = [...restored.units.values()].filter(({ complete }) => !complete);
+        assert.deepEqual(openUnits.map(unit => unit.key), [`${submission.id}.17.1`]);
+        assert.isTrue(restored.units.get("18.1")?.tasks.every(task => task.done));
+    });
+
+    it("stores a job with many occurrences that are due at the same time", async () => {
+        const fixture = createTerm();
+        const submission = createScheduled(100, 40);
+        const job = fixture.createJob(submission);
+        for (let completed = 0; completed < submission.repeatCount; completed = job.createdOccurrences) {
+            addDueOccurrences(job, Number.MAX_SAFE_INTEGER);
+            assert.isAbove(
+                job.createdOccurrences,
+                completed,
+                "further occurrences start once earlier ones are complete",
+            );
+            runAllOpenTasks(job);
+            assert.deepEqual(await fixture.record([job], 10), [true]);
+            completeOccurrencesUntil(job, job.createdOccurrences);
+        }
+    });
+
     it("writes the other jobs of a part when the rows of one were deleted", async () => {
         const fixture = createTerm();
         const [deleted, other] = idsOfOnePart(2).map(id => fixture.createJob(createSubmission(id, [createStep()])));
