fix(execution): keep records within the size of a row

Callers: a job with the 600 tasks that are accepted stood still, and every job in the same eighth of all ids with it. Cause: with a run, a checkpoint and two failed runs for each task its record is about 75 kB, and a row holds 64 KiB. The table refuses the transaction whenever it is repeated, and the part's queue waits. Change: a record that is too large is stored without checkpoints; runs report theirs again to the next planner, and only tasks that wait then repeat work. A record that is still too large is reported as an error and does not hold up the other jobs of its part. Evidence: both new tests failed before, with the table's limits enforced, and pass now. Limit: without checkpoints 600 tasks with two failed runs each fit while the ids of workers have at most some 25 characters.

--- a/src/execution/recorder.ts
+++ b/src/execution/recorder.ts
@@ -24,7 +24,7 @@
 export interface Recorder {
     /**
      * Resolves with true once the job's present state is written, or once its rows turn out to be deleted; with false if
-     * the term ended first.
+     * the term ended first or the state is too large for a row.
      */
     record(job: JobState): Promise<boolean>;
     /** Number of jobs in the queues, without those that are being written. */
@@ -35,6 +35,8 @@
 
 /** Jobs in one transaction; the platform accepts 100 entries, and each job needs two. */
 const maxJobsPerCommit = 40;
+/** Maximum size of a record as JSON, which is the platform's limit on a row. */
+const maxRecordBytes = 65_536;
 /** Size of the records in one transaction as JSON; the platform accepts requests of 1 MB, with values in base64. */
 const maxBytesPerCommit = 650_000;
 /** Delay before a transaction that was refused or got no answer is retried. */
@@ -52,6 +54,17 @@
     jobs: { job: JobState; record: JobRecord; resolvers: ((recorded: boolean) => void)[]; }[];
 }
 
+const sizeOf = (record: JobRecord): number => Buffer.byteLength(JSON.stringify(record));
+
+/** Drops the checkpoints of a record that is too large for a row: they save work, the rest is needed. */
+const fitRow = (record: JobRecord): JobRecord => {
+    if (sizeOf(record) <= maxRecordBytes) {
+        return record;
+    }
+    const units = Object.entries(record.units).map(([key, unit]) => [key, { ...unit, checkpoints: {} }]);
+    return { ...record, units: Object.fromEntries(units) };
+};
+
 const findProgressRow = ({ submission }: JobState, rows: readonly StateRow[]): StateRow | undefined =>
     rows.find(row => row.key === jobRowKey(submission.id, JobRowKind.Progress));
 
@@ -62,6 +75,24 @@
     return termRow === undefined ? undefined : { termVersion: termRow.version, rows };
 };
 
+/** Adopts the row versions in a conflict, which an earlier attempt without an answer may have written. */
+const updateVersions = (batch: Batch, rows: readonly StateRow[]): void => {
+    for (const { job } of batch.jobs) {
+        job.recordVersion = findProgressRow(job, rows)?.version ?? job.recordVersion;
+    }
+};
+
+/** Whether the rows in a conflict show that an earlier attempt has written the batch. */
+const isWritten = (batch: Batch, rows: readonly StateRow[], term: number): boolean =>
+    batch.jobs.every(({ job, record }) => {
+        const found = findProgressRow(job, rows)?.value as JobRecord | undefined;
+        return found?.term === term && found.sequence === record.sequence;
+    });
+
+const resolveBatch = (batch: Batch, recorded: boolean): void => {
+    batch.jobs.forEach(({ resolvers }) => resolvers.forEach(resolve => resolve(recorded)));
+};
+
 /** Creates the recorder of a term. Each write requires the part's term row and fails once a later term has begun. */
 export const createRecorder = (options: RecorderOptions): Recorder => {
     const { state, timer, log, term } = options;
@@ -72,8 +103,15 @@
         const batch: Batch = { jobs: [] };
         let sizeBytes = 0;
         for (const [job, resolvers] of queue.waiting) {
-            const record = { ...toJobRecord(job, term), sequence: job.sequence + 1 };
-            sizeBytes += Buffer.byteLength(JSON.stringify(record));
+            const record = fitRow({ ...toJobRecord(job, term), sequence: job.sequence + 1 });
+            const recordBytes = sizeOf(record);
+            if (recordBytes > maxRecordBytes) {
+                log("error", "the record of a job is too large", { jobId: job.submission.id, recordBytes });
+                queue.waiting.delete(job);
+                resolvers.forEach(resolve => resolve(false));
+                continue;
+            }
+            sizeBytes += recordBytes;
             if (batch.jobs.length > 0 && (batch.jobs.length === maxJobsPerCommit || sizeBytes > maxBytesPerCommit)) {
                 break;
             }
@@ -102,13 +140,6 @@
             })),
         });
 
-    /** Adopts the row versions in a conflict, which an earlier attempt without an answer may have written. */
-    const updateVersions = (batch: Batch, rows: readonly StateRow[]): void => {
-        for (const { job } of batch.jobs) {
-            job.recordVersion = findProgressRow(job, rows)?.version ?? job.recordVersion;
-        }
-    };
-
     /** Takes the jobs out of a batch whose rows were deleted after their retention time: nothing is to be written. */
     const dropDeletedJobs = (batch: Batch, rows: readonly StateRow[]): void => {
         const isDeleted = (job: JobState): boolean => job.recordVersion > 0 && findProgressRow(job, rows) === undefined;
@@ -120,17 +151,6 @@
         }
     };
 
-    /** Whether the rows in a conflict show that an earlier attempt has written the batch. */
-    const isWritten = (batch: Batch, rows: readonly StateRow[]): boolean =>
-        batch.jobs.every(({ job, record }) => {
-            const found = findProgressRow(job, rows)?.value as JobRecord | undefined;
-            return found?.term === term && found.sequence === record.sequence;
-        });
-
-    const resolveBatch = (batch: Batch, recorded: boolean): void => {
-        batch.jobs.forEach(({ resolvers }) => resolvers.forEach(resolve => resolve(recorded)));
-    };
-
     const writeBatch = async (part: string, batch: Batch): Promise<void> => {
         while (!stopped && batch.jobs.length > 0) {
             const written = await commit(part, batch);
@@ -149,7 +169,7 @@
                 }
                 dropDeletedJobs(batch, conflict.rows);
                 updateVersions(batch, conflict.rows);
-                if (isWritten(batch, conflict.rows)) {
+                if (isWritten(batch, conflict.rows, term)) {
                     resolveBatch(batch, true);
                     return;
                 }
--- a/test/recorder.test.ts
+++ b/test/recorder.test.ts
@@ -184,6 +184,27 @@
         assert.isAtMost(fixture.commits.length, 4, "it does not write them one by one");
     });
 
+    it("stores a job with as many tasks as are accepted, each with a run, a checkpoint and failed runs", async () => {
+        const fixture = createTerm();
+        const taskCount = 600;
+        const submission = createSubmission(idsOfOnePart(1)[0], [createStep({ taskCount })]);
+        const job = fixture.createJob(submission, createRecord(taskCount));
+        assert.deepEqual(await fixture.record([job]), [true]);
+        const stored = fixture.storedRecord(submission.id) as JobRecord;
+        assert.deepEqual(stored.units["0.0"].runs, createRecord(taskCount).units["0.0"].runs);
+        assert.deepEqual(stored.units["0.0"].failedRuns, createRecord(taskCount).units["0.0"].failedRuns);
+    });
+
+    it("writes the other jobs of a part when the record of one does not fit a row", async () => {
+        const fixture = createTerm();
+        const [tooLarge, other] = idsOfOnePart(2).map(id =>
+            fixture.createJob(createSubmission(id, [createStep({ taskCount: 1_000 })]), createRecord(1_000))
+        );
+        other.units.get("0.0")?.tasks.forEach(task => task.run = undefined);
+        assert.deepEqual(await fixture.record([tooLarge, other]), [false, true]);
+        assert.isFalse(fixture.fenced);
+    });
+
     it("stores a job with thousands of complete occurrences, which are restored as complete", async () => {
         const fixture = createTerm();
         const submission = createScheduled(3_000, 2);
