--- a/src/execution/recorder.ts
+++ b/src/execution/recorder.ts
@@ -4,7 +4,7 @@
 import type { JobRecord } from "../jobs/types.js";
 import type { Log } from "../node/logs.js";
 import { describeStateError, StateErrorKind } from "../state/types.js";
-import type { StateRow, StateTable } from "../state/types.js";
+import type { StateError, StateRow, StateTable } from "../state/types.js";
 import type { TimerService } from "../utils/timer.js";
 
 /** Options of {@link createRecorder}. */
@@ -22,7 +22,10 @@
 
 /** Writes the progress of jobs to the table, batching the jobs of one part into transactions. */
 export interface Recorder {
-    /** Resolves with true once the job's present state is written, with false if the term ended first. */
+    /**
+     * Resolves with true once the job's present state is written, or once its rows turn out to be deleted; with false if
+     * the term ended first or the state is too large for a row.
+     */
     record(job: JobState): Promise<boolean>;
     /** Number of jobs in the queues, without those that are being written. */
     pendingCount(): number;
@@ -32,6 +35,10 @@
 
 /** Jobs in one transaction; the platform accepts 100 entries, and each job needs two. */
 const maxJobsPerCommit = 40;
+/** Maximum size of a record as JSON, which is the platform's limit on a row. */
+const maxRecordBytes = 65_536;
+/** Size of the records in one transaction as JSON; the platform accepts requests of 1 MB, with values in base64. */
+const maxBytesPerCommit = 650_000;
 /** Delay before a transaction that was refused or got no answer is retried. */
 const retryPauseMs = 200;
 
@@ -47,6 +54,45 @@
     jobs: { job: JobState; record: JobRecord; resolvers: ((recorded: boolean) => void)[]; }[];
 }
 
+const sizeOf = (record: JobRecord): number => Buffer.byteLength(JSON.stringify(record));
+
+/** Drops the checkpoints of a record that is too large for a row: they save work, the rest is needed. */
+const fitRow = (record: JobRecord): JobRecord => {
+    if (sizeOf(record) <= maxRecordBytes) {
+        return record;
+    }
+    const units = Object.entries(record.units).map(([key, unit]) => [key, { ...unit, checkpoints: {} }]);
+    return { ...record, units: Object.fromEntries(units) };
+};
+
+const findProgressRow = ({ submission }: JobState, rows: readonly StateRow[]): StateRow | undefined =>
+    rows.find(row => row.key === jobRowKey(submission.id, JobRowKind.Progress));
+
+/** Rows of a conflict; `undefined` without the term's row, which every write names and which is never deleted. */
+const toConflict = (error: StateError): { termVersion: number; rows: readonly StateRow[]; } | undefined => {
+    const rows = error.kind === StateErrorKind.Conflict ? error.rows : [];
+    const termRow = rows.find(row => row.key === termKey);
+    return termRow === undefined ? undefined : { termVersion: termRow.version, rows };
+};
+
+/** Adopts the row versions in a conflict, which an earlier attempt without an answer may have written. */
+const updateVersions = (batch: Batch, rows: readonly StateRow[]): void => {
+    for (const { job } of batch.jobs) {
+        job.recordVersion = findProgressRow(job, rows)?.version ?? job.recordVersion;
+    }
+};
+
+/** Whether the rows in a conflict show that an earlier attempt has written the batch. */
+const isWritten = (batch: Batch, rows: readonly StateRow[], term: number): boolean =>
+    batch.jobs.every(({ job, record }) => {
+        const found = findProgressRow(job, rows)?.value as JobRecord | undefined;
+        return found?.term === term && found.sequence === record.sequence;
+    });
+
+const resolveBatch = (batch: Batch, recorded: boolean): void => {
+    batch.jobs.forEach(({ resolvers }) => resolvers.forEach(resolve => resolve(recorded)));
+};
+
 /** Creates the recorder of a term. Each write requires the part's term row and fails once a later term has begun. */
 export const createRecorder = (options: RecorderOptions): Recorder => {
     const { state, timer, log, term } = options;
@@ -55,13 +101,23 @@
 
     const dequeueBatch = (queue: PartQueue): Batch => {
         const batch: Batch = { jobs: [] };
+        let sizeBytes = 0;
         for (const [job, resolvers] of queue.waiting) {
-            if (batch.jobs.length === maxJobsPerCommit) {
+            const record = fitRow({ ...toJobRecord(job, term), sequence: job.sequence + 1 });
+            const recordBytes = sizeOf(record);
+            if (recordBytes > maxRecordBytes) {
+                log("error", "the record of a job is too large", { jobId: job.submission.id, recordBytes });
+                queue.waiting.delete(job);
+                resolvers.forEach(resolve => resolve(false));
+                continue;
+            }
+            sizeBytes += recordBytes;
+            if (batch.jobs.length > 0 && (batch.jobs.length === maxJobsPerCommit || sizeBytes > maxBytesPerCommit)) {
                 break;
             }
             queue.waiting.delete(job);
-            job.sequence += 1;
-            batch.jobs.push({ job, record: toJobRecord(job, term), resolvers });
+            job.sequence = record.sequence;
+            batch.jobs.push({ job, record, resolvers });
         }
         return batch;
     };
@@ -84,39 +140,19 @@
             })),
         });
 
-    /**
-     * Adopts the row versions in a conflict, which an earlier attempt without an answer may have written; returns false
-     * if a later term has begun.
-     */
-    const updateVersions = (part: string, batch: Batch, rows: readonly StateRow[]): boolean => {
-        const termRow = rows.find(row => row.key === termKey);
-        if (termRow !== undefined && termRow.version !== options.termVersions.get(part)) {
-            return false;
+    /** Takes the jobs out of a batch whose rows were deleted after their retention time: nothing is to be written. */
+    const dropDeletedJobs = (batch: Batch, rows: readonly StateRow[]): void => {
+        const isDeleted = (job: JobState): boolean => job.recordVersion > 0 && findProgressRow(job, rows) === undefined;
+        const deleted = batch.jobs.filter(({ job }) => isDeleted(job));
+        if (deleted.length > 0) {
+            log("warn", "progress of deleted jobs", { jobIds: deleted.map(({ job }) => job.submission.id) });
+            batch.jobs = batch.jobs.filter(({ job }) => !isDeleted(job));
+            resolveBatch({ jobs: deleted }, true);
         }
-        for (const { job } of batch.jobs) {
-            const key = jobRowKey(job.submission.id, JobRowKind.Progress);
-            const row = rows.find(candidate => candidate.key === key);
-            if (row !== undefined) {
-                job.recordVersion = row.version;
-            }
-        }
-        return true;
-    };
-
-    /** Whether the rows in a conflict show that an earlier attempt has written the batch. */
-    const isWritten = (batch: Batch, rows: readonly StateRow[]): boolean =>
-        batch.jobs.every(({ job, record }) => {
-            const key = jobRowKey(job.submission.id, JobRowKind.Progress);
-            const found = rows.find(row => row.key === key)?.value as JobRecord | undefined;
-            return found?.term === term && found.sequence === record.sequence;
-        });
-
-    const resolveBatch = (batch: Batch, recorded: boolean): void => {
-        batch.jobs.forEach(({ resolvers }) => resolvers.forEach(resolve => resolve(recorded)));
     };
 
     const writeBatch = async (part: string, batch: Batch): Promise<void> => {
-        while (!stopped) {
+        while (!stopped && batch.jobs.length > 0) {
             const written = await commit(part, batch);
             if (written.ok) {
                 batch.jobs.forEach(({ job }) => {
@@ -125,12 +161,15 @@
                 resolveBatch(batch, true);
                 return;
             }
-            if (written.error.kind === StateErrorKind.Conflict) {
-                if (!updateVersions(part, batch, written.error.rows)) {
+            const conflict = toConflict(written.error);
+            if (conflict !== undefined) {
+                if (conflict.termVersion !== options.termVersions.get(part)) {
                     options.onFenced("the table names a later term");
                     break;
                 }
-                if (isWritten(batch, written.error.rows)) {
+                dropDeletedJobs(batch, conflict.rows);
+                updateVersions(batch, conflict.rows);
+                if (isWritten(batch, conflict.rows, term)) {
                     resolveBatch(batch, true);
                     return;
                 }
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -1,4 +1,5 @@
 import type { WorkerSession } from "../execution/session.js";
+import type { StoredJob } from "./projection.js";
 import { JobPhase } from "./types.js";
 import type { JobRecord, JobSubmission, Step, TaskId, UnitRecord } from "./types.js";
 
@@ -58,8 +59,8 @@
     occurrence: number;
     stepIndex: number;
     step: Step;
-    /** Wall-clock time from which its tasks may run. */
-    dueAtMs: number;
+    /** Wall-clock time from which its tasks may run; unset for a job without scheduled occurrences. */
+    dueAtMs?: number;
     /** Monotonic time since which its tasks can be started; unset while earlier steps are not complete. */
     readySinceMs?: number;
     tasks: TaskState[];
@@ -79,6 +80,8 @@
 /** A job and its progress. */
 export interface JobState {
     submission: JobSubmission;
+    /** Estimated monotonic time of acceptance, which a step of the wall clock does not change. */
+    acceptedAtMs: number;
     /** Whether its customer has cancelled it. */
     cancelled: boolean;
     phase: JobPhase;
@@ -110,7 +113,7 @@
 /** Key of a task: `jobId.occurrence.step.index`, for maps and log lines. */
 export const taskKey = (task: TaskId): string => `${task.jobId}.${task.occurrence}.${task.step}.${task.index}`;
 
-const createUnit = (job: JobState, occurrence: number, stepIndex: number, dueAtMs: number): Unit => {
+const createUnit = (job: JobState, occurrence: number, stepIndex: number): Unit => {
     const step = job.submission.steps[stepIndex];
     const unit: Unit = {
         key: `${job.submission.id}.${unitKeyOf(occurrence, stepIndex)}`,
@@ -118,7 +121,7 @@
         occurrence,
         stepIndex,
         step,
-        dueAtMs,
+        dueAtMs: dueAtMs(job.submission, occurrence),
         tasks: [],
         complete: false,
         avoidedWorkers: new Set(),
@@ -133,28 +136,43 @@
     return unit;
 };
 
-/** Wall-clock time at which an occurrence is due. */
-export const dueAtMs = (job: JobSubmission, occurrence: number): number =>
-    job.repeatCount === 0 ? job.acceptedAtMs : job.startAtMs + occurrence * job.intervalMs;
+/** Wall-clock time at which an occurrence is due; `undefined` for a job without scheduled occurrences. */
+const dueAtMs = (job: JobSubmission, occurrence: number): number | undefined =>
+    job.repeatCount === 0 ? undefined : job.startAtMs + occurrence * job.intervalMs;
 
 /** Number of occurrences of a job. */
 export const occurrenceCount = (job: JobSubmission): number => Math.max(1, job.repeatCount);
 
 /** Creates the units of a job's next occurrence. */
-export const addOccurrence = (job: JobState): void => {
+const addOccurrence = (job: JobState): void => {
     const occurrence = job.createdOccurrences;
     job.createdOccurrences += 1;
     job.submission.steps.forEach((_, stepIndex) => {
-        const unit = createUnit(job, occurrence, stepIndex, dueAtMs(job.submission, occurrence));
-        job.units.set(unitKeyOf(occurrence, stepIndex), unit);
+        job.units.set(unitKeyOf(occurrence, stepIndex), createUnit(job, occurrence, stepIndex));
     });
 };
 
-/** Wall-clock time at which the next occurrence to be created is due; infinite after the last. */
-export const nextDueAtMs = (job: JobState): number =>
-    job.createdOccurrences >= occurrenceCount(job.submission)
-        ? Number.POSITIVE_INFINITY
-        : dueAtMs(job.submission, job.createdOccurrences);
+/** Tasks in the incomplete units of one job beyond which no further occurrence starts: its record has to fit a row. */
+const maxOpenTasks = 600;
+
+const countOpenTasks = (job: JobState): number =>
+    [...job.units.values()].reduce((sum, unit) => sum + (unit.complete ? 0 : unit.tasks.length), 0);
+
+const isNextOccurrenceDue = ({ submission, createdOccurrences }: JobState, wallMs: number): boolean =>
+    createdOccurrences < occurrenceCount(submission) && (dueAtMs(submission, createdOccurrences) ?? wallMs) <= wallMs;
+
+/** Creates the units of a job's occurrences that are due. */
+export const addDueOccurrences = (job: JobState, wallMs: number): void => {
+    if (!isNextOccurrenceDue(job, wallMs)) {
+        return;
+    }
+    const addedTasks = job.submission.steps.reduce((sum, step) => sum + step.taskCount, 0);
+    let openTasks = countOpenTasks(job);
+    while (isNextOccurrenceDue(job, wallMs) && (openTasks === 0 || openTasks + addedTasks <= maxOpenTasks)) {
+        addOccurrence(job);
+        openTasks += addedTasks;
+    }
+};
 
 /** Returns the session of a recorded worker, by its id and incarnation. */
 export type FindSession = (workerId: string, bornMs: number) => WorkerSession;
@@ -186,17 +204,44 @@
     }
 };
 
+const completeUnitRecord: UnitRecord = { complete: true, done: [], failedRuns: {}, checkpoints: {}, runs: [] };
+
+/** Calls `action` with the key of each unit that a record names in a range of complete occurrences. */
+const forEachCompleteUnit = (record: JobRecord | undefined, action: (unitKey: string) => void): void => {
+    for (const [stepIndex, ranges] of Object.entries(record?.completeOccurrences ?? {})) {
+        for (const [first, last] of ranges) {
+            for (let occurrence = first; occurrence <= last; occurrence++) {
+                action(unitKeyOf(occurrence, Number(stepIndex)));
+            }
+        }
+    }
+};
+
+/** Highest number of an occurrence in a record; -1 if there is none. */
+const lastRecordedOccurrence = (record: JobRecord | undefined): number => {
+    const ofUnits = Object.keys(record?.units ?? {}).map(key => Number(key.split(".")[0]));
+    const ofRanges = Object.values(record?.completeOccurrences ?? {}).flatMap(ranges => ranges.map(([, last]) => last));
+    return [...ofUnits, ...ofRanges].reduce((highest, occurrence) => Math.max(highest, occurrence), -1);
+};
+
+/** Options of {@link restoreJob}. */
+export interface RestoreJobOptions {
+    findSession: FindSession;
+    /** Monotonic time. */
+    nowMs: number;
+    /** Estimated time since the job was accepted. */
+    ageMs: number;
+}
+
 /** Restores the state of a job from its rows; whether its recorded runs are alive is not known yet. */
 export const restoreJob = (
     submission: JobSubmission,
-    record: JobRecord | undefined,
-    recordVersion: number,
-    cancelled: boolean,
-    findSession: FindSession,
-    nowMs: number,
+    { record, recordVersion, cancelled }: Omit<StoredJob, "submission">,
+    { findSession, nowMs, ageMs }: RestoreJobOptions,
 ): JobState => {
     const job: JobState = {
         submission,
+        acceptedAtMs: nowMs - ageMs,
         cancelled,
         phase: record?.phase ?? JobPhase.Queued,
         reason: record?.reason,
@@ -206,11 +251,16 @@
         units: new Map(),
         createdOccurrences: 0,
     };
-    const recordedOccurrences = Object.keys(record?.units ?? {}).map(key => Number(key.split(".")[0]));
-    const occurrencesToCreate = submission.repeatCount === 0 ? 1 : Math.max(-1, ...recordedOccurrences) + 1;
+    const occurrencesToCreate = submission.repeatCount === 0 ? 1 : lastRecordedOccurrence(record) + 1;
     while (job.createdOccurrences < occurrencesToCreate) {
         addOccurrence(job);
     }
+    forEachCompleteUnit(record, unitKey => {
+        const unit = job.units.get(unitKey);
+        if (unit !== undefined) {
+            restoreUnit(unit, completeUnitRecord, findSession, nowMs);
+        }
+    });
     for (const [key, unitRecord] of Object.entries(record?.units ?? {})) {
         const unit = job.units.get(key);
         if (unit !== undefined) {
@@ -240,15 +290,42 @@
     return record;
 };
 
+const isInitial = ({ complete, done, failedRuns, checkpoints, runs }: UnitRecord): boolean =>
+    !complete && done.length === 0 && runs.length === 0 && Object.keys(failedRuns).length === 0
+    && Object.keys(checkpoints).length === 0;
+
+/** Adds an occurrence to ranges that end before it. */
+const appendOccurrence = (ranges: [first: number, last: number][], occurrence: number): void => {
+    const lastRange = ranges.at(-1);
+    if (lastRange?.[1] === occurrence - 1) {
+        lastRange[1] = occurrence;
+    }
+    else {
+        ranges.push([occurrence, occurrence]);
+    }
+};
+
 /** Converts the progress of a job to the form in which it is stored. */
-export const toJobRecord = (job: JobState, term: number): JobRecord => ({
-    sequence: job.sequence,
-    term,
-    phase: job.phase,
-    endedAtMs: job.endedAtMs,
-    reason: job.reason,
-    units: Object.fromEntries([...job.units].map(([key, unit]) => [key, toUnitRecord(unit)])),
-});
+export const toJobRecord = (job: JobState, term: number): JobRecord => {
+    const units: Record<string, UnitRecord> = {};
+    const completeOccurrences: Record<string, [first: number, last: number][]> = {};
+    // in the order of their occurrences
+    for (const [key, unit] of job.units) {
+        // a run of a complete unit still has to be known
+        const isPlainlyComplete = unit.complete && unit.tasks.every(task => task.run === undefined);
+        if (job.submission.repeatCount > 0 && isPlainlyComplete) {
+            appendOccurrence(completeOccurrences[unit.stepIndex] ??= [], unit.occurrence);
+            continue;
+        }
+        const record = toUnitRecord(unit);
+        if (!isInitial(record)) {
+            units[key] = record;
+        }
+    }
+    const { sequence, phase, endedAtMs, reason } = job;
+    const record = { sequence, term, phase, endedAtMs, reason, units };
+    return job.submission.repeatCount > 0 ? { ...record, completeOccurrences } : record;
+};
 
 /** Members of a task's gang, itself included; just the task if it is in none. */
 export const gangMembersOf = (task: TaskState): readonly TaskState[] => task.unit.step.gang ? task.unit.tasks : [task];
