feat(execution): log why work waits although there is room for it

Cause: a task or gang that waits beside free workers left no line, so that locality, kept room, avoided workers, claims and runs without a known end could not be told apart from logs. Change: findWaitReason names the first restriction, added one after another, that leaves too little room after a round. Units without a run that is known to be alive are reported as well. Checked: format, lint, build; tests of waitReason, planner, planning, logs, tracing, report pass.

--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -14,7 +14,7 @@
 /** Time lost when a run is stopped and resumed: the stop, the wait for a placement and loading the checkpoint. */
 const resumeCostMs = 500;
 /** Time without an answer, two polls, after which a worker is assigned no new tasks. */
-const maxSilentMs = 700;
+export const maxSilentMs = 700;
 
 const isUsable = (context: PlannerContext, session: WorkerSession): boolean => {
     const { descriptor } = session;
@@ -105,7 +105,8 @@
     return unit.step.gang && waiting.length < unit.tasks.length ? [] : waiting;
 };
 
-const isWaiting = (unit: Unit, nowMs: number, wallMs: number): boolean =>
+/** Whether the turn of a unit's tasks has come. */
+export const isWaiting = (unit: Unit, nowMs: number, wallMs: number): boolean =>
     !unit.complete && unit.dueAtMs <= wallMs && unit.notBeforeMs <= nowMs && areDependenciesComplete(unit);
 
 const toCandidate = (
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -14,6 +14,7 @@
 import type { RunMonitor } from "./runMonitor.js";
 import type { RunStarter } from "./runStarter.js";
 import type { RunStopper } from "./runStopper.js";
+import { createWaitReporter } from "./waitReporter.js";
 
 /** Schedules the planning rounds of a term. */
 export interface RoundScheduler {
@@ -103,6 +104,7 @@
 ): RoundScheduler => {
     const { timer } = context;
     const urgentDemand = createUrgentDemand();
+    const waitReporter = createWaitReporter(context);
     let claims: PreemptionClaim[] = [];
     let reservationState = noReservations;
     let cancelScheduled: (() => void) | undefined;
@@ -146,6 +148,7 @@
         if (candidates.length > 0) {
             planCandidates(nowMs, workers ?? collectWorkers(context), candidates, guarantees);
         }
+        waitReporter.reportHeldUnits();
     };
 
     const planCandidates = (
@@ -160,6 +163,7 @@
         claims = round.claims;
         logPreemptions(context, candidates, round);
         applyRound(context, runStopper, runStarter, round);
+        waitReporter.onRound(workers, candidates, round);
     };
 
     const request = (): void => {
--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -18,6 +18,8 @@
     recordTermChange(change: "gained" | "lost"): void;
     /** Sets the number of tasks of a priority that wait to be placed. */
     setWaitingTasks(priority: number, count: number): void;
+    /** Counts a unit that waits although there is room for it, once for each log line; `reason` becomes a label. */
+    recordUnplaced(reason: string): void;
     /** Returns all metrics in the Prometheus text format. */
     render(): Promise<string>;
 }
@@ -85,6 +87,12 @@
         labelNames: ["priority"],
         registers,
     });
+    const unplaced = new Counter({
+        name: "catkinswitch_unplaced_total",
+        help: "Log lines about work that waits although there is room for it, by reason; only on the planner.",
+        labelNames: ["reason"],
+        registers,
+    });
     return {
         recordRequest: (method, status, durationMs) => requests.observe({ method, status }, durationMs / msPerSecond),
         recordRefusal: reason => refusals.inc({ reason }),
@@ -95,6 +103,7 @@
         recordJobEnd: (phase, priority, durationMs) => jobs.observe({ phase, priority }, durationMs / msPerSecond),
         recordTermChange: change => terms.inc({ change }),
         setWaitingTasks: (priority, count) => waiting.set({ priority }, count),
+        recordUnplaced: reason => unplaced.inc({ reason }),
         render: () => registry.metrics(),
     };
 };
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -13,10 +13,12 @@
 /** Multiple of the declared run time that must fit into a backfill window; declared times are often too short. */
 const backfillEstimateFactor = 1.5;
 
-const hasLabel = (worker: WorkerInfo, step: Step): boolean =>
+/** Whether a worker has the label that a step requires. */
+export const hasLabel = (worker: WorkerInfo, step: Step): boolean =>
     step.requiredLabel === undefined || worker.labels.includes(step.requiredLabel);
 
-const mayColocate = (worker: WorkerInfo, candidate: Candidate): boolean => {
+/** Whether a task may run beside what else runs on a worker: tasks that serve and tasks that fill are kept apart. */
+export const mayColocate = (worker: WorkerInfo, candidate: Candidate): boolean => {
     if (candidate.waitingMs > colocateAfterMs) {
         return true;
     }
@@ -24,11 +26,15 @@
         && !(candidate.step.targetMs !== undefined && worker.hasIdleFillingTask);
 };
 
+/** Whether the candidate, by its declared time, ends before a blocked gang is expected to start on a worker. */
+export const fitsBackfillWindow = (worker: WorkerInfo, { step }: Candidate): boolean =>
+    step.estimateMs * backfillEstimateFactor <= worker.backfillWindowMs;
+
 /** Whether a task of the candidate may run on a worker, whatever is free there. */
 export const isEligible = (worker: WorkerInfo, candidate: Candidate): boolean =>
     worker.usable && worker.service === candidate.job.service && hasLabel(worker, candidate.step)
     && !(worker.isUrgentHeadroom && candidate.job.priority > 0)
-    && candidate.step.estimateMs * backfillEstimateFactor <= worker.backfillWindowMs
+    && fitsBackfillWindow(worker, candidate)
     && !(candidate.mustAvoid && candidate.avoidedWorkers.has(worker.workerId));
 
 /** Number of a candidate's tasks that fit into a worker's free resources, within the step's limit per worker. */
@@ -65,10 +71,12 @@
 const fitsIfEmpty = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
     workers.reduce((sum, worker) => sum + fittingTasksIfEmpty(worker, candidate), 0) >= candidate.taskIndexes.length;
 
-const isNearData = (worker: WorkerInfo, step: Step): boolean =>
+/** Whether a worker is in the rack that holds a step's data. */
+export const isNearData = (worker: WorkerInfo, step: Step): boolean =>
     step.dataRack === undefined || worker.rack === step.dataRack;
 
-const utilisation = (workers: readonly WorkerInfo[], amountOf: (resources: TaskResources) => number): number => {
+/** Share of a resource that is in use on workers; 0 if they have none of it. */
+export const utilisation = (workers: readonly WorkerInfo[], amountOf: (resources: TaskResources) => number): number => {
     const capacity = workers.reduce((sum, worker) => sum + amountOf(worker.capacity), 0);
     const free = workers.reduce((sum, worker) => sum + amountOf(worker.free), 0);
     return capacity === 0 ? 0 : 1 - free / capacity;
@@ -106,7 +114,8 @@
     [Adjacency.AvailabilityZone]: worker => worker.availabilityZone,
 };
 
-const adjacencyDomains = (workers: readonly WorkerInfo[], candidate: Candidate): WorkerInfo[][] => {
+/** Domains of workers that satisfy the adjacency of a candidate and could host all of it if they were empty. */
+export const adjacencyDomains = (workers: readonly WorkerInfo[], candidate: Candidate): WorkerInfo[][] => {
     const { adjacency, mayBeSpread } = candidate.step;
     if (adjacency === undefined) {
         return [[...workers]];
