fix(planning): work that fits is not skipped for similar work that did not

What callers saw: a task waited beside room that it fitted, as long as another one of the same size was before it in every round and did not fit. Cause: the cache of shapes that did not fit in a round left out what decides about a candidate: which backfill windows its declared time fits, and whether its tasks fill idle cores or serve users. A long task that no backfill window admits thus closed the windows to short ones, and one without cores for it closed idle cores to tasks that fill them. Ruled out: avoided workers (in the key where they exclude), waiting times (thresholds in the key), reserved workers (decided before the cache), tiers (work of one priority that may preempt is decided first). Why it works: shapes differ now wherever eligibility does.

--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -26,9 +26,13 @@
         && !(candidate.step.targetMs !== undefined && worker.hasIdleFillingTask);
 };
 
-/** Whether the candidate, by its declared time, ends before a blocked gang is expected to start on a worker. */
-export const fitsBackfillWindow = (worker: WorkerInfo, { step }: Candidate): boolean =>
-    step.estimateMs * backfillEstimateFactor <= worker.backfillWindowMs;
+/** Whether the candidate, by its declared time, ends within a backfill window. */
+export const fitsWindow = (windowMs: number, { step }: Candidate): boolean =>
+    step.estimateMs * backfillEstimateFactor <= windowMs;
+
+/** Whether the candidate ends before a blocked gang is expected to start on a worker. */
+export const fitsBackfillWindow = (worker: WorkerInfo, candidate: Candidate): boolean =>
+    fitsWindow(worker.backfillWindowMs, candidate);
 
 /** Whether a task of the candidate may run on a worker, whatever is free there. */
 export const isEligible = (worker: WorkerInfo, candidate: Candidate): boolean =>
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -1,6 +1,7 @@
 import { orderCandidates, Tier, tierOf } from "./order.js";
 import {
     colocateAfterMs,
+    fitsWindow,
     gangDomains,
     isMostlyIdle,
     placeGang,
@@ -125,17 +126,21 @@
 
 /**
  * Caches the shapes of work that did not fit in a round, so that a backlog of similar work is checked once. Free
- * resources only shrink within a round, except for claims, which are used by their own candidates alone.
+ * resources and backfill windows only shrink within a round, except for claims, which are used by their own candidates
+ * alone. Of the declared time, only the windows that it fits are part of a shape.
  */
-const createUnplaceableCache = () => {
+const createUnplaceableCache = (workers: readonly WorkerInfo[]) => {
     const smallestFailed = new Map<string, number>();
-    const shapeKeyOf = (
-        { step, job, guaranteed, avoidedWorkers, mustAvoid, runningOn, waitingMs }: Candidate,
-    ): string =>
-        JSON.stringify([
+    let windowsMs: number[] = [];
+    const shapeKeyOf = (candidate: Candidate): string => {
+        const { step, job, guaranteed, avoidedWorkers, mustAvoid, runningOn, waitingMs } = candidate;
+        return JSON.stringify([
+            windowsMs.map(windowMs => fitsWindow(windowMs, candidate)),
             waitingMs > relaxLocalityAfterMs,
             waitingMs > colocateAfterMs,
-            step.resources,
+            occupiedBy(step),
+            step.fillsIdleCores,
+            step.targetMs !== undefined,
             step.gang,
             step.adjacency,
             step.mayBeSpread,
@@ -148,7 +153,12 @@
             mustAvoid ? [...avoidedWorkers] : [],
             step.maxPerWorker === undefined ? [] : [...runningOn],
         ]);
+    };
     return {
+        /** Records that backfill windows of workers have changed. */
+        onWindowsLimited: (): void => {
+            windowsMs = [...new Set(workers.map(worker => worker.backfillWindowMs))].filter(Number.isFinite);
+        },
         add: (candidate: Candidate): void => {
             const shapeKey = shapeKeyOf(candidate);
             const size = candidate.step.gang ? candidate.taskIndexes.length : 0;
@@ -197,7 +207,7 @@
         );
     allocateClaims(true);
     let occupants: OccupantIndex | undefined;
-    const unplaceable = createUnplaceableCache();
+    const unplaceable = createUnplaceableCache(input.workers);
     const evicted = new Set<Occupant>();
     let backfillWindows = 0;
 
@@ -264,6 +274,7 @@
         if (mayLimitBackfill && needsWholeWorker(input.workers, candidate) && tierOf(candidate) < Tier.Expired) {
             backfillWindows += 1;
             limitBackfill(input.workers, candidate);
+            unplaceable.onWindowsLimited();
         }
     };
 
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -153,6 +153,46 @@
     });
 });
 
+describe("work of the same size as work that did not fit", () => {
+    it("is placed if it ends within a backfill window and the other does not", () => {
+        const workers = createRacks(1, 2);
+        workers.forEach(worker => {
+            addOccupant(worker, worker.workerId);
+            worker.busyForMs = 3_000;
+        });
+        const candidates = [
+            createCandidate("gang", { taskCount: 2, accelerators: 8, gang: true, waitingMs: 1_000 }),
+            createCandidate("long", { step: { estimateMs: 5_000 }, timeToObjectiveMs: 6_000 }),
+            createCandidate("short", { step: { estimateMs: 1_000 }, timeToObjectiveMs: 8_000 }),
+        ];
+        const round = planRound(createRoundInput({ workers, candidates }));
+        assert.isEmpty(workersOf(round, "long"));
+        assert.lengthOf(workersOf(round, "short"), 1);
+    });
+
+    it("is placed if it uses cores that other tasks leave idle", () => {
+        const worker = createWorker("w0", { free: { milliCores: 0, memoryMb: 64_000, accelerators: 4 } });
+        const candidates = [
+            createCandidate("counted", { timeToObjectiveMs: 2_000 }),
+            createCandidate("filling", { step: { fillsIdleCores: true } }),
+        ];
+        const round = planRound(createRoundInput({ workers: [worker], candidates }));
+        assert.isEmpty(workersOf(round, "counted"));
+        assert.deepEqual(workersOf(round, "filling"), ["w0"]);
+    });
+
+    it("is placed if it serves nobody and the other one must not share the worker with a filling task", () => {
+        const worker = createWorker("w0", { hasIdleFillingTask: true });
+        const candidates = [
+            createCandidate("serving", { step: { targetMs: 50 }, timeToObjectiveMs: 2_000 }),
+            createCandidate("other"),
+        ];
+        const round = planRound(createRoundInput({ workers: [worker], candidates }));
+        assert.isEmpty(workersOf(round, "serving"));
+        assert.deepEqual(workersOf(round, "other"), ["w0"]);
+    });
+});
+
 describe("preemption", () => {
     it("preempts the runs that lose least work for each task gained", () => {
         const workers = createRacks(1, 2);
