fix(planning): tasks do not wait for a data rack without workers for them

What callers saw: tasks whose data rack had no usable worker (zone out of service, workers drained, gone or cooling down), none with the required label or none that is large enough waited without end while half of the fleet or more was in use, and 1.5 s otherwise. Cause: placeTasks considered workers in the data rack alone; gangs fell back to all workers if they would not fit near their data on empty workers. Evidence: the test lists five cases; it failed on the code before in the first four. Ruled out: a busy rack, for which tasks wait as before (fifth case); backfill windows and headroom, which close workers for a while only and do not count here. Why it works: a rack is waited for only if one of its workers could host a task were it empty.

--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -13,8 +13,7 @@
 /** Multiple of the declared run time that must fit into a backfill window; declared times are often too short. */
 const backfillEstimateFactor = 1.5;
 
-/** Whether a worker has the label that a step requires. */
-export const hasLabel = (worker: WorkerInfo, step: Step): boolean =>
+const hasLabel = (worker: WorkerInfo, step: Step): boolean =>
     step.requiredLabel === undefined || worker.labels.includes(step.requiredLabel);
 
 /** Whether a task may run beside what else runs on a worker: tasks that serve and tasks that fill are kept apart. */
@@ -34,9 +33,13 @@
 export const fitsBackfillWindow = (worker: WorkerInfo, candidate: Candidate): boolean =>
     fitsWindow(worker.backfillWindowMs, candidate);
 
+/** Whether a worker is of the candidate's service, has the label it requires and accepts work. */
+export const mayHost = (worker: WorkerInfo, { job, step }: Candidate): boolean =>
+    worker.usable && worker.service === job.service && hasLabel(worker, step);
+
 /** Whether a task of the candidate may run on a worker, whatever is free there. */
 export const isEligible = (worker: WorkerInfo, candidate: Candidate): boolean =>
-    worker.usable && worker.service === candidate.job.service && hasLabel(worker, candidate.step)
+    mayHost(worker, candidate)
     && !(worker.isUrgentHeadroom && candidate.job.priority > 0)
     && fitsBackfillWindow(worker, candidate)
     && !(candidate.mustAvoid && candidate.avoidedWorkers.has(worker.workerId));
@@ -228,10 +231,18 @@
         .sort((left, right) => left.suspicion - right.suspicion)
         .at(0)?.assignments;
 
+/** Whether a task of the candidate could run near its data if nothing else ran there. */
+const canRunNearData = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
+    workers.some(worker =>
+        isNearData(worker, candidate.step) && mayHost(worker, candidate) && fittingTasksIfEmpty(worker, candidate) > 0
+    );
+
 /** Finds workers for as many independent tasks as fit. */
 export const placeTasks = (workers: readonly WorkerInfo[], candidate: Candidate): Assignment[] => {
     const eligible = workers.filter(worker => isEligible(worker, candidate));
-    const nearData = eligible.filter(worker => isNearData(worker, candidate.step));
+    const nearData = canRunNearData(workers, candidate)
+        ? eligible.filter(worker => isNearData(worker, candidate.step))
+        : eligible;
     const assignments = pack(offersOf(nearData, candidate), candidate.taskIndexes);
     return assignments.length === 0 && mayRelaxLocality(workers, candidate)
         ? pack(offersOf(eligible, candidate), candidate.taskIndexes)
--- a/src/planning/waitReason.ts
+++ b/src/planning/waitReason.ts
@@ -1,4 +1,4 @@
-import { adjacencyDomains, fitsBackfillWindow, fittingTasks, hasLabel, isNearData, mayColocate } from "./placement.js";
+import { adjacencyDomains, fitsBackfillWindow, fittingTasks, isNearData, mayColocate, mayHost } from "./placement.js";
 import type { Candidate, WorkerInfo } from "./types.js";
 
 /** Why a candidate was not placed in a round. */
@@ -78,9 +78,7 @@
     if (candidate.reservedWorkers !== undefined) {
         return WaitReason.Reservation;
     }
-    let admitted = workers.filter(worker =>
-        worker.usable && worker.service === candidate.job.service && hasLabel(worker, candidate.step)
-    );
+    let admitted = workers.filter(worker => mayHost(worker, candidate));
     if (admitted.length === 0) {
         return WaitReason.NoUsableWorker;
     }
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -4,6 +4,7 @@
 import { planRound } from "../src/planning/round.js";
 import type { Candidate, Occupant, Round, WorkerInfo } from "../src/planning/types.js";
 import { createUrgentDemand } from "../src/planning/urgentDemand.js";
+import type { createStep } from "./fixtures/fleet.js";
 import { addOccupant, createCandidate, createRacks, createRoundInput, createWorker } from "./fixtures/planning.js";
 
 const workersOf = (round: Round, key: string): string[] =>
@@ -86,6 +87,26 @@
         assert.lengthOf(workersOf(later, "tasks"), 1);
     });
 
+    it("does not wait for a data rack without a worker that could run the task", () => {
+        const near = (change: Partial<WorkerInfo>): WorkerInfo => createWorker("near", { rack: "r1-1", ...change });
+        const place = (nearWorkers: WorkerInfo[], step: Parameters<typeof createStep>[0] = {}): string[] => {
+            const full = { milliCores: 4_000, memoryMb: 8_000, accelerators: 1 };
+            const far = createWorker("far", { rack: "r1-2", labels: ["b"], free: full });
+            const tasks = createCandidate("tasks", { step: { dataRack: "r1-1", ...step } });
+            return workersOf(
+                planRound(createRoundInput({ workers: [...nearWorkers, far], candidates: [tasks] })),
+                "tasks",
+            );
+        };
+        assert.deepEqual(place([]), ["far"], "no worker there");
+        assert.deepEqual(place([near({ usable: false })]), ["far"], "its zone is out of service");
+        assert.deepEqual(place([near({})], { requiredLabel: "b" }), ["far"], "no worker there has the label");
+        const small = { milliCores: 2_000, memoryMb: 4_000, accelerators: 1 };
+        assert.deepEqual(place([near({ capacity: small, free: { ...small } })]), ["far"], "its workers are too small");
+        const busy = near({ free: { milliCores: 0, memoryMb: 0, accelerators: 0 } });
+        assert.deepEqual(place([busy]), [], "the rack is busy");
+    });
+
     it("never allocates more accelerators than a worker has", () => {
         const sizes = fc.record({
             taskCount: fc.integer({ min: 1, max: 12 }),
