fix(planning): no urgent headroom on workers without accelerators

What callers saw: after a burst of urgent work, work that needs no accelerator waited beside idle workers. Cause: headroom is counted in accelerators and reserved on workers whose accelerators are all free; workers that have none qualified, without adding to the count. Unless enough whole accelerated workers were free, all of them were closed to work that is not urgent, for up to 10 s after a burst. Evidence: the test, which failed on the code before. Ruled out: fleets without any accelerator, where the headroom is zero. Why it works: only workers with accelerators are reserved. Checked: format, lint, build; tests of planning, waitingWork, waitReason, guarantees pass.

--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -172,7 +172,7 @@
 };
 
 const hasAllAcceleratorsFree = (worker: WorkerInfo): boolean =>
-    worker.usable && worker.free.accelerators === worker.capacity.accelerators;
+    worker.usable && worker.capacity.accelerators > 0 && worker.free.accelerators === worker.capacity.accelerators;
 
 /** Reserves empty workers for a burst of urgent work, as many as possible in one rack, so that it preempts less. */
 const reserveUrgentHeadroom = (workers: readonly WorkerInfo[], accelerators: number): void => {
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -4,7 +4,6 @@
 import { planRound } from "../src/planning/round.js";
 import type { Candidate, Occupant, Round, WorkerInfo } from "../src/planning/types.js";
 import { createUrgentDemand } from "../src/planning/urgentDemand.js";
-import type { createStep } from "./fixtures/fleet.js";
 import { addOccupant, createCandidate, createRacks, createRoundInput, createWorker } from "./fixtures/planning.js";
 
 const workersOf = (round: Round, key: string): string[] =>
@@ -87,26 +86,6 @@
         assert.lengthOf(workersOf(later, "tasks"), 1);
     });
 
-    it("does not wait for a data rack without a worker that could run the task", () => {
-        const near = (change: Partial<WorkerInfo>): WorkerInfo => createWorker("near", { rack: "r1-1", ...change });
-        const place = (nearWorkers: WorkerInfo[], step: Parameters<typeof createStep>[0] = {}): string[] => {
-            const full = { milliCores: 4_000, memoryMb: 8_000, accelerators: 1 };
-            const far = createWorker("far", { rack: "r1-2", labels: ["b"], free: full });
-            const tasks = createCandidate("tasks", { step: { dataRack: "r1-1", ...step } });
-            return workersOf(
-                planRound(createRoundInput({ workers: [...nearWorkers, far], candidates: [tasks] })),
-                "tasks",
-            );
-        };
-        assert.deepEqual(place([]), ["far"], "no worker there");
-        assert.deepEqual(place([near({ usable: false })]), ["far"], "its zone is out of service");
-        assert.deepEqual(place([near({})], { requiredLabel: "b" }), ["far"], "no worker there has the label");
-        const small = { milliCores: 2_000, memoryMb: 4_000, accelerators: 1 };
-        assert.deepEqual(place([near({ capacity: small, free: { ...small } })]), ["far"], "its workers are too small");
-        const busy = near({ free: { milliCores: 0, memoryMb: 0, accelerators: 0 } });
-        assert.deepEqual(place([busy]), [], "the rack is busy");
-    });
-
     it("never allocates more accelerators than a worker has", () => {
         const sizes = fc.record({
             taskCount: fc.integer({ min: 1, max: 12 }),
@@ -174,46 +153,6 @@
     });
 });
 
-describe("work of the same size as work that did not fit", () => {
-    it("is placed if it ends within a backfill window and the other does not", () => {
-        const workers = createRacks(1, 2);
-        workers.forEach(worker => {
-            addOccupant(worker, worker.workerId);
-            worker.busyForMs = 3_000;
-        });
-        const candidates = [
-            createCandidate("gang", { taskCount: 2, accelerators: 8, gang: true, waitingMs: 1_000 }),
-            createCandidate("long", { step: { estimateMs: 5_000 }, timeToObjectiveMs: 6_000 }),
-            createCandidate("short", { step: { estimateMs: 1_000 }, timeToObjectiveMs: 8_000 }),
-        ];
-        const round = planRound(createRoundInput({ workers, candidates }));
-        assert.isEmpty(workersOf(round, "long"));
-        assert.lengthOf(workersOf(round, "short"), 1);
-    });
-
-    it("is placed if it uses cores that other tasks leave idle", () => {
-        const worker = createWorker("w0", { free: { milliCores: 0, memoryMb: 64_000, accelerators: 4 } });
-        const candidates = [
-            createCandidate("counted", { timeToObjectiveMs: 2_000 }),
-            createCandidate("filling", { step: { fillsIdleCores: true } }),
-        ];
-        const round = planRound(createRoundInput({ workers: [worker], candidates }));
-        assert.isEmpty(workersOf(round, "counted"));
-        assert.deepEqual(workersOf(round, "filling"), ["w0"]);
-    });
-
-    it("is placed if it serves nobody and the other one must not share the worker with a filling task", () => {
-        const worker = createWorker("w0", { hasIdleFillingTask: true });
-        const candidates = [
-            createCandidate("serving", { step: { targetMs: 50 }, timeToObjectiveMs: 2_000 }),
-            createCandidate("other"),
-        ];
-        const round = planRound(createRoundInput({ workers: [worker], candidates }));
-        assert.isEmpty(workersOf(round, "serving"));
-        assert.deepEqual(workersOf(round, "other"), ["w0"]);
-    });
-});
-
 describe("preemption", () => {
     it("preempts the runs that lose least work for each task gained", () => {
         const workers = createRacks(1, 2);
--- /dev/null
+++ b/test/waitingWork.test.ts
@@ -0,0 +1,84 @@
+import { assert } from "chai";
+import { planRound } from "../src/planning/round.js";
+import type { Round, WorkerInfo } from "../src/planning/types.js";
+import type { createStep } from "./fixtures/fleet.js";
+import { addOccupant, createCandidate, createRacks, createRoundInput, createWorker } from "./fixtures/planning.js";
+
+const workersOf = (round: Round, key: string): string[] =>
+    round.placements.filter(placement => placement.candidate.key === key)
+        .flatMap(placement => placement.assignments.map(assignment => assignment.workerId));
+
+describe("work of the same size as work that did not fit", () => {
+    it("is placed if it ends within a backfill window and the other does not", () => {
+        const workers = createRacks(1, 2);
+        workers.forEach(worker => {
+            addOccupant(worker, worker.workerId);
+            worker.busyForMs = 3_000;
+        });
+        const candidates = [
+            createCandidate("gang", { taskCount: 2, accelerators: 8, gang: true, waitingMs: 1_000 }),
+            createCandidate("long", { step: { estimateMs: 5_000 }, timeToObjectiveMs: 6_000 }),
+            createCandidate("short", { step: { estimateMs: 1_000 }, timeToObjectiveMs: 8_000 }),
+        ];
+        const round = planRound(createRoundInput({ workers, candidates }));
+        assert.isEmpty(workersOf(round, "long"));
+        assert.lengthOf(workersOf(round, "short"), 1);
+    });
+
+    it("is placed if it uses cores that other tasks leave idle", () => {
+        const worker = createWorker("w0", { free: { milliCores: 0, memoryMb: 64_000, accelerators: 4 } });
+        const candidates = [
+            createCandidate("counted", { timeToObjectiveMs: 2_000 }),
+            createCandidate("filling", { step: { fillsIdleCores: true } }),
+        ];
+        const round = planRound(createRoundInput({ workers: [worker], candidates }));
+        assert.isEmpty(workersOf(round, "counted"));
+        assert.deepEqual(workersOf(round, "filling"), ["w0"]);
+    });
+
+    it("is placed if it serves nobody and the other one must not share the worker with a filling task", () => {
+        const worker = createWorker("w0", { hasIdleFillingTask: true });
+        const candidates = [
+            createCandidate("serving", { step: { targetMs: 50 }, timeToObjectiveMs: 2_000 }),
+            createCandidate("other"),
+        ];
+        const round = planRound(createRoundInput({ workers: [worker], candidates }));
+        assert.isEmpty(workersOf(round, "serving"));
+        assert.deepEqual(workersOf(round, "other"), ["w0"]);
+    });
+});
+
+describe("work bound to a rack", () => {
+    it("does not wait for a data rack without a worker that could run the task", () => {
+        const near = (change: Partial<WorkerInfo>): WorkerInfo => createWorker("near", { rack: "r1-1", ...change });
+        const place = (nearWorkers: WorkerInfo[], step: Parameters<typeof createStep>[0] = {}): string[] => {
+            const full = { milliCores: 4_000, memoryMb: 8_000, accelerators: 1 };
+            const far = createWorker("far", { rack: "r1-2", labels: ["b"], free: full });
+            const tasks = createCandidate("tasks", { step: { dataRack: "r1-1", ...step } });
+            return workersOf(
+                planRound(createRoundInput({ workers: [...nearWorkers, far], candidates: [tasks] })),
+                "tasks",
+            );
+        };
+        assert.deepEqual(place([]), ["far"], "no worker there");
+        assert.deepEqual(place([near({ usable: false })]), ["far"], "its zone is out of service");
+        assert.deepEqual(place([near({})], { requiredLabel: "b" }), ["far"], "no worker there has the label");
+        const small = { milliCores: 2_000, memoryMb: 4_000, accelerators: 1 };
+        assert.deepEqual(place([near({ capacity: small, free: { ...small } })]), ["far"], "its workers are too small");
+        const busy = near({ free: { milliCores: 0, memoryMb: 0, accelerators: 0 } });
+        assert.deepEqual(place([busy]), [], "the rack is busy");
+    });
+});
+
+describe("headroom for bursts", () => {
+    it("is not reserved on workers without accelerators", () => {
+        const cores = { milliCores: 64_000, memoryMb: 256_000, accelerators: 0 };
+        const withoutAccelerators = createWorker("cores", { capacity: cores, free: { ...cores } });
+        const accelerated = createWorker("accelerated", { free: { ...cores, accelerators: 1 } });
+        const workers = [withoutAccelerators, accelerated];
+        const task = createCandidate("task", { taskCount: 16, accelerators: 0 });
+        const round = planRound(createRoundInput({ workers, candidates: [task], urgentHeadroom: 1 }));
+        assert.isFalse(withoutAccelerators.isUrgentHeadroom);
+        assert.deepEqual(new Set(workersOf(round, "task")), new Set(["cores"]));
+    });
+});
