fix(planning): locality gives way by what is idle in the work's own service

What callers saw: tasks and gangs bound to a busy rack waited on while less than half of the service was in use. Cause: locality was relaxed only while less than half of the accelerators and less than half of the cores of all listed workers were in use. A service with free workers counted as busy because another one was, or because most accelerators were in use though cores were not, or because of runs on workers that are out of service. Ruled out: waiting on pays only while the rack frees sooner than the remote run costs, and then it is placed there first, as before; work that has waited less than 1.5 s, and services more than half in use, wait. Why it works: the measure is the service's share in use, accelerators as eight cores each, or of the cores for work without accelerators, among all or the usable workers, whichever is smaller. Checked: format, lint, build; tests of planning, waitingWork, waitReason, guarantees pass.

--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -1,13 +1,13 @@
 import { Adjacency } from "../configuration/types.js";
 import type { Step, TaskResources } from "../jobs/types.js";
-import { fitCount, occupiedBy } from "./resources.js";
+import { coreEquivalentsOf, fitCount, occupiedBy } from "./resources.js";
 import type { Assignment, Candidate, WorkerInfo } from "./types.js";
 
 /** Waiting time after which tasks that fill idle cores and tasks that serve users may share a worker. */
 export const colocateAfterMs = 1_200;
-/** Waiting time after which locality is relaxed, so that work runs where it is slower, if the fleet is mostly idle. */
+/** Waiting time after which locality is relaxed, so that work runs where it is slower, if capacity stays idle otherwise. */
 export const relaxLocalityAfterMs = 1_500;
-/** Utilisation of accelerators and of cores below which slow work uses no capacity that other work needs. */
+/** Utilisation below which slow work uses no capacity that other work needs. */
 const mostlyIdleUtilisation = 0.5;
 
 /** Multiple of the declared run time that must fit into a backfill window; declared times are often too short. */
@@ -94,9 +94,24 @@
     utilisation(workers, resources => resources.accelerators) < mostlyIdleUtilisation
     && utilisation(workers, resources => resources.milliCores) < mostlyIdleUtilisation;
 
+/**
+ * Whether capacity that the candidate could use would stay idle: less than half of its service is in use, all resources
+ * together or, if it needs no accelerators, the cores alone. Workers that accept no work may count or not, whichever
+ * share is smaller: what runs on them is no competition, and their free capacity may come back.
+ */
+const hasIdleCapacity = (workers: readonly WorkerInfo[], { job, step }: Candidate): boolean => {
+    const ofService = workers.filter(worker => worker.service === job.service);
+    const usable = ofService.filter(worker => worker.usable);
+    return [usable, ofService].some(group =>
+        utilisation(group, coreEquivalentsOf) < mostlyIdleUtilisation
+        || (step.resources.accelerators === 0
+            && utilisation(group, resources => resources.milliCores) < mostlyIdleUtilisation)
+    );
+};
+
 /** Whether the candidate may run far from its data: it has waited long, and the capacity would stay idle otherwise. */
 const mayRelaxLocality = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
-    candidate.waitingMs > relaxLocalityAfterMs && isMostlyIdle(workers);
+    candidate.waitingMs > relaxLocalityAfterMs && hasIdleCapacity(workers, candidate);
 
 /**
  * Domains of workers, one of which must host all tasks of a gang. Only workers near its data are included if the gang
--- a/test/waitingWork.test.ts
+++ b/test/waitingWork.test.ts
@@ -70,6 +70,83 @@
     });
 });
 
+describe("work that has waited 1.5 s beside idle capacity of its service", () => {
+    const waitingMs = 1_600;
+    const full = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+
+    /** Two racks of four workers; the first is full, and on the second all accelerators but two a worker are in use. */
+    const createBusyAccelerators = (): WorkerInfo[] => {
+        const workers = createRacks(2, 4);
+        workers.slice(0, 4).forEach(worker => {
+            worker.free = { ...worker.capacity, accelerators: 0 };
+        });
+        workers.slice(4).forEach(worker => {
+            worker.free = { ...worker.capacity, accelerators: 7 };
+        });
+        return workers;
+    };
+
+    const place = (
+        workers: WorkerInfo[],
+        options: Parameters<typeof createCandidate>[1],
+        urgentHeadroom = 0,
+    ): string[] => {
+        const candidates = [createCandidate("waiting", { waitingMs, ...options })];
+        return workersOf(planRound(createRoundInput({ workers, candidates, urgentHeadroom })), "waiting");
+    };
+
+    it("runs far from its data if less than half of the service is in use, all resources together", () => {
+        const tasks = { accelerators: 1, step: { dataRack: "r1-1" } };
+        const gang = { taskCount: 2, accelerators: 7, gang: true, step: { dataRack: "r1-1" } };
+        assert.lengthOf(place(createBusyAccelerators(), tasks), 1);
+        assert.lengthOf(place(createBusyAccelerators(), gang), 2);
+        assert.isEmpty(place(createBusyAccelerators(), { ...tasks, waitingMs: 1_400 }));
+    });
+
+    it("runs far from its data if it needs no accelerator and less than half of the cores are in use", () => {
+        const workers = createRacks(2, 4);
+        workers.forEach(worker => {
+            worker.free.accelerators = 0;
+        });
+        workers.slice(0, 4).forEach(worker => {
+            worker.free.milliCores = 7_000;
+        });
+        workers.slice(4).forEach(worker => {
+            worker.free.milliCores = 60_000;
+        });
+        assert.lengthOf(
+            place(workers, {
+                accelerators: 0,
+                step: { dataRack: "r1-1", resources: { milliCores: 8_000, memoryMb: 100, accelerators: 0 } },
+            }),
+            1,
+        );
+    });
+
+    it("is not held back by a fuller service, nor by workers that are out of service", () => {
+        const otherService = createRacks(10, 4).map(worker => ({
+            ...worker,
+            workerId: `other-${worker.workerId}`,
+            service: "other",
+            free: full,
+        }));
+        const busyRack = createRacks(1, 4).map(worker => ({ ...worker, free: full }));
+        const idle = createWorker("idle", { rack: "r1-2" });
+        const idleRack = [idle, ...[1, 2, 3, 4].map(index => createWorker(`idle${index}`, { rack: "r1-2" }))];
+        const tasks = { step: { dataRack: "r1-1" } };
+        assert.lengthOf(place([...otherService, ...busyRack, ...idleRack], tasks), 1);
+        const outOfService = createRacks(5, 4).map(worker => ({
+            ...worker,
+            workerId: `out-${worker.workerId}`,
+            rack: "r2",
+            usable: false,
+            free: full,
+        }));
+        assert.lengthOf(place([...outOfService, ...busyRack, ...idleRack], tasks), 1);
+        assert.isEmpty(place([...busyRack, ...idleRack.slice(0, 3)], tasks), "more than half is in use");
+    });
+});
+
 describe("headroom for bursts", () => {
     it("is not reserved on workers without accelerators", () => {
         const cores = { milliCores: 64_000, memoryMb: 256_000, accelerators: 0 };
