fix(planning): tasks that do not fit near their data start elsewhere too

What callers saw: of a step with many tasks, those that did not fit into the rack of its data waited on, while its service was mostly idle, as long as a place became free there in every round. Cause: locality was relaxed only in rounds in which no task at all fitted near the data. Evidence: the test, which failed on the code before (8 of 12 tasks placed). Ruled out: tasks that have waited less than 1.5 s and services more than half in use, where all wait as before. Why it works: what remains after the rack is full goes elsewhere under the conditions for locality.

--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -258,8 +258,13 @@
     const nearData = canRunNearData(workers, candidate)
         ? eligible.filter(worker => isNearData(worker, candidate.step))
         : eligible;
-    const assignments = pack(offersOf(nearData, candidate), candidate.taskIndexes);
-    return assignments.length === 0 && mayRelaxLocality(workers, candidate)
-        ? pack(offersOf(eligible, candidate), candidate.taskIndexes)
-        : assignments;
+    const placedNear = pack(offersOf(nearData, candidate), candidate.taskIndexes);
+    const remaining = candidate.taskIndexes.slice(placedNear.length);
+    const hasOthers = eligible.length > nearData.length;
+    if (remaining.length === 0 || !hasOthers || !mayRelaxLocality(workers, candidate)) {
+        return placedNear;
+    }
+    // what fits near the data is used up
+    const elsewhere = eligible.filter(worker => !isNearData(worker, candidate.step));
+    return [...placedNear, ...pack(offersOf(elsewhere, candidate), remaining)];
 };
--- a/test/waitingWork.test.ts
+++ b/test/waitingWork.test.ts
@@ -145,6 +145,16 @@
         assert.lengthOf(place([...outOfService, ...busyRack, ...idleRack], tasks), 1);
         assert.isEmpty(place([...busyRack, ...idleRack.slice(0, 3)], tasks), "more than half is in use");
     });
+
+    it("starts the tasks that do not fit near their data elsewhere", () => {
+        const workers = createRacks(2, 4);
+        workers.slice(0, 3).forEach(worker => {
+            worker.free = { ...full };
+        });
+        const used = place(workers, { taskCount: 12, step: { dataRack: "r1-1" } });
+        assert.lengthOf(used, 12);
+        assert.lengthOf(used.filter(workerId => workerId === "w3"), 8, "near its data as far as there is room");
+    });
 });
 
 describe("headroom for bursts", () => {
