fix(planning): kept-free workers give way to long waits on a half idle service

What callers saw: work waited on beside free workers, while less than half of its service was in use, because these were kept free for a blocked gang or for urgent work that was expected. Cause: backfill windows and the urgent headroom closed workers to work without regard to how much was idle; a window lasts as long as its gang is blocked, and may close all workers with a label or in a rack. Headroom was reserved unless both accelerators and cores were less than half in use over all services. Two tests, each seen failing on the code before. Why it works: one condition, waited 1.5 s and less than half in use, relaxes all that is only preferred. Checked: format, lint, build; tests of planning, waitingWork, waitReason, guarantees pass.

--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -5,8 +5,8 @@
 
 /** Waiting time after which tasks that fill idle cores and tasks that serve users may share a worker. */
 export const colocateAfterMs = 1_200;
-/** Waiting time after which locality is relaxed, so that work runs where it is slower, if capacity stays idle otherwise. */
-export const relaxLocalityAfterMs = 1_500;
+/** Waiting time after which work runs far from its data, where it is slower, or on workers that are kept free. */
+export const relaxAfterMs = 1_500;
 /** Utilisation below which slow work uses no capacity that other work needs. */
 const mostlyIdleUtilisation = 0.5;
 
@@ -37,12 +37,17 @@
 export const mayHost = (worker: WorkerInfo, { job, step }: Candidate): boolean =>
     worker.usable && worker.service === job.service && hasLabel(worker, step);
 
+/** Whether a worker is kept free for urgent work that is expected or for a blocked gang. */
+const isKeptFree = (worker: WorkerInfo, candidate: Candidate): boolean =>
+    (worker.isUrgentHeadroom && candidate.job.priority > 0) || !fitsBackfillWindow(worker, candidate);
+
+/** Whether a task of the candidate may run on a worker, whatever is free there and whatever it is kept free for. */
+const isAdmissible = (worker: WorkerInfo, candidate: Candidate): boolean =>
+    mayHost(worker, candidate) && !(candidate.mustAvoid && candidate.avoidedWorkers.has(worker.workerId));
+
 /** Whether a task of the candidate may run on a worker, whatever is free there. */
-export const isEligible = (worker: WorkerInfo, candidate: Candidate): boolean =>
-    mayHost(worker, candidate)
-    && !(worker.isUrgentHeadroom && candidate.job.priority > 0)
-    && fitsBackfillWindow(worker, candidate)
-    && !(candidate.mustAvoid && candidate.avoidedWorkers.has(worker.workerId));
+const isEligible = (worker: WorkerInfo, candidate: Candidate): boolean =>
+    isAdmissible(worker, candidate) && !isKeptFree(worker, candidate);
 
 /** Number of a candidate's tasks that fit into a worker's free resources, within the step's limit per worker. */
 export const fittingTasks = (worker: WorkerInfo, candidate: Candidate): number => {
@@ -109,22 +114,28 @@
     );
 };
 
-/** Whether the candidate may run far from its data: it has waited long, and the capacity would stay idle otherwise. */
-const mayRelaxLocality = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
-    candidate.waitingMs > relaxLocalityAfterMs && hasIdleCapacity(workers, candidate);
+/**
+ * Whether the candidate may run far from its data and on workers that are kept free: it has waited long, and the
+ * capacity would stay idle otherwise.
+ */
+const mayRelax = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
+    candidate.waitingMs > relaxAfterMs && hasIdleCapacity(workers, candidate);
 
 /**
  * Domains of workers, one of which must host all tasks of a gang. Only workers near its data are included if the gang
- * would fit there on empty workers, unless locality may be relaxed and no such domain has enough free resources now.
+ * would fit there on empty workers. If no such domain has enough free resources now and the candidate may relax what it
+ * prefers, all admissible workers are included.
  */
 export const gangDomains = (workers: readonly WorkerInfo[], candidate: Candidate): WorkerInfo[][] => {
     const eligible = workers.filter(worker => isEligible(worker, candidate));
     const nearData = eligible.filter(worker => isNearData(worker, candidate.step));
     const preferred = fitsIfEmpty(nearData, candidate) ? nearData : eligible;
-    if (mayRelaxLocality(workers, candidate) && !fitsOneOf(adjacencyDomains(preferred, candidate), candidate)) {
-        return candidate.step.mayBeSpread ? [eligible] : adjacencyDomains(eligible, candidate);
+    const domains = adjacencyDomains(preferred, candidate);
+    if (!mayRelax(workers, candidate) || fitsOneOf(domains, candidate)) {
+        return domains;
     }
-    return adjacencyDomains(preferred, candidate);
+    const admissible = workers.filter(worker => isAdmissible(worker, candidate));
+    return candidate.step.mayBeSpread ? [admissible] : adjacencyDomains(admissible, candidate);
 };
 
 const fitsOneOf = (domains: readonly WorkerInfo[][], candidate: Candidate): boolean =>
@@ -153,6 +164,8 @@
     count: number;
     /** The candidate failed there before. */
     avoided: boolean;
+    /** The worker is kept free for other work. */
+    keptFree: boolean;
     /** The worker is reserved for a guarantee, so that the candidate may be preempted there. */
     borrowed: boolean;
     /** Accelerators left free once these tasks run there. */
@@ -182,6 +195,7 @@
                 worker,
                 count,
                 avoided: candidate.avoidedWorkers.has(worker.workerId),
+                keptFree: isKeptFree(worker, candidate),
                 borrowed,
                 leftover,
                 freeInRack,
@@ -192,12 +206,13 @@
 };
 
 /**
- * Sorts by: no earlier failure there, least suspicion, no reservation, best fit, fullest rack, fullest worker. Filling
+ * Sorts by: no earlier failure there, least suspicion, not kept free, no reservation, best fit, fullest rack, fullest worker. Filling
  * workers and racks that are in use already leaves whole ones free.
  */
 const compareOffers = (left: Offer, right: Offer): number =>
     Number(left.avoided) - Number(right.avoided)
     || left.worker.suspicion - right.worker.suspicion
+    || Number(left.keptFree) - Number(right.keptFree)
     || Number(left.borrowed) - Number(right.borrowed)
     || left.leftover - right.leftover
     || left.freeInRack - right.freeInRack
@@ -260,11 +275,11 @@
         : eligible;
     const placedNear = pack(offersOf(nearData, candidate), candidate.taskIndexes);
     const remaining = candidate.taskIndexes.slice(placedNear.length);
-    const hasOthers = eligible.length > nearData.length;
-    if (remaining.length === 0 || !hasOthers || !mayRelaxLocality(workers, candidate)) {
+    if (remaining.length === 0 || !mayRelax(workers, candidate)) {
         return placedNear;
     }
-    // what fits near the data is used up
-    const elsewhere = eligible.filter(worker => !isNearData(worker, candidate.step));
-    return [...placedNear, ...pack(offersOf(elsewhere, candidate), remaining)];
+    // what fits on the preferred workers is used up
+    const tried = new Set(nearData);
+    const others = workers.filter(worker => !tried.has(worker) && isAdmissible(worker, candidate));
+    return [...placedNear, ...pack(offersOf(others, candidate), remaining)];
 };
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -6,7 +6,7 @@
     isMostlyIdle,
     placeGang,
     placeTasks,
-    relaxLocalityAfterMs,
+    relaxAfterMs,
 } from "./placement.js";
 import { indexOccupants, planPreemption } from "./preemption.js";
 import type { OccupantIndex } from "./preemption.js";
@@ -136,7 +136,7 @@
         const { step, job, guaranteed, avoidedWorkers, mustAvoid, runningOn, waitingMs } = candidate;
         return JSON.stringify([
             windowsMs.map(windowMs => fitsWindow(windowMs, candidate)),
-            waitingMs > relaxLocalityAfterMs,
+            waitingMs > relaxAfterMs,
             waitingMs > colocateAfterMs,
             occupiedBy(step),
             step.fillsIdleCores,
--- a/test/waitingWork.test.ts
+++ b/test/waitingWork.test.ts
@@ -155,6 +155,38 @@
         assert.lengthOf(used, 12);
         assert.lengthOf(used.filter(workerId => workerId === "w3"), 8, "near its data as far as there is room");
     });
+
+    /** One rack, every worker with a short run, and a gang of all of them that is blocked. */
+    const placeBesideBlockedGang = (estimateMs: number, workers: WorkerInfo[]): string[] => {
+        workers.forEach(worker => {
+            addOccupant(worker, worker.workerId);
+            worker.busyForMs = 1_000;
+        });
+        const candidates = [
+            createCandidate("gang", { taskCount: 4, accelerators: 8, gang: true, waitingMs: 1_000 }),
+            createCandidate("waiting", { waitingMs, step: { estimateMs }, timeToObjectiveMs: 20_000 }),
+        ];
+        return workersOf(planRound(createRoundInput({ workers, candidates })), "waiting");
+    };
+
+    it("runs on workers that are kept free for a blocked gang", () => {
+        assert.lengthOf(placeBesideBlockedGang(5_000, createRacks(1, 4)), 1);
+        assert.deepEqual(placeBesideBlockedGang(5_000, createRacks(1, 5)), ["w4"], "other workers first");
+    });
+
+    it("runs on workers that are kept free for urgent work", () => {
+        const workers = createRacks(2, 4);
+        workers.forEach(worker => {
+            worker.free.accelerators = 2;
+        });
+        workers.slice(6).forEach(worker => {
+            worker.free.accelerators = 8;
+        });
+        const gang = { taskCount: 2, accelerators: 8, gang: true };
+        assert.isEmpty(place(structuredClone(workers), { ...gang, waitingMs: 1_400 }, 16));
+        assert.deepEqual(place(structuredClone(workers), gang, 16).sort(), ["w6", "w7"]);
+        assert.lengthOf(place(structuredClone(workers), { accelerators: 8 }, 8), 1);
+    });
 });
 
 describe("headroom for bursts", () => {
