fix(planning): a step's own limit per worker does not hold back other steps

What callers saw: tasks limited in number per worker waited beside room, since an earlier step of the same shape had as many tasks as its own limit allowed. Cause: a step of which only some tasks were placed was cached as not fitting. Where its own tasks on each worker were the limit, others of the same shape would have fitted on the same workers. Ruled out: steps without such a limit, for which what remains does not fit, so that their shape stays cached. Why it works: such a step is cached only if none of its tasks was placed.

--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -288,7 +288,11 @@
         }
         const placed = new Set(assignments.map(assignment => assignment.taskIndex));
         const unplaced = { ...candidate, taskIndexes: candidate.taskIndexes.filter(index => !placed.has(index)) };
-        if (unplaced.taskIndexes.length > 0 && !(mayPreemptOthers(candidate) && preempt(unplaced))) {
+        if (unplaced.taskIndexes.length === 0 || (mayPreemptOthers(candidate) && preempt(unplaced))) {
+            return;
+        }
+        // tasks that exceed their own limit per worker say nothing about those of other steps
+        if (assignments.length === 0 || candidate.step.maxPerWorker === undefined) {
             unplaceable.add(candidate);
         }
     };
--- a/test/waitingWork.test.ts
+++ b/test/waitingWork.test.ts
@@ -46,6 +46,14 @@
         assert.isEmpty(workersOf(round, "serving"));
         assert.deepEqual(workersOf(round, "other"), ["w0"]);
     });
+
+    it("is placed if the other one was only limited in its tasks per worker", () => {
+        const step = { maxPerWorker: 1 };
+        const candidates = ["first", "second"].map(key => createCandidate(key, { taskCount: 2, step }));
+        const round = planRound(createRoundInput({ workers: [createWorker("w0")], candidates }));
+        assert.deepEqual(workersOf(round, "first"), ["w0"]);
+        assert.deepEqual(workersOf(round, "second"), ["w0"]);
+    });
 });
 
 describe("work bound to a rack", () => {
