fix(planning): preempting for the rest of a step keeps its limit per worker

What callers could see: more tasks of an urgent step on one worker than its limit allows. Cause: when some tasks of a step were placed in a round and runs were preempted for the others, the limit per worker was checked without those just placed, and the claim was taken up later as it was. Evidence: the test, in which the code before claimed the worker on which the only allowed task was placed. Ruled out: gangs, which are placed at once, and work that may not preempt. Why it works: the rest of a step counts the tasks that the round placed as running.

--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -171,6 +171,14 @@
     };
 };
 
+/** What is left of a candidate of which some tasks are placed; these count for its limit per worker. */
+const withoutPlaced = (candidate: Candidate, assignments: readonly Assignment[]): Candidate => {
+    const placed = new Set(assignments.map(assignment => assignment.taskIndex));
+    const runningOn = new Map(candidate.runningOn);
+    assignments.forEach(({ workerId }) => runningOn.set(workerId, (runningOn.get(workerId) ?? 0) + 1));
+    return { ...candidate, taskIndexes: candidate.taskIndexes.filter(index => !placed.has(index)), runningOn };
+};
+
 const hasAllAcceleratorsFree = (worker: WorkerInfo): boolean =>
     worker.usable && worker.capacity.accelerators > 0 && worker.free.accelerators === worker.capacity.accelerators;
 
@@ -286,8 +294,7 @@
         if (assignments.length > 0) {
             place(candidate, assignments);
         }
-        const placed = new Set(assignments.map(assignment => assignment.taskIndex));
-        const unplaced = { ...candidate, taskIndexes: candidate.taskIndexes.filter(index => !placed.has(index)) };
+        const unplaced = withoutPlaced(candidate, assignments);
         if (unplaced.taskIndexes.length === 0 || (mayPreemptOthers(candidate) && preempt(unplaced))) {
             return;
         }
--- a/test/waitingWork.test.ts
+++ b/test/waitingWork.test.ts
@@ -56,6 +56,19 @@
     });
 });
 
+describe("a limit of tasks per worker", () => {
+    it("holds for tasks placed in a round and runs preempted for the others together", () => {
+        const workers = createRacks(1, 2);
+        const occupant = addOccupant(workers[1], "other", { lostCoreMs: 10 });
+        workers[1].free = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+        const urgent = createCandidate("urgent", { taskCount: 2, priority: 0, step: { maxPerWorker: 1 } });
+        const round = planRound(createRoundInput({ workers, candidates: [urgent], occupants: [occupant] }));
+        assert.deepEqual(workersOf(round, "urgent"), ["w0"]);
+        const claimed = round.claims.flatMap(({ assignments }) => assignments.map(({ workerId }) => workerId));
+        assert.deepEqual(claimed, ["w1"]);
+    });
+});
+
 describe("work bound to a rack", () => {
     it("does not wait for a data rack without a worker that could run the task", () => {
         const near = (change: Partial<WorkerInfo>): WorkerInfo => createWorker("near", { rack: "r1-1", ...change });
