--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -28,6 +28,8 @@
     setWaitingTasks(priority: number, count: number): void;
     /** Sets the number of runs that have been in a phase for longer than recording and ordering take. */
     setOverdueRuns(phase: string, count: number): void;
+    /** Counts a unit that waits although there is room for it, once for each log line; `reason` becomes a label. */
+    recordUnplaced(reason: string): void;
     /** Returns all metrics in the Prometheus text format. */
     render(): Promise<string>;
 }
@@ -127,6 +129,12 @@
         labelNames: ["phase"],
         registers,
     });
+    const unplaced = new Counter({
+        name: "catkinswitch_unplaced_total",
+        help: "Log lines about work that waits although there is room for it, by reason; only on the planner.",
+        labelNames: ["reason"],
+        registers,
+    });
     return {
         recordRequest: (method, status, durationMs) => requests.observe({ method, status }, durationMs / msPerSecond),
         recordRefusal: reason => refusals.inc({ reason }),
@@ -144,6 +152,7 @@
         recordTermChange: change => terms.inc({ change }),
         setWaitingTasks: (priority, count) => waiting.set({ priority }, count),
         setOverdueRuns: (phase, count) => overdueRuns.set({ phase }, count),
+        recordUnplaced: reason => unplaced.inc({ reason }),
         render: () => registry.metrics(),
     };
 };
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -1,13 +1,13 @@
 import { Adjacency } from "../configuration/types.js";
 import type { Step, TaskResources } from "../jobs/types.js";
-import { fitCount, occupiedBy } from "./resources.js";
+import { coreEquivalentsOf, fitCount, occupiedBy } from "./resources.js";
 import type { Assignment, Candidate, WorkerInfo } from "./types.js";
 
 /** Waiting time after which tasks that fill idle cores and tasks that serve users may share a worker. */
 export const colocateAfterMs = 1_200;
-/** Waiting time after which locality is relaxed, so that work runs where it is slower, if the fleet is mostly idle. */
-export const relaxLocalityAfterMs = 1_500;
-/** Utilisation of accelerators and of cores below which slow work uses no capacity that other work needs. */
+/** Waiting time after which work runs far from its data, where it is slower, or on workers that are kept free. */
+export const relaxAfterMs = 1_500;
+/** Utilisation below which slow work uses no capacity that other work needs. */
 const mostlyIdleUtilisation = 0.5;
 
 /** Multiple of the declared run time that must fit into a backfill window; declared times are often too short. */
@@ -16,7 +16,8 @@
 const hasLabel = (worker: WorkerInfo, step: Step): boolean =>
     step.requiredLabel === undefined || worker.labels.includes(step.requiredLabel);
 
-const mayColocate = (worker: WorkerInfo, candidate: Candidate): boolean => {
+/** Whether a task may run beside what else runs on a worker: tasks that serve and tasks that fill are kept apart. */
+export const mayColocate = (worker: WorkerInfo, candidate: Candidate): boolean => {
     if (candidate.waitingMs > colocateAfterMs) {
         return true;
     }
@@ -24,12 +25,29 @@
         && !(candidate.step.targetMs !== undefined && worker.hasIdleFillingTask);
 };
 
+/** Whether the candidate, by its declared time, ends within a backfill window. */
+export const fitsWindow = (windowMs: number, { step }: Candidate): boolean =>
+    step.estimateMs * backfillEstimateFactor <= windowMs;
+
+/** Whether the candidate ends before a blocked gang is expected to start on a worker. */
+export const fitsBackfillWindow = (worker: WorkerInfo, candidate: Candidate): boolean =>
+    fitsWindow(worker.backfillWindowMs, candidate);
+
+/** Whether a worker is of the candidate's service, has the label it requires and accepts work. */
+export const mayHost = (worker: WorkerInfo, { job, step }: Candidate): boolean =>
+    worker.usable && worker.service === job.service && hasLabel(worker, step);
+
+/** Whether a worker is kept free for urgent work that is expected or for a blocked gang. */
+const isKeptFree = (worker: WorkerInfo, candidate: Candidate): boolean =>
+    (worker.isUrgentHeadroom && candidate.job.priority > 0) || !fitsBackfillWindow(worker, candidate);
+
+/** Whether a task of the candidate may run on a worker, whatever is free there and whatever it is kept free for. */
+const isAdmissible = (worker: WorkerInfo, candidate: Candidate): boolean =>
+    mayHost(worker, candidate) && !(candidate.mustAvoid && candidate.avoidedWorkers.has(worker.workerId));
+
 /** Whether a task of the candidate may run on a worker, whatever is free there. */
-export const isEligible = (worker: WorkerInfo, candidate: Candidate): boolean =>
-    worker.usable && worker.service === candidate.job.service && hasLabel(worker, candidate.step)
-    && !(worker.isUrgentHeadroom && candidate.job.priority > 0)
-    && candidate.step.estimateMs * backfillEstimateFactor <= worker.backfillWindowMs
-    && !(candidate.mustAvoid && candidate.avoidedWorkers.has(worker.workerId));
+const isEligible = (worker: WorkerInfo, candidate: Candidate): boolean =>
+    isAdmissible(worker, candidate) && !isKeptFree(worker, candidate);
 
 /** Number of a candidate's tasks that fit into a worker's free resources, within the step's limit per worker. */
 export const fittingTasks = (worker: WorkerInfo, candidate: Candidate): number => {
@@ -65,10 +83,12 @@
 const fitsIfEmpty = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
     workers.reduce((sum, worker) => sum + fittingTasksIfEmpty(worker, candidate), 0) >= candidate.taskIndexes.length;
 
-const isNearData = (worker: WorkerInfo, step: Step): boolean =>
+/** Whether a worker is in the rack that holds a step's data. */
+export const isNearData = (worker: WorkerInfo, step: Step): boolean =>
     step.dataRack === undefined || worker.rack === step.dataRack;
 
-const utilisation = (workers: readonly WorkerInfo[], amountOf: (resources: TaskResources) => number): number => {
+/** Share of a resource that is in use on workers; 0 if they have none of it. */
+export const utilisation = (workers: readonly WorkerInfo[], amountOf: (resources: TaskResources) => number): number => {
     const capacity = workers.reduce((sum, worker) => sum + amountOf(worker.capacity), 0);
     const free = workers.reduce((sum, worker) => sum + amountOf(worker.free), 0);
     return capacity === 0 ? 0 : 1 - free / capacity;
@@ -79,22 +99,43 @@
     utilisation(workers, resources => resources.accelerators) < mostlyIdleUtilisation
     && utilisation(workers, resources => resources.milliCores) < mostlyIdleUtilisation;
 
-/** Whether the candidate may run far from its data: it has waited long, and the capacity would stay idle otherwise. */
-const mayRelaxLocality = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
-    candidate.waitingMs > relaxLocalityAfterMs && isMostlyIdle(workers);
+/**
+ * Whether capacity that the candidate could use would stay idle: less than half of its service is in use, all resources
+ * together or, if it needs no accelerators, the cores alone. Workers that accept no work may count or not, whichever
+ * share is smaller: what runs on them is no competition, and their free capacity may come back.
+ */
+const hasIdleCapacity = (workers: readonly WorkerInfo[], { job, step }: Candidate): boolean => {
+    const ofService = workers.filter(worker => worker.service === job.service);
+    const usable = ofService.filter(worker => worker.usable);
+    return [usable, ofService].some(group =>
+        utilisation(group, coreEquivalentsOf) < mostlyIdleUtilisation
+        || (step.resources.accelerators === 0
+            && utilisation(group, resources => resources.milliCores) < mostlyIdleUtilisation)
+    );
+};
+
+/**
+ * Whether the candidate may run far from its data and on workers that are kept free: it has waited long, and the
+ * capacity would stay idle otherwise.
+ */
+const mayRelax = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
+    candidate.waitingMs > relaxAfterMs && hasIdleCapacity(workers, candidate);
 
 /**
  * Domains of workers, one of which must host all tasks of a gang. Only workers near its data are included if the gang
- * would fit there on empty workers, unless locality may be relaxed and no such domain has enough free resources now.
+ * would fit there on empty workers. If no such domain has enough free resources now and the candidate may relax what it
+ * prefers, all admissible workers are included.
  */
 export const gangDomains = (workers: readonly WorkerInfo[], candidate: Candidate): WorkerInfo[][] => {
     const eligible = workers.filter(worker => isEligible(worker, candidate));
     const nearData = eligible.filter(worker => isNearData(worker, candidate.step));
     const preferred = fitsIfEmpty(nearData, candidate) ? nearData : eligible;
-    if (mayRelaxLocality(workers, candidate) && !fitsOneOf(adjacencyDomains(preferred, candidate), candidate)) {
-        return candidate.step.mayBeSpread ? [eligible] : adjacencyDomains(eligible, candidate);
+    const domains = adjacencyDomains(preferred, candidate);
+    if (!mayRelax(workers, candidate) || fitsOneOf(domains, candidate)) {
+        return domains;
     }
-    return adjacencyDomains(preferred, candidate);
+    const admissible = workers.filter(worker => isAdmissible(worker, candidate));
+    return candidate.step.mayBeSpread ? [admissible] : adjacencyDomains(admissible, candidate);
 };
 
 const fitsOneOf = (domains: readonly WorkerInfo[][], candidate: Candidate): boolean =>
@@ -106,7 +147,8 @@
     [Adjacency.AvailabilityZone]: worker => worker.availabilityZone,
 };
 
-const adjacencyDomains = (workers: readonly WorkerInfo[], candidate: Candidate): WorkerInfo[][] => {
+/** Domains of workers that satisfy the adjacency of a candidate and could host all of it if they were empty. */
+export const adjacencyDomains = (workers: readonly WorkerInfo[], candidate: Candidate): WorkerInfo[][] => {
     const { adjacency, mayBeSpread } = candidate.step;
     if (adjacency === undefined) {
         return [[...workers]];
@@ -122,6 +164,8 @@
     count: number;
     /** The candidate failed there before. */
     avoided: boolean;
+    /** The worker is kept free for other work. */
+    keptFree: boolean;
     /** The worker is reserved for a guarantee, so that the candidate may be preempted there. */
     borrowed: boolean;
     /** Accelerators left free once these tasks run there. */
@@ -151,6 +195,7 @@
                 worker,
                 count,
                 avoided: candidate.avoidedWorkers.has(worker.workerId),
+                keptFree: isKeptFree(worker, candidate),
                 borrowed,
                 leftover,
                 freeInRack,
@@ -161,12 +206,13 @@
 };
 
 /**
- * Sorts by: no earlier failure there, least suspicion, no reservation, best fit, fullest rack, fullest worker. Filling
+ * Sorts by: no earlier failure there, least suspicion, not kept free, no reservation, best fit, fullest rack, fullest worker. Filling
  * workers and racks that are in use already leaves whole ones free.
  */
 const compareOffers = (left: Offer, right: Offer): number =>
     Number(left.avoided) - Number(right.avoided)
     || left.worker.suspicion - right.worker.suspicion
+    || Number(left.keptFree) - Number(right.keptFree)
     || Number(left.borrowed) - Number(right.borrowed)
     || left.leftover - right.leftover
     || left.freeInRack - right.freeInRack
@@ -215,12 +261,25 @@
         .sort((left, right) => left.suspicion - right.suspicion)
         .at(0)?.assignments;
 
+/** Whether a task of the candidate could run near its data if nothing else ran there. */
+const canRunNearData = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
+    workers.some(worker =>
+        isNearData(worker, candidate.step) && mayHost(worker, candidate) && fittingTasksIfEmpty(worker, candidate) > 0
+    );
+
 /** Finds workers for as many independent tasks as fit. */
 export const placeTasks = (workers: readonly WorkerInfo[], candidate: Candidate): Assignment[] => {
     const eligible = workers.filter(worker => isEligible(worker, candidate));
-    const nearData = eligible.filter(worker => isNearData(worker, candidate.step));
-    const assignments = pack(offersOf(nearData, candidate), candidate.taskIndexes);
-    return assignments.length === 0 && mayRelaxLocality(workers, candidate)
-        ? pack(offersOf(eligible, candidate), candidate.taskIndexes)
-        : assignments;
+    const nearData = canRunNearData(workers, candidate)
+        ? eligible.filter(worker => isNearData(worker, candidate.step))
+        : eligible;
+    const placedNear = pack(offersOf(nearData, candidate), candidate.taskIndexes);
+    const remaining = candidate.taskIndexes.slice(placedNear.length);
+    if (remaining.length === 0 || !mayRelax(workers, candidate)) {
+        return placedNear;
+    }
+    // what fits on the preferred workers is used up
+    const tried = new Set(nearData);
+    const others = workers.filter(worker => !tried.has(worker) && isAdmissible(worker, candidate));
+    return [...placedNear, ...pack(offersOf(others, candidate), remaining)];
 };
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -1,11 +1,12 @@
 import { orderCandidates, Tier, tierOf } from "./order.js";
 import {
     colocateAfterMs,
+    fitsWindow,
     gangDomains,
     isMostlyIdle,
     placeGang,
     placeTasks,
-    relaxLocalityAfterMs,
+    relaxAfterMs,
 } from "./placement.js";
 import { indexOccupants, planPreemption } from "./preemption.js";
 import type { OccupantIndex } from "./preemption.js";
@@ -125,17 +126,21 @@
 
 /**
  * Caches the shapes of work that did not fit in a round, so that a backlog of similar work is checked once. Free
- * resources only shrink within a round, except for claims, which are used by their own candidates alone.
+ * resources and backfill windows only shrink within a round, except for claims, which are used by their own candidates
+ * alone. Of the declared time, only the windows that it fits are part of a shape.
  */
-const createUnplaceableCache = () => {
+const createUnplaceableCache = (workers: readonly WorkerInfo[]) => {
     const smallestFailed = new Map<string, number>();
-    const shapeKeyOf = (
-        { step, job, guaranteed, avoidedWorkers, mustAvoid, runningOn, waitingMs }: Candidate,
-    ): string =>
-        JSON.stringify([
-            waitingMs > relaxLocalityAfterMs,
+    let windowsMs: number[] = [];
+    const shapeKeyOf = (candidate: Candidate): string => {
+        const { step, job, guaranteed, avoidedWorkers, mustAvoid, runningOn, waitingMs } = candidate;
+        return JSON.stringify([
+            windowsMs.map(windowMs => fitsWindow(windowMs, candidate)),
+            waitingMs > relaxAfterMs,
             waitingMs > colocateAfterMs,
-            step.resources,
+            occupiedBy(step),
+            step.fillsIdleCores,
+            step.targetMs !== undefined,
             step.gang,
             step.adjacency,
             step.mayBeSpread,
@@ -148,7 +153,12 @@
             mustAvoid ? [...avoidedWorkers] : [],
             step.maxPerWorker === undefined ? [] : [...runningOn],
         ]);
+    };
     return {
+        /** Records that backfill windows of workers have changed. */
+        onWindowsLimited: (): void => {
+            windowsMs = [...new Set(workers.map(worker => worker.backfillWindowMs))].filter(Number.isFinite);
+        },
         add: (candidate: Candidate): void => {
             const shapeKey = shapeKeyOf(candidate);
             const size = candidate.step.gang ? candidate.taskIndexes.length : 0;
@@ -161,8 +171,16 @@
     };
 };
 
+/** What is left of a candidate of which some tasks are placed; these count for its limit per worker. */
+const withoutPlaced = (candidate: Candidate, assignments: readonly Assignment[]): Candidate => {
+    const placed = new Set(assignments.map(assignment => assignment.taskIndex));
+    const runningOn = new Map(candidate.runningOn);
+    assignments.forEach(({ workerId }) => runningOn.set(workerId, (runningOn.get(workerId) ?? 0) + 1));
+    return { ...candidate, taskIndexes: candidate.taskIndexes.filter(index => !placed.has(index)), runningOn };
+};
+
 const hasAllAcceleratorsFree = (worker: WorkerInfo): boolean =>
-    worker.usable && worker.free.accelerators === worker.capacity.accelerators;
+    worker.usable && worker.capacity.accelerators > 0 && worker.free.accelerators === worker.capacity.accelerators;
 
 /** Reserves empty workers for a burst of urgent work, as many as possible in one rack, so that it preempts less. */
 const reserveUrgentHeadroom = (workers: readonly WorkerInfo[], accelerators: number): void => {
@@ -197,7 +215,7 @@
         );
     allocateClaims(true);
     let occupants: OccupantIndex | undefined;
-    const unplaceable = createUnplaceableCache();
+    const unplaceable = createUnplaceableCache(input.workers);
     const evicted = new Set<Occupant>();
     let backfillWindows = 0;
 
@@ -264,6 +282,7 @@
         if (mayLimitBackfill && needsWholeWorker(input.workers, candidate) && tierOf(candidate) < Tier.Expired) {
             backfillWindows += 1;
             limitBackfill(input.workers, candidate);
+            unplaceable.onWindowsLimited();
         }
     };
 
@@ -275,9 +294,12 @@
         if (assignments.length > 0) {
             place(candidate, assignments);
         }
-        const placed = new Set(assignments.map(assignment => assignment.taskIndex));
-        const unplaced = { ...candidate, taskIndexes: candidate.taskIndexes.filter(index => !placed.has(index)) };
-        if (unplaced.taskIndexes.length > 0 && !(mayPreemptOthers(candidate) && preempt(unplaced))) {
+        const unplaced = withoutPlaced(candidate, assignments);
+        if (unplaced.taskIndexes.length === 0 || (mayPreemptOthers(candidate) && preempt(unplaced))) {
+            return;
+        }
+        // tasks that exceed their own limit per worker say nothing about those of other steps
+        if (assignments.length === 0 || candidate.step.maxPerWorker === undefined) {
             unplaceable.add(candidate);
         }
     };
