fix(planning): a gang that the usable workers cannot hold limits no backfill

What callers saw: while a gang waited that all usable workers together cannot hold (workers removed, a zone out of service, cooldowns), no other job that came after it in the order was placed, on a fleet that was idle.

Cause: limitBackfill takes the domains of the gang as they are. For a gang without adjacency, or one that may be spread, that is all eligible workers, also if they cannot hold it empty. All of them were chosen, and while they were idle the window was 0 ms: no work fits into it, for as long as the gang waits.

Fix: only domains that would hold the gang if nothing else ran limit backfill.

Ruled out: same-rack gangs that may not be spread; their domains are checked already.

--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -80,7 +80,8 @@
         candidate.step.maxPerWorker ?? Number.POSITIVE_INFINITY,
     );
 
-const fitsIfEmpty = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
+/** Whether all tasks of a candidate would fit on workers on which nothing else ran. */
+export const fitsIfEmpty = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
     workers.reduce((sum, worker) => sum + fittingTasksIfEmpty(worker, candidate), 0) >= candidate.taskIndexes.length;
 
 /** Whether a worker is in the rack that holds a step's data. */
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -1,6 +1,7 @@
 import { orderCandidates, Tier, tierOf } from "./order.js";
 import {
     colocateAfterMs,
+    fitsIfEmpty,
     fitsWindow,
     gangDomains,
     isMostlyIdle,
@@ -108,9 +109,13 @@
     return chosen;
 };
 
-/** Limits backfill on the workers that can host a blocked gang soonest to work that ends before the gang can start. */
+/**
+ * Limits backfill on the workers that can host a blocked gang soonest to work that ends before the gang can start. A gang
+ * that the usable workers cannot hold would keep them empty for nothing.
+ */
 const limitBackfill = (workers: readonly WorkerInfo[], candidate: Candidate): void => {
     const options = gangDomains(workers, candidate)
+        .filter(domain => fitsIfEmpty(domain, candidate))
         .map(domain => chooseWorkersFor(domain, candidate))
         .map(chosen => ({
             chosen,
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -249,6 +249,21 @@
     });
 });
 
+describe("backfill before a blocked gang", () => {
+    const placeBeside = (gang: Candidate): string[] => {
+        const small = createCandidate("small", { taskCount: 2, priority: 2 });
+        const round = planRound(createRoundInput({ workers: createRacks(2, 4), candidates: [gang, small] }));
+        assert.isEmpty(workersOf(round, "gang"));
+        return workersOf(round, "small");
+    };
+    const tooLarge = { taskCount: 12, accelerators: 8, gang: true, waitingMs: 5_000 };
+
+    it("is not limited for a gang that the usable workers cannot hold", () => {
+        assert.lengthOf(placeBeside(createCandidate("gang", tooLarge)), 2);
+        assert.lengthOf(placeBeside(createCandidate("gang", { ...tooLarge, sameRack: true })), 2, "it may be spread");
+    });
+});
+
 /** Replays bursts of urgent whole-worker gangs while small tasks arrive, as on the worst day of henhold-ne. */
 const replayBursts = (withHeadroom: boolean): { evictionCount: number; } => {
     const demand = createUrgentDemand();
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -305,6 +305,14 @@
         tests: "planning",
         fails: "checks a backlog of similar work once",
     },
+    {
+        without: "unlimited backfill beside a gang that the usable workers cannot hold",
+        file: "planning/round.js",
+        find: ".filter(domain => fitsIfEmpty(domain, candidate))",
+        replace: "",
+        tests: "planning",
+        fails: "is not limited for a gang that the usable workers cannot hold",
+    },
     {
         without: "preempting in proportion to the work that is lost",
         file: "planning/preemption.js",
