--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -1,5 +1,7 @@
 /** Mechanisms that can be switched off in a scratch copy of the build, each with the test that must fail without it. */
 
+import { planningMutants } from "./planningMutants.js";
+
 /** A change of compiled code that disables a mechanism. */
 export interface Mutant {
     /** Mechanism that the mutant disables; arguments of the tool filter by it. */
@@ -15,23 +17,8 @@
     fails: string;
 }
 
-const mutants: Mutant[] = [
-    {
-        without: "reservations that do not overlap",
-        file: "planning/emptyFleet.js",
-        find: "allocate(workersById, gang, workerIds);",
-        replace: "",
-        tests: "guarantees",
-        fails: "have reservations that share no accelerator",
-    },
-    {
-        without: "keeping a reservation in use while one of its workers does not answer",
-        file: "planning/reservations.js",
-        find: "(allUsable || previous.running.has(gang.name))",
-        replace: "allUsable",
-        tests: "guarantees",
-        fails: "keep the reservation of a running job",
-    },
+const mutants: readonly Mutant[] = [
+    ...planningMutants,
     {
         without: "restoring reservations from the records under a new planner",
         file: "execution/guarantees.js",
@@ -40,30 +27,6 @@
         tests: "test/planner",
         fails: "restores after a change of planner",
     },
-    {
-        without: "reclaiming a guarantee on its reservation",
-        file: "planning/preemption.js",
-        find: "candidate.reservedWorkers !== undefined",
-        replace: "false",
-        tests: "guarantees",
-        fails: "can be reclaimed after every step",
-    },
-    {
-        without: "claimed guarantees before other claims",
-        file: "planning/round.js",
-        find: "allocateClaims(true);",
-        replace: "allocateClaims(true); allocateClaims(false);",
-        tests: "guarantees",
-        fails: "are not delayed by claims of borrowers",
-    },
-    {
-        without: "protecting guaranteed work from preemption",
-        file: "planning/preemption.js",
-        find: "!occupant.guaranteed && ",
-        replace: "",
-        tests: "planning",
-        fails: "preempts work of the same priority only",
-    },
     {
         without: "abandoning a placement that took too long to record",
         file: "execution/runStarter.js",
@@ -265,14 +228,6 @@
         tests: "interleavings",
         fails: "under every choice of two faults",
     },
-    {
-        without: "on entry VMs: headroom of whole workers for urgent bursts",
-        file: "planning/round.js",
-        find: "reserveUrgentHeadroom(input.workers, input.urgentHeadroom);",
-        replace: "",
-        tests: "planning",
-        fails: "is reserved after a first burst",
-    },
     {
         without: "on entry VMs: handing the term over to a stronger VM",
         file: "node/entryVm.js",
@@ -297,30 +252,6 @@
         tests: "planner",
         fails: "lets runs that declare checkpoints and have saved none",
     },
-    {
-        without: "on entry VMs: checking a backlog of similar work once",
-        file: "planning/round.js",
-        find: "if (!unplaceable.has(candidate)) {",
-        replace: "if (true) {",
-        tests: "planning",
-        fails: "checks a backlog of similar work once",
-    },
-    {
-        without: "unlimited backfill beside a gang that the usable workers cannot hold",
-        file: "planning/round.js",
-        find: ".filter(domain => fitsIfEmpty(domain, candidate))",
-        replace: "",
-        tests: "planning",
-        fails: "is not limited for a gang that the usable workers cannot hold",
-    },
-    {
-        without: "preempting in proportion to the work that is lost",
-        file: "planning/preemption.js",
-        find: "totalCost(plan) <= workOf(candidate) * maxLostWorkFactor",
-        replace: "true",
-        tests: "test/planning",
-        fails: "does not lose much more work for an urgent job",
-    },
     {
         without: "waiting out the leases of earlier planners after a worker's first answer",
         file: "execution/workerLease.js",
@@ -345,14 +276,6 @@
         tests: "test/relay",
         fails: "repeats few of the operations in progress when the table becomes slow",
     },
-    {
-        without: "preempting resumable work however often it was preempted",
-        file: "planning/preemption.js",
-        find: "occupant.resumable && isMoreUrgent(candidate, occupant)",
-        replace: "false",
-        tests: "test/planning",
-        fails: "or if it is resumable",
-    },
     {
         without: "an objective that allows for failed runs",
         file: "execution/roundInput.js",
