fix(state): keep an entry VM registered when writes of its earlier process arrive late

Callers: a VM that has no way to the table refuses submissions and cannot tell the state of jobs, as it finds no peer that could relay for it. Cause: registration and deregistration are unconditional, and a write without an answer may take effect seconds later, after the VM has started again under its name. Its row was then missing, or held the earlier address, until the process ended: it registered only once. Change: a VM that does not find its own registration when it refreshes the list registers again, unless it has deregistered.

--- a/src/state/peerDirectory.ts
+++ b/src/state/peerDirectory.ts
@@ -43,6 +43,7 @@
 ): PeerDirectory => {
     let peers: Peer[] = [];
     let registered = false;
+    let isLeaving = false;
     let arePeersKnown = false;
 
     const register = async (): Promise<void> => {
@@ -55,14 +56,16 @@
     };
 
     const refresh = async (): Promise<void> => {
-        if (!registered) {
+        if (!registered && !isLeaving) {
             await register();
         }
         const read = await state.read({ table: vmsTable, part: "" });
         if (read.ok) {
             arePeersKnown = true;
-            peers = read.value.rows
-                .map(row => toPeer(row.key, row.value))
+            const listed = read.value.rows.map(row => toPeer(row.key, row.value));
+            // a write of an earlier process of this VM may have taken effect late
+            registered = listed.some(({ name, address }) => name === self.name && address === self.address);
+            peers = listed
                 .filter(peer => peer.name !== self.name && peer.address !== "")
                 .map(peer => ({ peer, rank: Math.random() }))
                 .sort((left, right) => left.rank - right.rank)
@@ -76,6 +79,7 @@
         others: () => peers,
         relativePower: () => arePeersKnown ? self.cores / Math.max(self.cores, ...peers.map(peer => peer.cores)) : 0,
         deregister: async () => {
+            isLeaving = true;
             await state.commit({ part: "", conditions: [], writes: [{ table: vmsTable, key: self.name }] });
         },
         stop: unsubscribe,
