--- a/bench/simulatedPlanner.ts
+++ b/bench/simulatedPlanner.ts
@@ -99,7 +99,7 @@
         addJob: submission => {
             const job = restoreJob(
                 submission,
-                { recordVersion: 0, cancelled: false },
+                { submissionVersion: 0, recordVersion: 0, cancelled: false },
                 { findSession, nowMs: timer.nowMs(), ageMs: timer.nowMs() - submission.acceptedAtMs },
             );
             jobs.set(submission.id, job);
--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -80,6 +80,10 @@
 /** Maximum wait before the first round for workers to report their runs. */
 const maxSyncWaitMs = 250;
 
+/** Whether a job is known from the same row, or a later one: a job may be submitted again once it has been deleted. */
+const isSameSubmission = (known: JobState | undefined, { submissionVersion }: StoredJob): boolean =>
+    known !== undefined && known.submissionVersion >= submissionVersion;
+
 /**
  * Estimates the time since a job was accepted, by a VM whose wall clock may differ. A job that the follower found was
  * stored after the follower's previous request.
@@ -131,7 +135,7 @@
 
     const adoptJob = (jobId: string, stored: StoredJob): void => {
         const { submission } = stored;
-        if (submission === undefined || context.jobs.has(jobId)) {
+        if (submission === undefined || isSameSubmission(context.jobs.get(jobId), stored)) {
             return;
         }
         const ageMs = estimateAgeMs(submission, timer.wallClockMs(), follower?.ageMs());
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -80,6 +80,8 @@
 /** A job and its progress. */
 export interface JobState {
     submission: JobSubmission;
+    /** Version of the submission's row; another one belongs to a job that was submitted again after its deletion. */
+    submissionVersion: number;
     /** Estimated monotonic time of acceptance, which a step of the wall clock does not change. */
     acceptedAtMs: number;
     /** Whether its customer has cancelled it. */
@@ -236,11 +238,12 @@
 /** Restores the state of a job from its rows; whether its recorded runs are alive is not known yet. */
 export const restoreJob = (
     submission: JobSubmission,
-    { record, recordVersion, cancelled }: Omit<StoredJob, "submission">,
+    { submissionVersion, record, recordVersion, cancelled }: Omit<StoredJob, "submission">,
     { findSession, nowMs, ageMs }: RestoreJobOptions,
 ): JobState => {
     const job: JobState = {
         submission,
+        submissionVersion,
         acceptedAtMs: nowMs - ageMs,
         cancelled,
         phase: record?.phase ?? JobPhase.Queued,
--- a/src/jobs/projection.ts
+++ b/src/jobs/projection.ts
@@ -6,6 +6,8 @@
 /** The stored rows of one job, combined; each may be missing. */
 export interface StoredJob {
     submission?: JobSubmission;
+    /** Version of the submission's row; 0 if there is none. */
+    submissionVersion: number;
     /** Progress as last recorded by the planner. */
     record?: JobRecord;
     /** Version of the progress row; 0 if there is none. */
@@ -34,6 +36,7 @@
     switch (kind) {
         case JobRowKind.Submission:
             job.submission = row.value as JobSubmission | undefined;
+            job.submissionVersion = row.value === undefined ? 0 : row.version;
             return;
         case JobRowKind.Cancellation:
             job.cancelled = row.value !== undefined;
@@ -56,7 +59,7 @@
             if (parsed === undefined) {
                 return undefined;
             }
-            const job = jobs.get(parsed.jobId) ?? { recordVersion: 0, cancelled: false };
+            const job = jobs.get(parsed.jobId) ?? { submissionVersion: 0, recordVersion: 0, cancelled: false };
             applyValue(job, parsed.kind, row);
             if (job.submission === undefined && job.record === undefined && !job.cancelled) {
                 jobs.delete(parsed.jobId);
--- a/test/entryVm.test.ts
+++ b/test/entryVm.test.ts
@@ -122,6 +122,26 @@
         assert.equal(fleet.rowCount(), 9, "only the planner's lease and a term row for each part remain");
     });
 
+    it("runs when it is submitted again after its deletion, whose answer was lost", async () => {
+        const fleet = await createStartedFleet();
+        let deletedAtMs: number | undefined;
+        fleet.commitFault = (_vm, { writes }) => {
+            const isDeletion = writes.some(write => write.value === undefined);
+            deletedAtMs ??= isDeletion ? fleet.timer.nowMs() : undefined;
+            return isDeletion && deletedAtMs === fleet.timer.nowMs() ? CallFault.AnswerLost : CallFault.None;
+        };
+        const submission = createSubmission("a1", [createStep()]);
+        await fleet.submit(submission);
+        while (deletedAtMs === undefined) {
+            await fleet.timer.advance(100);
+        }
+        assert.isUndefined(await jobPhaseOn(fleet, "vm1", "a1"));
+        assert.equal(await fleet.submit(submission), Acceptance.Accepted);
+        await fleet.timer.advance(12_000);
+        assert.equal(await jobPhaseOn(fleet, "vm1", "a1"), JobPhase.Succeeded);
+        assert.lengthOf(fleet.spans, 2);
+    });
+
     it("keeps its place before less urgent work when a run of it has failed", async () => {
         const fleet = await createStartedFleet({ workerCount: 2 });
         const wholeWorker = { resources: { milliCores: 8_000, memoryMb: 16_000, accelerators: 8 } };
--- a/test/recorder.test.ts
+++ b/test/recorder.test.ts
@@ -67,7 +67,7 @@
         intercept: (): CommitResult | undefined => undefined,
         recorder: undefined as Recorder | undefined,
         createJob: (submission: JobSubmission, record?: JobRecord): JobState =>
-            restoreJob(submission, { record, recordVersion: 0, cancelled: false }, {
+            restoreJob(submission, { record, submissionVersion: 0, recordVersion: 0, cancelled: false }, {
                 findSession: (id, bornMs) => ({ id, bornMs }) as WorkerSession,
                 nowMs: timer.nowMs(),
                 ageMs: 0,
