test(execution): a seeded soak of stops, restarts and changes that overlap, with callers on open connections

Real processes on the stand-in get SIGTERM (some of them twice), SIGHUP (also during a stop and while they start), new configurations and short outages of the table, while callers use each connection until it ends and send the next request as soon as an answer arrives, in parts or whole. What a process has logged as received must have got a complete answer, and each process must exit by a completed stop with no request unanswered.

--- a/test/stops.test.ts
+++ b/test/stops.test.ts
@@ -3,6 +3,7 @@
 import type { CallerConnection } from "./fixtures/callerConnection.js";
 import { startPlatformProcesses, waitUntil } from "./fixtures/platformProcesses.js";
 import type { EntryVmProcess, PlatformProcesses } from "./fixtures/platformProcesses.js";
+import { runStopSoak } from "./fixtures/stopSoak.js";
 
 const maxWaitMs = 5_000;
 /** Deadline of callers that would wait longer than the process may take to stop. */
@@ -57,3 +58,14 @@
         assert.deepEqual((await answers).map(answer => answer?.status), [504, 503]);
     });
 });
+
+describe("stops, restarts and changes that overlap", () => {
+    it("leave no request that a process has received without a complete answer", async function() {
+        this.timeout(60_000);
+        const report = await runStopSoak({ seed: 8, durationMs: 8_000 });
+        assert.deepEqual(report.lost, []);
+        assert.deepEqual(report.badExits, []);
+        assert.isAbove(report.stops, 2, "stops during the soak");
+        assert.isAbove(report.answers[200], 100, "requests served during the soak");
+    });
+});
