--- a/test/platformProcesses.test.ts
+++ b/test/platformProcesses.test.ts
@@ -157,4 +157,20 @@
         assert.include(metrics, "catkinswitch_broken_answers_total{closed_by=\"caller\"} 1");
         assert.include(metrics, "catkinswitch_late_answers_total{method=\"GET\"} 1");
     });
+
+    it("keep the newest settings when SIGHUP arrives again while they are read", async () => {
+        const vm = await processes.startVm("a");
+        const readAgain = () => vm.lines.filter(line => line.message === "settings read again");
+        const finishFirst = await vm.beginReload(text => text.replace("\"revokeMs\":5000", "\"revokeMs\":4000"));
+        await vm.changeSettings(text => text.replace("\"revokeMs\":4000", "\"revokeMs\":3000"));
+        // gives a process that does not wait for the first reading the time to end the second before it
+        for (let round = 0; round < 20; round++) {
+            await processes.metrics(vm);
+        }
+        await finishFirst();
+        await waitUntil(async () => readAgain().length === 2, 5_000, "both readings are done");
+        await vm.changeSettings(text => text);
+        await waitUntil(async () => readAgain().length === 3, 5_000, "the unchanged settings have been read");
+        assert.deepInclude(readAgain().at(-1)?.context, { inForce: [], atNextStart: [] });
+    });
 });
