--- a/tools/stopSoak.ts
+++ b/tools/stopSoak.ts
@@ -11,6 +11,7 @@
             seeds: { type: "string", default: "1" },
             seconds: { type: "string", default: "20" },
             vms: { type: "string", default: "3" },
+            routes: { type: "string", default: "200" },
             callers: { type: "string", default: "24" },
         },
     });
@@ -20,6 +21,7 @@
             seed,
             durationMs: Number(values.seconds) * msPerSecond,
             vmCount: Number(values.vms),
+            furtherRoutes: Number(values.routes),
             callerCount: Number(values.callers),
         });
         hasFailed ||= report.lost.length > 0 || report.badExits.length > 0;
