fix(planning): cooldowns do not leave a whole fleet idle

What callers saw: a sound job waited 6.6 s on four idle workers, and retries of failing jobs 5.3 s and 10.2 s, because jobs that fail by themselves had given every worker that could run them a cooldown. Cause: a worker with a cooldown accepted no work at all, for up to 10 s, even if no other worker was left. Jobs that cannot succeed spread over all workers by their attempts, since suspect workers come last; towards the end of traffic, and for labels that few workers have, no success comes in between to clear them. Evidence: a replay on virtual time (three jobs of four failing tasks, four workers) with the figures above, as the line about waiting work showed; the test of it failed on the code before, and fails without the mechanism. Ruled out: avoiding the workers where a task failed, which ends after 2 s; recording, leases and claims (none pending in the replay). Why it works: work that has waited 1.5 s since the last time all its tasks had runs uses workers with a cooldown as the last choice while less than half of its service is in use. The time since it could first start would count earlier runs, so that a task would go from one sick worker to the next at once. Runs are not preempted on such workers, as their claims would not hold. Checked: format, lint, build; tests of planning, waitingWork, waitReason, guarantees, planner, gangs pass.

--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -16,11 +16,11 @@
 /** Time without an answer, two polls, after which a worker is assigned no new tasks. */
 export const maxSilentMs = 700;
 
-const isUsable = (context: PlannerContext, session: WorkerSession): boolean => {
+/** Whether a worker accepts work, apart from cooldowns. */
+const isReady = (context: PlannerContext, session: WorkerSession): boolean => {
     const { descriptor } = session;
     return descriptor !== undefined && !descriptor.draining && session.isSynced() && session.silentMs() < maxSilentMs
-        && !context.operator().evacuatedZones.has(descriptor.availabilityZone)
-        && !context.health.isCoolingDown(session.id);
+        && !context.operator().evacuatedZones.has(descriptor.availabilityZone);
 };
 
 /** Expected remaining time of a run that exceeded its declared time, as a share of its elapsed time. */
@@ -44,6 +44,8 @@
         if (descriptor === undefined) {
             continue;
         }
+        const ready = isReady(context, session);
+        const coolingDown = ready && context.health.isCoolingDown(session.id);
         const worker: WorkerInfo = {
             workerId: session.id,
             service: descriptor.service,
@@ -53,7 +55,8 @@
             capacity: descriptor.capacity,
             free: { ...descriptor.capacity },
             migratable: { milliCores: 0, memoryMb: 0, accelerators: 0 },
-            usable: isUsable(context, session),
+            usable: ready && !coolingDown,
+            coolingDown,
             isUrgentHeadroom: false,
             busyForMs: 0,
             backfillWindowMs: Number.POSITIVE_INFINITY,
@@ -120,6 +123,7 @@
     const ageMs = wallMs - unit.dueAtMs;
     const allowedMs = objectiveMs(submission) + submission.slackFactor * unit.failedRunMs;
     unit.readySinceMs ??= nowMs;
+    unit.waitingSinceMs ??= nowMs;
     return {
         key: unit.key,
         job: submission,
@@ -129,6 +133,7 @@
         mustAvoid: nowMs < unit.mustAvoidUntilMs,
         runningOn: countRunningByWorker(unit),
         waitingMs: nowMs - unit.readySinceMs,
+        uninterruptedWaitMs: nowMs - unit.waitingSinceMs,
         timeToObjectiveMs: unit.step.longRunning ? Number.MAX_SAFE_INTEGER : allowedMs - ageMs,
         timeToExpiryMs: unit.step.longRunning ? Number.MAX_SAFE_INTEGER : expiresAfterMs(submission) - ageMs,
         remainingCriticalPathMs: remainingCriticalPathMs(unit),
@@ -151,6 +156,9 @@
             if (waiting.length > 0) {
                 candidates.push(toCandidate(unit, waiting, guarantees, nowMs, wallMs));
             }
+            else {
+                unit.waitingSinceMs = undefined;
+            }
         }
     }
     return withinLimits(context, candidates);
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -62,6 +62,8 @@
     dueAtMs: number;
     /** Monotonic time since which its tasks can be started; unset while earlier steps are not complete. */
     readySinceMs?: number;
+    /** Monotonic time since which some of its tasks have waited in every round; unset while none waits. */
+    waitingSinceMs?: number;
     tasks: TaskState[];
     complete: boolean;
     /** Workers on which its tasks failed or stalled. */
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -33,21 +33,31 @@
 export const fitsBackfillWindow = (worker: WorkerInfo, candidate: Candidate): boolean =>
     fitsWindow(worker.backfillWindowMs, candidate);
 
-/** Whether a worker is of the candidate's service, has the label it requires and accepts work. */
-export const mayHost = (worker: WorkerInfo, { job, step }: Candidate): boolean =>
-    worker.usable && worker.service === job.service && hasLabel(worker, step);
+/** Whether a worker is of the candidate's service and has the label it requires. */
+export const isSuitable = (worker: WorkerInfo, { job, step }: Candidate): boolean =>
+    worker.service === job.service && hasLabel(worker, step);
+
+/** Whether a worker is suitable and accepts work. */
+const mayHost = (worker: WorkerInfo, candidate: Candidate): boolean => worker.usable && isSuitable(worker, candidate);
 
 /** Whether a worker is kept free for urgent work that is expected or for a blocked gang. */
 const isKeptFree = (worker: WorkerInfo, candidate: Candidate): boolean =>
     (worker.isUrgentHeadroom && candidate.job.priority > 0) || !fitsBackfillWindow(worker, candidate);
 
-/** Whether a task of the candidate may run on a worker, whatever is free there and whatever it is kept free for. */
-const isAdmissible = (worker: WorkerInfo, candidate: Candidate): boolean =>
-    mayHost(worker, candidate) && !(candidate.mustAvoid && candidate.avoidedWorkers.has(worker.workerId));
+const mustAvoidWorker = (worker: WorkerInfo, candidate: Candidate): boolean =>
+    candidate.mustAvoid && candidate.avoidedWorkers.has(worker.workerId);
 
 /** Whether a task of the candidate may run on a worker, whatever is free there. */
 const isEligible = (worker: WorkerInfo, candidate: Candidate): boolean =>
-    isAdmissible(worker, candidate) && !isKeptFree(worker, candidate);
+    mayHost(worker, candidate) && !isKeptFree(worker, candidate) && !mustAvoidWorker(worker, candidate);
+
+/**
+ * Whether a task of a candidate that may relax what it prefers may run on a worker: it may be kept free for other work,
+ * and have a cooldown if nothing of the candidate has run for as long either.
+ */
+const isAdmissible = (worker: WorkerInfo, candidate: Candidate): boolean =>
+    isSuitable(worker, candidate) && !mustAvoidWorker(worker, candidate)
+    && (worker.usable || (worker.coolingDown && candidate.uninterruptedWaitMs > relaxAfterMs));
 
 /** Number of a candidate's tasks that fit into a worker's free resources, within the step's limit per worker. */
 export const fittingTasks = (worker: WorkerInfo, candidate: Candidate): number => {
@@ -106,7 +116,7 @@
  */
 const hasIdleCapacity = (workers: readonly WorkerInfo[], { job, step }: Candidate): boolean => {
     const ofService = workers.filter(worker => worker.service === job.service);
-    const usable = ofService.filter(worker => worker.usable);
+    const usable = ofService.filter(worker => worker.usable || worker.coolingDown);
     return [usable, ofService].some(group =>
         utilisation(group, coreEquivalentsOf) < mostlyIdleUtilisation
         || (step.resources.accelerators === 0
@@ -206,11 +216,12 @@
 };
 
 /**
- * Sorts by: no earlier failure there, least suspicion, not kept free, no reservation, best fit, fullest rack, fullest worker. Filling
+ * Sorts by: no cooldown, no earlier failure there, least suspicion, not kept free, no reservation, best fit, fullest rack, fullest worker. Filling
  * workers and racks that are in use already leaves whole ones free.
  */
 const compareOffers = (left: Offer, right: Offer): number =>
-    Number(left.avoided) - Number(right.avoided)
+    Number(left.worker.coolingDown) - Number(right.worker.coolingDown)
+    || Number(left.avoided) - Number(right.avoided)
     || left.worker.suspicion - right.worker.suspicion
     || Number(left.keptFree) - Number(right.keptFree)
     || Number(left.borrowed) - Number(right.borrowed)
--- a/src/planning/preemption.ts
+++ b/src/planning/preemption.ts
@@ -197,7 +197,7 @@
     candidate.reservedWorkers !== undefined
         ? planReclaim(workers, candidate, candidate.reservedWorkers, index, evicted)
         : gangDomains(workers, candidate)
-            .map(domain => planInDomain(domain, candidate, index, evicted))
+            .map(domain => planInDomain(domain.filter(worker => worker.usable), candidate, index, evicted))
             .filter(plan => plan !== undefined)
             .filter(plan => isWorthwhile(plan, candidate))
             .sort((left, right) => totalCost(left) - totalCost(right))
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -133,10 +133,12 @@
     const smallestFailed = new Map<string, number>();
     let windowsMs: number[] = [];
     const shapeKeyOf = (candidate: Candidate): string => {
-        const { step, job, guaranteed, avoidedWorkers, mustAvoid, runningOn, waitingMs } = candidate;
+        const { step, job, guaranteed, avoidedWorkers, mustAvoid, runningOn, waitingMs, uninterruptedWaitMs } =
+            candidate;
         return JSON.stringify([
             windowsMs.map(windowMs => fitsWindow(windowMs, candidate)),
             waitingMs > relaxAfterMs,
+            uninterruptedWaitMs > relaxAfterMs,
             waitingMs > colocateAfterMs,
             occupiedBy(step),
             step.fillsIdleCores,
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -14,6 +14,8 @@
     migratable: TaskResources;
     /** Whether tasks may be started there now. */
     usable: boolean;
+    /** Only its cooldown after failures keeps it from being usable. */
+    coolingDown: boolean;
     /** Reserved for work of priority 0 that is expected soon. */
     isUrgentHeadroom: boolean;
     /** Longest remaining time of its runs, by their declared run times; 0 while nothing runs. */
@@ -46,6 +48,8 @@
     runningOn: ReadonlyMap<string, number>;
     /** Time since the first of its tasks could have started. */
     waitingMs: number;
+    /** Time for which tasks of it have waited without interruption, since the last time that all of them had runs. */
+    uninterruptedWaitMs: number;
     /** Time until the job misses its objective; negative afterwards. */
     timeToObjectiveMs: number;
     /** Time until completing the job has no value any more; negative afterwards. */
--- a/src/planning/waitReason.ts
+++ b/src/planning/waitReason.ts
@@ -1,12 +1,21 @@
-import { adjacencyDomains, fitsBackfillWindow, fittingTasks, isNearData, mayColocate, mayHost } from "./placement.js";
+import {
+    adjacencyDomains,
+    fitsBackfillWindow,
+    fittingTasks,
+    isNearData,
+    isSuitable,
+    mayColocate,
+} from "./placement.js";
 import type { Candidate, WorkerInfo } from "./types.js";
 
 /** Why a candidate was not placed in a round. */
 export enum WaitReason {
-    /** No usable worker of its service has the required label. */
+    /** No worker of its service that has the required label accepts work. */
     NoUsableWorker = "noUsableWorker",
     /** It does not fit into what is free on usable workers. */
     NoRoom = "noRoom",
+    /** The workers that have room have a cooldown after failures. */
+    Cooldown = "cooldown",
     /** Its tasks failed or stalled on the workers that have room. */
     AvoidedWorkers = "avoidedWorkers",
     /** The workers that have room are kept free for urgent work. */
@@ -37,6 +46,7 @@
 
 /** Restrictions beyond usable workers with the label, in the order in which they are tried. */
 const restrictions: readonly Restriction[] = [
+    { reason: WaitReason.Cooldown, admits: worker => worker.usable },
     {
         reason: WaitReason.AvoidedWorkers,
         admits: (worker, candidate) => !(candidate.mustAvoid && candidate.avoidedWorkers.has(worker.workerId)),
@@ -78,7 +88,7 @@
     if (candidate.reservedWorkers !== undefined) {
         return WaitReason.Reservation;
     }
-    let admitted = workers.filter(worker => mayHost(worker, candidate));
+    let admitted = workers.filter(worker => (worker.usable || worker.coolingDown) && isSuitable(worker, candidate));
     if (admitted.length === 0) {
         return WaitReason.NoUsableWorker;
     }
--- a/test/waitReason.test.ts
+++ b/test/waitReason.test.ts
@@ -38,6 +38,10 @@
             reasonFor({ mustAvoid: true, avoidedWorkers: new Set(["w0", "w1", "w2", "w3"]) }),
             WaitReason.AvoidedWorkers,
         );
+        const coolDown = (worker: WorkerInfo): void => {
+            Object.assign(worker, { usable: false, coolingDown: true });
+        };
+        assert.equal(reasonFor({}, workers => workers.forEach(coolDown)), WaitReason.Cooldown);
         const restrict = (restriction: Partial<WorkerInfo>) => (workers: WorkerInfo[]) =>
             workers.forEach(worker => Object.assign(worker, restriction));
         assert.equal(reasonFor({}, restrict({ isUrgentHeadroom: true })), WaitReason.UrgentHeadroom);
--- a/test/waitingWork.test.ts
+++ b/test/waitingWork.test.ts
@@ -1,7 +1,8 @@
 import { assert } from "chai";
 import { planRound } from "../src/planning/round.js";
 import type { Round, WorkerInfo } from "../src/planning/types.js";
-import type { createStep } from "./fixtures/fleet.js";
+import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
+import type { Fleet } from "./fixtures/fleet.js";
 import { addOccupant, createCandidate, createRacks, createRoundInput, createWorker } from "./fixtures/planning.js";
 
 const workersOf = (round: Round, key: string): string[] =>
@@ -222,3 +223,55 @@
         assert.deepEqual(new Set(workersOf(round, "task")), new Set(["cores"]));
     });
 });
+
+describe("work while all workers have a cooldown", () => {
+    /** Three jobs whose tasks fail at once, each on all four workers. */
+    const createFailedFleet = async (): Promise<Fleet> => {
+        const fleet = createFleet({ workerCount: 4, vmCount: 1 });
+        await fleet.timer.advance(1_000);
+        const step = createStep({ taskCount: 4, maxPerWorker: 1 });
+        for (const id of ["bad1", "bad2", "bad3"]) {
+            await fleet.submit(createSubmission(id, [step], { maxAttempts: 4 }, { workMs: 100, failures: 10 }));
+        }
+        await fleet.timer.advance(9_000);
+        return fleet;
+    };
+
+    it("starts within 3 s on an idle fleet, also after failures of its own", async () => {
+        const fleet = await createFailedFleet();
+        const submittedMs = fleet.timer.nowMs();
+        await fleet.submit(createSubmission("good", [createStep()], {}, { workMs: 500 }));
+        await fleet.timer.advance(4_000);
+        const [good] = fleet.spans.filter(span => span.task.startsWith("good."));
+        assert.isDefined(good, "started");
+        assert.isBelow(good.fromMs - submittedMs, 3_000);
+        const starts = fleet.spans.filter(span => span.task === "bad1.0.0.0").map(span => span.fromMs);
+        assert.lengthOf(starts, 4, "every attempt was made");
+        starts.slice(1).forEach((fromMs, index) => assert.isBelow(fromMs - starts[index], 3_000));
+    });
+});
+
+describe("workers with a cooldown", () => {
+    const coolDown = (worker: WorkerInfo): WorkerInfo => Object.assign(worker, { usable: false, coolingDown: true });
+    const place = (workers: WorkerInfo[], options: Parameters<typeof createCandidate>[1]): string[] => {
+        const candidates = [createCandidate("waiting", options)];
+        return workersOf(planRound(createRoundInput({ workers, candidates })), "waiting");
+    };
+
+    it("are the last choice, for work that has waited 1.5 s without interruption", () => {
+        const cooling = (): WorkerInfo[] => createRacks(1, 2).map(coolDown);
+        assert.isEmpty(place(cooling(), { waitingMs: 1_400 }));
+        assert.isEmpty(place(cooling(), { waitingMs: 9_000, uninterruptedWaitMs: 100 }), "a run of it has just ended");
+        assert.lengthOf(place(cooling(), { waitingMs: 1_600 }), 1);
+        const withUsable = [...cooling(), createWorker("usable", { suspicion: 9 })];
+        assert.deepEqual(place(withUsable, { waitingMs: 1_600, taskCount: 2 }), ["usable", "usable"]);
+        assert.lengthOf(place(cooling(), { waitingMs: 1_600, taskCount: 2, accelerators: 8, gang: true }), 2);
+    });
+
+    it("have no runs preempted on them", () => {
+        const workers = createRacks(1, 1).map(coolDown);
+        const occupants = [addOccupant(workers[0], "other", { lostCoreMs: 10 })];
+        const urgent = createCandidate("urgent", { waitingMs: 1_600, accelerators: 8, priority: 0 });
+        assert.isEmpty(planRound(createRoundInput({ workers, candidates: [urgent], occupants })).evictions);
+    });
+});
