fix(planning): work does not wait for a claim while there is room elsewhere

What callers could see: urgent work waited up to 1.5 s for runs that were being stopped for it, and again for as long after that, although other workers had room by then. Cause: a candidate with a claim was placed on the claimed workers or not at all until the claim expired. Evidence: the test, which failed on the code before. Ruled out: the first 1.5 s of a wait, in which a stop is usually answered and the claimed place is the better one, and claims on reservations, which are due there. Why it works: after 1.5 s all tasks start wherever they fit, and the claimed room is free for others. Checked: format, lint, build; tests of planning, waitingWork, waitReason, guarantees, planner, gangs pass.

--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -82,6 +82,29 @@
     candidate.guaranteed || tierOf(candidate) === Tier.Starved
     || (candidate.job.priority === 0 && tierOf(candidate) <= Tier.Urgent);
 
+/** Whether a candidate whose claim is not free yet starts elsewhere if it can: stops may take long, or never end. */
+const mayGiveClaimUp = (candidate: Candidate): boolean =>
+    candidate.reservedWorkers === undefined && candidate.waitingMs > relaxAfterMs;
+
+/** Finds workers for all tasks to place. */
+const placeAll = (workers: readonly WorkerInfo[], candidate: Candidate): Assignment[] | undefined => {
+    const assignments = candidate.step.gang ? placeGang(workers, candidate) : placeTasks(workers, candidate);
+    return assignments?.length === candidate.taskIndexes.length ? assignments : undefined;
+};
+
+/** Finds workers for a candidate whose claim is not allocated any more: the claimed ones, or others after a while. */
+const assignClaimed = (
+    workers: readonly WorkerInfo[],
+    workersById: ReadonlyMap<string, WorkerInfo>,
+    candidate: Candidate,
+    claim: PreemptionClaim,
+): Assignment[] | undefined => {
+    if (isClaimSatisfied(workersById, claim)) {
+        return claim.assignments;
+    }
+    return mayGiveClaimUp(candidate) ? placeAll(workers, candidate) : undefined;
+};
+
 /** Whether a gang needs a whole worker or more; smaller ones fit where other runs end. */
 const needsWholeWorker = (workers: readonly WorkerInfo[], { step }: Candidate): boolean => {
     const largestCapacity = workers.reduce(
@@ -226,15 +249,15 @@
         round.placements.push({ candidate, assignments });
     };
 
-    const placeOnClaim = (candidate: Candidate, claim: PreemptionClaim): boolean => {
+    const placeOnClaim = (candidate: Candidate, claim: PreemptionClaim): void => {
         allocateClaim(workersById, claim, -1);
-        if (isClaimSatisfied(workersById, claim)) {
-            claims.delete(candidate.key);
-            place(candidate, claim.assignments);
-            return true;
+        const assignments = assignClaimed(input.workers, workersById, candidate, claim);
+        if (assignments === undefined) {
+            allocateClaim(workersById, claim, 1);
+            return;
         }
-        allocateClaim(workersById, claim, 1);
-        return false;
+        claims.delete(candidate.key);
+        place(candidate, assignments);
     };
 
     const preempt = (candidate: Candidate): boolean => {
--- a/test/waitingWork.test.ts
+++ b/test/waitingWork.test.ts
@@ -211,6 +211,37 @@
     });
 });
 
+describe("work with a claim whose room is not free yet", () => {
+    const planWithClaim = (waitingMs: number, reservedWorkers?: readonly string[]): Round => {
+        const workers = createRacks(1, 2);
+        addOccupant(workers[0], "stopping");
+        const options = { taskCount: 1, accelerators: 8, priority: 0, gang: true, waitingMs, reservedWorkers };
+        const candidates = [
+            createCandidate("urgent", options),
+            createCandidate("other", { accelerators: 7, timeToObjectiveMs: 9_000 }),
+        ];
+        const claim = {
+            key: "urgent",
+            resources: candidates[0].step.resources,
+            assignments: [{ taskIndex: 0, workerId: "w0" }],
+            madeAtMs: 0,
+        };
+        return planRound(createRoundInput({ nowMs: 1_000, workers, candidates, claims: [claim] }));
+    };
+
+    it("starts elsewhere after 1.5 s and gives the claim up", () => {
+        const round = planWithClaim(1_600);
+        assert.deepEqual(workersOf(round, "urgent"), ["w1"]);
+        assert.isEmpty(round.claims);
+        assert.deepEqual(workersOf(round, "other"), ["w0"], "the claimed room is free for others");
+    });
+
+    it("waits for it before that, and on its reservation", () => {
+        assert.isEmpty(workersOf(planWithClaim(1_400), "urgent"));
+        assert.isEmpty(workersOf(planWithClaim(1_600, ["w0"]), "urgent"));
+    });
+});
+
 describe("headroom for bursts", () => {
     it("is not reserved on workers without accelerators", () => {
         const cores = { milliCores: 64_000, memoryMb: 256_000, accelerators: 0 };
