fix(execution): poll a worker without runs until it answers again

What callers saw: an accepted job never started although workers were idle.

Cause: a session without runs is not polled. If the last poll got no answer, the worker counts as silent, and a silent worker is assigned nothing; so nothing ever polled it again, and it was unusable for the rest of the term. Runs end without an answer of their worker when a placement that kept the session busy is given up (its record took too long, the job was cancelled), when a start is refused without a reading of the clock, or when the last fence was answered and the poll behind it was not.

Fix: a session pauses without a limit only while its worker answers.

Ruled out: the expiry of the lease, which makes the session unsynced and would resume the polls; it is checked between polls only, so not during that pause.

--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -161,10 +161,11 @@
         return true;
     };
 
+    /** Polls a silent worker until it answers, since it is sent no order that would show it. */
     const pollLoop = async (active: WorkerClient): Promise<void> => {
         while (!closed) {
-            const isAcknowledged = endNumbers.acknowledged === endNumbers.confirmed;
-            if (synced && fences.count() === 0 && isAcknowledged && !listener.isBusy(session)) {
+            const isDone = fences.count() === 0 && endNumbers.acknowledged === endNumbers.confirmed;
+            if (synced && isDone && !listener.isBusy(session) && contact.silentMs() === 0) {
                 await pollPause.wait(Number.POSITIVE_INFINITY);
                 continue;
             }
--- /dev/null
+++ b/test/liveness.test.ts
@@ -0,0 +1,39 @@
+import { assert } from "chai";
+import { jobRowKey, JobRowKind } from "../src/jobs/rows.js";
+import { JobPhase } from "../src/jobs/types.js";
+import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
+import type { Fleet } from "./fixtures/fleet.js";
+
+const settleMs = 1_000;
+
+const phaseOf = async (fleet: Fleet, jobId: string): Promise<unknown> => {
+    const phase = [...fleet.vms.values()][0].phase(jobId);
+    await fleet.timer.advance(50);
+    return phase;
+};
+
+describe("a worker whose last poll got no answer", () => {
+    it("is polled until it answers, and used again, although nothing runs there any more", async () => {
+        const fleet = createFleet({ workerCount: 1, vmCount: 1 });
+        await fleet.timer.advance(settleMs);
+        let faulty = true;
+        const delayedKey = jobRowKey("delayed", JobRowKind.Progress);
+        fleet.commitFault = (_vm, { writes }) =>
+            faulty && writes.some(({ key }) => key === delayedKey) ? CallFault.RequestLost : CallFault.None;
+        // the run of the first job keeps the worker polled while the placement of the second one is recorded too slowly
+        await fleet.submit(createSubmission("first", [createStep()], {}, { workMs: 1_300 }));
+        await fleet.timer.advance(settleMs);
+        await fleet.submit(createSubmission("delayed", [createStep()], {}, { workMs: 300 }));
+        await fleet.timer.advance(settleMs);
+        assert.equal(await phaseOf(fleet, "first"), JobPhase.Succeeded);
+        await fleet.timer.advance(settleMs / 2);
+        fleet.orderFault = () => CallFault.RequestLost;
+        await fleet.timer.advance(2 * settleMs);
+        faulty = false;
+        await fleet.timer.advance(2 * settleMs);
+        assert.isTrue(fleet.logLines.some(({ message }) => message === "placement given up"));
+        fleet.orderFault = () => CallFault.None;
+        await fleet.timer.advance(5_000);
+        assert.equal(await phaseOf(fleet, "delayed"), JobPhase.Succeeded);
+    });
+});
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -163,6 +163,14 @@
         tests: "entryVm",
         fails: "that is removed loses its tasks",
     },
+    {
+        without: "polling an idle worker until it answers again",
+        file: "execution/session.js",
+        find: " && contact.silentMs() === 0) {",
+        replace: ") {",
+        tests: "liveness",
+        fails: "is polled until it answers",
+    },
     {
         without: "on entry VMs: allowing a takeover on a copy of an unchanged table",
         file: "execution/plannerElection.js",
