fix(execution): hand the term over for overload at most once in 30 s, whichever VM holds it

Cause: a planner whose event loop falls behind hands its term over, which helps if its VM is slow. If the work is what overloads it, the next planner, no stronger, is overloaded as well: by the takeover alone, which takes a weak VM seconds, and which counted. So it handed the term over a moment after its planning had begun, and so on through all VMs, as each limited only its own handovers. Class: a remedy for one slow member that every member applies in turn to an overload of them all. The test has four VMs that are all overloaded: it failed before (a handover every 3 s). Change: the lease row says how long ago a VM handed over as overloaded; for 30 s no other one does, it keeps planning. Overload is judged by 3 s of planning, not by the takeover. Ruled out: a handover to a stronger VM, which ends with the strongest; a planner on a slowed VM among others at full speed still hands over at once (second test).

--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -65,6 +65,8 @@
     pendingCounts(): PendingCounts | undefined;
     /** Called when the list of workers or the operator state has changed. */
     onInputsChanged(): void;
+    /** Time since planning began; 0 before. */
+    planningMs(): number;
     /** State for the state dump. */
     dump(): unknown;
     stop(): void;
@@ -145,9 +147,7 @@
         const job = restoreJob(submission, stored, { findSession: sessions.findOrOpen, nowMs: timer.nowMs(), ageMs });
         context.jobs.set(jobId, job);
         context.openJobs.add(job);
-        for (const unit of job.units.values()) {
-            unit.tasks.forEach(task => task.run !== undefined && context.runs.set(task, task.run));
-        }
+        activeRuns(job).forEach(({ task, run }) => context.runs.set(task, run));
         if (isEnded(job.phase)) {
             activeRuns(job).forEach(({ task, run }) => runStopper.stop(task, run, `job ${job.phase}`));
         }
@@ -197,7 +197,7 @@
             return;
         }
         const { termVersions } = takeover;
-        recorder = createRecorder({ state: options.state, timer, log, term, termVersions, onFenced: options.onFenced });
+        recorder = createRecorder({ ...options, termVersions });
         sessions.reconcile();
         takeover.projection.jobs.forEach(applyStoredJob);
         follower = followJobs(takeover.version);
@@ -225,6 +225,7 @@
                 rounds.request();
             }
         },
+        planningMs: rounds.runningMs,
         dump: () => ({ ...dumpContext(context), unrecorded: recorder?.pendingCount() ?? 0, claims: rounds.claims() }),
         stop: () => {
             termOver = true;
--- a/src/execution/plannerElection.ts
+++ b/src/execution/plannerElection.ts
@@ -4,7 +4,7 @@
 import { describeStateError, StateErrorKind } from "../state/types.js";
 import type { StateError, StateRow, StateTable } from "../state/types.js";
 import { createConfirmationTracker } from "../utils/confirmation.js";
-import { createCandidacy } from "./candidacy.js";
+import { createCandidacy, HandoverReason } from "./candidacy.js";
 import type { CandidacyOptions } from "./candidacy.js";
 
 /** Row of the table that names the VM which is the planner. */
@@ -17,8 +17,13 @@
     beat: number;
     /** Number of waiting jobs by queue, as of the renewal. @default unknown */
     pending?: PendingCounts;
+    /** Time since a VM last handed the term over because it was overloaded. @default long ago */
+    overloadAgeMs?: number;
 }
 
+/** What the lease tells the other VMs besides who holds it. */
+type PublishedState = Pick<PlannerLease, "pending" | "overloadAgeMs">;
+
 /** Options of {@link createPlannerElection}. */
 export interface PlannerElectionOptions extends CandidacyOptions {
     state: StateTable;
@@ -89,8 +94,19 @@
     });
 
 /** Writes the lease without a holder, which releases the term. */
-const writeReleasedLease = (state: StateTable, { version, term, beat }: HeldTerm, pending: PendingCounts | undefined) =>
-    writeLease(state, version, { holder: "", term, beat: beat + 1, pending });
+const writeReleasedLease = (
+    state: StateTable,
+    { version, term, beat }: HeldTerm,
+    published: PublishedState,
+) => writeLease(state, version, { holder: "", term, beat: beat + 1, ...published });
+
+/** The term after a renewal that was refused because an earlier one took effect although its answer was lost. */
+const adoptRenewal = (error: StateError, vm: string, { term, beat }: HeldTerm): HeldTerm | undefined => {
+    const found = leaseRowOf(error);
+    return found === undefined || !isHeldBy(found, vm, term)
+        ? undefined
+        : { term, version: found.version, beat: asLease(found)?.beat ?? beat };
+};
 
 /** Takes part in the election of the planner, which is decided by compare-and-set on a lease row in the table. */
 export const createPlannerElection = (options: PlannerElectionOptions): PlannerElection => {
@@ -99,7 +115,6 @@
     let silentSinceMs = timer.nowMs();
     let heldTerm: HeldTerm | undefined;
     const confirmation = createConfirmationTracker(timer);
-    let checking = false;
     let lastRenewalAtMs = Number.NEGATIVE_INFINITY;
     let stopped = false;
     const candidacy = createCandidacy(options);
@@ -121,11 +136,15 @@
         }
     };
 
+    const published = (): PublishedState => ({
+        pending: options.pendingCounts() ?? asLease(leaseRow)?.pending,
+        overloadAgeMs: candidacy.overloadAgeMs(),
+    });
+
     const renew = async (held: HeldTerm): Promise<void> => {
         const request = confirmation.startRequest();
         const beat = held.beat + 1;
-        const pending = options.pendingCounts() ?? asLease(leaseRow)?.pending;
-        const written = await writeLease(state, held.version, { holder: vm, term: held.term, beat, pending });
+        const written = await writeLease(state, held.version, { holder: vm, term: held.term, beat, ...published() });
         if (heldTerm !== held) {
             return;
         }
@@ -134,14 +153,13 @@
             request.confirm();
             return;
         }
-        const found = leaseRowOf(written.error);
-        if (found !== undefined && isHeldBy(found, vm, held.term)) {
-            // an earlier renewal took effect although its answer was lost
-            heldTerm = { term: held.term, version: found.version, beat: asLease(found)?.beat ?? beat };
+        const adopted = adoptRenewal(written.error, vm, held);
+        if (adopted !== undefined) {
+            heldTerm = adopted;
             request.confirm();
         }
         else if (written.error.kind === StateErrorKind.Conflict) {
-            markLost(`the lease names ${asLease(found)?.holder ?? "nobody"}`);
+            markLost(`the lease names ${asLease(leaseRowOf(written.error))?.holder ?? "nobody"}`);
         }
     };
 
@@ -169,37 +187,37 @@
             return;
         }
         const request = confirmation.startRequest();
-        const { term: previousTerm = 0, pending } = asLease(found) ?? {};
+        const { term: previousTerm = 0, pending, overloadAgeMs } = asLease(found) ?? {};
         const term = previousTerm + 1;
-        const written = await writeLease(state, found?.version ?? 0, { holder: vm, term, beat: 1, pending });
+        const lease = { holder: vm, term, beat: 1, pending, overloadAgeMs };
+        const written = await writeLease(state, found?.version ?? 0, lease);
         if (!written.ok) {
             log("info", "term not gained", { term, reason: describeStateError(written.error) });
             silentSinceMs = written.error.kind === StateErrorKind.Conflict ? timer.nowMs() : silentSinceMs;
             return;
         }
         heldTerm = { term, version: written.value.version, beat: 1 };
-        candidacy.recordAcquired();
+        candidacy.recordAcquired(overloadAgeMs);
         request.confirm();
         log("info", "term gained", { term, previous: asLease(found)?.holder, silentMs: timer.nowMs() - silentSinceMs });
         options.onGained(term);
     };
 
     /** Stops the planner, then releases the term; the next planner finds all orders in the stored records. */
-    const handOver = async (held: HeldTerm, reason: string): Promise<void> => {
+    const handOver = async (held: HeldTerm, reason: HandoverReason): Promise<void> => {
         heldTerm = undefined;
         options.onLost(held.term, reason);
-        const written = await writeReleasedLease(state, held, asLease(leaseRow)?.pending);
+        const written = await writeReleasedLease(state, held, published());
         log("info", "term handed over", { term: held.term, reason, ok: written.ok });
     };
 
     const check = async (): Promise<void> => {
-        if (checking || stopped) {
+        if (stopped) {
             return;
         }
-        checking = true;
         const reason = heldTerm === undefined ? undefined : candidacy.handoverReason();
         if (heldTerm !== undefined && reason !== undefined) {
-            candidacy.recordHandover();
+            candidacy.recordHandover(reason);
             await handOver(heldTerm, reason);
         }
         else if (heldTerm !== undefined && timer.nowMs() - lastRenewalAtMs >= renewalIntervalMs) {
@@ -209,7 +227,6 @@
         else if (heldTerm === undefined && options.isCandidate() && mayAcquire()) {
             await acquire();
         }
-        checking = false;
     };
 
     const unsubscribe = timer.every(checkIntervalMs, check);
@@ -223,7 +240,7 @@
         release: async () => {
             stopped = true;
             if (heldTerm !== undefined) {
-                await handOver(heldTerm, "this VM stops");
+                await handOver(heldTerm, HandoverReason.Stopping);
             }
         },
         stop: () => {
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -22,6 +22,8 @@
     request(): void;
     /** Runs the first round; requests before that have no effect. */
     start(): void;
+    /** Time since the first round; 0 before. */
+    runningMs(): number;
     /** Resources claimed for candidates while the runs preempted for them end. */
     claims(): readonly PreemptionClaim[];
     stop(): void;
@@ -108,7 +110,7 @@
     let claims: PreemptionClaim[] = [];
     let reservationState = noReservations;
     let cancelScheduled: (() => void) | undefined;
-    let started = false;
+    let startedAtMs: number | undefined;
     let lastRoundDurationMs = 0;
 
     const runRound = (): void => {
@@ -168,7 +170,7 @@
     };
 
     const request = (): void => {
-        if (cancelScheduled === undefined && started && !context.isTermOver()) {
+        if (cancelScheduled === undefined && startedAtMs !== undefined && !context.isTermOver()) {
             cancelScheduled = timer.after(Math.max(roundDelayMs, lastRoundDurationMs / maxPlanningShare), runRound);
         }
     };
@@ -177,9 +179,10 @@
     return {
         request,
         start: () => {
-            started = true;
+            startedAtMs = timer.nowMs();
             runRound();
         },
+        runningMs: () => startedAtMs === undefined ? 0 : timer.nowMs() - startedAtMs,
         claims: () => claims,
         stop: () => {
             unsubscribe();
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -1,3 +1,4 @@
+import { HandoverReason } from "../execution/candidacy.js";
 import { startPlanner } from "../execution/planner.js";
 import type { Planner } from "../execution/planner.js";
 import { createPlannerElection } from "../execution/plannerElection.js";
@@ -39,6 +40,8 @@
     retainMs: number;
     /** Processing power of this VM relative to the strongest VM, 0 to 1. */
     relativePower: () => number;
+    /** Mean event loop delay of this process in milliseconds. @default measured */
+    eventLoopDelayMs?: () => number;
     /** Source of the jitter that keeps several VMs from acting at the same moment. @default Math.random */
     random?: Random;
     metrics: EntryMetrics;
@@ -77,10 +80,14 @@
 /** Mean event loop delay above which this VM is too slow to plan: leases are renewed and orders sent every second. */
 const maxEventLoopDelayMs = 150;
 
+/** Time after which the event loop delay shows how planning goes, and no longer the burst of work of a takeover. */
+const minPlanningMs = 3_000;
+
 /** Starts an entry VM and its part in the election of the planner. */
 export const startEntryVm = (options: EntryVmOptions): EntryVm => {
     const { state, timer, log, operator, directory, metrics } = options;
     const eventLoopDelay = createEventLoopDelayMonitor(timer);
+    const eventLoopDelayMs = options.eventLoopDelayMs ?? eventLoopDelay.meanMs;
     const phaseCache = createPhaseCache();
     let publishedPending: PendingCounts = {};
     let planner: Planner | undefined;
@@ -93,11 +100,12 @@
         }
     };
 
-    const handoverReason = (): string | undefined => {
-        if (eventLoopDelay.meanMs() > maxEventLoopDelayMs) {
-            return "this VM is too slow to plan";
+    const handoverReason = (): HandoverReason | undefined => {
+        const isPlanning = (planner?.planningMs() ?? 0) > minPlanningMs;
+        if (isPlanning && eventLoopDelayMs() > maxEventLoopDelayMs) {
+            return HandoverReason.Overloaded;
         }
-        return options.relativePower() < minPlannerPower ? "a stronger VM is there" : undefined;
+        return options.relativePower() < minPlannerPower ? HandoverReason.StrongerVm : undefined;
     };
 
     const onGained = (term: number): void => {
@@ -170,7 +178,7 @@
             configurationVersion: operator.current().configuration?.version,
             configurationAgeMs: operator.ageMs(),
             plannerAgeMs: follower.ageMs(),
-            latenessMs: Math.round(eventLoopDelay.meanMs()),
+            latenessMs: Math.round(eventLoopDelayMs()),
             pending: planner?.pendingCounts() ?? publishedPending,
             term: election.currentTerm(),
             planner: planner?.dump(),
--- a/test/planningVm.test.ts
+++ b/test/planningVm.test.ts
@@ -50,6 +50,27 @@
         assert.lengthOf(fleet.logLines.filter(line => line.message === "term handed over"), 1);
     });
 
+    it("hands the term over as overloaded once, and the next one keeps it if the work overloads it too", async () => {
+        const fleet = createFleet({ vmCount: 4 });
+        fleet.eventLoopDelayMsOf = () => 400;
+        await fleet.timer.advance(25_000);
+        assert.lengthOf(fleet.logLines.filter(line => line.message === "term handed over"), 1);
+        await fleet.submit(createSubmission("a1", [createStep({ taskCount: 4 })]));
+        await fleet.timer.advance(3_000);
+        assert.lengthOf(fleet.spans, 4);
+    });
+
+    it("hands the term over as overloaded again when a VM has become slow much later", async () => {
+        const fleet = createFleet({ vmCount: 3 });
+        fleet.eventLoopDelayMsOf = () => 400;
+        await fleet.timer.advance(10_000);
+        const slow = fleet.planner();
+        fleet.eventLoopDelayMsOf = vm => vm === slow ? 400 : 0;
+        await fleet.timer.advance(40_000);
+        assert.isDefined(fleet.planner());
+        assert.notEqual(fleet.planner(), slow);
+    });
+
     it("publishes the number of waiting jobs to the other VMs, and nothing else of them", async () => {
         const fleet = createFleet({ vmCount: 3 });
         const followed = new Map<string, Set<string>>();
