fix(execution): answer requests that were sent ahead before closing their connection

A caller that sends its next request before the previous answer has arrived lost that request while the VM was stopping: the answer to the first asked to close the connection, Node.js closed it once that answer was sent, and the handler of the second had run already.

Evidence: test/http.test.ts sends two requests at once to a server whose answers close the connection; on the unfixed code the first answer closes it.

An answer asks to close the connection only if no later request has arrived on it; the last one closes it.

--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { ClosedBy } from "./openRequests.js";
 import type { OpenRequests } from "./openRequests.js";
 
@@ -76,6 +77,17 @@
     }
 };
 
+/** Response to the newest request of each connection; a caller may send it before the previous one is answered. */
+const newestResponses = new WeakMap<Socket, ServerResponse>();
+
+/** Drops a wish to close the connection while it carries a later request, which has to be answered, too. */
+const headersOf = (response: ServerResponse, { headers = {} }: JsonAnswer): Record<string, string> => {
+    if (newestResponses.get(response.req.socket) === response) {
+        return headers;
+    }
+    return Object.fromEntries(Object.entries(headers).filter(([name]) => name !== "connection"));
+};
+
 const writeAnswer = (response: ServerResponse, answer: JsonAnswer): void => {
     if (response.headersSent || response.destroyed) {
         return;
@@ -85,7 +97,7 @@
     response.writeHead(answer.status, {
         "content-type": "application/json",
         "content-length": Buffer.byteLength(text),
-        ...answer.headers,
+        ...headersOf(response, answer),
     });
     response.end(text);
 };
@@ -154,6 +166,7 @@
 export const createJsonServer = (handler: JsonHandler, options: JsonServerOptions = {}): Server => {
     const maxBodyBytes = options.maxBodyBytes ?? defaultMaxBodyBytes;
     return createServer((message, response) => {
+        newestResponses.set(message.socket, response);
         answerRequest(message, response, handler, maxBodyBytes, options.openRequests).catch((error: unknown) =>
             writeAnswer(
                 response,
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -1,12 +1,14 @@
 import { assert } from "chai";
 import type { Server } from "node:http";
 import { closeGracefully, createJsonServer, listen } from "../src/utils/http.js";
+import type { JsonHandler } from "../src/utils/http.js";
 import { formatRequest, openCallerConnection } from "./fixtures/callerConnection.js";
 import type { CallerConnection } from "./fixtures/callerConnection.js";
 
 describe("a JSON server", () => {
     let server: Server;
     let address: string;
+    let handler: JsonHandler;
     const connections: CallerConnection[] = [];
 
     const track = (connection: CallerConnection | undefined): CallerConnection => {
@@ -16,7 +18,8 @@
     };
 
     beforeEach(async () => {
-        server = createJsonServer(async request => ({ status: 200, body: { path: request.path } }));
+        handler = async request => ({ status: 200, body: { path: request.path } });
+        server = createJsonServer(request => handler(request));
         address = `127.0.0.1:${await listen(server, "127.0.0.1", 0)}`;
     });
 
@@ -43,4 +46,19 @@
         assert.deepInclude(await connection.request(formatRequest("GET", "/first")), { status: 200 });
         assert.isUndefined(await openCallerConnection(address), "the listener is closed");
     });
+
+    it("answers requests that were sent without waiting for the previous answer before it closes their connection", async () => {
+        let onSecond = (): void => {};
+        const secondArrived = new Promise<void>(resolve => {
+            onSecond = resolve;
+        });
+        handler = async request => {
+            await (request.path === "/first" ? secondArrived : onSecond());
+            return { status: 200, body: { path: request.path }, headers: { connection: "close" } };
+        };
+        const connection = track(await openCallerConnection(address));
+        await connection.send(formatRequest("GET", "/first") + formatRequest("GET", "/second"));
+        assert.deepInclude(await connection.nextAnswer(), { body: { path: "/first" }, closes: false });
+        assert.deepInclude(await connection.nextAnswer(), { body: { path: "/second" }, closes: true });
+    });
 });
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -1,4 +1,5 @@
 /** Mechanisms that can be switched off in a scratch copy of the build, each with the test that must fail without it. */
+import { stopMutants } from "./stopMutants.js";
 
 /** A change of compiled code that disables a mechanism. */
 export interface Mutant {
@@ -369,30 +370,7 @@
         tests: "test/follower",
         fails: "confirms its copy at once when the table answers again",
     },
-    {
-        without: "answering open requests before the process exits",
-        file: "node/gracefulStop.js",
-        find: "openRequests.interrupt(options.interruptedAnswer);",
-        replace: "",
-        tests: "gracefulStop",
-        fails: "answers open requests by what may have happened",
-    },
-    {
-        without: "reading what has arrived before a server closes",
-        file: "utils/http.js",
-        find: "await readArrived();",
-        replace: "",
-        tests: "http.test",
-        fails: "answers a request that arrived on an idle connection",
-    },
-    {
-        without: "reading the settings again after a signal during the start",
-        file: "../platform/signals.js",
-        find: "if (isReloadPending)",
-        replace: "if (false)",
-        tests: "platformProcesses",
-        fails: "read the settings again after a SIGHUP that arrived while they were starting",
-    },
+    ...stopMutants,
 ];
 
 /** Mutants whose mechanism's name contains a text. */
