fix(execution): accept all waiting connections before a server closes its listener

Callers that connected while the VM was busy or paused, shortly before it closed its listener, were still reset but for the first two: the event loop accepts one connection in each turn, and the closing waited for two turns.

Closing goes on as long as a turn accepts connections, for no more turns than the backlog is long.

--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -192,10 +192,27 @@
     await new Promise<void>(resolve => setImmediate(() => setImmediate(resolve)));
 };
 
+/** Turns of the event loop for which a closing server accepts waiting connections: the length of the backlog. */
+const maxAcceptTurns = 511;
+
+/** Accepts the connections in the backlog, of which the event loop takes one in each turn. */
+const acceptBacklog = async (server: Server): Promise<void> => {
+    let accepted = 0;
+    const count = (): void => {
+        accepted += 1;
+    };
+    server.on("connection", count);
+    for (let turn = 0, before = -1; turn < maxAcceptTurns && accepted > before; turn++) {
+        before = accepted;
+        await readArrived();
+    }
+    server.off("connection", count);
+};
+
 /** Stops accepting connections and resolves when all requests in progress have been answered. */
 export const closeGracefully = async (server: Server): Promise<void> => {
     // closing resets connections in the backlog and idle ones with unread data, and a busy event loop leaves both
-    await readArrived();
+    await acceptBacklog(server);
     await new Promise<void>(resolve => {
         server.close(() => resolve());
         server.closeIdleConnections();
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -37,13 +37,15 @@
         assert.deepInclude(await answer, { status: 200, body: { path: "/second" } });
     });
 
-    it("serves a connection that waited to be accepted when it closes gracefully", async () => {
-        const opening = openCallerConnection(address);
-        // the kernel has completed the handshake once the connection has been requested, in the next tick
+    it("serves the connections that waited to be accepted when it closes gracefully", async () => {
+        const opening = Array.from({ length: 10 }, () => openCallerConnection(address));
+        // the kernel has completed the handshakes once the connections have been requested, in the next tick
         await new Promise<void>(resolve => process.nextTick(resolve));
         void closeGracefully(server);
-        const connection = track(await opening);
-        assert.deepInclude(await connection.request(formatRequest("GET", "/first")), { status: 200 });
+        for (const opened of opening) {
+            const connection = track(await opened);
+            assert.deepInclude(await connection.request(formatRequest("GET", "/first")), { status: 200 });
+        }
         assert.isUndefined(await openCallerConnection(address), "the listener is closed");
     });
 
--- a/tools/stopMutants.ts
+++ b/tools/stopMutants.ts
@@ -14,7 +14,7 @@
     {
         without: "reading what has arrived before a server closes",
         file: "utils/http.js",
-        find: "await readArrived();",
+        find: "await acceptBacklog(server);",
         replace: "",
         tests: "http.test",
         fails: "answers a request that arrived on an idle connection",
