--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -1,5 +1,6 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { ClosedBy } from "./openRequests.js";
 import type { OpenRequests } from "./openRequests.js";
 
@@ -76,6 +77,17 @@
     }
 };
 
+/** Response to the newest request of each connection; a caller may send it before the previous one is answered. */
+const newestResponses = new WeakMap<Socket, ServerResponse>();
+
+/** Drops a wish to close the connection while it carries a later request, which has to be answered, too. */
+const headersOf = (response: ServerResponse, { headers = {} }: JsonAnswer): Record<string, string> => {
+    if (newestResponses.get(response.req.socket) === response) {
+        return headers;
+    }
+    return Object.fromEntries(Object.entries(headers).filter(([name]) => name !== "connection"));
+};
+
 const writeAnswer = (response: ServerResponse, answer: JsonAnswer): void => {
     if (response.headersSent || response.destroyed) {
         return;
@@ -85,7 +97,7 @@
     response.writeHead(answer.status, {
         "content-type": "application/json",
         "content-length": Buffer.byteLength(text),
-        ...answer.headers,
+        ...headersOf(response, answer),
     });
     response.end(text);
 };
@@ -154,6 +166,7 @@
 export const createJsonServer = (handler: JsonHandler, options: JsonServerOptions = {}): Server => {
     const maxBodyBytes = options.maxBodyBytes ?? defaultMaxBodyBytes;
     return createServer((message, response) => {
+        newestResponses.set(message.socket, response);
         answerRequest(message, response, handler, maxBodyBytes, options.openRequests).catch((error: unknown) =>
             writeAnswer(
                 response,
@@ -179,10 +192,27 @@
     await new Promise<void>(resolve => setImmediate(() => setImmediate(resolve)));
 };
 
+/** Turns of the event loop for which a closing server accepts waiting connections: the length of the backlog. */
+const maxAcceptTurns = 511;
+
+/** Accepts the connections in the backlog, of which the event loop takes one in each turn. */
+const acceptBacklog = async (server: Server): Promise<void> => {
+    let accepted = 0;
+    const count = (): void => {
+        accepted += 1;
+    };
+    server.on("connection", count);
+    for (let turn = 0, before = -1; turn < maxAcceptTurns && accepted > before; turn++) {
+        before = accepted;
+        await readArrived();
+    }
+    server.off("connection", count);
+};
+
 /** Stops accepting connections and resolves when all requests in progress have been answered. */
 export const closeGracefully = async (server: Server): Promise<void> => {
     // closing resets connections in the backlog and idle ones with unread data, and a busy event loop leaves both
-    await readArrived();
+    await acceptBacklog(server);
     await new Promise<void>(resolve => {
         server.close(() => resolve());
         server.closeIdleConnections();
