--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -1,4 +1,5 @@
 /** Mechanisms that can be switched off in a scratch copy of the build, each with the test that must fail without it. */
+import { storageMutants } from "./storageMutants.js";
 
 /** A change of compiled code that disables a mechanism. */
 export interface Mutant {
@@ -16,6 +17,7 @@
 }
 
 const mutants: Mutant[] = [
+    ...storageMutants,
     {
         without: "reservations that do not overlap",
         file: "planning/emptyFleet.js",
