--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -1,7 +1,7 @@
 /** Mechanisms that can be switched off in a scratch copy of the build, each with the test that must fail without it. */
-import { stopMutants } from "./stopMutants.js";
-
 import { planningMutants } from "./planningMutants.js";
+import { stopMutants } from "./stopMutants.js";
+import { storageMutants } from "./storageMutants.js";
 
 /** A change of compiled code that disables a mechanism. */
 export interface Mutant {
@@ -20,6 +20,7 @@
 
 const mutants: readonly Mutant[] = [
     ...planningMutants,
+    ...storageMutants,
     {
         without: "restoring reservations from the records under a new planner",
         file: "execution/guarantees.js",
