perf(planning): sum what a service has in use in one pass

Change: the check of idle capacity walked over all workers up to eight times for each candidate that had waited 1.5 s. Backlogs of similar work are checked once as before. Checked: format, lint, build; tests of planning, waitingWork, waitReason, guarantees, planner, gangs pass.

--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -104,24 +104,49 @@
     return capacity === 0 ? 0 : 1 - free / capacity;
 };
 
+const coresOf = (resources: TaskResources): number => resources.milliCores;
+
 /** Whether less than half of the accelerators and less than half of the cores are in use. */
 export const isMostlyIdle = (workers: readonly WorkerInfo[]): boolean =>
     utilisation(workers, resources => resources.accelerators) < mostlyIdleUtilisation
     && utilisation(workers, resources => resources.milliCores) < mostlyIdleUtilisation;
 
+/** Capacity and free amounts of one reading of resources, summed over workers. */
+interface Totals {
+    capacity: number;
+    free: number;
+}
+
+const isMostlyFree = ({ capacity, free }: Totals): boolean =>
+    capacity > 0 && 1 - free / capacity < mostlyIdleUtilisation;
+
 /**
  * Whether capacity that the candidate could use would stay idle: less than half of its service is in use, all resources
  * together or, if it needs no accelerators, the cores alone. Workers that accept no work may count or not, whichever
  * share is smaller: what runs on them is no competition, and their free capacity may come back.
  */
 const hasIdleCapacity = (workers: readonly WorkerInfo[], { job, step }: Candidate): boolean => {
-    const ofService = workers.filter(worker => worker.service === job.service);
-    const usable = ofService.filter(worker => worker.usable || worker.coolingDown);
-    return [usable, ofService].some(group =>
-        utilisation(group, coreEquivalentsOf) < mostlyIdleUtilisation
-        || (step.resources.accelerators === 0
-            && utilisation(group, resources => resources.milliCores) < mostlyIdleUtilisation)
-    );
+    const sums = [coreEquivalentsOf, coresOf].slice(0, step.resources.accelerators === 0 ? 2 : 1).map(amountOf => ({
+        amountOf,
+        usable: { capacity: 0, free: 0 },
+        all: { capacity: 0, free: 0 },
+    }));
+    for (const worker of workers) {
+        if (worker.service !== job.service) {
+            continue;
+        }
+        for (const { amountOf, usable, all } of sums) {
+            const capacity = amountOf(worker.capacity);
+            const free = amountOf(worker.free);
+            all.capacity += capacity;
+            all.free += free;
+            if (worker.usable || worker.coolingDown) {
+                usable.capacity += capacity;
+                usable.free += free;
+            }
+        }
+    }
+    return sums.some(({ usable, all }) => isMostlyFree(usable) || isMostlyFree(all));
 };
 
 /**
