--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -369,6 +369,22 @@
         tests: "test/follower",
         fails: "confirms its copy at once when the table answers again",
     },
+    {
+        without: "relaxing what work prefers on idle capacity",
+        file: "planning/placement.js",
+        find: "candidate.waitingMs > relaxAfterMs && hasIdleCapacity(workers, candidate)",
+        replace: "false",
+        tests: "idleCapacity",
+        fails: "places or prepares all work that has waited 1.5 s",
+    },
+    {
+        without: "workers with a cooldown as the last choice",
+        file: "planning/placement.js",
+        find: "worker.coolingDown && candidate.uninterruptedWaitMs > relaxAfterMs",
+        replace: "false",
+        tests: "waitingWork",
+        fails: "starts within 3 s on an idle fleet",
+    },
 ];
 
 /** Mutants whose mechanism's name contains a text. */
