--- a/tools/planningMutants.ts
+++ b/tools/planningMutants.ts
@@ -82,4 +82,20 @@
         tests: "test/planning",
         fails: "or if it is resumable",
     },
+    {
+        without: "relaxing what work prefers on idle capacity",
+        file: "planning/placement.js",
+        find: "candidate.waitingMs > relaxAfterMs && hasIdleCapacity(workers, candidate)",
+        replace: "false",
+        tests: "idleCapacity",
+        fails: "places or prepares all work that has waited 1.5 s",
+    },
+    {
+        without: "workers with a cooldown as the last choice",
+        file: "planning/placement.js",
+        find: "worker.coolingDown && candidate.uninterruptedWaitMs > relaxAfterMs",
+        replace: "false",
+        tests: "waitingWork",
+        fails: "starts within 3 s on an idle fleet",
+    },
 ];
