fix(routing): hedge a silent attempt and let it go on, instead of ending it for a retry

What callers saw: calls that may be repeated were answered as "unknown" though their endpoints were at work on them and had most of a second left, first "no answer: TimeoutError", or, when every endpoint had been tried or was full, "no endpoint had room before the deadline". That was the red test "finish every call in progress when a router is stopped under full load". The stop has no part in it; the test is only the one whose calls take 1 s of 2 s.

Cause: an attempt of such a call was ended after 60 % of the remaining time and made again elsewhere with what was left: 1.2 s, then 0.48 s, 0.19 s. A call that needs more than 60 % of its time failed at every endpoint in turn, while the attempts that nobody waited for any more kept their slots, so that others were refused as busy, and their endpoints were counted as failing and ejected.

On virtual time the same code gives both answers from one cause: with retries left "no endpoint had room", without "no answer".

Ruled out: an untrue "unknown": both answers followed attempts that had started at an endpoint, so "not run" would have been false (the detail now names that attempt). A refused connection or the refusal of a stopping router: those answer "not run". The calls' own deadline: nothing took 2 s. Calls that waited: none did when they were answered.

Change: while there is no answer after 60 % of the time, the call is sent to another endpoint as well, at the same times, within the same retry budget and in the same queue as before; the first result counts. The others are ended then, those that started before it are counted as failed, and a hedge that still waits for an endpoint leaves the queue. No retry is taken from the budget after the deadline. Calls that may run at most once are sent as before.

--- a/bench/routingRun.ts
+++ b/bench/routingRun.ts
@@ -61,16 +61,18 @@
 
 /** Creates a virtual timer that scales to many events; pending promises settle between any two events. */
 const createSimulationTimer = (): SimulationTimer => {
-    const eventQueue = new TinyQueue<{ atMs: number; order: number; run: () => void; }>(
+    const eventQueue = new TinyQueue<{ atMs: number; order: number; run: () => void; cancelled: boolean; }>(
         [],
         (left, right) => left.atMs - right.atMs || left.order - right.order,
     );
     let nowMs = 0;
     let order = 0;
     const after = (delayMs: number, run: () => void) => {
-        const entry = { atMs: nowMs + Math.max(0, delayMs), order: order++, run };
+        const entry = { atMs: nowMs + Math.max(0, delayMs), order: order++, run, cancelled: false };
         eventQueue.push(entry);
         return () => {
+            entry.cancelled = true;
+            // what it refers to would stay in memory until its time
             entry.run = () => {};
         };
     };
@@ -82,6 +84,9 @@
         sleep: delayMs => new Promise(resolve => after(delayMs, resolve)),
         run: async () => {
             for (let entry = eventQueue.pop(); entry !== undefined; entry = eventQueue.pop()) {
+                if (entry.cancelled) {
+                    continue;
+                }
                 nowMs = entry.atMs;
                 entry.run();
                 await new Promise(resolve => setImmediate(resolve));
--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -7,6 +7,7 @@
 import { createCallQueue } from "../routing/callQueue.js";
 import { choosePowerOfTwo } from "../routing/choose.js";
 import { runCall } from "../routing/commands/runCall.js";
+import type { EndedAttempt } from "../routing/commands/runCall.js";
 import { runOnce } from "../routing/commands/runOnce.js";
 import { createEndpoints } from "../routing/endpoints.js";
 import { createInFlightLimits } from "../routing/limits.js";
@@ -17,6 +18,7 @@
 import { createPauseDetector } from "../utils/pauseDetector.js";
 import { createEntryNode, describeUsage } from "./entryNode.js";
 import { createRouterHttp, notRunAnswer, toHttpAnswer } from "./routerHttp.js";
+import { logAttempt, logUnfinishedCall } from "./routerLog.js";
 import type { Daemon } from "./runDaemon.js";
 import type { RouterSettings } from "./settings.js";
 
@@ -60,8 +62,9 @@
                 maxOutstanding: settings.connectionsPerEndpoint,
                 excluded,
             }),
-        onAttempt: () => {
+        onAttempt: (ended: EndedAttempt) => {
             counts.attempts += 1;
+            logAttempt(log, ended);
         },
     };
 
@@ -72,8 +75,15 @@
         run: (call: Call, attemptId: string) => runCall(runner, call, attemptId),
     };
 
-    const recordOutcome = (answer: CallAnswer, startedAtMs: number): void => {
+    const recordOutcome = (call: Call, answer: CallAnswer, startedAtMs: number): void => {
         counts[answer.outcome] += 1;
+        logUnfinishedCall(log, call, answer, {
+            ageMs: timer.nowMs() - startedAtMs,
+            remainingMs: call.deadlineAtMs - timer.nowMs(),
+            waiting: callQueue.length(),
+            ejected: endpoints.ejection.ejected(),
+            stopping: node.isStopping(),
+        });
         metrics.increment("call", { outcome: answer.outcome });
         metrics.timing("callMs", timer.nowMs() - startedAtMs);
     };
@@ -88,7 +98,7 @@
         try {
             const answer =
                 await (call.atMostOnce ? runOnce(atMostOnceRunner, call) : runCall(runner, call, randomUUID()));
-            recordOutcome(answer, startedAtMs);
+            recordOutcome(call, answer, startedAtMs);
             return toHttpAnswer(answer);
         }
         finally {
--- a/src/routing/callQueue.ts
+++ b/src/routing/callQueue.ts
@@ -2,8 +2,15 @@
 import type { TimerService } from "../utils/timer.js";
 import type { Endpoint } from "./endpoints.js";
 
-/** Result of waiting for an endpoint: one was acquired, the deadline passed, or the full queue refused the call. */
-export type WaitResult = { kind: "endpoint"; endpoint: Endpoint; } | { kind: "expired"; } | { kind: "refused"; };
+/**
+ * Result of waiting for an endpoint: one was acquired, the deadline passed, the full queue refused the call, or none is
+ * needed any more.
+ */
+export type WaitResult =
+    | { kind: "endpoint"; endpoint: Endpoint; }
+    | { kind: "expired"; }
+    | { kind: "refused"; }
+    | { kind: "withdrawn"; };
 
 /** Request of a call for an endpoint. */
 export interface WaitRequest {
@@ -12,6 +19,8 @@
     deadlineAtMs: number;
     /** Chooses an endpoint with free capacity, if any. */
     choose: () => Endpoint | undefined;
+    /** Whether no endpoint is needed any more. @default never */
+    isWithdrawn?: () => boolean;
 }
 
 /** Queue of the calls that wait for an endpoint, ordered by urgency, then by deadline. */
@@ -49,17 +58,18 @@
         waiters.splice(index === -1 ? waiters.length : index, 0, waiter);
     };
 
-    const expire = (): void => {
+    const removeEnded = (): void => {
         const nowMs = timer.nowMs();
         for (let index = waiters.length - 1; index >= 0; index--) {
-            if (waiters[index].deadlineAtMs <= nowMs) {
-                waiters.splice(index, 1)[0].resolve({ kind: "expired" });
+            const isExpired = waiters[index].deadlineAtMs <= nowMs;
+            if (isExpired || waiters[index].isWithdrawn?.() === true) {
+                waiters.splice(index, 1)[0].resolve({ kind: isExpired ? "expired" : "withdrawn" });
             }
         }
     };
 
     const dispatch = (): void => {
-        expire();
+        removeEnded();
         for (let index = 0; index < Math.min(waiters.length, maxSkippedCalls);) {
             const endpoint = waiters[index].choose();
             if (endpoint === undefined) {
--- a/src/routing/connections.ts
+++ b/src/routing/connections.ts
@@ -1,4 +1,5 @@
 import type { Client as HttpClient } from "undici";
+import type { Cancellation } from "../utils/cancellation.js";
 import { Client } from "../utils/httpClient.js";
 import { AttemptKind, FenceState } from "./types.js";
 import type { Attempt } from "./types.js";
@@ -24,8 +25,8 @@
 
 /** Connection pool of one endpoint; each connection carries one request at a time. */
 export interface EndpointConnections {
-    /** Sends a request; errors and timeouts resolve as attempts without a result. */
-    send(request: EndpointRequest, timeoutMs: number): Promise<EndpointReply>;
+    /** Sends a request; errors, timeouts and a cancellation resolve as attempts without a result. */
+    send(request: EndpointRequest, timeoutMs: number, cancellation?: Cancellation): Promise<EndpointReply>;
     /** Prevents a request from starting later and resolves with whether it ran; `undefined` without a valid answer. */
     fence(requestId: string, timeoutMs: number): Promise<FenceState | undefined>;
     /** Number of open connections, idle ones included. */
@@ -89,18 +90,36 @@
     const code = (error as { code?: string; }).code ?? "";
     return notSentErrorCodes.includes(code)
         ? { kind: AttemptKind.NotSent, reason: "the endpoint cannot be reached" }
-        : doubtfulAttempt(`no answer: ${String(error)}`);
+        : doubtfulAttempt(`no answer: ${error instanceof Error ? error.message : String(error)}`);
 };
 
-const post = async (client: HttpClient, path: string, body: unknown, timeoutMs: number): Promise<HttpReply> => {
-    const response = await client.request({
-        method: "POST",
-        path,
-        headers: { "content-type": "application/json" },
-        body: JSON.stringify(body),
-        signal: AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs))),
-    });
-    return { status: response.statusCode, headers: response.headers, text: await response.body.text() };
+const post = async (
+    client: HttpClient,
+    path: string,
+    body: unknown,
+    timeoutMs: number,
+    cancellation?: Cancellation,
+): Promise<HttpReply> => {
+    const abortController = new AbortController();
+    const abort = (reason: string): void => abortController.abort(new Error(reason));
+    const timeout = setTimeout(
+        () => abort(`nothing within ${Math.round(timeoutMs)} ms`),
+        Math.max(1, Math.ceil(timeoutMs)),
+    );
+    cancellation?.subscribe(() => abort("no longer needed"));
+    try {
+        const response = await client.request({
+            method: "POST",
+            path,
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify(body),
+            signal: abortController.signal,
+        });
+        return { status: response.statusCode, headers: response.headers, text: await response.body.text() };
+    }
+    finally {
+        clearTimeout(timeout);
+    }
 };
 
 /** Creates the connection pool of an endpoint; connections open on demand. */
@@ -132,10 +151,14 @@
         }
     };
 
-    const send = async (request: EndpointRequest, timeoutMs: number): Promise<EndpointReply> => {
+    const send = async (
+        request: EndpointRequest,
+        timeoutMs: number,
+        cancellation?: Cancellation,
+    ): Promise<EndpointReply> => {
         const client = acquire();
         try {
-            const reply = await post(client, "/v1/calls", request, timeoutMs);
+            const reply = await post(client, "/v1/calls", request, timeoutMs, cancellation);
             const attempt = classifyReply(request, reply);
             if (attempt.kind === AttemptKind.Doubtful) {
                 discard(client);
--- a/test/calls.test.ts
+++ b/test/calls.test.ts
@@ -1,6 +1,7 @@
 import { assert } from "chai";
 import fc from "fast-check";
 import { runCall } from "../src/routing/commands/runCall.js";
+import type { CallRunner } from "../src/routing/commands/runCall.js";
 import { runOnce } from "../src/routing/commands/runOnce.js";
 import { createRetryBudget } from "../src/routing/retryBudget.js";
 import { Outcome } from "../src/routing/types.js";
@@ -177,6 +178,77 @@
     });
 });
 
+describe("a call that may be repeated", () => {
+    const send = async (
+        scripts: readonly (readonly Behaviour[])[],
+        change: (runner: CallRunner) => void = () => {},
+    ): Promise<{ answer: CallAnswer; answeredAtMs: number; endpoints: ScriptedEndpoint[]; runner: CallRunner; }> => {
+        const timer = createVirtualTimer();
+        const endpoints = createEndpoints(scripts, timer);
+        const runner = createScriptedRunner(endpoints, timer);
+        change(runner);
+        let answeredAtMs = 0;
+        const answered = runCall(runner, buildCall({ atMostOnce: false }), "call").finally(() => {
+            answeredAtMs = timer.nowMs();
+        });
+        await timer.advance(observationMs);
+        return { answer: await answered, answeredAtMs, endpoints, runner };
+    };
+
+    it("is \"done\" by the endpoint that works on it for most of the time until its deadline", async () => {
+        const { answer } = await send([[Behaviour.Slow], [Behaviour.Slow]]);
+        assert.equal(answer.outcome, Outcome.Done, answer.detail);
+    });
+
+    it("is \"done\" by the endpoint that works on it for long when no retry is left", async () => {
+        const { answer, endpoints } = await send([[Behaviour.Slow], [Behaviour.Done]], runner => {
+            runner.budget = { recordFirstAttempt: () => {}, tryConsume: () => false, remaining: () => 0 };
+        });
+        assert.equal(answer.outcome, Outcome.Done, answer.detail);
+        assert.equal(runCountOf(endpoints), 1);
+    });
+
+    it("is \"done\" by another endpoint before its deadline while the first one is silent", async () => {
+        const { answer, answeredAtMs, endpoints } = await send([[Behaviour.Silent], [Behaviour.Done]]);
+        assert.equal(answer.outcome, Outcome.Done, answer.detail);
+        assert.isBelow(answeredAtMs, 700);
+        assert.deepEqual(endpoints.map(endpoint => endpoint.outstanding), [0, 0]);
+    });
+
+    it("ends the attempt at a silent endpoint once another one has answered, and counts it as failed", async () => {
+        const failed: string[] = [];
+        const { endpoints } = await send([[Behaviour.Silent], [Behaviour.Done]], runner => {
+            runner.endpoints.ejection.record = (name, hasFailed) => hasFailed && failed.push(name);
+        });
+        assert.deepEqual(endpoints.map(endpoint => endpoint.overtakenCount), [1, 0]);
+        assert.deepEqual(failed, ["endpoint-0"]);
+    });
+
+    it("leaves the queue once it is answered while it waits for a second endpoint", async () => {
+        const timer = createVirtualTimer();
+        const runner = createScriptedRunner(createEndpoints([[Behaviour.Slow]], timer), timer);
+        const answered = runCall(runner, buildCall({ atMostOnce: false }), "call");
+        await timer.advance(650);
+        assert.equal(runner.line.length(), 1);
+        await timer.advance(100);
+        assert.equal((await answered).outcome, Outcome.Done);
+        assert.equal(runner.line.length(), 0);
+    });
+
+    it("is \"unknown\" with the reason for the doubt when no endpoint has room for a repetition", async () => {
+        const { answer } = await send([[Behaviour.AnswerLost]]);
+        assert.equal(answer.outcome, Outcome.Unknown);
+        assert.match(answer.detail ?? "", /no endpoint had room before the deadline; .*may have run: no answer/);
+    });
+
+    it("is answered at its deadline when every endpoint is silent", async () => {
+        const { answer, answeredAtMs, runner } = await send([[Behaviour.Silent], [Behaviour.Silent]]);
+        assert.equal(answer.outcome, Outcome.Unknown);
+        assert.isAtMost(answeredAtMs, 1_000);
+        assert.equal(runner.line.length(), 0);
+    });
+});
+
 describe("retries", () => {
     it("stay within a share of the first attempts when everything fails", async () => {
         const timer = createVirtualTimer();
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from "node:net";
 import { createEndpointConnections } from "../src/routing/connections.js";
 import { AttemptKind } from "../src/routing/types.js";
+import { createCancellation } from "../src/utils/cancellation.js";
 
 type Answer = (requestId: string, response: ServerResponse) => void;
 
@@ -72,6 +73,15 @@
         });
     }
 
+    it("end a request that is cancelled, and close its connection", async () => {
+        const connections = connect();
+        const cancellation = createCancellation();
+        answer = () => cancellation.cancel();
+        const ended = await connections.send(request("one"), 10_000, cancellation);
+        assert.equal(ended.attempt.kind, AttemptKind.Doubtful);
+        assert.equal(connections.openCount(), 0);
+    });
+
     it("are reused after a complete answer", async () => {
         const connections = connect();
         answer = (requestId, response) => send(response, requestId, bodyFor(requestId));
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -30,8 +30,13 @@
     result?: { echo: { key: string; }; };
 }
 
-const call = (router: RunningDaemon, path: string, key: string, serviceMs: number) =>
-    sendJson<Answer>(`${router.httpAddress}${path}`, { key, serviceMs }, { headers: { "idempotency-key": key } });
+const call = (router: RunningDaemon, path: string, key: string, serviceMs: number, deadlineMs?: number) =>
+    sendJson<Answer>(`${router.httpAddress}${path}`, { key, serviceMs }, {
+        headers: {
+            "idempotency-key": key,
+            ...(deadlineMs === undefined ? {} : { "deadline-ms": String(deadlineMs) }),
+        },
+    });
 
 const versionOf = async (daemon: RunningDaemon): Promise<number> => {
     const dump = await sendJson<Dump>(`${daemon.httpAddress}/v1/dump`);
@@ -112,23 +117,30 @@
         }
     });
 
-    it("finish every call in progress when a router is stopped under full load", async () => {
+    const stopUnderFullLoad = async (prefix: string, serviceMs: number, deadlineMs?: number): Promise<void> => {
         const router = cluster.routers()[0];
-        const keys = Array.from(Array(40).keys(), index => `stop-${index}`);
-        const calls = Promise.all(keys.map(key => call(router, quotePath, key, 1_000)));
+        const keys = Array.from(Array(40).keys(), index => `${prefix}-${index}`);
+        const calls = Promise.all(keys.map(key => call(router, quotePath, key, serviceMs, deadlineMs)));
         await waitUntil(
             "calls are running",
             5_000,
-            async () => (await cluster.events()).some(event => event.key === "stop-0"),
+            async () => (await cluster.events()).some(event => event.key === keys[0]),
         );
         const code = await cluster.stopDaemon(router);
         const answers = await calls;
         assert.equal(code, 0);
         answers.forEach((answer, index) => {
-            assert.equal(answer.body.outcome, "done", `${keys[index]}: ${answer.body.detail}`);
+            const context = [`${keys[index]}: ${answer.body.detail}`, ...router.log].join("\n");
+            assert.equal(answer.body.outcome, "done", context);
             assert.equal(answer.body.result?.echo.key, keys[index]);
         });
-    });
+    };
+
+    it("finish every call in progress when a router is stopped under full load", () =>
+        stopUnderFullLoad("stop", 1_000));
+
+    it("finish calls that take most of the time until their deadline when a router is stopped", () =>
+        stopUnderFullLoad("long", 3_500, 5_000));
 
     it("keep gangs running when schedulers are stopped one after the other", async () => {
         const [first, second] = cluster.schedulers();
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -115,11 +115,27 @@
     {
         without: "recording that an attempt may have run",
         file: "routing/commands/runCall.js",
-        find: "progress.mayHaveRun = true;",
+        find: "progress.doubt = reason;",
         replace: "",
         tests: "calls",
         fails: "is \"not run\" only if it did not run",
     },
+    {
+        without: "letting the first attempt of a hedged call go on",
+        file: "routing/commands/runCall.js",
+        find: ": remainingMs;",
+        replace: ": remainingMs * hedgeDelayShare;",
+        tests: "calls",
+        fails: "by the endpoint that works on it for most of the time until its deadline",
+    },
+    {
+        without: "withdrawing a call that is answered from the queue",
+        file: "routing/callQueue.js",
+        find: "isExpired || waiters[index].isWithdrawn?.() === true",
+        replace: "isExpired",
+        tests: "calls",
+        fails: "leaves the queue once it is answered",
+    },
     {
         without: "one recorded attempt per key",
         file: "routing/attemptRecord.js",
