fix(routing): a router's stop waits until the outcomes of bookings are recorded

What callers saw: a booking is answered "done" while the platform is down, since its answer waits 0.4 s at most for the record of its outcome. If the router is stopped then, the same key is answered "unknown" (409) for good by every router, though it ran and its result was known: an accepted call whose outcome is lost around a planned stop.

Cause: the write goes on in the background, and the stop waited for connections of callers only. It closed the client of the platform, and the process exited.

Evidence: the new test of processes, "record the outcome of a booking when the platform is down as a router is stopped", failed in 4 of 4 runs on the unfixed code ("an attempt with this key is in progress or its fate is unknown") and held in 5 of 5 with the change. The 3 s that the test waits are for the unfixed router to exit; with the change any time below `drainMs` gives the same verdict.

Ruled out: a caller who has left. The stop already waits for the attempt's connection then, and its outcome was recorded in 3 of 3 trials without the change; so no test of that is added.

Change: a stop waits for connections, calls and writes of outcomes, all within `drainMs`, and logs how many were unfinished. While the platform stays down a stop takes `drainMs` if an outcome is unwritten.

--- a/src/node/router.ts
+++ b/src/node/router.ts
@@ -10,12 +10,14 @@
 import type { EndedAttempt } from "../routing/commands/runCall.js";
 import { runOnce } from "../routing/commands/runOnce.js";
 import { createEndpoints } from "../routing/endpoints.js";
+import type { Endpoints } from "../routing/endpoints.js";
 import { createInFlightLimits } from "../routing/limits.js";
 import { createRetryBudget } from "../routing/retryBudget.js";
 import type { Call, CallAnswer } from "../routing/types.js";
 import { closeGracefully, createJsonServer, listen } from "../utils/http.js";
 import type { JsonAnswer } from "../utils/http.js";
 import { createPauseDetector } from "../utils/pauseDetector.js";
+import { createUnfinishedTasks } from "../utils/unfinishedTasks.js";
 import { createEntryNode, describeUsage } from "./entryNode.js";
 import { createRouterHttp, notRunAnswer, toHttpAnswer } from "./routerHttp.js";
 import { logAttempt, logUnfinishedCall } from "./routerLog.js";
@@ -26,6 +28,16 @@
 /** Time between the failing readiness check and the refusal of calls, for load balancers to deregister this VM. */
 const deregistrationDelayMs = 500;
 
+const describeEndpoints = (endpoints: Endpoints): unknown =>
+    endpoints.all().map(endpoint => ({
+        name: endpoint.name,
+        availabilityZone: endpoint.availabilityZone,
+        leaving: endpoint.leaving,
+        ejected: endpoints.ejection.isEjected(endpoint.name),
+        outstanding: endpoint.outstanding,
+        connections: endpoint.connections.openCount(),
+    }));
+
 /** Starts the router daemon; resolves once its HTTP server listens. */
 export const startRouter = async (settings: RouterSettings): Promise<Daemon> => {
     const node = createEntryNode(Role.Router, settings);
@@ -34,6 +46,8 @@
     const callQueue = createCallQueue(timer, settings.maxQueued);
     const retryBudget = createRetryBudget();
     const inFlightLimits = createInFlightLimits();
+    /** Calls, also those whose callers have left, and writes of their outcomes. */
+    const unfinished = createUnfinishedTasks();
     const counts = { calls: 0, attempts: 0, done: 0, notRun: 0, unknown: 0 };
     let zonesOut = zonesOutOf(follower.current());
     let refusing = false;
@@ -73,6 +87,7 @@
         timer,
         router: settings.vm,
         run: (call: Call, attemptId: string) => runCall(runner, call, attemptId),
+        onRecording: (recording: Promise<unknown>) => void unfinished.track(recording),
     };
 
     const recordOutcome = (call: Call, answer: CallAnswer, startedAtMs: number): void => {
@@ -96,8 +111,9 @@
         const startedAtMs = timer.nowMs();
         counts.calls += 1;
         try {
-            const answer =
-                await (call.atMostOnce ? runOnce(atMostOnceRunner, call) : runCall(runner, call, randomUUID()));
+            const answer = await unfinished.track(
+                call.atMostOnce ? runOnce(atMostOnceRunner, call) : runCall(runner, call, randomUUID()),
+            );
             recordOutcome(call, answer, startedAtMs);
             return toHttpAnswer(answer);
         }
@@ -111,14 +127,7 @@
         configuration: { version: follower.current().version },
         zonesOut: [...zonesOut.keys()],
         peers: peers.all(),
-        endpoints: endpoints.all().map(endpoint => ({
-            name: endpoint.name,
-            availabilityZone: endpoint.availabilityZone,
-            leaving: endpoint.leaving,
-            ejected: endpoints.ejection.isEjected(endpoint.name),
-            outstanding: endpoint.outstanding,
-            connections: endpoint.connections.openCount(),
-        })),
+        endpoints: describeEndpoints(endpoints),
         waiting: callQueue.length(),
         limits: inFlightLimits.counts(),
         retriesLeft: retryBudget.remaining(),
@@ -158,13 +167,14 @@
         await node.announceStop();
         await timer.sleep(deregistrationDelayMs);
         refusing = true;
-        await Promise.race([closeGracefully(server), timer.sleep(settings.drainMs)]);
+        const finished = Promise.all([closeGracefully(server), unfinished.whenNone()]);
+        await Promise.race([finished, timer.sleep(settings.drainMs)]);
         unsubscribes.forEach(unsubscribe => unsubscribe());
         pauseDetector.stop();
         await endpoints.close();
         await peerServer.close();
         await node.close();
-        log("info", "router stopped", { ...counts });
+        log("info", "router stopped", { ...counts, unfinished: unfinished.count() });
     };
     return { httpPort, peerPort: peerServer.port, stop };
 };
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -40,7 +40,7 @@
     connectionsPerEndpoint: number;
     /** Maximum number of calls in the call queue. @default 256 */
     maxQueued: number;
-    /** Maximum time that a stop waits for calls in progress. @default 20000 */
+    /** Maximum time that a stop waits for calls in progress and for writes of their outcomes. @default 20000 */
     drainMs: number;
 }
 
--- a/src/routing/commands/runOnce.ts
+++ b/src/routing/commands/runOnce.ts
@@ -13,6 +13,8 @@
     router: string;
     /** Runs the call; its request ids start with the id of the recorded attempt. */
     run: (call: Call, attemptId: string) => Promise<CallAnswer>;
+    /** Called with each write of an outcome, which may take longer than the answer of the call. */
+    onRecording: (recording: Promise<unknown>) => void;
 }
 
 const claimRetryMs = 100;
@@ -49,6 +51,7 @@
         recordStates[answer.outcome],
         answer.result,
     );
+    runner.onRecording(recorded);
     await Promise.race([recorded, runner.timer.sleep(maxRecordWaitMs)]);
 };
 
--- a/test/calls.test.ts
+++ b/test/calls.test.ts
@@ -35,7 +35,13 @@
     return (change = {}): Promise<CallAnswer> => {
         const call = buildCall({ deadlineAtMs: timer.nowMs() + 1_000, ...change });
         return runOnce(
-            { platform, timer, router: name, run: (attempted, attemptId) => runCall(runner, attempted, attemptId) },
+            {
+                platform,
+                timer,
+                router: name,
+                run: (attempted, attemptId) => runCall(runner, attempted, attemptId),
+                onRecording: () => {},
+            },
             call,
         );
     };
--- a/test/processes.test.ts
+++ b/test/processes.test.ts
@@ -142,6 +142,32 @@
     it("finish calls that take most of the time until their deadline when a router is stopped", () =>
         stopUnderFullLoad("long", 3_500, 5_000));
 
+    it("record the outcome of a booking when the platform is down as a router is stopped", async () => {
+        const [router, other] = cluster.routers();
+        const key = "record-late";
+        const body = { key, serviceMs: 1_000 };
+        const runs = async () =>
+            (await cluster.events()).filter(event => event.kind === "callStarted" && event.key === key);
+        // a connection that ends with the answer, so that the router does not wait for it
+        const answered = request(`${router.httpAddress}${bookingPath}`, {
+            method: "POST",
+            headers: { "idempotency-key": key },
+            body: JSON.stringify(body),
+            reset: true,
+        }).then(response => response.body.json() as Promise<Answer>);
+        await waitUntil("the booking runs", 5_000, async () => (await runs()).length > 0);
+        await cluster.setPlatformSwitches({ down: true });
+        const stopped = cluster.stopDaemon(router);
+        assert.equal((await answered).outcome, "done");
+        // long enough for a router that does not wait for the platform to exit
+        await new Promise(resolve => setTimeout(resolve, 3_000));
+        await cluster.setPlatformSwitches({ down: false });
+        assert.equal(await stopped, 0);
+        const repeated = await call(other, bookingPath, key, body.serviceMs);
+        assert.equal(repeated.body.outcome, "done", repeated.body.detail);
+        assert.lengthOf(await runs(), 1);
+    });
+
     it("keep gangs running when schedulers are stopped one after the other", async () => {
         const [first, second] = cluster.schedulers();
         const id = await submitGang(first, "kept", 9_000);
