fix(routing): retries that have no endpoint left hold up no other calls

What callers saw: calls were answered "not run: no endpoint had room before the deadline", or waited until earlier calls had expired, while an endpoint was free.

Cause: a dispatch ends after four calls that find no endpoint, since that says that all are full. It does not for a call that may not have every endpoint again: four retries whose remaining endpoints were full, or that had none, stood at the head of the queue until their deadlines, and all calls behind them waited.

It was found by reading after the traces of the calls that ended as unknown; it was not seen in those traces.

Change: such calls do not count towards the four. Twenty of them, as many as the retry budget holds, are tried in a dispatch, which bounds its cost; the rest are passed over.

--- a/src/routing/callQueue.ts
+++ b/src/routing/callQueue.ts
@@ -19,6 +19,8 @@
     deadlineAtMs: number;
     /** Chooses an endpoint with free capacity, if any. */
     choose: () => Endpoint | undefined;
+    /** Whether it may not get every endpoint, so that it says nothing about the calls behind it if it finds none. */
+    excludesEndpoints: boolean;
     /** Whether no endpoint is needed any more. @default never */
     isWithdrawn?: () => boolean;
 }
@@ -40,6 +42,8 @@
 const dispatchPeriodMs = 10;
 /** Number of calls without a suitable endpoint after which a dispatch ends; bounds its cost when the queue is long. */
 const maxSkippedCalls = 4;
+/** Number of such calls with excluded endpoints after which the others like them are passed over without a try. */
+const maxSkippedRetries = 20;
 
 const urgencyRank = { [Urgency.Urgent]: 0, [Urgency.Normal]: 1, [Urgency.MayWait]: 2 };
 
@@ -70,9 +74,15 @@
 
     const dispatch = (): void => {
         removeEnded();
-        for (let index = 0; index < Math.min(waiters.length, maxSkippedCalls);) {
-            const endpoint = waiters[index].choose();
+        let skippedCalls = 0;
+        let skippedRetries = 0;
+        for (let index = 0; index < waiters.length && skippedCalls < maxSkippedCalls;) {
+            const waiter = waiters[index];
+            const isPassedOver = waiter.excludesEndpoints && skippedRetries >= maxSkippedRetries;
+            const endpoint = isPassedOver ? undefined : waiter.choose();
             if (endpoint === undefined) {
+                skippedCalls += waiter.excludesEndpoints ? 0 : 1;
+                skippedRetries += waiter.excludesEndpoints ? 1 : 0;
                 index += 1;
                 continue;
             }
--- a/src/routing/commands/runCall.ts
+++ b/src/routing/commands/runCall.ts
@@ -278,6 +278,7 @@
         urgency: call.urgency,
         deadlineAtMs: call.deadlineAtMs,
         choose: () => runner.choose(progress.excluded),
+        excludesEndpoints: progress.excluded.size > 0,
         isWithdrawn,
     });
 
--- a/test/calls.test.ts
+++ b/test/calls.test.ts
@@ -256,6 +256,24 @@
 });
 
 describe("retries", () => {
+    it("that have no endpoint left hold up no other calls", async () => {
+        const timer = createVirtualTimer();
+        const fails = Array.from(Array(4), () => Behaviour.Fails);
+        const endpoints = createEndpoints([[...fails, Behaviour.Done]], timer);
+        const runner = createScriptedRunner(endpoints, timer);
+        const send = (deadlineAtMs: number, callId: string): Promise<CallAnswer> =>
+            runCall(runner, buildCall({ atMostOnce: false, deadlineAtMs }), callId);
+        fails.forEach((_behaviour, index) => void send(1_000, `failed-${index}`));
+        await timer.advance(100);
+        assert.equal(runner.line.length(), 4);
+        let answer: CallAnswer | undefined;
+        void send(2_000, "other").then(answered => {
+            answer = answered;
+        });
+        await timer.advance(100);
+        assert.equal(answer?.outcome, Outcome.Done);
+    });
+
     it("stay within a share of the first attempts when everything fails", async () => {
         const timer = createVirtualTimer();
         const endpoints = createEndpoints([[Behaviour.Fails], [Behaviour.Fails], [Behaviour.Fails]], timer);
