test: jobs under random faults that overlap all run to their end

A soak on virtual time: 20 to 60 workers in racks, jobs of mixed shapes for 14 s, and for each seed a random subset of 18 kinds of faults, about one in 0.2 s. A failure names the seed, the jobs and their runs with their phases.

A crash of a worker now marks the ends that it has not been told are recorded, as the expiry of its lease does: the planner may never have seen them, so a further run is no violation.

--- a/standins/runs/workerModel.ts
+++ b/standins/runs/workerModel.ts
@@ -31,7 +31,7 @@
     /** Unset while the task runs. */
     toMs?: number;
     kind?: EndKind;
-    /** The worker's lease expired before this end was acknowledged, so nothing may rely on it having happened. */
+    /** The worker's lease expired, or it crashed, before this end was acknowledged: nothing may rely on it. */
     unseenAtLapse?: boolean;
 }
 
@@ -156,9 +156,8 @@
 
 /** Creates a worker that has just started, without runs. */
 export const createWorkerModel = (options: WorkerModelOptions): WorkerModel => {
-    const { timer, spans } = options;
+    const { timer, spans, checkpointMs = 500 } = options;
     const startedAtMs = timer.nowMs();
-    const checkpointMs = options.checkpointMs ?? 500;
     const running = new Map<string, ActiveRun>();
     const highestRun = new Map<string, number>();
     const endedTasks = createEndedTaskList();
@@ -288,6 +287,7 @@
         onceEnded: endedTasks.onceAdded,
         crash: () => {
             lease.cancel();
+            endedTasks.markUnacknowledged();
             const lost = [...running.values()];
             running.clear();
             for (const active of lost) {
--- a/test/liveness.test.ts
+++ b/test/liveness.test.ts
@@ -3,6 +3,7 @@
 import { JobPhase } from "../src/jobs/types.js";
 import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import type { Fleet } from "./fixtures/fleet.js";
+import { soakLiveness } from "./fixtures/livenessSoak.js";
 
 const settleMs = 1_000;
 
@@ -37,3 +38,21 @@
         assert.equal(await phaseOf(fleet, "delayed"), JobPhase.Succeeded);
     });
 });
+
+describe("jobs on a fleet under random faults that overlap", () => {
+    const firstSeed = 1;
+    const seedCount = 20;
+
+    it("all run to their end once the faults have ended, and no run stays between two phases", async function() {
+        this.timeout(120_000);
+        const broken: string[] = [];
+        let faults = 0;
+        for (let seed = firstSeed; seed < firstSeed + seedCount; seed++) {
+            const result = await soakLiveness(seed);
+            faults += result.faults;
+            broken.push(...result.problems.map(problem => `seed ${seed}: ${problem}`));
+        }
+        assert.isAbove(faults, seedCount, "faults were injected");
+        assert.deepEqual(broken, []);
+    });
+});
