fix(execution): stop a run of an ended job that a worker lists in a later session

What callers saw: a task of a cancelled job ran on, a long-running one for ever, though the cancellation was acknowledged; its room was not free.

Cause: a worker that is missing from the list while a VM takes over (the table was down, its entry expired) has a session without a client. The stop of an adopted run of an ended job cannot be sent there. When the worker is listed again the run moves to the new session as unknown, the report lists it, and it counts as running; that it was to be stopped was forgotten.

Fix: a run that a report shows to be alive after that was not known is stopped if its job has ended.

Ruled out: members of a completed gang, which end without an order. Evidence: the new test failed before; the run worked on.

--- a/src/execution/reportHandler.ts
+++ b/src/execution/reportHandler.ts
@@ -1,5 +1,6 @@
 import { RunPhase, taskIdOf, taskKey, unitKeyOf } from "../jobs/progress.js";
 import type { JobState, Run, TaskState } from "../jobs/progress.js";
+import { isEnded } from "../jobs/types.js";
 import type { TaskId } from "../jobs/types.js";
 import { describeRunWork } from "./context.js";
 import type { PlannerContext } from "./context.js";
@@ -66,6 +67,10 @@
         if (run.phase === RunPhase.Unknown || run.phase === RunPhase.Starting) {
             run.phase = RunPhase.Running;
             run.orderAnsweredAtMs = nowMs;
+            // its stop was ordered in an earlier session of the worker; members of a completed gang end by themselves
+            if (isEnded(task.unit.job.phase) && !task.done) {
+                runStopper.stop(task, run, `job ${task.unit.job.phase}`);
+            }
         }
         run.firstListedAtMs ??= nowMs;
         run.percent = listed.percent;
--- a/test/liveness.test.ts
+++ b/test/liveness.test.ts
@@ -1,4 +1,5 @@
 import { assert } from "chai";
+import { EndKind } from "../src/execution/types.js";
 import { jobRowKey, JobRowKind } from "../src/jobs/rows.js";
 import { JobPhase } from "../src/jobs/types.js";
 import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
@@ -39,6 +40,29 @@
     });
 });
 
+describe("a run of a cancelled job on a worker that is missing from the list during a change of planner", () => {
+    it("is stopped when the worker is listed again", async () => {
+        const fleet = createFleet({ workerCount: 1, vmCount: 2 });
+        await fleet.timer.advance(settleMs);
+        await fleet.submit(createSubmission("a1", [createStep({ longRunning: true })], {}, { workMs: 60_000 }));
+        await fleet.timer.advance(settleMs);
+        const worker = fleet.workers.get("w0");
+        assert.isDefined(worker);
+        worker.unreachable = true;
+        void [...fleet.vms.values()][0].cancel("a1");
+        await fleet.timer.advance(100);
+        fleet.killVm(fleet.planner() ?? "");
+        fleet.workers.delete("w0");
+        await fleet.timer.advance(2_200);
+        assert.isDefined(fleet.planner());
+        worker.unreachable = false;
+        fleet.workers.set("w0", worker);
+        fleet.notify();
+        await fleet.timer.advance(2_000);
+        assert.deepEqual(fleet.spans.map(({ kind }) => kind), [EndKind.Stopped]);
+    });
+});
+
 describe("jobs on a fleet under random faults that overlap", () => {
     const firstSeed = 1;
     const seedCount = 20;
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -181,6 +181,14 @@
         tests: "entryVm",
         fails: "that is removed loses its tasks",
     },
+    {
+        without: "stopping a run of an ended job in a later session of its worker",
+        file: "execution/reportHandler.js",
+        find: "isEnded(task.unit.job.phase) && !task.done",
+        replace: "false",
+        tests: "liveness",
+        fails: "is stopped when the worker is listed again",
+    },
     {
         without: "polling an idle worker until it answers again",
         file: "execution/session.js",
