fix(execution): acquire no term that another VM acquired while the lease was read

What callers saw: two changes of planner within 20 ms, so that nothing was planned for longer, and what may still run on silent workers was waited for anew. Cause: a VM decided by the lease as it knew it, read the lease, and compared the read with what it knew by then: its follower had seen the other VM's acquisition meanwhile, so both were equal. Class: a version compared with something that has moved on with it. The test failed before (one write of the lease). Change: the read and the known lease must both be the one on which the VM decided.

--- a/src/execution/plannerElection.ts
+++ b/src/execution/plannerElection.ts
@@ -116,7 +116,6 @@
     let heldTerm: HeldTerm | undefined;
     const confirmation = createConfirmationTracker(timer);
     let lastRenewalAtMs = Number.NEGATIVE_INFINITY;
-    let stopped = false;
     const candidacy = createCandidacy(options);
 
     const observe = (changed: StateRow): void => {
@@ -174,13 +173,15 @@
         return candidacy.mayAcquire(timer.nowMs() - silentSinceMs, released);
     };
 
+    /** Acquires the term unless the lease changes while it is read: another VM may have acquired it just now. */
     const acquire = async (): Promise<void> => {
+        const decidedOnVersion = leaseRow?.version ?? 0;
         const read = await state.read({ table: plannerTable, part: plannerPart });
         if (!read.ok) {
             return;
         }
         const found = read.value.rows.find(isLeaseRow);
-        if ((found?.version ?? 0) !== (leaseRow?.version ?? 0)) {
+        if ((found?.version ?? 0) !== decidedOnVersion || (leaseRow?.version ?? 0) !== decidedOnVersion) {
             if (found !== undefined) {
                 observe(found);
             }
@@ -212,9 +213,6 @@
     };
 
     const check = async (): Promise<void> => {
-        if (stopped) {
-            return;
-        }
         const reason = heldTerm === undefined ? undefined : candidacy.handoverReason();
         if (heldTerm !== undefined && reason !== undefined) {
             candidacy.recordHandover(reason);
@@ -238,14 +236,11 @@
         mayRenew: () => heldTerm !== undefined && confirmation.ageMs() < leaseRenewalWindowMs,
         markLost,
         release: async () => {
-            stopped = true;
+            unsubscribe();
             if (heldTerm !== undefined) {
                 await handOver(heldTerm, HandoverReason.Stopping);
             }
         },
-        stop: () => {
-            stopped = true;
-            unsubscribe();
-        },
+        stop: unsubscribe,
     };
 };
--- /dev/null
+++ b/test/plannerElection.test.ts
@@ -0,0 +1,80 @@
+import { assert } from "chai";
+import { createPlannerElection } from "../src/execution/plannerElection.js";
+import type { PlannerLease } from "../src/execution/plannerElection.js";
+import { plannerLeaseKey, plannerPart, plannerTable } from "../src/jobs/rows.js";
+import type { RowsAt, StateRow, StateTable } from "../src/state/types.js";
+import { succeed } from "../src/utils/result.js";
+import type { Result } from "../src/utils/result.js";
+import { createVirtualTimer } from "../src/utils/virtualTimer.js";
+
+/** Silence after which every candidate has tried to acquire the term. */
+const silenceMs = 3_000;
+
+const createLeaseRow = (version: number, lease: Partial<PlannerLease>): StateRow => ({
+    table: plannerTable,
+    part: plannerPart,
+    key: plannerLeaseKey,
+    version,
+    value: { holder: "vm1", term: 1, beat: 1, ...lease },
+});
+
+/** Creates the election of a VM whose read of the lease is answered by `answerRead`. */
+const createElection = () => {
+    const timer = createVirtualTimer();
+    let answerRead: (rows: StateRow[]) => void;
+    let commits = 0;
+    const state: StateTable = {
+        commit: async () => {
+            commits += 1;
+            return succeed({ version: 10 });
+        },
+        read: () =>
+            new Promise<Result<RowsAt, never>>(resolve => {
+                answerRead = rows => resolve(succeed({ rows, version: 9 }));
+            }),
+        changes: async () => succeed({ rows: [], version: 9 }),
+    };
+    const election = createPlannerElection({
+        state,
+        timer,
+        log: () => {},
+        vm: "vm3",
+        followerAgeMs: () => 0,
+        isCandidate: () => true,
+        relativePower: () => 1,
+        handoverReason: () => undefined,
+        pendingCounts: () => undefined,
+        random: () => 0,
+        onGained: () => {},
+        onLost: () => {},
+    });
+    return { election, timer, commits: () => commits, answerRead: (rows: StateRow[]) => answerRead(rows) };
+};
+
+describe("a VM that finds the term silent", () => {
+    it("acquires it", async () => {
+        const { election, timer, commits, answerRead } = createElection();
+        const silent = createLeaseRow(5, {});
+        election.observe(silent);
+        await timer.advance(silenceMs);
+        answerRead([silent]);
+        await timer.advance(10);
+        assert.equal(commits(), 1);
+        assert.equal(election.currentTerm(), 2);
+        election.stop();
+    });
+
+    // each change of planner costs seconds, and makes the next planner wait for earlier leases anew
+    it("leaves it to the VM that acquired it while the lease was read", async () => {
+        const { election, timer, commits, answerRead } = createElection();
+        election.observe(createLeaseRow(5, {}));
+        await timer.advance(silenceMs);
+        const acquired = createLeaseRow(6, { holder: "vm2", term: 2 });
+        election.observe(acquired);
+        answerRead([acquired]);
+        await timer.advance(10);
+        assert.equal(commits(), 0);
+        assert.isUndefined(election.currentTerm());
+        election.stop();
+    });
+});
