fix(execution): changes of planner for overload take at most a twentieth of the time

What callers saw: on VMs that are all weak a change of planner for overload took up to 14 s, in which nothing started, and came again after 30 s. Cause: the interval between such changes was the same whatever they cost. The test of the candidacy failed without the new limit. Change: the next one comes after 30 s or twenty takeovers, whichever is longer; the lease row keeps the age of the last one. Where takeovers take 0.02 to 0.4 s, as on the strong VMs of the deployments, 30 s stay.

--- a/src/execution/candidacy.ts
+++ b/src/execution/candidacy.ts
@@ -18,6 +18,8 @@
     random: Random;
     /** Reason why this VM should hand its term over; `undefined` if it should keep it. */
     handoverReason: () => HandoverReason | undefined;
+    /** Time that the takeover at the start of this VM's term took, in which nothing was planned. */
+    takeoverMs: () => number;
 }
 
 /** Decides when this VM tries to acquire the term and when it hands it over to a more suitable VM. */
@@ -26,14 +28,14 @@
     mayAcquire(silentMs: number, released: boolean): boolean;
     /**
      * Records that this VM has acquired the term; `overloadAgeMs` is the time since any VM last handed it over as
-     * overloaded, `undefined` if that is unknown or long ago.
+     * overloaded, `undefined` if none did.
      */
     recordAcquired(overloadAgeMs: number | undefined): void;
     /** Records that the term is being handed over for a reason that {@link handoverReason} returned. */
     recordHandover(reason: HandoverReason): void;
     /** Reason to hand the term over now; `undefined` if there is none or the last change of planner is too recent. */
     handoverReason(): HandoverReason | undefined;
-    /** Time since any VM last handed the term over as overloaded, as far as known; `undefined` if that is long ago. */
+    /** Time since any VM last handed the term over as overloaded, as far as known; `undefined` if none did. */
     overloadAgeMs(): number | undefined;
 }
 
@@ -54,6 +56,8 @@
  * then by the work, and more changes of planner would only keep it from being done.
  */
 const minOverloadIntervalMs = 30_000;
+/** Minimum of that time as a multiple of a takeover, so that weak VMs do not spend much of it on changes of planner. */
+const minOverloadIntervalTakeovers = 20;
 
 /** Creates the candidacy of a VM that has not held the term yet. */
 export const createCandidacy = (options: CandidacyOptions): Candidacy => {
@@ -62,10 +66,11 @@
     let acquiredAtMs = Number.NEGATIVE_INFINITY;
     let handedOverAtMs = Number.NEGATIVE_INFINITY;
     let overloadedAtMs = Number.NEGATIVE_INFINITY;
-    const overloadAgeMs = (): number | undefined => {
-        const ageMs = timer.nowMs() - overloadedAtMs;
-        return ageMs < minOverloadIntervalMs ? ageMs : undefined;
-    };
+    const overloadAgeMs = (): number | undefined =>
+        Number.isFinite(overloadedAtMs) ? timer.nowMs() - overloadedAtMs : undefined;
+    const mayHandOverAsOverloaded = (): boolean =>
+        (overloadAgeMs() ?? Number.POSITIVE_INFINITY)
+            >= Math.max(minOverloadIntervalMs, options.takeoverMs() * minOverloadIntervalTakeovers);
     return {
         mayAcquire: (silentMs, released) => {
             const powerDelayMs = (1 - options.relativePower()) * maxPowerDelayMs;
@@ -87,7 +92,7 @@
             const mayHandOver = nowMs - acquiredAtMs > minTermBeforeHandoverMs
                 && nowMs - handedOverAtMs > minHandoverIntervalMs;
             const reason = mayHandOver ? options.handoverReason() : undefined;
-            return reason === HandoverReason.Overloaded && overloadAgeMs() !== undefined ? undefined : reason;
+            return reason === HandoverReason.Overloaded && !mayHandOverAsOverloaded() ? undefined : reason;
         },
         overloadAgeMs,
     };
--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -67,6 +67,8 @@
     onInputsChanged(): void;
     /** Time since planning began; 0 before. */
     planningMs(): number;
+    /** Time from the start of the term until planning began. */
+    takeoverMs(): number;
     /** State for the state dump. */
     dump(): unknown;
     stop(): void;
@@ -105,6 +107,7 @@
     let recorder: Recorder | undefined;
     let follower: TableFollower | undefined;
     let termOver = false;
+    const startedAtMs = timer.nowMs();
 
     const context: PlannerContext = {
         timer,
@@ -190,7 +193,6 @@
         });
 
     const takeOverAndPlan = async (): Promise<void> => {
-        const startedAtMs = timer.nowMs();
         const takeover = await takeOver({ ...options, isCurrent: () => !termOver && options.mayRenew() });
         if (takeover === undefined || termOver) {
             options.onFenced("the table names a later term or does not answer");
@@ -226,6 +228,7 @@
             }
         },
         planningMs: rounds.runningMs,
+        takeoverMs: () => timer.nowMs() - startedAtMs - rounds.runningMs(),
         dump: () => ({ ...dumpContext(context), unrecorded: recorder?.pendingCount() ?? 0, claims: rounds.claims() }),
         stop: () => {
             termOver = true;
--- a/src/execution/plannerElection.ts
+++ b/src/execution/plannerElection.ts
@@ -17,7 +17,7 @@
     beat: number;
     /** Number of waiting jobs by queue, as of the renewal. @default unknown */
     pending?: PendingCounts;
-    /** Time since a VM last handed the term over because it was overloaded. @default long ago */
+    /** Time since a VM last handed the term over because it was overloaded. @default none did */
     overloadAgeMs?: number;
 }
 
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -155,6 +155,7 @@
         isCandidate: () => !hasSteppedDown && operator.current().configuration !== undefined,
         relativePower: options.relativePower,
         handoverReason,
+        takeoverMs: () => planner?.takeoverMs() ?? 0,
         pendingCounts: () => planner?.pendingCounts(),
         random: options.random ?? Math.random,
         onGained,
--- a/test/plannerElection.test.ts
+++ b/test/plannerElection.test.ts
@@ -1,4 +1,5 @@
 import { assert } from "chai";
+import { createCandidacy, HandoverReason } from "../src/execution/candidacy.js";
 import { createPlannerElection } from "../src/execution/plannerElection.js";
 import type { PlannerLease } from "../src/execution/plannerElection.js";
 import { plannerLeaseKey, plannerPart, plannerTable } from "../src/jobs/rows.js";
@@ -43,6 +44,7 @@
         isCandidate: () => true,
         relativePower: () => 1,
         handoverReason: () => undefined,
+        takeoverMs: () => 0,
         pendingCounts: () => undefined,
         random: () => 0,
         onGained: () => {},
@@ -78,3 +80,21 @@
         election.stop();
     });
 });
+
+describe("a VM that is overloaded as the planner", () => {
+    it("hands the term over later, the longer the change of planner takes", async () => {
+        const timer = createVirtualTimer();
+        const candidacy = createCandidacy({
+            timer,
+            relativePower: () => 1,
+            random: () => 0,
+            handoverReason: () => HandoverReason.Overloaded,
+            takeoverMs: () => 6_000,
+        });
+        candidacy.recordAcquired(0);
+        await timer.advance(100_000);
+        assert.isUndefined(candidacy.handoverReason());
+        await timer.advance(25_000);
+        assert.equal(candidacy.handoverReason(), HandoverReason.Overloaded);
+    });
+});
