--- a/test/liveness.test.ts
+++ b/test/liveness.test.ts
@@ -63,6 +63,20 @@
     });
 });
 
+describe("a job whose worker is gone together with the planner", () => {
+    it("runs again within 14 s", async () => {
+        const fleet = createFleet({ workerCount: 2, vmCount: 3 });
+        await fleet.timer.advance(settleMs);
+        await fleet.submit(createSubmission("a1", [createStep()], {}, { workMs: 60_000 }));
+        await fleet.timer.advance(settleMs);
+        const goneAtMs = fleet.timer.nowMs();
+        fleet.killVm(fleet.planner() ?? "");
+        fleet.removeWorker(fleet.spans[0].workerId);
+        await fleet.timer.advance(14_000);
+        assert.isTrue(fleet.spans.some(({ fromMs }) => fromMs > goneAtMs), "a second run has started");
+    });
+});
+
 describe("jobs on a fleet under random faults that overlap", () => {
     const firstSeed = 1;
     const seedCount = 20;
