fix(execution): repeat a stop that an unhealthy worker refused

What callers saw: a cancelled job's task could work on until it ended by itself, a lasting one for ever. Cause: any refusal of a stop counted as proof that the worker does not have the run; a worker that is unhealthy refuses without having done anything.

--- a/src/execution/runStopper.ts
+++ b/src/execution/runStopper.ts
@@ -2,6 +2,7 @@
 import type { Run, TaskState, Unit } from "../jobs/progress.js";
 import { describeRunWork } from "./context.js";
 import type { PlannerContext } from "./context.js";
+import { Refusal } from "./types.js";
 
 /** Stops runs and repeats stop orders until the worker answers. */
 export interface RunStopper {
@@ -22,14 +23,17 @@
         const { client } = run.worker;
         while (task.run === run && !run.worker.closed && client !== undefined && !context.isTermOver()) {
             const stopped = await client.stop(taskIdOf(task), run.number, term);
-            if (stopped.ok || stopped.error.kind === "refused") {
-                // a worker refuses a stop only if it does not have the run
+            const refusal = !stopped.ok && stopped.error.kind === "refused" ? stopped.error.refusal : undefined;
+            if (stopped.ok || (refusal !== undefined && refusal !== Refusal.Unhealthy)) {
+                // a healthy worker refuses a stop only if it does not have the run
                 run.orderAnsweredAtMs = timer.nowMs();
                 run.worker.resumePolling(true);
                 return;
             }
-            run.worker.recordNoAnswer(stopped.error.detail);
-            run.worker.resumePolling();
+            if (refusal === undefined) {
+                run.worker.recordNoAnswer(stopped.error.detail);
+                run.worker.resumePolling();
+            }
             await timer.sleep(stopRetryMs);
         }
     };
--- a/test/liveness.test.ts
+++ b/test/liveness.test.ts
@@ -71,7 +71,7 @@
         await fleet.timer.advance(settleMs);
         const goneAtMs = fleet.timer.nowMs();
         fleet.killVm(fleet.planner() ?? "");
-        fleet.removeWorker(fleet.spans[0].workerId);
+        fleet.removeWorker(fleet.spans[0].worker);
         await fleet.timer.advance(14_000);
         assert.isTrue(fleet.spans.some(({ fromMs }) => fromMs > goneAtMs), "a second run has started");
     });
