fix(execution): a stronger VM takes the term over although one was overloaded just before

What callers could see: a weak VM that took the term over from an overloaded one kept planning for 30 s, more slowly, although stronger VMs were there. Evidence: the test, two VMs of different power that both count as overloaded, failed before (the weak one plans).

--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -101,11 +101,12 @@
     };
 
     const handoverReason = (): HandoverReason | undefined => {
-        const isPlanning = (planner?.planningMs() ?? 0) > minPlanningMs;
-        if (isPlanning && eventLoopDelayMs() > maxEventLoopDelayMs) {
-            return HandoverReason.Overloaded;
+        // first, as it also holds while no VM may hand the term over as overloaded
+        if (options.relativePower() < minPlannerPower) {
+            return HandoverReason.StrongerVm;
         }
-        return options.relativePower() < minPlannerPower ? HandoverReason.StrongerVm : undefined;
+        const isPlanning = (planner?.planningMs() ?? 0) > minPlanningMs;
+        return isPlanning && eventLoopDelayMs() > maxEventLoopDelayMs ? HandoverReason.Overloaded : undefined;
     };
 
     const onGained = (term: number): void => {
--- a/test/planningVm.test.ts
+++ b/test/planningVm.test.ts
@@ -60,6 +60,15 @@
         assert.lengthOf(fleet.spans, 4);
     });
 
+    it("hands the term over to a stronger VM although another one was overloaded just before", async () => {
+        const fleet = createFleet({ vmCount: 2 });
+        fleet.relativePowerOf = vm => vm === "vm0" ? 1 : weakPower;
+        fleet.eventLoopDelayMsOf = () => 400;
+        await fleet.timer.advance(15_000);
+        assert.equal(fleet.planner(), "vm0");
+        assert.lengthOf(fleet.logLines.filter(line => line.message === "term handed over"), 2);
+    });
+
     it("hands the term over as overloaded again when a VM has become slow much later", async () => {
         const fleet = createFleet({ vmCount: 3 });
         fleet.eventLoopDelayMsOf = () => 400;
