--- a/src/execution/plannerElection.ts
+++ b/src/execution/plannerElection.ts
@@ -188,7 +188,7 @@
             return;
         }
         const found = read.value.rows.find(isLeaseRow);
-        if ((found?.version ?? 0) !== decidedOnVersion || (leaseRow?.version ?? 0) !== decidedOnVersion) {
+        if ((found?.version ?? 0) !== decidedOnVersion) {
             if (found !== undefined) {
                 observe(found);
             }
