--- a/review/standins/deployment.js
+++ b/review/standins/deployment.js
@@ -89,7 +89,7 @@
     });
 
 /** Starts the store, workers and entry VMs; `recordFile` gets a line for each event. */
-export const startDeployment = async ({ recordFile, workerCount, vmCount }) => {
+export const startDeployment = async ({ recordFile, workerCount, vmCount, labelsOf }) => {
     const directory = mkdtempSync(join(tmpdir(), "catkinswitch-review-"));
     const startedAt = performance.now();
     const events = [];
@@ -106,7 +106,7 @@
     store.set("op", "config", manifest);
     const workers = [];
     for (let index = 0; index < workerCount; index++) {
-        const worker = createWorker({ id: `i-${index}`, store, record });
+        const worker = createWorker({ id: `i-${index}`, store, record, labels: labelsOf?.(index) });
         workers.push(worker);
         await worker.startLife();
     }
--- a/review/standins/worker.js
+++ b/review/standins/worker.js
@@ -108,6 +108,9 @@
     };
 
     const handle = async (current, request, body) => {
+        if (current.isUnhealthy) {
+            return [503, {}];
+        }
         if ((request.headers["expected-instance"] ?? id) !== id) {
             return [421, {}];
         }
@@ -149,6 +152,7 @@
             ends: [],
             lapsedEnds: new Set(),
             waiting: [],
+            isUnhealthy: false,
         };
         life = current;
         current.server = createServer((request, response) => {
@@ -179,5 +183,11 @@
         record({ event: "worker down", worker: id, born: current.bornMs });
     };
 
-    return { id, startLife, crash, isUp: () => life !== undefined };
+    /** Makes the present life refuse every order with a 503 and do nothing, or accept orders again. */
+    const setUnhealthy = isUnhealthy => {
+        life.isUnhealthy = isUnhealthy;
+        record({ event: isUnhealthy ? "worker unhealthy" : "worker healthy", worker: id, born: life.bornMs });
+    };
+
+    return { id, startLife, crash, setUnhealthy, isUp: () => life !== undefined };
 };
