--- a/review/standins/deployment.js
+++ b/review/standins/deployment.js
@@ -7,7 +7,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { startStore } from "./store.js";
-import { createWorker } from "./worker.js";
+import { createWorker, heartbeatMs } from "./worker.js";
 
 const repository = fileURLToPath(new URL("../..", import.meta.url));
 const host = "doves.example";
@@ -109,6 +109,8 @@
         const worker = createWorker({ id: `i-${index}`, store, record, labels: labelsOf?.(index) });
         workers.push(worker);
         await worker.startLife();
+        // so that the workers do not write their entries at the same moments
+        await sleep(heartbeatMs / workerCount);
     }
 
     const spawnVm = vm => {
--- a/review/standins/worker.js
+++ b/review/standins/worker.js
@@ -3,7 +3,7 @@
 import { listenLocally, readBody, sendJson } from "./store.js";
 
 /** Interval of a worker's writes to its entry, `heartbeat-ms`. */
-const heartbeatMs = 1_500;
+export const heartbeatMs = 1_500;
 /** Longest lease that a worker grants, `hold-max-ms`. */
 const maxLeaseMs = 10_000;
 const maxWaitMs = 2_000;
@@ -102,6 +102,7 @@
                 setTimeout(resolve, Math.min(body["wait-ms"], maxWaitMs));
                 current.waiting.push(resolve);
             });
+            acknowledge(current, body["ack-cursor"] ?? 0);
         }
         const running = [...current.running].map(([task, run]) => [task, run.number, "", percentOf(run), 0]);
         return [200, { born: current.bornMs, running, finished: current.ends.slice(0, maxListedEnds) }];
