--- a/review/1/drive.js
+++ b/review/1/drive.js
@@ -1,6 +1,6 @@
 /** Another writer's entry in the table of workers: its service is named by no manifest, its key is not Latin text. */
 import { fileURLToPath } from "node:url";
-import { couldNotRun, runCase, sleep } from "../standins/deployment.js";
+import { couldNotRun, findFreePort, runCase, sleep } from "../standins/deployment.js";
 
 /** Time without disturbance before the entry, more than `contact-ms`. */
 const settleMs = 5_000;
@@ -30,8 +30,7 @@
 const play = async ({ store, vms, events, record, send }, isTrouble) => {
     await sleep(settleMs);
     if (isTrouble) {
-        // nobody listens there
-        const entry = foreignEntry("127.0.0.1:9");
+        const entry = foreignEntry(`127.0.0.1:${await findFreePort()}`);
         record({ event: "entry of another writer", key: foreignKey, entry });
         store.set("servers", foreignKey, entry);
     }
--- a/review/standins/deployment.js
+++ b/review/standins/deployment.js
@@ -22,7 +22,8 @@
 /** Exit code of a script that could not run its case. */
 export const couldNotRun = 2;
 
-const findFreePort = () =>
+/** Finds a port of the loopback address on which nobody listens. */
+export const findFreePort = () =>
     new Promise((resolve, reject) => {
         const server = createServer();
         server.once("error", reject);
