fix: survive entries and messages of other writers that cannot be used

Cause: the entry counted as a worker although the configuration names no such service; the HTTP client threw on a header or port that HTTP cannot carry; the poll loop is awaited by nobody, so the rejection ended the process.

Ruled out: the decoding of the entry itself, whose fields are well formed.

Change: checks at the boundary of each table and message that we read (workers, VMs, the planner's lease, relayed operations and replies, workers' answers, submissions), each refusal logged once; workers of unknown services get no session; the HTTP client, worker clients, attempts on the table, timed tasks, poll loops, followers, the recorder and the takeover turn an exception into a failure and go on; a rejected promise that nobody awaits is logged. A worker's answer with a status that the protocol does not define, or a 200 without a body, no longer says that an order was not carried out. session.ts is split: contact, fences, cursor and poll loop have files of their own.

--- /dev/null
+++ b/src/execution/endCursor.ts
@@ -0,0 +1,25 @@
+import type { WorkerReport } from "./types.js";
+
+/** Tracks which ended runs a worker has listed, which of them are recorded, and which acknowledgement it has answered. */
+export const createEndCursor = () => {
+    let listed = 0;
+    let acknowledged = 0;
+    let confirmed = 0;
+    return {
+        /** Number up to which ended runs are recorded, so that the worker may forget them. */
+        acknowledged: (): number => acknowledged,
+        areRecorded: (): boolean => listed === acknowledged,
+        isConfirmed: (): boolean => confirmed === acknowledged,
+        /** Records that runs are recorded; returns whether these are more than before. */
+        acknowledge: (number: number): boolean => {
+            const isMore = number > acknowledged;
+            acknowledged = Math.max(acknowledged, number);
+            return isMore;
+        },
+        /** Records the answer to a poll that acknowledged ended runs up to a number. */
+        recordAnswer: (sentNumber: number, report: WorkerReport): void => {
+            confirmed = Math.max(confirmed, sentNumber);
+            listed = report.ended.reduce((highest, end) => Math.max(highest, end.number), Math.max(listed, sentNumber));
+        },
+    };
+};
--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -14,7 +14,7 @@
 import { createTableFollower } from "../state/follower.js";
 import type { TableFollower } from "../state/follower.js";
 import type { StateRow, StateTable } from "../state/types.js";
-import { runGuarded } from "../utils/runGuarded.js";
+import { awaitGuarded, runGuarded } from "../utils/runGuarded.js";
 import type { TimerService } from "../utils/timer.js";
 import { createRunTable } from "./context.js";
 import type { PlannerContext } from "./context.js";
@@ -176,22 +176,6 @@
             detail => log("error", "a job could not be taken", { jobId, detail }),
         );
 
-    const followJobs = (afterVersion: number): TableFollower =>
-        createTableFollower({
-            state: options.state,
-            timer,
-            log,
-            table: jobsTable,
-            parts: jobParts,
-            afterVersion,
-            waitMs: () => jobsLongPollMs,
-            pauseMs: () => jobsPollPauseMs,
-            onRows: rows => {
-                groupRowsByJob(rows).forEach(applyStoredJob);
-                rounds.request();
-            },
-        });
-
     const takeOverAndPlan = async (): Promise<void> => {
         const takeover = await takeOver({ ...options, isCurrent: () => !termOver && options.mayRenew() });
         if (takeover === undefined || termOver) {
@@ -202,7 +186,10 @@
         recorder = createRecorder({ ...options, termVersions });
         sessions.reconcile();
         takeover.projection.jobs.forEach(applyStoredJob);
-        follower = followJobs(takeover.version);
+        follower = followJobs(options, takeover.version, stored => {
+            stored.forEach(applyStoredJob);
+            rounds.request();
+        });
         await waitUntilSynced(context);
         log("info", "planning begins", {
             term,
@@ -213,7 +200,10 @@
         rounds.start();
     };
 
-    void takeOverAndPlan();
+    void awaitGuarded(takeOverAndPlan, detail => {
+        log("error", "the takeover failed unexpectedly", { term, detail });
+        options.onFenced("the takeover failed");
+    });
     const subscriptions = [
         timer.every(deletionIntervalMs, () => deleteExpiredJobs(context, options.state, options.retainMs)),
         timer.every(overdueCheckIntervalMs, createOverdueRunMonitor(context).check),
@@ -251,6 +241,24 @@
     return projection.jobs;
 };
 
+/** Follows submissions and cancellations after a version of the table. */
+const followJobs = (
+    { state, timer, log }: PlannerOptions,
+    afterVersion: number,
+    onJobs: (stored: ReadonlyMap<string, StoredJob>) => void,
+): TableFollower =>
+    createTableFollower({
+        state,
+        timer,
+        log,
+        table: jobsTable,
+        parts: jobParts,
+        afterVersion,
+        waitMs: () => jobsLongPollMs,
+        pauseMs: () => jobsPollPauseMs,
+        onRows: rows => onJobs(groupRowsByJob(rows)),
+    });
+
 const waitUntilSynced = async ({ timer, sessions }: PlannerContext): Promise<void> => {
     const deadlineMs = timer.nowMs() + maxSyncWaitMs;
     const isUnsynced = (session: WorkerSession): boolean => !session.isSynced() && session.client !== undefined;
--- a/src/execution/plannerElection.ts
+++ b/src/execution/plannerElection.ts
@@ -75,7 +75,23 @@
     beat: number;
 }
 
-const asLease = (row: StateRow | undefined): PlannerLease | undefined => row?.value as PlannerLease | undefined;
+const isPendingCounts = (value: unknown): value is PendingCounts =>
+    typeof value === "object" && value !== null && Object.values(value).every(Number.isSafeInteger);
+
+/** Decodes the lease row; `undefined` if there is none, or another writer's value that is no lease. */
+export const asLease = (row: StateRow | undefined): PlannerLease | undefined => {
+    const { holder, term, beat, pending, overloadAgeMs } = (row?.value ?? {}) as Partial<Record<string, unknown>>;
+    if (typeof holder !== "string" || !Number.isSafeInteger(term) || !Number.isSafeInteger(beat)) {
+        return undefined;
+    }
+    return {
+        holder,
+        term: Number(term),
+        beat: Number(beat),
+        pending: isPendingCounts(pending) ? pending : undefined,
+        overloadAgeMs: typeof overloadAgeMs === "number" ? overloadAgeMs : undefined,
+    };
+};
 
 const isLeaseRow = (row: StateRow): boolean => row.key === plannerLeaseKey;
 
@@ -119,6 +135,7 @@
 export const createPlannerElection = (options: PlannerElectionOptions): PlannerElection => {
     const { state, timer, log, vm } = options;
     let leaseRow: StateRow | undefined;
+    let highestTerm = 0;
     let silentSinceMs = timer.nowMs();
     let heldTerm: HeldTerm | undefined;
     const confirmation = createConfirmationTracker(timer);
@@ -128,6 +145,7 @@
     const observe = (changed: StateRow): void => {
         if (changed.version > (leaseRow?.version ?? -1)) {
             leaseRow = changed;
+            highestTerm = Math.max(highestTerm, asLease(changed)?.term ?? 0);
             silentSinceMs = timer.nowMs();
         }
     };
@@ -196,7 +214,8 @@
         }
         const request = confirmation.startRequest();
         const { term: previousTerm = 0, pending, overloadAgeMs } = asLease(found) ?? {};
-        const term = previousTerm + 1;
+        // the row may have been overwritten by another writer, and workers refuse a term lower than they have seen
+        const term = Math.max(previousTerm, highestTerm) + 1;
         const lease = { holder: vm, term, beat: 1, pending, overloadAgeMs };
         const written = await writeLease(state, found?.version ?? 0, lease);
         if (!written.ok) {
--- a/src/execution/recorder.ts
+++ b/src/execution/recorder.ts
@@ -5,6 +5,7 @@
 import type { Log } from "../node/logs.js";
 import { describeStateError, StateErrorKind } from "../state/types.js";
 import type { StateError, StateRow, StateTable } from "../state/types.js";
+import { runGuarded } from "../utils/runGuarded.js";
 import type { TimerService } from "../utils/timer.js";
 
 /** Options of {@link createRecorder}. */
@@ -93,6 +94,15 @@
     batch.jobs.forEach(({ resolvers }) => resolvers.forEach(resolve => resolve(recorded)));
 };
 
+/** The next record of a job; `undefined`, logged, if an unexpected error keeps it from being built. */
+const buildRecord = (job: JobState, { term, log }: RecorderOptions): JobRecord | undefined => {
+    let record: JobRecord | undefined;
+    runGuarded(() => {
+        record = fitRow({ ...toJobRecord(job, term), sequence: job.sequence + 1 });
+    }, detail => log("error", "a job cannot be recorded", { jobId: job.submission.id, detail }));
+    return record;
+};
+
 /** Creates the recorder of a term. Each write requires the part's term row and fails once a later term has begun. */
 export const createRecorder = (options: RecorderOptions): Recorder => {
     const { state, timer, log, term } = options;
@@ -103,7 +113,12 @@
         const batch: Batch = { jobs: [] };
         let sizeBytes = 0;
         for (const [job, resolvers] of queue.waiting) {
-            const record = fitRow({ ...toJobRecord(job, term), sequence: job.sequence + 1 });
+            const record = buildRecord(job, options);
+            if (record === undefined) {
+                queue.waiting.delete(job);
+                resolvers.forEach(resolve => resolve(false));
+                continue;
+            }
             const recordBytes = sizeOf(record);
             if (recordBytes > maxRecordBytes) {
                 log("error", "the record of a job is too large", { jobId: job.submission.id, recordBytes });
--- a/src/execution/reportHandler.ts
+++ b/src/execution/reportHandler.ts
@@ -53,7 +53,7 @@
     /** Applies ended runs, and acknowledges them once the changed jobs are recorded. */
     const applyEnds = (session: WorkerSession, ends: readonly EndedRun[]): void => {
         const changedJobs = new Set(ends.map(end => applyEnd(session, end)).filter(job => job !== undefined));
-        const highestNumber = Math.max(...ends.map(end => end.number));
+        const highestNumber = ends.reduce((highest, end) => Math.max(highest, end.number), 0);
         void Promise.all([...changedJobs].map(context.record)).then(recorded => {
             if (recorded.every(Boolean) && !context.isTermOver()) {
                 session.acknowledge(highestNumber);
--- a/src/execution/runStarter.ts
+++ b/src/execution/runStarter.ts
@@ -99,7 +99,7 @@
         context.requestRound();
     };
 
-    const onStarted = (run: Run, clockMs: number): void => {
+    const onStarted = (run: Run, clockMs: number | undefined): void => {
         run.worker.recordAnswer(clockMs);
         if (run.phase === RunPhase.Starting) {
             run.phase = RunPhase.Running;
--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -1,8 +1,12 @@
-import { taskKey } from "../jobs/progress.js";
 import type { TaskId } from "../jobs/types.js";
 import type { Log } from "../node/logs.js";
+import { createUnexpectedErrorLog } from "../node/unexpectedErrors.js";
 import { runGuarded } from "../utils/runGuarded.js";
 import type { TimerService } from "../utils/timer.js";
+import { createContactTracker } from "./contactTracker.js";
+import { createEndCursor } from "./endCursor.js";
+import { createFenceQueue } from "./fenceQueue.js";
+import { createPollPause, pollRetryMs, runPollLoop } from "./pollLoop.js";
 import { Refusal } from "./types.js";
 import type { OrderError, WorkerClient, WorkerDescriptor, WorkerReport } from "./types.js";
 import { createWorkerLease } from "./workerLease.js";
@@ -60,7 +64,7 @@
     /** Records the end of a lease that an order is about to carry. */
     recordLease(untilClockMs: number): void;
     /** Records an answer with its reading of the worker's clock. */
-    recordAnswer(clockMs: number): void;
+    recordAnswer(clockMs: number | undefined): void;
     /** Records that an order got no answer. */
     recordNoAnswer(reason: string): void;
     /** Stops a run on the worker, or prevents it from starting there, before the lease is renewed again. */
@@ -78,25 +82,22 @@
 
 /** Time for which a poll waits for a run to end; short enough to renew the lease several times before it expires. */
 const longPollMs = 1_000;
-/** Delay of the next poll after one without an answer. */
-const retryMs = 300;
-/** Delay between polls while ended runs are not recorded yet. */
-const unrecordedPauseMs = 300;
-
 /** Opens a session: polls the worker for its runs, renews their lease and passes on the reports. */
 export const createWorkerSession = (options: WorkerSessionOptions): WorkerSession => {
     const { timer, log, client, fencingToken, listener } = options;
     const lease = createWorkerLease(timer, options.maxLeaseMs, options.earlierLeasesExpireAtMs);
     const contact = createContactTracker(timer, log, options.id);
-    /** Highest numbers of ended runs: reported, to be acknowledged as recorded, acknowledged in an answered poll. */
-    const endNumbers = { listed: 0, acknowledged: 0, confirmed: 0 };
-    const pollPause = createInterruptiblePause(timer);
+    const ends = createEndCursor();
+    const pollPause = createPollPause(timer);
+    const logPollError = createUnexpectedErrorLog(log, "a worker could not be polled");
     let synced = false;
     let closed = false;
     let leaseExpired = false;
 
-    const recordAnswer = (clockMs: number): void => {
-        lease.recordClock(clockMs);
+    const recordAnswer = (clockMs: number | undefined): void => {
+        if (clockMs !== undefined) {
+            lease.recordClock(clockMs);
+        }
         contact.recordAnswer();
         leaseExpired = false;
     };
@@ -136,9 +137,8 @@
         const untilClockMs = mayRenew ? lease.untilClockMs(options.leaseMs(session)) : undefined;
         lease.recordLease(untilClockMs ?? 0);
         const skipLongPoll = pollPause.consumeSkipLongPoll();
-        const mayLongPoll = synced && endNumbers.listed === endNumbers.acknowledged && listener.isBusy(session)
-            && !skipLongPoll;
-        const { acknowledged } = endNumbers;
+        const mayLongPoll = synced && ends.areRecorded() && listener.isBusy(session) && !skipLongPoll;
+        const acknowledged = ends.acknowledged();
         const waitMs = mayLongPoll ? longPollMs : undefined;
         const answer = await active.hold({ fencingToken, acknowledged, untilClockMs, waitMs });
         if (closed) {
@@ -154,33 +154,31 @@
         }
         recordAnswer(answer.value.clockMs);
         lease.boundEarlierLeases();
-        endNumbers.confirmed = Math.max(endNumbers.confirmed, acknowledged);
-        endNumbers.listed = Math.max(endNumbers.listed, acknowledged, ...answer.value.ended.map(end => end.number));
+        ends.recordAnswer(acknowledged, answer.value);
         synced = true;
         runGuarded(() => listener.onReport(session, answer.value, sentAtMs), logUnexpectedError(log, options.id));
         return true;
     };
 
-    /** Polls a silent worker until it answers, since it is sent no order that would show it. */
-    const pollLoop = async (active: WorkerClient): Promise<void> => {
-        while (!closed) {
-            const isDone = fences.count() === 0 && endNumbers.acknowledged === endNumbers.confirmed;
-            if (synced && isDone && !listener.isBusy(session) && contact.silentMs() === 0) {
-                await pollPause.wait(Number.POSITIVE_INFINITY);
-                continue;
-            }
-            const ok = await fences.send(active) && await poll(active);
-            checkLeaseExpiry();
-            if (!ok) {
-                await pollPause.wait(retryMs);
-            }
-            else if (endNumbers.listed > endNumbers.acknowledged) {
-                // a poll before the ended runs are recorded would return them again immediately
-                await pollPause.wait(unrecordedPauseMs);
-            }
-        }
+    const handleUnexpected = (detail: string): void => {
+        logPollError(detail);
+        contact.recordNoAnswer("unexpected error");
     };
 
+    const startPolling = (active: WorkerClient): void =>
+        void runPollLoop({
+            pause: pollPause,
+            isClosed: () => closed,
+            // a silent worker is polled until it answers, since it is sent no order that would show it
+            isIdle: () =>
+                synced && fences.count() === 0 && ends.isConfirmed() && !listener.isBusy(session)
+                && contact.silentMs() === 0,
+            poll: async () => await fences.send(active) && await poll(active),
+            hasUnrecordedEnds: () => !ends.areRecorded(),
+            onPolled: checkLeaseExpiry,
+            onUnexpected: handleUnexpected,
+        });
+
     const session: WorkerSession = {
         id: options.id,
         bornMs: options.bornMs,
@@ -198,8 +196,7 @@
         },
         pendingFenceCount: fences.count,
         acknowledge: number => {
-            if (number > endNumbers.acknowledged) {
-                endNumbers.acknowledged = number;
+            if (ends.acknowledge(number)) {
                 pollPause.interrupt(false);
             }
         },
@@ -214,93 +211,13 @@
         },
     };
     if (client === undefined) {
-        const unsubscribe = timer.every(retryMs, () => closed || leaseExpired ? unsubscribe() : checkLeaseExpiry());
+        const unsubscribe = timer.every(pollRetryMs, () => closed || leaseExpired ? unsubscribe() : checkLeaseExpiry());
     }
     else {
-        void pollLoop(client);
+        startPolling(client);
     }
     return session;
 };
 
 const logUnexpectedError = (log: Log, worker: string) => (detail: string): void =>
     log("error", "a report could not be taken", { worker, detail });
-
-/** Tracks whether a worker answers, and logs each change. */
-const createContactTracker = (timer: TimerService, log: Log, worker: string) => {
-    let lastAnswerAtMs = timer.nowMs();
-    let silentSinceMs: number | undefined;
-    return {
-        silentMs: (): number => silentSinceMs === undefined ? 0 : timer.nowMs() - silentSinceMs,
-        recordAnswer: (): void => {
-            lastAnswerAtMs = timer.nowMs();
-            if (silentSinceMs !== undefined) {
-                log("info", "worker answers again", { worker, silentMs: Math.round(lastAnswerAtMs - silentSinceMs) });
-                silentSinceMs = undefined;
-            }
-        },
-        recordNoAnswer: (reason: string): void => {
-            if (silentSinceMs === undefined) {
-                silentSinceMs = lastAnswerAtMs;
-                log("warn", "worker does not answer", { worker, reason });
-            }
-        },
-    };
-};
-
-/** Runs to fence on a worker: a stop order ends the run, or prevents its start if the start order arrives later. */
-const createFenceQueue = (fencingToken: number, handleOrderError: (error: OrderError) => void) => {
-    const pending = new Map<string, { task: TaskId; run: number; }>();
-    return {
-        add: (task: TaskId, run: number): void => {
-            pending.set(`${taskKey(task)}#${run}`, { task, run });
-        },
-        count: (): number => pending.size,
-        /** Sends the pending orders; resolves with false when the worker does not answer. */
-        send: async (client: WorkerClient): Promise<boolean> => {
-            for (const [key, { task, run }] of [...pending]) {
-                const stopped = await client.stop(task, run, fencingToken);
-                if (!stopped.ok) {
-                    handleOrderError(stopped.error);
-                    if (stopped.error.kind === "noAnswer") {
-                        return false;
-                    }
-                }
-                pending.delete(key);
-            }
-            return true;
-        },
-    };
-};
-
-/** Pause between polls that can be interrupted, also by a call that comes just before it begins. */
-const createInterruptiblePause = (timer: TimerService) => {
-    let interruptWait: (() => void) | undefined;
-    let interrupted = false;
-    let skipLongPoll = false;
-    return {
-        wait: async (durationMs: number): Promise<void> => {
-            if (!interrupted) {
-                await new Promise<void>(resolve => {
-                    const cancel = Number.isFinite(durationMs) ? timer.after(durationMs, resolve) : undefined;
-                    interruptWait = () => {
-                        cancel?.();
-                        resolve();
-                    };
-                });
-            }
-            interruptWait = undefined;
-            interrupted = false;
-        },
-        interrupt: (skipNextLongPoll: boolean): void => {
-            interrupted = true;
-            skipLongPoll ||= skipNextLongPoll;
-            interruptWait?.();
-        },
-        consumeSkipLongPoll: (): boolean => {
-            const consumed = skipLongPoll;
-            skipLongPoll = false;
-            interrupted = false;
-            return consumed;
-        },
-    };
-};
--- a/src/execution/types.ts
+++ b/src/execution/types.ts
@@ -129,6 +129,12 @@
     Invalid = "invalid",
 }
 
+/** Answer to an order that was carried out. */
+export interface OrderAnswer {
+    /** Reading of the worker's monotonic clock. @default the answer held none */
+    clockMs?: number;
+}
+
 /** Why an order has no successful outcome. */
 export type OrderError =
     | { kind: "refused"; refusal: Refusal; clockMs?: number; detail: string; }
@@ -137,15 +143,13 @@
 
 /** Sends orders to one incarnation of a worker; every answer carries a reading of the worker's clock. */
 export interface WorkerClient {
-    start(order: StartOrder): Promise<Result<{ clockMs: number; }, OrderError>>;
+    start(order: StartOrder): Promise<Result<OrderAnswer, OrderError>>;
     /** Stops a run, or prevents its start if the start order arrives later. */
-    stop(task: TaskId, run: number, fencingToken: number): Promise<Result<{ clockMs: number; }, OrderError>>;
+    stop(task: TaskId, run: number, fencingToken: number): Promise<Result<OrderAnswer, OrderError>>;
     /** Renews the lease, acknowledges ended runs and resolves with a report. */
     hold(order: HoldOrder): Promise<Result<WorkerReport, OrderError>>;
     /** Throttles a run to a share of its full rate of work, in percent. */
-    pace(task: TaskId, run: number, percent: number, fencingToken: number): Promise<
-        Result<{ clockMs: number; }, OrderError>
-    >;
+    pace(task: TaskId, run: number, percent: number, fencingToken: number): Promise<Result<OrderAnswer, OrderError>>;
     /** Closes the connections. */
     close(): void;
 }
--- a/src/execution/workerSessions.ts
+++ b/src/execution/workerSessions.ts
@@ -1,6 +1,7 @@
 import { RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
 import type { Run, TaskState } from "../jobs/progress.js";
 import type { PlannerContext } from "./context.js";
+import { createGuardedClient } from "./guardedClient.js";
 import { leaseRenewalWindowMs } from "./plannerElection.js";
 import type { ReportHandler } from "./reportHandler.js";
 import type { RunMonitor } from "./runMonitor.js";
@@ -46,12 +47,31 @@
 const firstTerm = 1;
 /** Time without an answer after which an unlisted worker is presumed gone; orders may take effect up to 12 s late. */
 const maxFenceWaitMs = 15_000;
+/** Maximum number of unknown services that a term logs. */
+const maxLoggedServices = 100;
 const restartedReason = "the worker has started anew";
 
+/** Creates a filter of listed workers by the services that the configuration names: other writers use the list, too. */
+const createServiceFilter = ({ operator, log }: PlannerContext) => {
+    const loggedServices = new Set<string>();
+    const isUsable = ({ id, service }: WorkerDescriptor): boolean => {
+        const services = operator().configuration?.services;
+        const known = services === undefined || services.includes(service);
+        if (!known && !loggedServices.has(service) && loggedServices.size < maxLoggedServices) {
+            loggedServices.add(service);
+            log("warn", "worker of an unknown service is not used", { worker: id, service });
+        }
+        return known;
+    };
+    return (listed: ReadonlyMap<string, WorkerDescriptor>): ReadonlyMap<string, WorkerDescriptor> =>
+        new Map([...listed].filter(([, descriptor]) => isUsable(descriptor)));
+};
+
 /** Creates the worker sessions of a term. */
 export const createWorkerSessions = (options: WorkerSessionsOptions): WorkerSessions => {
     const { context, reports, runMonitor } = options;
     const { sessions, runs, timer } = context;
+    const listUsable = createServiceFilter(context);
     const maxLeaseMs = Math.min(leaseMs, options.maxLeaseMs);
     const earlierLeasesExpireAtMs = context.term === firstTerm
         ? Number.NEGATIVE_INFINITY
@@ -67,7 +87,7 @@
             id,
             bornMs,
             descriptor,
-            client: descriptor === undefined ? undefined : options.createClient(descriptor),
+            client: descriptor === undefined ? undefined : createGuardedClient(options.createClient(descriptor)),
             timer,
             log: context.log,
             fencingToken: context.term,
@@ -156,7 +176,7 @@
 
     return {
         reconcile: () => {
-            const listed = options.workers();
+            const listed = listUsable(options.workers());
             listed.forEach(openOrUpdate);
             [...sessions.values()].filter(session => !listed.has(session.id)).forEach(drainUnlisted);
         },
--- a/src/jobs/projection.ts
+++ b/src/jobs/projection.ts
@@ -32,18 +32,22 @@
     return job.cancelled && !isEnded(phase) ? JobPhase.Cancelled : phase;
 };
 
+/** A stored value; `undefined` for a removed row and for one that holds no object. */
+const asRecord = <Value extends object>(value: unknown): Value | undefined =>
+    typeof value === "object" && value !== null ? value as Value : undefined;
+
 const applyValue = (job: StoredJob, kind: JobRowKind, row: StateRow): void => {
     switch (kind) {
         case JobRowKind.Submission:
-            job.submission = row.value as JobSubmission | undefined;
-            job.submissionVersion = row.value === undefined ? 0 : row.version;
+            job.submission = asRecord<JobSubmission>(row.value);
+            job.submissionVersion = job.submission === undefined ? 0 : row.version;
             return;
         case JobRowKind.Cancellation:
             job.cancelled = row.value !== undefined;
             return;
         case JobRowKind.Progress:
             if (row.version >= job.recordVersion) {
-                job.record = row.value as JobRecord | undefined;
+                job.record = asRecord<JobRecord>(row.value);
                 job.recordVersion = row.value === undefined ? 0 : row.version;
             }
     }
--- a/src/node/entryNode.ts
+++ b/src/node/entryNode.ts
@@ -16,6 +16,7 @@
 import { createMetrics } from "./metrics.js";
 import type { Metrics } from "./metrics.js";
 import type { DaemonSettings } from "./settings.js";
+import { createUnexpectedErrorLog } from "./unexpectedErrors.js";
 
 /** Parts of an entry VM's process that the scheduler and the router daemon share. */
 export interface EntryNode {
@@ -52,8 +53,8 @@
 
 /** Creates the parts that both daemons share. */
 export const createEntryNode = (role: Role, settings: DaemonSettings): EntryNode => {
-    const timer = createTimerService();
     const log = createLog(role, settings.vm, settings.logLevel);
+    const timer = createTimerService(createUnexpectedErrorLog(log, "a timed task failed"));
     const metrics = createMetrics(role, settings.vm, settings.metrics);
     const processId = randomUUID();
     const directClient = createPlatformClient({ address: settings.platformAddress, vmName: settings.vm });
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -1,8 +1,7 @@
 import { HandoverReason } from "../execution/candidacy.js";
 import { startPlanner } from "../execution/planner.js";
 import type { Planner } from "../execution/planner.js";
-import { createPlannerElection } from "../execution/plannerElection.js";
-import type { PlannerLease } from "../execution/plannerElection.js";
+import { asLease, createPlannerElection } from "../execution/plannerElection.js";
 import type { WorkerClient, WorkerDescriptor, WorkerDirectory } from "../execution/types.js";
 import { acceptJob } from "../jobs/commands/acceptJob.js";
 import type { Acceptance } from "../jobs/commands/acceptJob.js";
@@ -96,7 +95,7 @@
     const onRow = (row: StateRow): void => {
         if (row.part === plannerPart && row.key === plannerLeaseKey) {
             election.observe(row);
-            publishedPending = (row.value as PlannerLease | undefined)?.pending ?? publishedPending;
+            publishedPending = asLease(row)?.pending ?? publishedPending;
         }
     };
 
--- a/src/node/operationsHttp.ts
+++ b/src/node/operationsHttp.ts
@@ -1,5 +1,6 @@
 import type { Server } from "node:http";
-import type { RelayedTable, RelayRequest } from "../state/relay.js";
+import type { RelayedTable } from "../state/relay.js";
+import { isRelayRequest } from "../state/relayMessages.js";
 import { createJsonServer } from "../utils/http.js";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { EntryVm } from "./entryVm.js";
@@ -11,13 +12,15 @@
     metrics: EntryMetrics;
     /** Table on which relayed operations of other VMs are performed. */
     table: RelayedTable;
+    /** Names of the tables on which operations are relayed; a request for another one is refused. */
+    relayedTables: ReadonlySet<string>;
 }
 
 /** Largest body of a relayed operation, which is a transaction of the table. */
 const maxBodyBytes = 1_048_576;
 
 /** Creates the HTTP server for operators and other VMs: `/metrics` for Prometheus, `/v1/dump` and the table relay. */
-export const createOperationsServer = ({ vm, metrics, table }: OperationsServerOptions): Server =>
+export const createOperationsServer = ({ vm, metrics, table, relayedTables }: OperationsServerOptions): Server =>
     createJsonServer(async request => {
         switch (request.path) {
             case "/metrics":
@@ -29,7 +32,9 @@
             case "/v1/dump":
                 return { status: 200, body: vm.dump() };
             case relayPath:
-                return { status: 200, body: await table.performForPeer(request.body as RelayRequest) };
+                return isRelayRequest(request.body, relayedTables)
+                    ? { status: 200, body: await table.performForPeer(request.body) }
+                    : { status: 400, body: { detail: "not an operation that VMs relay" } };
             default:
                 return { status: 404, body: {} };
         }
--- a/src/node/relayPeer.ts
+++ b/src/node/relayPeer.ts
@@ -1,5 +1,6 @@
 import type { Peer } from "../state/peerDirectory.js";
 import type { RelayPeer, RelayReply, RelayRequest } from "../state/relay.js";
+import { isRelayReply } from "../state/relayMessages.js";
 import { StateErrorKind } from "../state/types.js";
 import { createHttpClient } from "../utils/httpJsonClient.js";
 import type { HttpAnswer, HttpClient } from "../utils/httpJsonClient.js";
@@ -14,24 +15,9 @@
 const minRejectionStatus = 400;
 const minServerErrorStatus = 500;
 
-const isErrorKind = (kind: unknown): boolean => Object.values<unknown>(StateErrorKind).includes(kind);
-
-/** Whether a parsed body is a reply to the operation. */
-const isReply = (body: unknown, { operation }: RelayRequest): body is RelayReply => {
-    const { ok, value, error } = (body ?? {}) as {
-        ok?: unknown;
-        value?: { version?: unknown; rows?: unknown; };
-        error?: { kind?: unknown; rows?: unknown; };
-    };
-    return ok === true
-        ? Number.isFinite(value?.version) && (operation === "commit" || Array.isArray(value?.rows))
-        : ok === false && isErrorKind(error?.kind)
-            && (error?.kind !== StateErrorKind.Conflict || Array.isArray(error.rows));
-};
-
 /** A peer rejects a request before it performs it; any other answer that is not a reply leaves the outcome unknown. */
 const decodeReply = (peerName: string, request: RelayRequest, { status, body }: HttpAnswer): RelayReply => {
-    if (status === okStatus && isReply(body, request)) {
+    if (status === okStatus && isRelayReply(body, request)) {
         return body;
     }
     const isRejection = status >= minRejectionStatus && status < minServerErrorStatus;
--- a/src/node/runDaemon.ts
+++ b/src/node/runDaemon.ts
@@ -1,5 +1,6 @@
 import type { Check } from "../configuration/schema.js";
 import { loadSettings } from "./settings.js";
+import { surviveUnhandledRejections } from "./unexpectedErrors.js";
 
 /** A running daemon. */
 export interface Daemon {
@@ -42,4 +43,7 @@
         process.exit(exitBadSettings);
     }
     superviseDaemon(await start(settings.value));
+    surviveUnhandledRejections(detail =>
+        process.stderr.write(`a promise that nobody awaits was rejected: ${detail}\n`)
+    );
 };
--- a/src/queues/types.ts
+++ b/src/queues/types.ts
@@ -61,6 +61,8 @@
     version: number;
     queues: Queue[];
     customers: QueueCustomer[];
+    /** Names of all pools of workers; listed workers of another one are not used. @default every worker is used */
+    services?: string[];
     maxBodyBytes: number;
     /** Whether resumable work is moved off an availability zone that is taken out of service. */
     evacuatesRunsFromZones: boolean;
--- a/src/state/follower.ts
+++ b/src/state/follower.ts
@@ -1,6 +1,6 @@
 import type { Log } from "../node/logs.js";
 import { createConfirmationTracker } from "../utils/confirmation.js";
-import { runGuarded } from "../utils/runGuarded.js";
+import { awaitGuarded, runGuarded } from "../utils/runGuarded.js";
 import type { TimerService } from "../utils/timer.js";
 import { describeStateError, StateErrorKind } from "./types.js";
 import type { StateError, StateRow, StateTable } from "./types.js";
@@ -105,14 +105,25 @@
         return true;
     };
 
+    const requestOnce = async (): Promise<boolean> => {
+        const request = confirmation.startRequest();
+        const ok = afterVersion === undefined ? await readFullTable() : await readChanges(afterVersion);
+        if (ok && afterVersion !== undefined) {
+            request.confirm();
+            handleAnswer();
+        }
+        return ok;
+    };
+
+    const handleUnexpected = (detail: string): void =>
+        handleFailure({ kind: StateErrorKind.NoAnswer, detail: `unexpected error: ${detail}` });
+
     const follow = async (): Promise<void> => {
         while (!stopped) {
-            const request = confirmation.startRequest();
-            const ok = afterVersion === undefined ? await readFullTable() : await readChanges(afterVersion);
-            if (ok && afterVersion !== undefined) {
-                request.confirm();
-                handleAnswer();
-            }
+            let ok = false;
+            await awaitGuarded(async () => {
+                ok = await requestOnce();
+            }, handleUnexpected);
             await timer.sleep(ok ? options.pauseMs() : retryPauseMs);
         }
     };
--- a/src/state/peerDirectory.ts
+++ b/src/state/peerDirectory.ts
@@ -1,4 +1,5 @@
 import type { Log } from "../node/logs.js";
+import { isSocketAddress } from "../utils/socketAddress.js";
 import type { TimerService } from "../utils/timer.js";
 import { describeStateError } from "./types.js";
 import type { StateTable } from "./types.js";
@@ -28,10 +29,18 @@
 const vmsTable = "vms";
 /** Time between refreshes; VMs join and leave some hundred times a day. */
 const refreshIntervalMs = 5_000;
+/** Maximum number of unusable rows that one refresh logs. */
+const maxLoggedAtOnce = 20;
 
-const toPeer = (name: string, value: unknown): Peer => {
+/** Maximum number of cores that a VM can claim; a row with more was not written by a VM. */
+const maxCores = 1_024;
+
+/** Decodes the row of a VM; `undefined` if another writer's row names no VM that can be called. */
+const toPeer = (name: string, value: unknown): Peer | undefined => {
     const { address, cores } = (value ?? {}) as { address?: unknown; cores?: unknown; };
-    return { name, address: String(address ?? ""), cores: Number(cores) || 0 };
+    return isSocketAddress(address) && typeof cores === "number" && cores > 0 && cores <= maxCores
+        ? { name, address, cores }
+        : undefined;
 };
 
 /** Registers this VM and keeps an up-to-date list of the others. */
@@ -45,6 +54,14 @@
     let registered = false;
     let isLeaving = false;
     let arePeersKnown = false;
+    /** Names of rows that cannot be used, as of the last read: each is logged once. */
+    let unusable: ReadonlySet<string> = new Set();
+
+    const logUnusable = (names: readonly string[]): void => {
+        names.filter(name => !unusable.has(name)).slice(0, maxLoggedAtOnce)
+            .forEach(name => log("warn", "entry names no VM to call", { name }));
+        unusable = new Set(names);
+    };
 
     const register = async (): Promise<void> => {
         const row = { table: vmsTable, key: self.name, value: { address: self.address, cores: self.cores } };
@@ -62,11 +79,13 @@
         const read = await state.read({ table: vmsTable, part: "" });
         if (read.ok) {
             arePeersKnown = true;
-            const listed = read.value.rows.map(row => toPeer(row.key, row.value));
+            const listed = read.value.rows.map(row => toPeer(row.key, row.value)).filter(peer => peer !== undefined);
+            const usable = new Set(listed.map(({ name }) => name));
+            logUnusable(read.value.rows.map(row => row.key).filter(name => !usable.has(name)));
             // a write of an earlier process of this VM may have taken effect late
             registered = listed.some(({ name, address }) => name === self.name && address === self.address);
             peers = listed
-                .filter(peer => peer.name !== self.name && peer.address !== "")
+                .filter(peer => peer.name !== self.name)
                 .map(peer => ({ peer, rank: Math.random() }))
                 .sort((left, right) => left.rank - right.rank)
                 .map(entry => entry.peer);
--- a/src/state/race.ts
+++ b/src/state/race.ts
@@ -1,3 +1,4 @@
+import { describeUnexpected } from "../utils/describeUnexpected.js";
 import { fail } from "../utils/result.js";
 import type { Result } from "../utils/result.js";
 import type { TimerService } from "../utils/timer.js";
@@ -25,6 +26,16 @@
     onFurtherAttempt: (listener: (attempt: Attempt<Value>) => void) => () => void;
 }
 
+/** Performs an attempt; one that fails unexpectedly has an unknown outcome, and the others go on. */
+const performGuarded = async <Value>(attempt: Attempt<Value>): Promise<Result<Value, StateError>> => {
+    try {
+        return await attempt.perform();
+    }
+    catch (error) {
+        return fail({ kind: StateErrorKind.NoAnswer, detail: describeUnexpected(error) });
+    }
+};
+
 /** A write without an answer may have taken effect, whatever another attempt returns. */
 const combineErrors = (errors: readonly StateError[]): StateError =>
     errors.find(error => error.kind === StateErrorKind.NoAnswer) ?? errors[0];
@@ -85,7 +96,7 @@
             inProgress.add(attempt);
             cancelHedge();
             cancelHedge = timer.after(hedgeDelayMs, hedge);
-            const reply = await attempt.perform();
+            const reply = await performGuarded(attempt);
             if (settled) {
                 return;
             }
--- a/src/utils/httpJsonClient.ts
+++ b/src/utils/httpJsonClient.ts
@@ -1,5 +1,5 @@
 import { Agent, request } from "node:http";
-import type { OutgoingHttpHeaders } from "node:http";
+import type { ClientRequest, OutgoingHttpHeaders } from "node:http";
 import { parseJson } from "./parseJson.js";
 
 /** Response to an HTTP call. */
@@ -13,7 +13,7 @@
 
 /** An HTTP call that got no complete response. */
 export interface HttpFailure {
-    /** Whether the connection was refused, so that nothing was sent. */
+    /** Whether nothing was sent: the connection was refused, or the call cannot be expressed as an HTTP request. */
     notSent: boolean;
     detail: string;
 }
@@ -44,6 +44,9 @@
 /** Delay before the first TCP keep-alive probe, which detects connections that broke while idle. */
 const keepAliveDelayMs = 2_000;
 
+/** Maximum size of a response body; the largest expected one is a page of the platform's table, 1 MB before encoding. */
+const maxAnswerBytes = 8 * 1024 * 1024;
+
 /** Creates a client of `host:port` with at most `maxConnections` connections. */
 export const createHttpClient = (address: string, maxConnections: number): HttpClient => {
     const [host, port] = address.split(":");
@@ -55,16 +58,53 @@
         scheduling: "lifo",
     });
 
+    /** Sends the request; throws on an address, path or header that an HTTP request cannot carry. */
+    const send = (options: HttpCall, settle: (outcome: HttpOutcome) => void): ClientRequest => {
+        const text = options.body === undefined ? undefined : JSON.stringify(options.body);
+        const headers: OutgoingHttpHeaders = { ...options.headers };
+        if (text !== undefined) {
+            headers["content-type"] = "application/json";
+            headers["content-length"] = Buffer.byteLength(text);
+        }
+        const clientRequest = request({ agent, host, port, method: options.method, path: options.path, headers });
+        const failWith = (detail: string, notSent: boolean): void =>
+            settle({ ok: false, failure: { detail, notSent } });
+        clientRequest.on("error", (error: NodeJS.ErrnoException) => {
+            failWith(error.code ?? error.message, error.code === "ECONNREFUSED");
+        });
+        clientRequest.on("response", response => {
+            const chunks: Buffer[] = [];
+            let sizeBytes = 0;
+            response.on("data", (chunk: Buffer) => {
+                chunks.push(chunk);
+                sizeBytes += chunk.length;
+                if (sizeBytes > maxAnswerBytes) {
+                    failWith(`the answer is longer than ${maxAnswerBytes} bytes`, false);
+                    clientRequest.destroy();
+                }
+            });
+            response.on("error", error => failWith(error.message, false));
+            response.on("close", () => failWith("the answer broke off", false));
+            response.on("end", () => {
+                const retryAfter = Number(response.headers["retry-after"]);
+                settle({
+                    ok: true,
+                    answer: {
+                        status: response.statusCode ?? 0,
+                        body: parseJson(Buffer.concat(chunks).toString("utf8")),
+                        retryAfterS: Number.isFinite(retryAfter) ? retryAfter : undefined,
+                    },
+                });
+            });
+        });
+        clientRequest.end(text);
+        return clientRequest;
+    };
+
     const call = (options: HttpCall): Promise<HttpOutcome> =>
         new Promise(resolve => {
-            const text = options.body === undefined ? undefined : JSON.stringify(options.body);
-            const headers: OutgoingHttpHeaders = { ...options.headers };
-            if (text !== undefined) {
-                headers["content-type"] = "application/json";
-                headers["content-length"] = Buffer.byteLength(text);
-            }
-            const clientRequest = request({ agent, host, port, method: options.method, path: options.path, headers });
             let settled = false;
+            let clientRequest: ClientRequest | undefined;
             const settle = (outcome: HttpOutcome): void => {
                 if (!settled) {
                     settled = true;
@@ -76,29 +116,14 @@
                 settle({ ok: false, failure: { detail, notSent } });
             const deadline = setTimeout(() => {
                 failWith(`no answer within ${options.timeoutMs} ms`, false);
-                clientRequest.destroy();
+                clientRequest?.destroy();
             }, options.timeoutMs);
-            clientRequest.on("error", (error: NodeJS.ErrnoException) => {
-                failWith(error.code ?? error.message, error.code === "ECONNREFUSED");
-            });
-            clientRequest.on("response", response => {
-                const chunks: Buffer[] = [];
-                response.on("data", (chunk: Buffer) => chunks.push(chunk));
-                response.on("error", error => failWith(error.message, false));
-                response.on("close", () => failWith("the answer broke off", false));
-                response.on("end", () => {
-                    const retryAfter = Number(response.headers["retry-after"]);
-                    settle({
-                        ok: true,
-                        answer: {
-                            status: response.statusCode ?? 0,
-                            body: parseJson(Buffer.concat(chunks).toString("utf8")),
-                            retryAfterS: Number.isFinite(retryAfter) ? retryAfter : undefined,
-                        },
-                    });
-                });
-            });
-            clientRequest.end(text);
+            try {
+                clientRequest = send(options, settle);
+            }
+            catch (error) {
+                failWith(error instanceof Error ? error.message : String(error), true);
+            }
         });
 
     return { call, close: () => agent.destroy() };
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -192,8 +192,8 @@
     {
         without: "polling an idle worker until it answers again",
         file: "execution/session.js",
-        find: " && contact.silentMs() === 0) {",
-        replace: ") {",
+        find: "&& contact.silentMs() === 0,",
+        replace: ",",
         tests: "liveness",
         fails: "is polled until it answers",
     },
