fix: learn what the next life of a worker runs instead of giving it up

Cause: an idle worker is not polled, and orders name the id, which both lives have, so the new life carries out what the earlier one was sent. The session that took over these runs had neither client nor lease and gave them up 300 ms later. Fences of the earlier session were dropped with it.

Ruled out: Expected-Instance (the id is the same); a poll before each start (a round trip for all work).

Change: a reading of the clock that is too low for the present life makes the session poll without lease and acknowledgement; the answer names the life that answers. A session with a client is opened for that life, takes over the runs that were never reported and the pending fences, learns from reports what runs, and gets nothing new before its entry is listed. It reckons with the longest lease that workers accept. An entry with a later start than the worker's own does not lock the worker out any more. sessionLifecycle.ts and sessionKnowledge.ts are split off.

--- a/src/execution/runStarter.ts
+++ b/src/execution/runStarter.ts
@@ -83,12 +83,16 @@
         context.requestRound();
     };
 
-    const onRefused = ({ task, run }: PlacedTask, error: OrderError & { kind: "refused"; }): void => {
+    const onRefused = (
+        { task, run }: PlacedTask,
+        error: OrderError & { kind: "refused"; },
+        sentAtMs: number,
+    ): void => {
         if (error.refusal === Refusal.Unhealthy) {
             health.recordFault(run.worker.id);
         }
         if (error.clockMs !== undefined) {
-            run.worker.recordAnswer(error.clockMs);
+            run.worker.recordAnswer(error.clockMs, sentAtMs);
         }
         runs.clear(task);
         if (task.unit.step.gang) {
@@ -99,8 +103,8 @@
         context.requestRound();
     };
 
-    const onStarted = (run: Run, clockMs: number | undefined): void => {
-        run.worker.recordAnswer(clockMs);
+    const onStarted = (run: Run, clockMs: number | undefined, sentAtMs: number): void => {
+        run.worker.recordAnswer(clockMs, sentAtMs);
         if (run.phase === RunPhase.Starting) {
             run.phase = RunPhase.Running;
             run.orderAnsweredAtMs = timer.nowMs();
@@ -116,6 +120,7 @@
         }
         const untilClockMs = worker.untilClockMs(startLeaseMs);
         worker.recordLease(untilClockMs);
+        const sentAtMs = timer.nowMs();
         const started = await worker.client.start({
             task: taskIdOf(task),
             run: run.number,
@@ -131,10 +136,10 @@
             return;
         }
         if (started.ok) {
-            onStarted(run, started.value.clockMs);
+            onStarted(run, started.value.clockMs, sentAtMs);
         }
         else if (started.error.kind === "refused") {
-            onRefused(placed, started.error);
+            onRefused(placed, started.error, sentAtMs);
         }
         else {
             run.phase = run.phase === RunPhase.Starting ? RunPhase.Unknown : run.phase;
--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -6,10 +6,11 @@
 import { createContactTracker } from "./contactTracker.js";
 import { createEndCursor } from "./endCursor.js";
 import { createFenceQueue } from "./fenceQueue.js";
+import type { FencedRun } from "./fenceQueue.js";
 import { createPollPause, pollRetryMs, runPollLoop } from "./pollLoop.js";
+import { createSessionKnowledge } from "./sessionKnowledge.js";
 import { Refusal } from "./types.js";
 import type { OrderError, WorkerClient, WorkerDescriptor, WorkerReport } from "./types.js";
-import { createWorkerLease } from "./workerLease.js";
 
 /** Callbacks of a worker session. */
 export interface SessionListener {
@@ -19,8 +20,8 @@
     onReport(session: WorkerSession, report: WorkerReport, sentAtMs: number): void;
     /** Called once when the lease of the worker's runs has certainly expired while the worker did not answer. */
     onLeaseExpired(session: WorkerSession): void;
-    /** Called when another incarnation of the worker answers at its address. */
-    onRestarted(session: WorkerSession): void;
+    /** Called when a later incarnation of the worker answers; `bornMs` is its start, unless it refuses to be called. */
+    onRestarted(session: WorkerSession, bornMs?: number): void;
     /** Called when the worker has seen a higher fencing token. */
     onFenced(session: WorkerSession): void;
 }
@@ -63,14 +64,21 @@
     untilClockMs(maxMs?: number): number;
     /** Records the end of a lease that an order is about to carry. */
     recordLease(untilClockMs: number): void;
-    /** Records an answer with its reading of the worker's clock. */
-    recordAnswer(clockMs: number | undefined): void;
+    /**
+     * Records an answer with its reading of the worker's clock, and polls for the worker's life if the reading is too
+     * low for this one; `sentAtMs` is the monotonic time at which the order was sent.
+     */
+    recordAnswer(clockMs: number | undefined, sentAtMs: number): void;
     /** Records that an order got no answer. */
     recordNoAnswer(reason: string): void;
     /** Stops a run on the worker, or prevents it from starting there, before the lease is renewed again. */
     fenceRun(task: TaskId, run: number): void;
     /** Number of runs that are still to be fenced. */
     pendingFenceCount(): number;
+    /** Runs that are still to be fenced. */
+    pendingFences(): readonly FencedRun[];
+    /** Start of the earlier life that answers in place of this one; `undefined` if none has answered. */
+    earlierBornMs(): number | undefined;
     /** Acknowledges ended runs up to a number with the next poll; they must be recorded by then. */
     acknowledge(number: number): void;
     /** Ends a pause between polls; with `skipLongPoll` the next poll does not wait for a run to end. */
@@ -85,30 +93,25 @@
 /** Opens a session: polls the worker for its runs, renews their lease and passes on the reports. */
 export const createWorkerSession = (options: WorkerSessionOptions): WorkerSession => {
     const { timer, log, client, fencingToken, listener } = options;
-    const lease = createWorkerLease(timer, options.maxLeaseMs, options.earlierLeasesExpireAtMs);
     const contact = createContactTracker(timer, log, options.id);
     const ends = createEndCursor();
     const pollPause = createPollPause(timer);
     const logPollError = createUnexpectedErrorLog(log, "a worker could not be polled");
-    let synced = false;
+    const knowledge = createSessionKnowledge(options, contact, {
+        onPossibleRestart: () => pollPause.interrupt(true),
+        onLeaseExpired: () => listener.onLeaseExpired(session),
+    });
+    const { lease, recordAnswer } = knowledge;
     let closed = false;
-    let leaseExpired = false;
+    let earlierBornMs: number | undefined;
 
-    const recordAnswer = (clockMs: number | undefined): void => {
-        if (clockMs !== undefined) {
-            lease.recordClock(clockMs);
-        }
-        contact.recordAnswer();
-        leaseExpired = false;
-    };
-
-    const handleOrderError = (error: OrderError): void => {
+    const handleOrderError = (error: OrderError, sentAtMs: number): void => {
         if (error.kind === "noAnswer") {
             contact.recordNoAnswer(error.detail);
             return;
         }
         if (error.clockMs !== undefined) {
-            recordAnswer(error.clockMs);
+            recordAnswer(error.clockMs, sentAtMs);
         }
         if (error.refusal === Refusal.Fenced) {
             listener.onFenced(session);
@@ -118,44 +121,39 @@
         }
     };
 
-    const fences = createFenceQueue(fencingToken, handleOrderError);
-
-    const checkLeaseExpiry = (): void => {
-        const outOfContact = contact.silentMs() > 0 || client === undefined;
-        if (!leaseExpired && outOfContact && timer.nowMs() > lease.expiresAtMs()) {
-            leaseExpired = true;
-            synced = false;
-            listener.onLeaseExpired(session);
-        }
-    };
+    const fences = createFenceQueue(timer, fencingToken, handleOrderError);
 
     /** Polls the worker once; the first poll renews no lease, since the runs on the worker are not known yet. */
     const poll = async (active: WorkerClient): Promise<boolean> => {
         const sentAtMs = timer.nowMs();
         // a renewal without an answer may have extended the lease, so none is sent until the worker answers again
+        const synced = knowledge.isSynced();
         const mayRenew = synced && contact.silentMs() === 0 && options.mayRenew();
         const untilClockMs = mayRenew ? lease.untilClockMs(options.leaseMs(session)) : undefined;
         lease.recordLease(untilClockMs ?? 0);
         const skipLongPoll = pollPause.consumeSkipLongPoll();
         const mayLongPoll = synced && ends.areRecorded() && listener.isBusy(session) && !skipLongPoll;
-        const acknowledged = ends.acknowledged();
+        const acknowledged = synced ? ends.acknowledged() : 0;
         const waitMs = mayLongPoll ? longPollMs : undefined;
         const answer = await active.hold({ fencingToken, acknowledged, untilClockMs, waitMs });
         if (closed) {
             return true;
         }
         if (!answer.ok) {
-            handleOrderError(answer.error);
+            handleOrderError(answer.error, sentAtMs);
             return false;
         }
-        if (answer.value.bornMs !== options.bornMs) {
-            listener.onRestarted(session);
+        if (answer.value.bornMs < options.bornMs) {
+            earlierBornMs = answer.value.bornMs;
+            contact.recordNoAnswer("an earlier life of the worker answers than the one that is listed");
+            return false;
+        }
+        if (answer.value.bornMs > options.bornMs) {
+            listener.onRestarted(session, answer.value.bornMs);
             return true;
         }
-        recordAnswer(answer.value.clockMs);
-        lease.boundEarlierLeases();
+        knowledge.recordReport(answer.value.clockMs);
         ends.recordAnswer(acknowledged, answer.value);
-        synced = true;
         runGuarded(() => listener.onReport(session, answer.value, sentAtMs), logUnexpectedError(log, options.id));
         return true;
     };
@@ -171,11 +169,11 @@
             isClosed: () => closed,
             // a silent worker is polled until it answers, since it is sent no order that would show it
             isIdle: () =>
-                synced && fences.count() === 0 && ends.isConfirmed() && !listener.isBusy(session)
+                knowledge.isSynced() && fences.count() === 0 && ends.isConfirmed() && !listener.isBusy(session)
                 && contact.silentMs() === 0,
             poll: async () => await fences.send(active) && await poll(active),
             hasUnrecordedEnds: () => !ends.areRecorded(),
-            onPolled: checkLeaseExpiry,
+            onPolled: knowledge.checkLeaseExpiry,
             onUnexpected: handleUnexpected,
         });
 
@@ -184,7 +182,7 @@
         bornMs: options.bornMs,
         descriptor: options.descriptor,
         client,
-        isSynced: () => synced,
+        isSynced: knowledge.isSynced,
         silentMs: contact.silentMs,
         untilClockMs: lease.untilClockMs,
         recordLease: lease.recordLease,
@@ -195,6 +193,8 @@
             pollPause.interrupt(false);
         },
         pendingFenceCount: fences.count,
+        pendingFences: fences.list,
+        earlierBornMs: () => earlierBornMs,
         acknowledge: number => {
             if (ends.acknowledge(number)) {
                 pollPause.interrupt(false);
@@ -211,7 +211,10 @@
         },
     };
     if (client === undefined) {
-        const unsubscribe = timer.every(pollRetryMs, () => closed || leaseExpired ? unsubscribe() : checkLeaseExpiry());
+        const unsubscribe = timer.every(
+            pollRetryMs,
+            () => closed || knowledge.isLeaseExpired() ? unsubscribe() : knowledge.checkLeaseExpiry(),
+        );
     }
     else {
         startPolling(client);
--- /dev/null
+++ b/src/execution/sessionLifecycle.ts
@@ -0,0 +1,154 @@
+import { RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
+import type { Run, TaskState } from "../jobs/progress.js";
+import type { PlannerContext } from "./context.js";
+import { createGuardedClient } from "./guardedClient.js";
+import type { ReportHandler } from "./reportHandler.js";
+import type { RunMonitor } from "./runMonitor.js";
+import { createWorkerSession } from "./session.js";
+import type { WorkerSession } from "./session.js";
+import type { WorkerClient, WorkerDescriptor } from "./types.js";
+import { slowClockFactor } from "./workerLease.js";
+
+/** Options of {@link createSessionLifecycle}. */
+export interface SessionLifecycleOptions {
+    context: PlannerContext;
+    reports: ReportHandler;
+    runMonitor: RunMonitor;
+    createClient: (descriptor: WorkerDescriptor) => WorkerClient;
+    /** Whether the planner may still renew leases. */
+    mayRenew: () => boolean;
+    /** Called when a worker has seen a later term. */
+    onFenced: (reason: string) => void;
+    /** Called when a later incarnation of a worker answers. */
+    onRestarted: (session: WorkerSession, bornMs?: number) => void;
+    /** Monotonic time by which every lease granted by earlier planners has expired, if it is not renewed. */
+    earlierLeasesExpireAtMs: number;
+    /** Longest lease that any poll grants. */
+    maxLeaseMs: number;
+    /** Longest lease that workers accept. */
+    longestLeaseMs: number;
+}
+
+/** Opens and closes worker sessions, and hands over what a session's successor has to know. */
+export interface SessionLifecycle {
+    /** Opens a session; without a descriptor it has no client. */
+    openSession(id: string, bornMs: number, descriptor: WorkerDescriptor | undefined): WorkerSession;
+    /** Opens the session of a worker's next life; orders to the previous one may have granted it the longest lease. */
+    openNextLife(id: string, bornMs: number, descriptor: WorkerDescriptor): WorkerSession;
+    /** Closes the session of an incarnation that has ended, and abandons its runs. */
+    closeSession(session: WorkerSession, reason: string): void;
+    /**
+     * Closes a session, and moves what the next incarnation may have received: the start orders of runs that were never
+     * reported, and orders of fenced runs that may still be on their way.
+     */
+    replaceSession(session: WorkerSession, successor: WorkerSession): void;
+}
+
+/** Lease of a worker with long-running tasks, which are to be started elsewhere soon after it was lost. */
+const longRunningLeaseMs = 5_000;
+const restartedReason = "the worker has started anew";
+
+/** Creates the functions that open and close the worker sessions of a term. */
+export const createSessionLifecycle = (options: SessionLifecycleOptions): SessionLifecycle => {
+    const { context, reports, runMonitor } = options;
+    const { sessions, runs, timer, health } = context;
+
+    const leaseMsOf = (session: WorkerSession): number =>
+        [...runs.tasksOn(session)].some(task => task.unit.step.longRunning)
+            ? Math.min(longRunningLeaseMs, options.maxLeaseMs)
+            : options.maxLeaseMs;
+
+    const openSession = (
+        id: string,
+        bornMs: number,
+        descriptor: WorkerDescriptor | undefined,
+        leasesExpireAtMs = options.earlierLeasesExpireAtMs,
+    ): WorkerSession => {
+        const session = createWorkerSession({
+            id,
+            bornMs,
+            descriptor,
+            client: descriptor === undefined ? undefined : createGuardedClient(options.createClient(descriptor)),
+            timer,
+            log: context.log,
+            fencingToken: context.term,
+            mayRenew: options.mayRenew,
+            leaseMs: leaseMsOf,
+            maxLeaseMs: options.maxLeaseMs,
+            earlierLeasesExpireAtMs: leasesExpireAtMs,
+            listener: {
+                isBusy: busy => runs.tasksOn(busy).size > 0,
+                onReport: (reporting, report, sentAtMs) => {
+                    reports.onReport(reporting, report, sentAtMs);
+                    runMonitor.onReport(reporting);
+                },
+                onLeaseExpired: expired => reports.abandonRuns(expired, "its lease has lapsed", false),
+                onRestarted: options.onRestarted,
+                onFenced: fenced => options.onFenced(`worker ${fenced.id} has seen a later term`),
+            },
+        });
+        sessions.set(id, session);
+        return session;
+    };
+
+    const closeSession = (session: WorkerSession, reason: string): void => {
+        if (session.closed) {
+            return;
+        }
+        session.close();
+        if (sessions.get(session.id) === session) {
+            sessions.delete(session.id);
+        }
+        health.reset(session.id);
+        reports.abandonRuns(session, reason, true);
+    };
+
+    const replaceSession = (session: WorkerSession, successor: WorkerSession): void => {
+        moveRuns(context, session, successor, run => run.firstListedAtMs === undefined);
+        session.pendingFences().forEach(({ task, run }) => successor.fenceRun(task, run));
+        closeSession(session, restartedReason);
+    };
+
+    const openNextLife = (id: string, bornMs: number, descriptor: WorkerDescriptor): WorkerSession =>
+        openSession(
+            id,
+            bornMs,
+            descriptor,
+            Math.max(options.earlierLeasesExpireAtMs, timer.nowMs() + options.longestLeaseMs * slowClockFactor),
+        );
+
+    return { openSession, openNextLife, closeSession, replaceSession };
+};
+
+/**
+ * Reassigns runs to another session of the same worker; whether a started run is alive there is then unknown. A run that
+ * is still being recorded is withdrawn, as no order for it was sent.
+ */
+export const moveRuns = (
+    context: PlannerContext,
+    from: WorkerSession,
+    to: WorkerSession,
+    shouldMove: (run: Run) => boolean,
+): void => {
+    for (const task of [...context.runs.tasksOn(from)]) {
+        const { run } = task;
+        if (run === undefined || !shouldMove(run)) {
+            continue;
+        }
+        logMovedRun(context, task, run);
+        if (run.phase === RunPhase.Recording) {
+            context.runs.clear(task);
+        }
+        else {
+            context.runs.set(task, { ...run, phase: RunPhase.Unknown, worker: to });
+        }
+    }
+};
+
+const logMovedRun = ({ log }: PlannerContext, task: TaskState, { number, worker, phase }: Run): void =>
+    log("info", "run moved to the worker's next session", {
+        task: taskKey(taskIdOf(task)),
+        run: number,
+        worker: worker.id,
+        phase,
+    });
--- a/src/execution/workerLease.ts
+++ b/src/execution/workerLease.ts
@@ -4,6 +4,11 @@
 export interface WorkerLease {
     /** Records the reading of the worker's clock in an answer. */
     recordClock(clockMs: number): void;
+    /**
+     * Whether a reading of the clock in the answer to an order is possible for this life of the worker; the clock of its
+     * next life starts anew. `sentAtMs` is the monotonic time at which the order was sent.
+     */
+    isPossibleClock(clockMs: number, sentAtMs: number): boolean;
     /** Records the end of a lease that an order is about to carry; 0 for an order without a lease. */
     recordLease(untilClockMs: number): void;
     /** End of a lease of at most `maxMs` for an order sent now, on the worker's clock; 0 before the first answer. */
@@ -37,6 +42,9 @@
                 clock = { clockMs, atMs: timer.nowMs() };
             }
         },
+        isPossibleClock: (clockMs, sentAtMs) =>
+            clock === undefined || sentAtMs < clock.atMs
+            || clockMs >= Math.floor(clock.clockMs + (sentAtMs - clock.atMs) / slowClockFactor),
         recordLease: untilClockMs => {
             sentUntilClockMs = Math.max(sentUntilClockMs, untilClockMs);
         },
--- a/standins/runs/workerModel.ts
+++ b/standins/runs/workerModel.ts
@@ -139,11 +139,13 @@
 
 /** Creates the lease of all runs on a worker, timed by the worker's clock, which runs at `rate` of real time. */
 const createLease = (timer: TimerService, clockMs: () => number, rate: number, onExpiry: () => void) => {
+    const longestLeaseMs = 10_000;
     let untilClockMs = 0;
     let cancel: Unsubscribe = () => {};
     return {
-        /** Extends the lease; an earlier end than the present one is ignored. */
-        extend: (until: number): void => {
+        /** Extends the lease by up to its maximum; an earlier end than the present one is ignored. */
+        extend: (requestedUntil: number): void => {
+            const until = Math.min(requestedUntil, clockMs() + longestLeaseMs);
             if (until > untilClockMs) {
                 untilClockMs = until;
                 cancel();
--- /dev/null
+++ b/test/session.test.ts
@@ -0,0 +1,108 @@
+import { assert } from "chai";
+import { createWorkerSession } from "../src/execution/session.js";
+import type { SessionListener } from "../src/execution/session.js";
+import type { HoldOrder, WorkerClient } from "../src/execution/types.js";
+import { fail, succeed } from "../src/utils/result.js";
+import { createVirtualTimer } from "../src/utils/virtualTimer.js";
+
+const answerMs = 2;
+const idleMs = 20_000;
+
+/** A session with a worker whose clock started `clockOffsetMs` before the timer; collects the polls that it is sent. */
+const createSession = () => {
+    const timer = createVirtualTimer();
+    const holds: HoldOrder[] = [];
+    const worker = { clockOffsetMs: 100_000, bornMs: 1 };
+    let busy = true;
+    const unused = async () => fail({ kind: "noAnswer" as const, detail: "not modelled" });
+    const client: WorkerClient = {
+        start: unused,
+        stop: unused,
+        pace: unused,
+        hold: async order => {
+            holds.push(order);
+            await timer.sleep(answerMs + (order.waitMs ?? 0));
+            const clockMs = timer.nowMs() + worker.clockOffsetMs;
+            return succeed({ clockMs, bornMs: worker.bornMs, running: [], ended: [] });
+        },
+        close: () => {},
+    };
+    const restarts: (number | undefined)[] = [];
+    const listener: SessionListener = {
+        isBusy: () => busy,
+        onReport: () => {},
+        onLeaseExpired: () => {},
+        onRestarted: (_session, bornMs) => restarts.push(bornMs),
+        onFenced: () => {},
+    };
+    const session = createWorkerSession({
+        id: "w0",
+        bornMs: 1,
+        client,
+        timer,
+        log: () => {},
+        fencingToken: 1,
+        mayRenew: () => true,
+        leaseMs: () => 8_000,
+        maxLeaseMs: 8_000,
+        earlierLeasesExpireAtMs: 0,
+        listener,
+    });
+    const setBusy = (value: boolean): void => {
+        busy = value;
+        session.resumePolling();
+    };
+    return { timer, holds, worker, session, restarts, setBusy };
+};
+
+describe("an answer to an order whose reading of the clock is too low for the worker's life", () => {
+    it("is followed by a poll that carries no lease of that life and shows which one answers", async () => {
+        const { timer, holds, worker, session, restarts, setBusy } = createSession();
+        await timer.advance(2_500);
+        assert.isDefined(holds.at(-1)?.untilClockMs);
+        setBusy(false);
+        await timer.advance(idleMs);
+        worker.clockOffsetMs = -timer.nowMs();
+        worker.bornMs = 2;
+        const sentAtMs = timer.nowMs();
+        const before = holds.length;
+        await timer.advance(10);
+        setBusy(true);
+        session.recordAnswer(timer.nowMs() + worker.clockOffsetMs, sentAtMs);
+        await timer.advance(10);
+        assert.isFalse(session.isSynced());
+        assert.isUndefined(holds[before].untilClockMs);
+        assert.equal(holds[before].acknowledged, 0);
+        assert.equal(restarts[0], 2);
+    });
+
+    it("does not cost the session of a worker whose clock stood still", async () => {
+        const { timer, worker, session, restarts, setBusy } = createSession();
+        await timer.advance(2_500);
+        setBusy(false);
+        await timer.advance(idleMs);
+        worker.clockOffsetMs -= 5_000;
+        const sentAtMs = timer.nowMs();
+        await timer.advance(10);
+        setBusy(true);
+        session.recordAnswer(timer.nowMs() + worker.clockOffsetMs, sentAtMs);
+        assert.isFalse(session.isSynced());
+        await timer.advance(10);
+        assert.isTrue(session.isSynced());
+        assert.deepEqual(restarts, []);
+    });
+});
+
+describe("an answer that a slow clock or a late arrival explains", () => {
+    it("leaves the session in sync", async () => {
+        const { timer, worker, session, setBusy } = createSession();
+        await timer.advance(2_500);
+        setBusy(false);
+        await timer.advance(idleMs);
+        const slowClockMs = 2_500 + idleMs * 0.981 + worker.clockOffsetMs;
+        session.recordAnswer(Math.floor(slowClockMs), timer.nowMs());
+        assert.isTrue(session.isSynced());
+        session.recordAnswer(2_000 + worker.clockOffsetMs, 1_900);
+        assert.isTrue(session.isSynced());
+    });
+});
--- a/test/workerRestarts.test.ts
+++ b/test/workerRestarts.test.ts
@@ -48,6 +48,88 @@
     });
 });
 
+/** Time after which the list of workers shows a restart; orders reach the new life before. */
+const listDelayMs = 800;
+/** Time in which an idle worker is sent no order, so that only its next answer shows that it has restarted. */
+const idleMs = 20_000;
+
+const createRestartingFleet = async (): Promise<Fleet> => {
+    const fleet = createFleet({ workerCount: 3 });
+    await fleet.timer.advance(idleMs);
+    fleet.listDelayMs = listDelayMs;
+    return fleet;
+};
+
+const runsPerTask = (fleet: Fleet, job: string): number[] => {
+    const counts = new Map<string, number>();
+    fleet.spans.filter(({ task }) => task.startsWith(`${job}.`))
+        .forEach(({ task }) => counts.set(task, (counts.get(task) ?? 0) + 1));
+    return [...counts.values()];
+};
+
+describe("an idle worker that restarts under its id before its entry shows it", () => {
+    const taskCount = 20;
+
+    // guards against runs that the new life had begun, and that were given up and started elsewhere
+    it("keeps the runs that its new life has begun, and runs each task once", async () => {
+        const fleet = await createRestartingFleet();
+        fleet.restartWorker("w0");
+        await fleet.submit(createSubmission("a1", [createStep({ taskCount })], {}, { workMs: 250 }));
+        await fleet.timer.advance(completionMs);
+        assert.isTrue(fleet.spans.some(({ worker }) => worker === "w0"), "the new life has begun some of the tasks");
+        assert.deepEqual(runsPerTask(fleet, "a1"), Array(taskCount).fill(1));
+        assert.equal(await jobPhase(fleet), JobPhase.Succeeded);
+    });
+
+    it("keeps them also while it answers no poll for a while", async () => {
+        const fleet = await createRestartingFleet();
+        fleet.restartWorker("w0");
+        await fleet.submit(createSubmission("a1", [createStep({ taskCount })], {}, { workMs: 6_000 }));
+        await fleet.timer.advance(50);
+        const worker = fleet.workers.get("w0");
+        assert.isAbove(worker?.model.runningCount() ?? 0, 0);
+        worker!.unreachable = true;
+        await fleet.timer.advance(4_000);
+        worker!.unreachable = false;
+        await fleet.timer.advance(completionMs);
+        assert.deepEqual(runsPerTask(fleet, "a1"), Array(taskCount).fill(1));
+    });
+
+    it("does not start a run of its earlier life that was given up, when the order arrives late", async () => {
+        const fleet = createFleet({ workerCount: 3 });
+        await fleet.timer.advance(idleMs);
+        fleet.orderFault = (_vm, kind, workerId) =>
+            workerId !== "w0" ? CallFault.None : kind === "start" ? CallFault.Late : CallFault.RequestLost;
+        await fleet.submit(createSubmission(
+            "a1",
+            [createStep({ taskCount: 2, resources: wholeWorker })],
+            {},
+            { workMs: 5_000 },
+        ));
+        await fleet.timer.advance(3_500);
+        fleet.restartWorker("w0");
+        fleet.orderFault = () => CallFault.None;
+        await fleet.timer.advance(2 * completionMs);
+        assert.deepEqual(findViolations(fleet.spans), []);
+        assert.equal(await jobPhase(fleet), JobPhase.Succeeded);
+    });
+});
+
+describe("an entry that gives a worker a later start than the worker itself", () => {
+    it("does not keep the worker from being used once its own entry is back", async () => {
+        const fleet = createFleet({ workerCount: 1 });
+        const worker = fleet.workers.get("w0")!;
+        const { descriptor } = worker;
+        worker.descriptor = { ...descriptor, bornMs: descriptor.bornMs + 1_000_000 };
+        await fleet.timer.advance(2_000);
+        worker.descriptor = descriptor;
+        fleet.notify();
+        await fleet.submit(createSubmission("a1", [createStep()]));
+        await fleet.timer.advance(completionMs);
+        assert.equal(await jobPhase(fleet), JobPhase.Succeeded);
+    });
+});
+
 describe("a run that is neither started nor ended for seconds", () => {
     it("is logged once with its phase and whether its worker answers", async () => {
         const fleet = createFleet({ workerCount: 1 });
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -240,7 +240,7 @@
     },
     {
         without: "on entry VMs: a fencing token that increases with the term",
-        file: "execution/workerSessions.js",
+        file: "execution/sessionLifecycle.js",
         find: "fencingToken: context.term",
         replace: "fencingToken: 1",
         tests: "interleavings",
@@ -302,6 +302,22 @@
         tests: "workerLease",
         fails: "completes its runs, which are neither given up nor started elsewhere",
     },
+    {
+        without: "learning from a worker's clock that another life of it answers",
+        file: "execution/workerLease.js",
+        find: "clock === undefined || sentAtMs < clock.atMs",
+        replace: "true",
+        tests: "test/session",
+        fails: "is followed by a poll that carries no lease of that life",
+    },
+    {
+        without: "handing the fences of a worker's life to the session of the next",
+        file: "execution/sessionLifecycle.js",
+        find: "successor.fenceRun(task, run)",
+        replace: "undefined",
+        tests: "workerRestarts",
+        fails: "does not start a run of its earlier life",
+    },
     {
         without: "a limit of hedged operations at a time",
         file: "state/hedgeSlots.js",
@@ -336,7 +352,7 @@
     },
     {
         without: "withdrawing a run that is being recorded when its worker's session is replaced",
-        file: "execution/workerSessions.js",
+        file: "execution/sessionLifecycle.js",
         find: "context.runs.clear(task)",
         replace: "context.runs.set(task, { ...run, worker: to })",
         tests: "workerRestarts",
