fix: send an acknowledgement only until the worker has answered it

Cause: each poll repeated the acknowledgement cursor of the session. The next life of a worker numbers its ended runs anew, and the first poll after a pause reaches it with the cursor of the life before.

Change: the cursor goes out until a poll that carried it was answered, and, like a renewal of the lease, only in sync and with an unbroken contact. The worker has forgotten those ends by then, so repeating it served nothing.

Not covered: a poll with an unanswered cursor that outlives the process it was sent to.

--- a/src/execution/endCursor.ts
+++ b/src/execution/endCursor.ts
@@ -6,8 +6,11 @@
     let acknowledged = 0;
     let confirmed = 0;
     return {
-        /** Number up to which ended runs are recorded, so that the worker may forget them. */
-        acknowledged: (): number => acknowledged,
+        /**
+         * Number up to which ended runs are recorded, so that the worker may forget them; 0 once the worker has answered
+         * that, since a later poll may reach its next life, which numbers its ended runs anew.
+         */
+        toSend: (): number => acknowledged > confirmed ? acknowledged : 0,
         areRecorded: (): boolean => listed === acknowledged,
         isConfirmed: (): boolean => confirmed === acknowledged,
         /** Records that runs are recorded; returns whether these are more than before. */
--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -133,7 +133,8 @@
         lease.recordLease(untilClockMs ?? 0);
         const skipLongPoll = pollPause.consumeSkipLongPoll();
         const mayLongPoll = synced && ends.areRecorded() && listener.isBusy(session) && !skipLongPoll;
-        const acknowledged = synced ? ends.acknowledged() : 0;
+        // like a renewal, an acknowledgement belongs to the life that listed the runs
+        const acknowledged = synced && contact.silentMs() === 0 ? ends.toSend() : 0;
         const waitMs = mayLongPoll ? longPollMs : undefined;
         const answer = await active.hold({ fencingToken, acknowledged, untilClockMs, waitMs });
         if (closed) {
--- a/test/workerRestarts.test.ts
+++ b/test/workerRestarts.test.ts
@@ -95,6 +95,20 @@
         assert.deepEqual(runsPerTask(fleet, "a1"), Array(taskCount).fill(1));
     });
 
+    // guards against ends of the new life that the acknowledgement of the life before made it forget
+    it("does not forget the ends of its new life", async () => {
+        const fleet = await createRestartingFleet();
+        await fleet.submit(createSubmission("a0", [createStep({ taskCount })], {}, { workMs: 100 }));
+        await fleet.timer.advance(idleMs);
+        fleet.restartWorker("w0");
+        await fleet.timer.advance(listDelayMs - 100);
+        await fleet.submit(createSubmission("a1", [createStep({ taskCount })], {}, { workMs: 20 }));
+        await fleet.timer.advance(completionMs);
+        assert.isTrue(fleet.spans.some(({ worker, task }) => worker === "w0" && task.startsWith("a1.")));
+        assert.deepEqual(runsPerTask(fleet, "a1"), Array(taskCount).fill(1));
+        assert.deepEqual(findViolations(fleet.spans), []);
+    });
+
     it("does not start a run of its earlier life that was given up, when the order arrives late", async () => {
         const fleet = createFleet({ workerCount: 3 });
         await fleet.timer.advance(idleMs);
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -310,6 +310,14 @@
         tests: "test/session",
         fails: "is followed by a poll that carries no lease of that life",
     },
+    {
+        without: "sending an acknowledgement only until it is answered",
+        file: "execution/endCursor.js",
+        find: "acknowledged > confirmed ? acknowledged : 0",
+        replace: "acknowledged",
+        tests: "workerRestarts",
+        fails: "does not forget the ends of its new life",
+    },
     {
         without: "handing the fences of a worker's life to the session of the next",
         file: "execution/sessionLifecycle.js",
