fix: stop runs of cancelled jobs that a planner lost sight of

Cause, of the faults that our own runs show: (1) a start without an answer was given up after an answered stop, and the next life of the worker, which has seen no stop, carried it out; (2) a planner that took over while the worker's entry was missing did not know its address; (3) a fence refused by an unhealthy worker was dropped; (4) a worker that refused a start for what it runs unknown to the planner was not polled, since nothing was known to run there. Which was the users' case is not proved; (1) fits their record best.

Change: starts without an answer are remembered for 15 s, and those given up are fenced on each new life of the worker; a job's record holds the addresses of its workers, and the next planner polls, renews and stops runs there; a refused fence is repeated; such a worker is polled at once. Workers whose service has left the configuration keep their sessions until their runs have ended, also under the next planner.

--- a/bench/simulatedPlanner.ts
+++ b/bench/simulatedPlanner.ts
@@ -4,6 +4,7 @@
 import { createRunTable } from "../src/execution/context.js";
 import type { PlannerContext } from "../src/execution/context.js";
 import type { WorkerSession } from "../src/execution/session.js";
+import { createUnansweredStarts } from "../src/execution/unansweredStarts.js";
 import { createWorkerHealth } from "../src/execution/workerHealth.js";
 import { restoreJob, RunPhase } from "../src/jobs/progress.js";
 import type { JobState } from "../src/jobs/progress.js";
@@ -31,6 +32,7 @@
         draining: false,
     },
     client: undefined,
+    address: undefined,
     closed: false,
     isSynced: () => true,
     mayExtendLease: () => true,
@@ -93,6 +95,7 @@
         openJobs,
         sessions,
         runs,
+        unansweredStarts: createUnansweredStarts(timer),
         health: createWorkerHealth(timer),
         operator: () => state,
         mayOrder: () => true,
--- a/src/execution/context.ts
+++ b/src/execution/context.ts
@@ -5,6 +5,7 @@
 import type { OperatorState } from "../queues/types.js";
 import type { TimerService } from "../utils/timer.js";
 import type { WorkerSession } from "./session.js";
+import type { UnansweredStarts } from "./unansweredStarts.js";
 import type { WorkerHealth } from "./workerHealth.js";
 
 /** Runs that are not known to have ended, indexed by worker. */
@@ -31,6 +32,7 @@
     /** Session of the newest incarnation of each worker, by worker id. */
     sessions: Map<string, WorkerSession>;
     runs: RunTable;
+    unansweredStarts: UnansweredStarts;
     health: WorkerHealth;
     /** Configuration in force and availability zones out of service. */
     operator: () => OperatorState;
--- a/src/execution/fenceQueue.ts
+++ b/src/execution/fenceQueue.ts
@@ -1,6 +1,7 @@
 import { taskKey } from "../jobs/progress.js";
 import type { TaskId } from "../jobs/types.js";
 import type { TimerService } from "../utils/timer.js";
+import { Refusal } from "./types.js";
 import type { OrderError, WorkerClient } from "./types.js";
 
 /** A run that must not start on a worker any more. */
@@ -22,14 +23,14 @@
         },
         count: (): number => pending.size,
         list: (): readonly FencedRun[] => [...pending.values()],
-        /** Sends the pending orders; resolves with false when the worker does not answer. */
+        /** Sends the pending orders; resolves with false when the worker does not answer or is too unhealthy to obey. */
         send: async (client: WorkerClient): Promise<boolean> => {
             for (const [key, { task, run }] of [...pending]) {
                 const sentAtMs = timer.nowMs();
                 const stopped = await client.stop(task, run, fencingToken);
                 if (!stopped.ok) {
                     handleOrderError(stopped.error, sentAtMs);
-                    if (stopped.error.kind === "noAnswer") {
+                    if (stopped.error.kind === "noAnswer" || stopped.error.refusal === Refusal.Unhealthy) {
                         return false;
                     }
                 }
--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -32,6 +32,7 @@
 import type { WorkerSession } from "./session.js";
 import { takeOver } from "./takeover.js";
 import type { WorkerClient, WorkerDescriptor } from "./types.js";
+import { createUnansweredStarts } from "./unansweredStarts.js";
 import { createWorkerHealth } from "./workerHealth.js";
 import { createWorkerSessions } from "./workerSessions.js";
 
@@ -133,6 +134,7 @@
         openJobs: new Set(),
         sessions: new Map(),
         runs: createRunTable(),
+        unansweredStarts: createUnansweredStarts(timer),
         health: createWorkerHealth(timer),
         operator: options.operator,
         mayOrder: () => !termOver && options.mayOrder(),
--- a/src/execution/pollLoop.ts
+++ b/src/execution/pollLoop.ts
@@ -9,6 +9,8 @@
     wait(durationMs: number): Promise<void>;
     /** Ends the pause, also when called just before it begins; may request a poll that does not wait for a run to end. */
     interrupt(skipNextLongPoll: boolean): void;
+    /** Whether a poll that does not wait for a run to end has been requested. */
+    isPollRequested(): boolean;
     /** Returns whether the next poll is not to wait for a run to end, and resets that. */
     consumeSkipLongPoll(): boolean;
 }
@@ -75,6 +77,7 @@
             skipLongPoll ||= skipNextLongPoll;
             interruptWait?.();
         },
+        isPollRequested: () => skipLongPoll,
         consumeSkipLongPoll: (): boolean => {
             const consumed = skipLongPoll;
             skipLongPoll = false;
--- a/src/execution/recorder.ts
+++ b/src/execution/recorder.ts
@@ -57,13 +57,13 @@
 
 const sizeOf = (record: JobRecord): number => Buffer.byteLength(JSON.stringify(record));
 
-/** Drops the checkpoints of a record that is too large for a row: they save work, the rest is needed. */
+/** Drops what saves work, but is not needed, of a record that is too large for a row: checkpoints and addresses. */
 const fitRow = (record: JobRecord): JobRecord => {
     if (sizeOf(record) <= maxRecordBytes) {
         return record;
     }
     const units = Object.entries(record.units).map(([key, unit]) => [key, { ...unit, checkpoints: {} }]);
-    return { ...record, units: Object.fromEntries(units) };
+    return { ...record, addresses: undefined, units: Object.fromEntries(units) };
 };
 
 const findProgressRow = ({ submission }: JobState, rows: readonly StateRow[]): StateRow | undefined =>
--- a/src/execution/runStarter.ts
+++ b/src/execution/runStarter.ts
@@ -70,6 +70,28 @@
     return unusable === undefined ? undefined : `worker ${unusable.run.worker.id} is not to be used any more`;
 };
 
+/** Assigns a task to a worker with a run that is still to be recorded. */
+const placeTask = (
+    { timer, runs }: PlannerContext,
+    task: TaskState,
+    number: number,
+    worker: WorkerSession,
+): PlacedTask => {
+    const nowMs = timer.nowMs();
+    const run: Run = {
+        number,
+        worker,
+        phase: RunPhase.Recording,
+        orderedAtMs: nowMs,
+        orderAnsweredAtMs: Number.POSITIVE_INFINITY,
+        percent: 0,
+        usage: 0,
+        checkpointedAtMs: nowMs,
+    };
+    runs.set(task, run);
+    return { task, run };
+};
+
 /** Creates the part of a planner that sends start orders. */
 export const createRunStarter = (context: PlannerContext, runStopper: RunStopper): RunStarter => {
     const { log, timer, runs, health, term } = context;
@@ -131,6 +153,9 @@
             fencingToken: term,
             gangSize: task.unit.step.gang ? task.unit.tasks.length : undefined,
         });
+        if (!started.ok && started.error.kind === "noAnswer") {
+            context.unansweredStarts.record(worker.id, task, run.number);
+        }
         const name = taskKey(taskIdOf(task));
         log("info", "start ordered", { task: name, run: run.number, worker: worker.id, outcome: outcomeOf(started) });
         if (!isCurrent(placed)) {
@@ -167,22 +192,6 @@
         }
     };
 
-    const placeTask = (task: TaskState, number: number, worker: WorkerSession): PlacedTask => {
-        const nowMs = timer.nowMs();
-        const run: Run = {
-            number,
-            worker,
-            phase: RunPhase.Recording,
-            orderedAtMs: nowMs,
-            orderAnsweredAtMs: Number.POSITIVE_INFINITY,
-            percent: 0,
-            usage: 0,
-            checkpointedAtMs: nowMs,
-        };
-        runs.set(task, run);
-        return { task, run };
-    };
-
     const start = (unit: Unit, assignments: readonly Assignment[]): void => {
         const plannedAtMs = timer.nowMs();
         const waitMs = plannedAtMs - (unit.readySinceMs ?? plannedAtMs);
@@ -194,7 +203,7 @@
             const task = unit.tasks[taskIndex];
             if (worker !== undefined && task.run === undefined && !task.done) {
                 const number = unit.step.gang ? highestRun + 1 : Math.max(runNumberBase, task.lastRunNumber) + 1;
-                placed.push(placeTask(task, number, worker));
+                placed.push(placeTask(context, task, number, worker));
             }
         }
         if (unit.job.phase === JobPhase.Queued) {
--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -32,7 +32,9 @@
     bornMs: number;
     /** Absent for a worker that is not listed and known only from recorded runs. */
     descriptor?: WorkerDescriptor;
-    /** Absent together with the descriptor. */
+    /** Address of a worker that is not listed, if it is recorded. */
+    address?: string;
+    /** Absent for a worker whose address is not known. */
     client?: WorkerClient;
     timer: TimerService;
     log: Log;
@@ -58,6 +60,8 @@
     /** The worker as last listed; `undefined` for one that is not listed. */
     descriptor: WorkerDescriptor | undefined;
     readonly client: WorkerClient | undefined;
+    /** Address of the worker; `undefined` if it is not known. */
+    readonly address: string | undefined;
     /** Whether the worker has answered under this term, and its lease has not expired since: its runs are known. */
     isSynced(): boolean;
     /** Whether an order may extend the worker's lease. */
@@ -172,24 +176,22 @@
         return true;
     };
 
-    const handleUnexpected = (detail: string): void => {
-        logPollError(detail);
-        contact.recordNoAnswer("unexpected error");
-    };
-
     const startPolling = (active: WorkerClient): void =>
         void runPollLoop({
             pause: pollPause,
             isClosed: () => closed,
             // a silent worker is polled until it answers, since it is sent no order that would show it
             isIdle: () =>
-                knowledge.isSynced() && fences.count() === 0 && ends.isConfirmed()
+                !pollPause.isPollRequested() && knowledge.isSynced() && fences.count() === 0 && ends.isConfirmed()
                 && !listener.isBusy(session)
                 && contact.silentMs() === 0,
             poll: async () => await fences.send(active) && await poll(active),
             pauseMs: () => ends.areRecorded() ? (options.isLeaseWithheld() ? withheldPauseMs : 0) : unrecordedPauseMs,
             onPolled: knowledge.checkLeaseExpiry,
-            onUnexpected: handleUnexpected,
+            onUnexpected: detail => {
+                logPollError(detail);
+                contact.recordNoAnswer("unexpected error");
+            },
         });
 
     const session: WorkerSession = {
@@ -197,6 +199,7 @@
         bornMs: options.bornMs,
         descriptor: options.descriptor,
         client,
+        address: options.descriptor?.address ?? options.address,
         isSynced: knowledge.isSynced,
         mayExtendLease: () => options.mayRenew() && !options.isLeaseWithheld(),
         leaseExpiresAtMs: lease.expiresAtMs,
@@ -227,13 +230,13 @@
             return closed;
         },
     };
-    if (client === undefined) {
+    if (options.descriptor === undefined) {
         const unsubscribe = timer.every(
             pollRetryMs,
             () => closed || knowledge.isLeaseExpired() ? unsubscribe() : knowledge.checkLeaseExpiry(),
         );
     }
-    else {
+    if (client !== undefined) {
         startPolling(client);
     }
     return session;
--- a/src/execution/sessionLifecycle.ts
+++ b/src/execution/sessionLifecycle.ts
@@ -36,10 +36,12 @@
 
 /** Opens and closes worker sessions, and hands over what a session's successor has to know. */
 export interface SessionLifecycle {
-    /** Opens a session; without a descriptor it has no client. */
-    openSession(id: string, bornMs: number, descriptor: WorkerDescriptor | undefined): WorkerSession;
+    /** Opens the session of a listed worker. */
+    openSession(descriptor: WorkerDescriptor): WorkerSession;
+    /** Opens the session of a worker that is not listed; without an address it has no client. */
+    openUnlisted(id: string, bornMs: number, address: string | undefined): WorkerSession;
     /** Opens the session of a worker's next life; orders to the previous one may have granted it the longest lease. */
-    openNextLife(id: string, bornMs: number, descriptor: WorkerDescriptor): WorkerSession;
+    openNextLife(descriptor: WorkerDescriptor): WorkerSession;
     /** Closes the session of an incarnation that has ended, and abandons its runs. */
     closeSession(session: WorkerSession, reason: string): void;
     /**
@@ -49,6 +51,29 @@
     replaceSession(session: WorkerSession, successor: WorkerSession): void;
 }
 
+/** A worker with which a session is opened. */
+interface OpenedWorker {
+    id: string;
+    bornMs: number;
+    /** Absent for a worker that is not listed. */
+    descriptor?: WorkerDescriptor;
+    /** `host:port`, if it is known. */
+    address?: string;
+}
+
+/** What has to be known of a worker that is not listed to call it; nothing is placed on it. */
+const describeUnlisted = (id: string, bornMs: number, address: string): WorkerDescriptor => ({
+    id,
+    service: "",
+    address,
+    availabilityZone: "",
+    labels: [],
+    rack: "",
+    capacity: { milliCores: 0, memoryMb: 0, accelerators: 0 },
+    bornMs,
+    draining: true,
+});
+
 /** Lease of a worker with long-running tasks, which are to be started elsewhere soon after it was lost. */
 const longRunningLeaseMs = 5_000;
 const restartedReason = "the worker has started anew";
@@ -63,17 +88,15 @@
             ? Math.min(longRunningLeaseMs, options.maxLeaseMs)
             : options.maxLeaseMs;
 
-    const openSession = (
-        id: string,
-        bornMs: number,
-        descriptor: WorkerDescriptor | undefined,
-        leasesExpireAtMs = options.inheritedLeases.expiresAtMs(id),
-    ): WorkerSession => {
+    const open = (worker: OpenedWorker, leasesExpireAtMs: number): WorkerSession => {
+        const { id, bornMs, descriptor, address } = worker;
+        const called = descriptor ?? (address === undefined ? undefined : describeUnlisted(id, bornMs, address));
         const session = createWorkerSession({
             id,
             bornMs,
             descriptor,
-            client: descriptor === undefined ? undefined : createGuardedClient(options.createClient(descriptor)),
+            address,
+            client: called === undefined ? undefined : createGuardedClient(options.createClient(called)),
             timer,
             log: context.log,
             fencingToken: context.term,
@@ -97,9 +120,23 @@
             },
         });
         sessions.set(id, session);
+        // a life that began since has not seen the stops that went to the one before
+        context.unansweredStarts.givenUpOn(id).forEach(({ task, run }) => session.fenceRun(task, run));
         return session;
     };
 
+    const openSession = (descriptor: WorkerDescriptor): WorkerSession =>
+        open({ ...descriptor, descriptor }, options.inheritedLeases.expiresAtMs(descriptor.id));
+
+    const openUnlisted = (id: string, bornMs: number, address: string | undefined): WorkerSession =>
+        open({ id, bornMs, address }, options.inheritedLeases.expiresAtMs(id));
+
+    const openNextLife = (descriptor: WorkerDescriptor): WorkerSession => {
+        const longestLeaseEndsAtMs = timer.nowMs() + options.longestLeaseMs * slowClockFactor;
+        const inheritedExpireAtMs = options.inheritedLeases.expiresAtMs(descriptor.id);
+        return open({ ...descriptor, descriptor }, Math.max(inheritedExpireAtMs, longestLeaseEndsAtMs));
+    };
+
     const closeSession = (session: WorkerSession, reason: string): void => {
         if (session.closed) {
             return;
@@ -118,15 +155,7 @@
         closeSession(session, restartedReason);
     };
 
-    const openNextLife = (id: string, bornMs: number, descriptor: WorkerDescriptor): WorkerSession =>
-        openSession(
-            id,
-            bornMs,
-            descriptor,
-            Math.max(options.inheritedLeases.expiresAtMs(id), timer.nowMs() + options.longestLeaseMs * slowClockFactor),
-        );
-
-    return { openSession, openNextLife, closeSession, replaceSession };
+    return { openSession, openUnlisted, openNextLife, closeSession, replaceSession };
 };
 
 /**
--- /dev/null
+++ b/src/execution/unansweredStarts.ts
@@ -0,0 +1,50 @@
+import { taskIdOf } from "../jobs/progress.js";
+import type { TaskState } from "../jobs/progress.js";
+import type { TimerService } from "../utils/timer.js";
+import type { FencedRun } from "./fenceQueue.js";
+
+/** Start orders without an answer, which a worker may still carry out, also in its next life, which knows of no stop. */
+export interface UnansweredStarts {
+    record(workerId: string, task: TaskState, run: number): void;
+    /** Runs that were given up since and must not start on the worker any more. */
+    givenUpOn(workerId: string): FencedRun[];
+}
+
+interface UnansweredStart {
+    task: TaskState;
+    run: number;
+    sentAtMs: number;
+}
+
+/** Time after which an order is certainly not carried out any more; orders may take effect up to 12 s late. */
+export const lateOrderMs = 15_000;
+
+/** Creates the record of a planner that has sent no orders. */
+export const createUnansweredStarts = (timer: TimerService): UnansweredStarts => {
+    const byWorker = new Map<string, UnansweredStart[]>();
+
+    const dropOld = (): void => {
+        for (const [workerId, starts] of byWorker) {
+            const recent = starts.filter(({ sentAtMs }) => timer.nowMs() - sentAtMs < lateOrderMs);
+            if (recent.length === 0) {
+                byWorker.delete(workerId);
+            }
+            else {
+                byWorker.set(workerId, recent);
+            }
+        }
+    };
+
+    return {
+        record: (workerId, task, run) => {
+            dropOld();
+            byWorker.set(workerId, [...byWorker.get(workerId) ?? [], { task, run, sentAtMs: timer.nowMs() }]);
+        },
+        givenUpOn: workerId => {
+            dropOld();
+            return (byWorker.get(workerId) ?? [])
+                .filter(({ task, run }) => task.run?.number !== run)
+                .map(({ task, run }) => ({ task: taskIdOf(task), run }));
+        },
+    };
+};
--- a/src/execution/workerSessions.ts
+++ b/src/execution/workerSessions.ts
@@ -5,6 +5,7 @@
 import type { WorkerSession } from "./session.js";
 import { createSessionLifecycle, moveRuns } from "./sessionLifecycle.js";
 import type { WorkerClient, WorkerDescriptor } from "./types.js";
+import { lateOrderMs } from "./unansweredStarts.js";
 import { grantedLeaseMs } from "./workerLease.js";
 
 /** Options of {@link createWorkerSessions}. */
@@ -35,24 +36,22 @@
     /** Opens, updates and closes sessions to match the list of workers. */
     reconcile(): void;
     /**
-     * Finds the session of a recorded run's worker. Opens one without a client for an incarnation that is not, or no
-     * longer, listed; returns the session of a newer incarnation where there is one.
+     * Finds the session of a recorded run's worker. Opens one at the recorded address, if there is one, for an incarnation
+     * that is not, or no longer, listed; returns the session of a newer incarnation where there is one.
      */
-    findOrOpen(workerId: string, bornMs: number): WorkerSession;
+    findOrOpen(workerId: string, bornMs: number, address?: string): WorkerSession;
     /** Bounds on the leases of the workers that the planner does not renew. */
     leaseBounds(): LeaseBounds;
     closeAll(): void;
 }
 
-/** Time without an answer after which an unlisted worker is presumed gone; orders may take effect up to 12 s late. */
-const maxFenceWaitMs = 15_000;
 /** Maximum number of unknown services that a term logs. */
 const maxLoggedServices = 100;
 
-/** Creates a filter of listed workers by the services that the configuration names: other writers use the list, too. */
-const createServiceFilter = ({ operator, log }: PlannerContext) => {
+/** Creates the check whether the configuration names a listed worker's service: other writers use the list, too. */
+const createServiceCheck = ({ operator, log }: PlannerContext) => {
     const loggedServices = new Set<string>();
-    const isUsable = ({ id, service }: WorkerDescriptor): boolean => {
+    return ({ id, service }: WorkerDescriptor): boolean => {
         const services = operator().configuration?.services;
         const known = services === undefined || services.includes(service);
         if (!known && !loggedServices.has(service) && loggedServices.size < maxLoggedServices) {
@@ -61,8 +60,6 @@
         }
         return known;
     };
-    return (listed: ReadonlyMap<string, WorkerDescriptor>): ReadonlyMap<string, WorkerDescriptor> =>
-        new Map([...listed].filter(([, descriptor]) => isUsable(descriptor)));
 };
 
 /** Time without an answer after which a planner's successors are told of a worker; single lost answers are not worth it. */
@@ -79,8 +76,14 @@
 export const createWorkerSessions = (options: WorkerSessionsOptions): WorkerSessions => {
     const { context } = options;
     const { sessions, runs, timer } = context;
-    const listUsable = createServiceFilter(context);
-    const { openSession, closeSession, replaceSession, openNextLife } = createSessionLifecycle({
+    const isOfKnownService = createServiceCheck(context);
+
+    /** A listed worker; it gets no new work once its service has left the configuration. */
+    const findListed = (id: string): WorkerDescriptor | undefined => {
+        const listed = options.workers().get(id);
+        return listed === undefined || isOfKnownService(listed) ? listed : { ...listed, draining: true };
+    };
+    const { openSession, openUnlisted, openNextLife, closeSession, replaceSession } = createSessionLifecycle({
         ...options,
         maxLeaseMs: grantedLeaseMs(options.maxLeaseMs),
         longestLeaseMs: options.maxLeaseMs,
@@ -100,9 +103,7 @@
             return;
         }
         const isNextLife = existing !== undefined && existing.bornMs < descriptor.bornMs;
-        const opened = isNextLife
-            ? openNextLife(descriptor.id, descriptor.bornMs, descriptor)
-            : openSession(descriptor.id, descriptor.bornMs, descriptor);
+        const opened = isNextLife ? openNextLife(descriptor) : openSession(descriptor);
         if (existing?.bornMs === descriptor.bornMs) {
             moveRuns(context, existing, opened, () => true);
         }
@@ -116,7 +117,7 @@
      * its runs are learned from its reports, and it gets no others until it is listed, as it may be of another kind.
      */
     const onRestarted = (session: WorkerSession, bornMs?: number): void => {
-        const listed = listUsable(options.workers()).get(session.id);
+        const listed = findListed(session.id);
         const { descriptor } = session;
         if (session.closed) {
             return;
@@ -126,42 +127,48 @@
         }
         else if (bornMs !== undefined && descriptor !== undefined) {
             const unlisted = { ...descriptor, bornMs, draining: true, leavesAtMs: undefined };
-            replaceSession(session, openNextLife(session.id, bornMs, unlisted));
+            replaceSession(session, openNextLife(unlisted));
         }
         else {
             // whoever answers refuses the orders of this life, whose runs have ended
-            replaceSession(session, openSession(session.id, session.bornMs + 1, undefined));
+            replaceSession(session, openUnlisted(session.id, session.bornMs + 1, undefined));
         }
     };
 
     /** Keeps the session of an unlisted worker, without new runs, until it has no runs and none are left to fence. */
     const drainUnlisted = (session: WorkerSession): void => {
-        if (session.descriptor === undefined) {
+        if (session.client === undefined) {
             return;
         }
-        session.descriptor = { ...session.descriptor, draining: true };
+        if (session.descriptor !== undefined) {
+            session.descriptor = { ...session.descriptor, draining: true };
+        }
         const idle = runs.tasksOn(session).size === 0;
-        if (idle && (session.pendingFenceCount() === 0 || session.silentMs() > maxFenceWaitMs)) {
+        if (idle && (session.pendingFenceCount() === 0 || session.silentMs() > lateOrderMs)) {
             closeSession(session, "the worker is not listed any more");
         }
     };
 
     return {
         reconcile: () => {
-            const listed = listUsable(options.workers());
-            listed.forEach(openOrUpdate);
-            [...sessions.values()].filter(session => !listed.has(session.id)).forEach(drainUnlisted);
+            const listed = options.workers();
+            const usable = new Set([...listed.values()].filter(isOfKnownService).map(({ id }) => id));
+            [...listed.keys()].filter(id => usable.has(id) || sessions.has(id))
+                .flatMap(id => findListed(id) ?? []).forEach(openOrUpdate);
+            [...sessions.values()].filter(session => !usable.has(session.id)).forEach(drainUnlisted);
         },
-        findOrOpen: (workerId, bornMs) => {
+        findOrOpen: (workerId, bornMs, address) => {
             const existing = sessions.get(workerId);
             if (existing !== undefined && existing.bornMs >= bornMs) {
                 return existing;
             }
-            const unlisted = openSession(workerId, bornMs, undefined);
+            const listed = findListed(workerId);
+            const isListed = listed !== undefined && listed.bornMs >= bornMs;
+            const opened = isListed ? openSession(listed) : openUnlisted(workerId, bornMs, address);
             if (existing !== undefined) {
-                replaceSession(existing, unlisted);
+                replaceSession(existing, opened);
             }
-            return unlisted;
+            return opened;
         },
         leaseBounds: () => boundLeases(sessions.values(), timer.nowMs()),
         closeAll: () => sessions.forEach(session => session.close()),
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -178,10 +178,15 @@
     }
 };
 
-/** Returns the session of a recorded worker, by its id and incarnation. */
-export type FindSession = (workerId: string, bornMs: number) => WorkerSession;
+/** Returns the session of a recorded worker, by its id, incarnation and, if it is recorded, address. */
+export type FindSession = (workerId: string, bornMs: number, address?: string) => WorkerSession;
 
-const restoreUnit = (unit: Unit, record: UnitRecord, findSession: FindSession, nowMs: number): void => {
+const restoreUnit = (
+    unit: Unit,
+    record: UnitRecord,
+    { findSession, nowMs }: RestoreJobOptions,
+    addresses: Record<string, string> = {},
+): void => {
     unit.complete = record.complete;
     record.done.forEach(index => {
         unit.tasks[index].done = true;
@@ -197,7 +202,7 @@
         task.lastRunNumber = Math.max(task.lastRunNumber, recorded.run);
         task.run = {
             number: recorded.run,
-            worker: findSession(recorded.workerId, recorded.bornMs),
+            worker: findSession(recorded.workerId, recorded.bornMs, addresses[recorded.workerId]),
             phase: RunPhase.Unknown,
             orderedAtMs: nowMs,
             orderAnsweredAtMs: nowMs,
@@ -241,8 +246,9 @@
 export const restoreJob = (
     submission: JobSubmission,
     { submissionVersion, record, recordVersion, cancelled }: Omit<StoredJob, "submission">,
-    { findSession, nowMs, ageMs }: RestoreJobOptions,
+    options: RestoreJobOptions,
 ): JobState => {
+    const { nowMs, ageMs } = options;
     const job: JobState = {
         submission,
         submissionVersion,
@@ -263,13 +269,13 @@
     forEachCompleteUnit(record, unitKey => {
         const unit = job.units.get(unitKey);
         if (unit !== undefined) {
-            restoreUnit(unit, completeUnitRecord, findSession, nowMs);
+            restoreUnit(unit, completeUnitRecord, options);
         }
     });
     for (const [key, unitRecord] of Object.entries(record?.units ?? {})) {
         const unit = job.units.get(key);
         if (unit !== undefined) {
-            restoreUnit(unit, unitRecord, findSession, nowMs);
+            restoreUnit(unit, unitRecord, options, record?.addresses);
         }
     }
     return job;
@@ -295,6 +301,14 @@
     return record;
 };
 
+/** Addresses of the workers on which a job's runs are not known to have ended. */
+const collectAddresses = (job: JobState): Record<string, string> =>
+    Object.fromEntries(
+        activeRuns(job).flatMap(({ run: { worker } }) =>
+            worker.address === undefined ? [] : [[worker.id, worker.address]]
+        ),
+    );
+
 const isInitial = ({ complete, done, failedRuns, checkpoints, runs }: UnitRecord): boolean =>
     !complete && done.length === 0 && runs.length === 0 && Object.keys(failedRuns).length === 0
     && Object.keys(checkpoints).length === 0;
@@ -328,7 +342,7 @@
         }
     }
     const { sequence, phase, endedAtMs, reason } = job;
-    const record = { sequence, term, phase, endedAtMs, reason, units };
+    const record = { sequence, term, phase, endedAtMs, reason, units, addresses: collectAddresses(job) };
     return job.submission.repeatCount > 0 ? { ...record, completeOccurrences } : record;
 };
 
--- a/src/jobs/types.ts
+++ b/src/jobs/types.ts
@@ -134,6 +134,11 @@
     reason?: string;
     /** Units by key: `occurrence.step`; without those in their initial state and those in `completeOccurrences`. */
     units: Record<string, UnitRecord>;
+    /**
+     * Addresses of the workers in `units`, by id: a planner that takes over needs them if a worker is not listed then.
+     * @default unknown
+     */
+    addresses?: Record<string, string>;
     /** Ranges of occurrences, both ends inclusive, in which a step is complete; by index of the step. @default none */
     completeOccurrences?: Record<string, [first: number, last: number][]>;
 }
--- a/tools/workerMutants.ts
+++ b/tools/workerMutants.ts
@@ -26,6 +26,14 @@
         tests: "workerRestarts",
         fails: "does not start a run of its earlier life",
     },
+    {
+        without: "fencing given up runs on the next life of a worker",
+        file: "execution/sessionLifecycle.js",
+        find: "context.unansweredStarts.givenUpOn(id)",
+        replace: "[]",
+        tests: "cancelledJobs",
+        fails: "starts nothing on the worker's next life",
+    },
     {
         without: "inheriting the bounds on leases that earlier planners published",
         file: "execution/leaseBounds.js",
