fix: count jobs whose start orders were refused as waiting

Cause: placing a job moved it from queued to running, and a refusal or a given up placement did not move it back.

Change: the count goes by whether a worker has confirmed a start; a job without one and without a placement is queued again.

--- a/src/execution/reportHandler.ts
+++ b/src/execution/reportHandler.ts
@@ -39,6 +39,7 @@
             log("warn", "ended run of an unknown task", { task: taskKey(end.task), run: end.run, worker: session.id });
             return undefined;
         }
+        task.unit.job.hasStarted = true;
         if (task.run?.number === end.run && task.run.worker === session) {
             const { run } = task;
             runs.clear(task);
@@ -73,6 +74,7 @@
             }
         }
         run.firstListedAtMs ??= nowMs;
+        task.unit.job.hasStarted = true;
         run.percent = listed.percent;
         run.usage = listed.usage;
         if (listed.checkpoint !== "" && listed.checkpoint !== task.checkpoint) {
--- a/src/execution/runStarter.ts
+++ b/src/execution/runStarter.ts
@@ -1,4 +1,4 @@
-import { RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
+import { requeueUnstarted, RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
 import type { Run, TaskState, Unit } from "../jobs/progress.js";
 import { isEnded, JobPhase } from "../jobs/types.js";
 import type { Assignment } from "../planning/types.js";
@@ -100,6 +100,7 @@
     const abandonPlacement = (unit: Unit, placed: readonly PlacedTask[], reason: string): void => {
         placed.filter(isCurrent).forEach(({ task }) => runs.clear(task));
         log("info", "placement given up", { unit: unit.key, reason });
+        requeueUnstarted(unit.job);
         if (!isEnded(unit.job.phase)) {
             void context.record(unit.job);
         }
@@ -122,11 +123,13 @@
             runStopper.stopMembers(task.unit, run.number, "another member was refused");
         }
         run.worker.resumePolling(true);
+        requeueUnstarted(task.unit.job);
         void context.record(task.unit.job);
         context.requestRound();
     };
 
-    const onStarted = (run: Run, clockMs: number | undefined, sentAtMs: number): void => {
+    const onStarted = ({ task, run }: PlacedTask, clockMs: number | undefined, sentAtMs: number): void => {
+        task.unit.job.hasStarted = true;
         run.worker.recordAnswer(clockMs, sentAtMs);
         if (run.phase === RunPhase.Starting) {
             run.phase = RunPhase.Running;
@@ -162,7 +165,7 @@
             return;
         }
         if (started.ok) {
-            onStarted(run, started.value.clockMs, sentAtMs);
+            onStarted(placed, started.value.clockMs, sentAtMs);
         }
         else if (started.error.kind === "refused") {
             onRefused(placed, started.error, sentAtMs);
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -89,6 +89,8 @@
     /** Whether its customer has cancelled it. */
     cancelled: boolean;
     phase: JobPhase;
+    /** Whether a worker has confirmed the start of one of its tasks; a placement may still be refused. */
+    hasStarted: boolean;
     /** Human-readable reason for its end. */
     reason?: string;
     /** Wall-clock time of its end. */
@@ -233,6 +235,13 @@
     return [...ofUnits, ...ofRanges].reduce((highest, occurrence) => Math.max(highest, occurrence), -1);
 };
 
+/** Whether a record shows that a task has run; runs that are not known to have ended may not have started. */
+const hasRecordedWork = (record: JobRecord | undefined): boolean =>
+    Object.keys(record?.completeOccurrences ?? {}).length > 0
+    || Object.values(record?.units ?? {}).some(({ complete, done, failedRuns, checkpoints }) =>
+        complete || done.length > 0 || Object.keys(failedRuns).length > 0 || Object.keys(checkpoints).length > 0
+    );
+
 /** Options of {@link restoreJob}. */
 export interface RestoreJobOptions {
     findSession: FindSession;
@@ -255,6 +264,7 @@
         acceptedAtMs: nowMs - ageMs,
         cancelled,
         phase: record?.phase ?? JobPhase.Queued,
+        hasStarted: hasRecordedWork(record),
         reason: record?.reason,
         endedAtMs: record?.endedAtMs,
         sequence: record?.sequence ?? 0,
@@ -357,6 +367,13 @@
 export const isJobComplete = (job: JobState): boolean =>
     job.createdOccurrences >= occurrenceCount(job.submission) && [...job.units.values()].every(unit => unit.complete);
 
+/** Shows a job as waiting again if none of its tasks has started and none is placed any more. */
+export const requeueUnstarted = (job: JobState): void => {
+    if (job.phase === JobPhase.Running && !job.hasStarted && activeRuns(job).length === 0) {
+        job.phase = JobPhase.Queued;
+    }
+};
+
 /** Runs of a job that are not known to have ended. */
 export const activeRuns = (job: JobState): { task: TaskState; run: Run; }[] =>
     [...job.units.values()].flatMap(unit =>
--- a/test/planningVm.test.ts
+++ b/test/planningVm.test.ts
@@ -1,6 +1,8 @@
 import { assert } from "chai";
+import { Refusal } from "../src/execution/types.js";
 import { Acceptance } from "../src/jobs/commands/acceptJob.js";
 import { jobsTable, plannerTable, progressTable } from "../src/jobs/rows.js";
+import { JobPhase } from "../src/jobs/types.js";
 import { createPeerDirectory } from "../src/state/peerDirectory.js";
 import { createEventLoopDelayMonitor } from "../src/utils/eventLoopDelay.js";
 import { succeed } from "../src/utils/result.js";
@@ -101,6 +103,29 @@
         }
     });
 
+    // guards against jobs that were missing from the count, since they had been placed on a worker that refused them
+    it("counts jobs whose start orders were refused, and shows them as queued", async () => {
+        const fleet = createFleet({ workerCount: 1, vmCount: 3 });
+        await fleet.timer.advance(1_000);
+        const { model } = fleet.workers.get("w0") ?? assert.fail("there is a worker");
+        const startHealthy = model.start;
+        model.start = () => ({ ok: false, error: { kind: "refused", refusal: Refusal.Unhealthy, detail: "503" } });
+        for (let index = 0; index < 4; index++) {
+            await fleet.submit(createSubmission(`a${index}`, [createStep()]));
+        }
+        await fleet.timer.advance(5_000);
+        [...fleet.vms].forEach(([name, vm]) => assert.equal(vm.pending("bookings"), 4, name));
+        const phase = fleet.vms.get("vm0")?.phase("a0");
+        await fleet.timer.advance(20);
+        assert.equal(await phase, JobPhase.Queued);
+        fleet.killVm(fleet.planner() ?? "");
+        await fleet.timer.advance(5_000);
+        [...fleet.vms].forEach(([name, vm]) => assert.equal(vm.pending("bookings"), 4, name));
+        model.start = startHealthy;
+        await fleet.timer.advance(6_000);
+        [...fleet.vms].forEach(([name, vm]) => assert.equal(vm.pending("bookings"), 0, name));
+    });
+
     it("has a relative power of 0 until it has read the processing power of the others", async () => {
         const timer = createVirtualTimer();
         const strong = { table: "vms", part: "", key: "b", version: 1, value: { address: "b:1", cores: 2 } };
