fix: stop only the task whose abandoned run turns out to be done

Change: only a gang's members are stopped together; otherwise just the second run of that task.

Evidence: "stops the second run of the task that is done, and no other task of its step" failed before.

--- a/src/execution/endedRunHandler.ts
+++ b/src/execution/endedRunHandler.ts
@@ -137,9 +137,16 @@
         log("warn", "an abandoned run has completed", { task: taskKey(taskIdOf(task)), run: end.run });
         const current = task.run;
         completeTask(task);
-        if (current !== undefined) {
+        if (current === undefined) {
+            return;
+        }
+        // only a gang's members share the run; other tasks of the step may have runs with the same number
+        if (unit.step.gang) {
             runStopper.stopMembers(unit, current.number, "an earlier run is done");
         }
+        else {
+            runStopper.stop(task, current, "an earlier run is done");
+        }
     };
 
     return { applyEnd, applyStaleEnd, updateCheckpoint, endJob };
