--- a/src/execution/endCursor.ts
+++ b/src/execution/endCursor.ts
@@ -8,7 +8,7 @@
     return {
         /**
          * Number up to which ended runs are recorded, so that the worker may forget them; 0 once the worker has answered
-         * that, since a later poll may reach its next life, which numbers its ended runs anew.
+         * that, since a later poll may reach its next incarnation, which numbers its ended runs anew.
          */
         toSend: (): number => acknowledged > confirmed ? acknowledged : 0,
         areRecorded: (): boolean => listed === acknowledged,
--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -75,7 +75,7 @@
     /** Records the end of a lease that an order is about to carry. */
     recordLease(untilClockMs: number): void;
     /**
-     * Records an answer with its reading of the worker's clock, and polls for the worker's life if the reading is too
+     * Records an answer with its reading of the worker's clock, and polls for the worker's incarnation if the reading is too
      * low for this one; `sentAtMs` is the monotonic time at which the order was sent.
      */
     recordAnswer(clockMs: number | undefined, sentAtMs: number): void;
@@ -87,7 +87,7 @@
     pendingFenceCount(): number;
     /** Runs that are still to be fenced. */
     pendingFences(): readonly FencedRun[];
-    /** Start of the earlier life that answers in place of this one; `undefined` if none has answered. */
+    /** Start of the earlier incarnation that answers in place of this one; `undefined` if none has answered. */
     earlierBornMs(): number | undefined;
     /** Acknowledges ended runs up to a number with the next poll; they must be recorded by then. */
     acknowledge(number: number): void;
@@ -150,7 +150,7 @@
         const skipLongPoll = pollPause.consumeSkipLongPoll();
         const mayLongPoll = synced && ends.areRecorded() && listener.isBusy(session) && !skipLongPoll
             && !isWithheld;
-        // like a renewal, an acknowledgement belongs to the life that listed the runs
+        // like a renewal, an acknowledgement belongs to the incarnation that listed the runs
         const acknowledged = synced && contact.silentMs() === 0 ? ends.toSend() : 0;
         const waitMs = mayLongPoll ? longPollMs : undefined;
         const answer = await active.hold({ fencingToken, acknowledged, untilClockMs, waitMs });
@@ -163,7 +163,7 @@
         }
         if (answer.value.bornMs < options.bornMs) {
             earlierBornMs = answer.value.bornMs;
-            contact.recordNoAnswer("an earlier life of the worker answers than the one that is listed");
+            contact.recordNoAnswer("an earlier incarnation of the worker answers than the one that is listed");
             return false;
         }
         if (answer.value.bornMs > options.bornMs) {
--- a/src/execution/sessionKnowledge.ts
+++ b/src/execution/sessionKnowledge.ts
@@ -19,7 +19,7 @@
     isLeaseExpired(): boolean;
     /** Records an answer to an order that was sent at the monotonic time `sentAtMs`, with its reading of the clock. */
     recordAnswer(clockMs: number | undefined, sentAtMs: number): void;
-    /** Records a report of this life of the worker. */
+    /** Records a report of this incarnation of the worker. */
     recordReport(clockMs: number): void;
     /** Checks whether the lease has expired without an answer. */
     checkLeaseExpiry(): void;
@@ -55,7 +55,7 @@
                 return;
             }
             log("info", "worker may have restarted", { worker: options.id, bornMs: options.bornMs, clockMs });
-            // the next poll shows which life answers, and carries nothing of this one
+            // the next poll shows which incarnation answers, and carries nothing of this one
             synced = false;
             listener.onPossibleRestart();
         },
--- a/src/execution/sessionLifecycle.ts
+++ b/src/execution/sessionLifecycle.ts
@@ -40,8 +40,8 @@
     openSession(descriptor: WorkerDescriptor): WorkerSession;
     /** Opens the session of a worker that is not listed; without an address it has no client. */
     openUnlisted(id: string, bornMs: number, address: string | undefined): WorkerSession;
-    /** Opens the session of a worker's next life; orders to the previous one may have granted it the longest lease. */
-    openNextLife(descriptor: WorkerDescriptor): WorkerSession;
+    /** Opens the session of a worker's next incarnation; orders to the previous one may have granted it the longest lease. */
+    openNextIncarnation(descriptor: WorkerDescriptor): WorkerSession;
     /** Closes the session of an incarnation that has ended, and abandons its runs. */
     closeSession(session: WorkerSession, reason: string): void;
     /**
@@ -120,7 +120,7 @@
             },
         });
         sessions.set(id, session);
-        // a life that began since has not seen the stops that went to the one before
+        // an incarnation that began since has not seen the stops that went to the one before
         context.unansweredStarts.givenUpOn(id).forEach(({ task, run }) => session.fenceRun(task, run));
         return session;
     };
@@ -131,7 +131,7 @@
     const openUnlisted = (id: string, bornMs: number, address: string | undefined): WorkerSession =>
         open({ id, bornMs, address }, options.inheritedLeases.expiresAtMs(id));
 
-    const openNextLife = (descriptor: WorkerDescriptor): WorkerSession => {
+    const openNextIncarnation = (descriptor: WorkerDescriptor): WorkerSession => {
         const longestLeaseEndsAtMs = timer.nowMs() + options.longestLeaseMs * slowClockFactor;
         const inheritedExpireAtMs = options.inheritedLeases.expiresAtMs(descriptor.id);
         return open({ ...descriptor, descriptor }, Math.max(inheritedExpireAtMs, longestLeaseEndsAtMs));
@@ -155,7 +155,7 @@
         closeSession(session, restartedReason);
     };
 
-    return { openSession, openUnlisted, openNextLife, closeSession, replaceSession };
+    return { openSession, openUnlisted, openNextIncarnation, closeSession, replaceSession };
 };
 
 /**
--- a/src/execution/unansweredStarts.ts
+++ b/src/execution/unansweredStarts.ts
@@ -3,7 +3,7 @@
 import type { TimerService } from "../utils/timer.js";
 import type { FencedRun } from "./fenceQueue.js";
 
-/** Start orders without an answer, which a worker may still carry out, also in its next life, which knows of no stop. */
+/** Start orders without an answer, which a worker may still carry out, also in its next incarnation, which knows of no stop. */
 export interface UnansweredStarts {
     record(workerId: string, task: TaskState, run: number): void;
     /** Runs that were given up since and must not start on the worker any more. */
--- a/src/execution/workerLease.ts
+++ b/src/execution/workerLease.ts
@@ -5,8 +5,8 @@
     /** Records the reading of the worker's clock in an answer. */
     recordClock(clockMs: number): void;
     /**
-     * Whether a reading of the clock in the answer to an order is possible for this life of the worker; the clock of its
-     * next life starts anew. `sentAtMs` is the monotonic time at which the order was sent.
+     * Whether a reading of the clock in the answer to an order is possible for this incarnation of the worker; the clock of its
+     * next incarnation starts anew. `sentAtMs` is the monotonic time at which the order was sent.
      */
     isPossibleClock(clockMs: number, sentAtMs: number): boolean;
     /** Records the end of a lease that an order is about to carry; 0 for an order without a lease. */
--- a/src/execution/workerSessions.ts
+++ b/src/execution/workerSessions.ts
@@ -83,7 +83,7 @@
         const listed = options.workers().get(id);
         return listed === undefined || isOfKnownService(listed) ? listed : { ...listed, draining: true };
     };
-    const { openSession, openUnlisted, openNextLife, closeSession, replaceSession } = createSessionLifecycle({
+    const { openSession, openUnlisted, openNextIncarnation, closeSession, replaceSession } = createSessionLifecycle({
         ...options,
         maxLeaseMs: grantedLeaseMs(options.maxLeaseMs),
         longestLeaseMs: options.maxLeaseMs,
@@ -102,8 +102,8 @@
             existing.descriptor = descriptor;
             return;
         }
-        const isNextLife = existing !== undefined && existing.bornMs < descriptor.bornMs;
-        const opened = isNextLife ? openNextLife(descriptor) : openSession(descriptor);
+        const isNextIncarnation = existing !== undefined && existing.bornMs < descriptor.bornMs;
+        const opened = isNextIncarnation ? openNextIncarnation(descriptor) : openSession(descriptor);
         if (existing?.bornMs === descriptor.bornMs) {
             moveRuns(context, existing, opened, () => true);
         }
@@ -127,10 +127,10 @@
         }
         else if (bornMs !== undefined && descriptor !== undefined) {
             const unlisted = { ...descriptor, bornMs, draining: true, leavesAtMs: undefined };
-            replaceSession(session, openNextLife(unlisted));
+            replaceSession(session, openNextIncarnation(unlisted));
         }
         else {
-            // whoever answers refuses the orders of this life, whose runs have ended
+            // whoever answers refuses the orders of this incarnation, whose runs have ended
             replaceSession(session, openUnlisted(session.id, session.bornMs + 1, undefined));
         }
     };
--- a/test/cancelledJobs.test.ts
+++ b/test/cancelledJobs.test.ts
@@ -5,7 +5,7 @@
 
 /** Time after which no task of a cancelled job may be at work: 3 s for the cancellation, 0.2 s for the stop. */
 const maxGoneMs = 3_200;
-/** Long enough for the clock of a first life to be far ahead of that of the next. */
+/** Long enough for the clock of a first incarnation to be far ahead of that of the next. */
 const settleMs = 20_000;
 /** Time in which the run that may not have started is stopped and given up. */
 const givenUpMs = 1_200;
@@ -37,7 +37,7 @@
 
     // guards against runs that no planner knew of, which lasted until their lease ended
     for (const downMs of [0, 300, 900]) {
-        it(`starts nothing on the worker's next life, ${downMs} ms after the earlier one`, async () => {
+        it(`starts nothing on the worker's next incarnation, ${downMs} ms after the earlier one`, async () => {
             const fleet = createFleet({ workerCount: 1 });
             const cancelledAtMs = await cancelJobStartedLate(fleet);
             const worker = fleet.workers.get("w0")!;
--- a/test/runStopper.test.ts
+++ b/test/runStopper.test.ts
@@ -3,7 +3,7 @@
 import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import type { Fleet } from "./fixtures/fleet.js";
 
-/** Adds a run to a worker that no planner ordered, as an order of an earlier life does when it arrives late. */
+/** Adds a run to a worker that no planner ordered, as an order of an earlier incarnation does when it arrives late. */
 const startUnknownRun = (fleet: Fleet, workMs: number): void => {
     const { model } = fleet.workers.get("w0") ?? assert.fail("there is a worker");
     const started = model.start({
--- a/test/session.test.ts
+++ b/test/session.test.ts
@@ -56,8 +56,8 @@
     return { timer, holds, worker, session, restarts, setBusy };
 };
 
-describe("an answer to an order whose reading of the clock is too low for the worker's life", () => {
-    it("is followed by a poll that carries no lease of that life and shows which one answers", async () => {
+describe("an answer to an order whose reading of the clock is too low for the worker's incarnation", () => {
+    it("is followed by a poll that carries no lease of that incarnation and shows which one answers", async () => {
         const { timer, holds, worker, session, restarts, setBusy } = createSession();
         await timer.advance(2_500);
         assert.isDefined(holds.at(-1)?.untilClockMs);
@@ -109,7 +109,7 @@
 });
 
 describe("the acknowledgement of ended runs", () => {
-    // guards against the next life of a worker, which numbers its ended runs anew and forgets those up to the number
+    // guards against the next incarnation of a worker, which numbers its ended runs anew and forgets those up to the number
     it("is sent until a poll with it was answered, and not after", async () => {
         const { timer, holds, session } = createSession();
         await timer.advance(2_500);
--- a/test/workerRestarts.test.ts
+++ b/test/workerRestarts.test.ts
@@ -48,7 +48,7 @@
     });
 });
 
-/** Time after which the list of workers shows a restart; orders reach the new life before. */
+/** Time after which the list of workers shows a restart; orders reach the new incarnation before. */
 const listDelayMs = 800;
 /** Time in which an idle worker is sent no order, so that only its next answer shows that it has restarted. */
 const idleMs = 20_000;
@@ -70,13 +70,16 @@
 describe("an idle worker that restarts under its id before its entry shows it", () => {
     const taskCount = 20;
 
-    // guards against runs that the new life had begun, and that were given up and started elsewhere
-    it("keeps the runs that its new life has begun, and runs each task once", async () => {
+    // guards against runs that the new incarnation had begun, and that were given up and started elsewhere
+    it("keeps the runs that its new incarnation has begun, and runs each task once", async () => {
         const fleet = await createRestartingFleet();
         fleet.restartWorker("w0");
         await fleet.submit(createSubmission("a1", [createStep({ taskCount })], {}, { workMs: 250 }));
         await fleet.timer.advance(completionMs);
-        assert.isTrue(fleet.spans.some(({ worker }) => worker === "w0"), "the new life has begun some of the tasks");
+        assert.isTrue(
+            fleet.spans.some(({ worker }) => worker === "w0"),
+            "the new incarnation has begun some of the tasks",
+        );
         assert.deepEqual(runsPerTask(fleet, "a1"), Array(taskCount).fill(1));
         assert.equal(await jobPhase(fleet), JobPhase.Succeeded);
     });
@@ -95,8 +98,8 @@
         assert.deepEqual(runsPerTask(fleet, "a1"), Array(taskCount).fill(1));
     });
 
-    // guards against ends of the new life that the acknowledgement of the life before made it forget
-    it("does not forget the ends of its new life", async () => {
+    // guards against ends of the new incarnation that the acknowledgement of the incarnation before made it forget
+    it("does not forget the ends of its new incarnation", async () => {
         const fleet = await createRestartingFleet();
         await fleet.submit(createSubmission("a0", [createStep({ taskCount })], {}, { workMs: 100 }));
         await fleet.timer.advance(idleMs);
@@ -109,7 +112,7 @@
         assert.deepEqual(findViolations(fleet.spans), []);
     });
 
-    it("does not start a run of its earlier life that was given up, when the order arrives late", async () => {
+    it("does not start a run of its earlier incarnation that was given up, when the order arrives late", async () => {
         const fleet = createFleet({ workerCount: 3 });
         await fleet.timer.advance(idleMs);
         fleet.orderFault = (_vm, kind, workerId) =>
--- a/tools/workerMutants.ts
+++ b/tools/workerMutants.ts
@@ -1,14 +1,14 @@
 import type { Mutant } from "./mutants.js";
 
-/** Mechanisms of the sessions with workers: lives of a worker, leases, fences and acknowledgements. */
+/** Mechanisms of the sessions with workers: incarnations of a worker, leases, fences and acknowledgements. */
 export const workerMutants: readonly Mutant[] = [
     {
-        without: "learning from a worker's clock that another life of it answers",
+        without: "learning from a worker's clock that another incarnation of it answers",
         file: "execution/workerLease.js",
         find: "clock === undefined || sentAtMs < clock.atMs",
         replace: "true",
         tests: "test/session",
-        fails: "is followed by a poll that carries no lease of that life",
+        fails: "is followed by a poll that carries no lease of that incarnation",
     },
     {
         without: "sending an acknowledgement only until it is answered",
@@ -19,20 +19,20 @@
         fails: "is sent until a poll with it was answered",
     },
     {
-        without: "handing the fences of a worker's life to the session of the next",
+        without: "handing the fences of a worker's incarnation to the session of the next",
         file: "execution/sessionLifecycle.js",
         find: "successor.fenceRun(task, run)",
         replace: "undefined",
         tests: "workerRestarts",
-        fails: "does not start a run of its earlier life",
+        fails: "does not start a run of its earlier incarnation",
     },
     {
-        without: "fencing given up runs on the next life of a worker",
+        without: "fencing given up runs on the next incarnation of a worker",
         file: "execution/sessionLifecycle.js",
         find: "context.unansweredStarts.givenUpOn(id)",
         replace: "[]",
         tests: "cancelledJobs",
-        fails: "starts nothing on the worker's next life",
+        fails: "starts nothing on the worker's next incarnation",
     },
     {
         without: "inheriting the bounds on leases that earlier planners published",
