--- a/test/relayPeer.test.ts
+++ b/test/relayPeer.test.ts
@@ -76,6 +76,8 @@
     ) {
         it(`may have taken effect when the peer's reply is ${JSON.stringify(text)}`, async () => {
             const createPeers = await createPeerAnswering(200, text);
+            const [peer] = createPeers();
+            assert.equal(kindOf(await peer.perform({ operation: "commit", transaction })), StateErrorKind.NoAnswer);
             const unavailable = fail({ kind: StateErrorKind.Unavailable as const, detail: "unreachable" });
             const direct: StateTable = {
                 commit: async () => unavailable,
--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -85,7 +85,7 @@
     {
         without: "an unknown outcome of a write when a peer's answer is not a reply",
         file: "node/relayPeer.js",
-        find: "isReply(body, request)",
+        find: "isRelayReply(body, request)",
         replace: "true",
         tests: "relayPeer",
         fails: "may have taken effect when the peer's reply is \"{}",
