refactor: guarded calls return their value, one limit on rows, one bound on a lease

No change of behaviour. runGuarded and awaitGuarded return the action's value, so that followers, poll loops and the recorder need no variable beside them, and nothing returned a success that nobody read. The end of a lease was computed in three places, and the usual length of a lease was shadowed by parameters of the same name.

--- a/src/execution/pollLoop.ts
+++ b/src/execution/pollLoop.ts
@@ -39,10 +39,7 @@
             await pause.wait(Number.POSITIVE_INFINITY);
             continue;
         }
-        let ok = false;
-        await awaitGuarded(async () => {
-            ok = await options.poll();
-        }, options.onUnexpected);
+        const ok = await awaitGuarded(options.poll, options.onUnexpected) === true;
         runGuarded(options.onPolled, options.onUnexpected);
         if (!ok) {
             await pause.wait(pollRetryMs);
--- a/src/execution/recorder.ts
+++ b/src/execution/recorder.ts
@@ -1,6 +1,6 @@
 import { toJobRecord } from "../jobs/progress.js";
 import type { JobState } from "../jobs/progress.js";
-import { jobRowKey, JobRowKind, partOfJob, progressTable, termKey } from "../jobs/rows.js";
+import { jobRowKey, JobRowKind, maxRowBytes, partOfJob, progressTable, termKey } from "../jobs/rows.js";
 import type { JobRecord } from "../jobs/types.js";
 import type { Log } from "../node/logs.js";
 import { describeStateError, StateErrorKind } from "../state/types.js";
@@ -36,8 +36,6 @@
 
 /** Jobs in one transaction; the platform accepts 100 entries, and each job needs two. */
 const maxJobsPerCommit = 40;
-/** Maximum size of a record as JSON, which is the platform's limit on a row. */
-const maxRecordBytes = 65_536;
 /** Size of the records in one transaction as JSON; the platform accepts requests of 1 MB, with values in base64. */
 const maxBytesPerCommit = 650_000;
 /** Delay before a transaction that was refused or got no answer is retried. */
@@ -59,7 +57,7 @@
 
 /** Drops what saves work, but is not needed, of a record that is too large for a row: checkpoints and addresses. */
 const fitRow = (record: JobRecord): JobRecord => {
-    if (sizeOf(record) <= maxRecordBytes) {
+    if (sizeOf(record) <= maxRowBytes) {
         return record;
     }
     const units = Object.entries(record.units).map(([key, unit]) => [key, { ...unit, checkpoints: {} }]);
@@ -95,13 +93,11 @@
 };
 
 /** The next record of a job; `undefined`, logged, if an unexpected error keeps it from being built. */
-const buildRecord = (job: JobState, { term, log }: RecorderOptions): JobRecord | undefined => {
-    let record: JobRecord | undefined;
-    runGuarded(() => {
-        record = fitRow({ ...toJobRecord(job, term), sequence: job.sequence + 1 });
-    }, detail => log("error", "a job cannot be recorded", { jobId: job.submission.id, detail }));
-    return record;
-};
+const buildRecord = (job: JobState, { term, log }: RecorderOptions): JobRecord | undefined =>
+    runGuarded(
+        () => fitRow({ ...toJobRecord(job, term), sequence: job.sequence + 1 }),
+        detail => log("error", "a job cannot be recorded", { jobId: job.submission.id, detail }),
+    );
 
 /** Creates the recorder of a term. Each write requires the part's term row and fails once a later term has begun. */
 export const createRecorder = (options: RecorderOptions): Recorder => {
@@ -120,7 +116,7 @@
                 continue;
             }
             const recordBytes = sizeOf(record);
-            if (recordBytes > maxRecordBytes) {
+            if (recordBytes > maxRowBytes) {
                 log("error", "the record of a job is too large", { jobId: job.submission.id, recordBytes });
                 queue.waiting.delete(job);
                 resolvers.forEach(resolve => resolve(false));
--- a/src/execution/workerLease.ts
+++ b/src/execution/workerLease.ts
@@ -28,14 +28,16 @@
 const expiryMarginMs = 350;
 
 /** Lease of a worker's runs: outlasts a change of planner and a network partition of some seconds. */
-const leaseMs = 8_000;
+const usualLeaseMs = 8_000;
+
+/** Time after which a lease of `leaseMs` that is granted now has certainly expired and the runs have ended. */
+const endsAfterMs = (leaseMs: number): number => leaseMs * slowClockFactor + expiryMarginMs;
 
 /** Lease that a poll grants to workers that accept leases of up to `maxLeaseMs`. */
-export const grantedLeaseMs = (maxLeaseMs: number): number => Math.min(leaseMs, maxLeaseMs);
+export const grantedLeaseMs = (maxLeaseMs: number): number => Math.min(usualLeaseMs, maxLeaseMs);
 
-/** Time after which a lease that is granted now has certainly expired and the runs have ended. */
-export const longestGrantMs = (maxLeaseMs: number): number =>
-    grantedLeaseMs(maxLeaseMs) * slowClockFactor + expiryMarginMs;
+/** Time after which the lease of a poll that is sent now has certainly expired and the runs have ended. */
+export const longestGrantMs = (maxLeaseMs: number): number => endsAfterMs(grantedLeaseMs(maxLeaseMs));
 
 /** Creates the lease of a worker's runs. `earlierLeasesExpireAtMs` bounds the leases granted by earlier planners. */
 export const createWorkerLease = (
@@ -65,12 +67,11 @@
         expiresAtMs: () => {
             const ownExpiryMs = clock === undefined
                 ? Number.NEGATIVE_INFINITY
-                : clock.atMs + (sentUntilClockMs - clock.clockMs) * slowClockFactor + expiryMarginMs;
+                : clock.atMs + endsAfterMs(sentUntilClockMs - clock.clockMs);
             return Math.max(earlierExpiryMs, ownExpiryMs);
         },
         boundEarlierLeases: () => {
-            const latestExpiryMs = timer.nowMs() + leaseMs * slowClockFactor + expiryMarginMs;
-            earlierExpiryMs = Math.min(earlierExpiryMs, latestExpiryMs);
+            earlierExpiryMs = Math.min(earlierExpiryMs, timer.nowMs() + endsAfterMs(leaseMs));
         },
     };
 };
--- a/src/jobs/rows.ts
+++ b/src/jobs/rows.ts
@@ -13,6 +13,9 @@
 /** Part of the planner's lease. */
 export const plannerPart = "planner";
 
+/** Maximum size of a submission or a record as JSON, which is the platform's limit on a row. */
+export const maxRowBytes = 65_536;
+
 /** Key of the planner's lease. */
 export const plannerLeaseKey = "lease";
 
--- a/src/state/follower.ts
+++ b/src/state/follower.ts
@@ -120,10 +120,7 @@
 
     const follow = async (): Promise<void> => {
         while (!stopped) {
-            let ok = false;
-            await awaitGuarded(async () => {
-                ok = await requestOnce();
-            }, handleUnexpected);
+            const ok = await awaitGuarded(requestOnce, handleUnexpected) === true;
             await timer.sleep(ok ? options.pauseMs() : retryPauseMs);
         }
     };
--- a/src/utils/runGuarded.ts
+++ b/src/utils/runGuarded.ts
@@ -1,26 +1,29 @@
 import { describeUnexpected } from "./describeUnexpected.js";
 
-/** Runs an action and passes an exception, with its stack, to `onUnexpected` instead of letting it end the process. */
-export const runGuarded = (action: () => void, onUnexpected: (detail: string) => void): void => {
+/**
+ * Runs an action and passes an exception, with its stack, to `onUnexpected` instead of letting it end the process; returns
+ * the action's value, `undefined` after an exception.
+ */
+export const runGuarded = <Value>(action: () => Value, onUnexpected: (detail: string) => void): Value | undefined => {
     try {
-        action();
+        return action();
     }
     catch (error) {
         onUnexpected(describeUnexpected(error));
+        return undefined;
     }
 };
 
-/** Like {@link runGuarded}, for an action that may also fail later; resolves with whether it succeeded. */
-export const awaitGuarded = async (
-    action: () => Promise<void> | void,
+/** Like {@link runGuarded}, for an action that may also fail later. */
+export const awaitGuarded = async <Value>(
+    action: () => Promise<Value> | Value,
     onUnexpected: (detail: string) => void,
-): Promise<boolean> => {
+): Promise<Value | undefined> => {
     try {
-        await action();
-        return true;
+        return await action();
     }
     catch (error) {
         onUnexpected(describeUnexpected(error));
-        return false;
+        return undefined;
     }
 };
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -219,7 +219,7 @@
     {
         without: "on entry VMs: waiting until a lease has certainly expired",
         file: "execution/workerLease.js",
-        find: "(sentUntilClockMs - clock.clockMs) * slowClockFactor",
+        find: "endsAfterMs(sentUntilClockMs - clock.clockMs)",
         replace: "(sentUntilClockMs - clock.clockMs) * 0.5",
         tests: "entryVm",
         fails: "that is unreachable but still runs keeps its tasks",
@@ -291,7 +291,7 @@
     {
         without: "waiting out the leases of earlier planners after a worker's first answer",
         file: "execution/workerLease.js",
-        find: "earlierExpiryMs = Math.min(earlierExpiryMs, latestExpiryMs)",
+        find: "earlierExpiryMs = Math.min(earlierExpiryMs, timer.nowMs() + endsAfterMs(leaseMs))",
         replace: "earlierExpiryMs = Number.NEGATIVE_INFINITY",
         tests: "workerLease",
         fails: "is assumed to last as long as an earlier planner may have granted",
