--- a/src/execution/waitReporter.ts
+++ b/src/execution/waitReporter.ts
@@ -1,9 +1,9 @@
 import { RunPhase } from "../jobs/progress.js";
 import type { Run, Unit } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
-import { utilisation } from "../planning/placement.js";
+import { serviceShareInUse, utilisation } from "../planning/placement.js";
 import type { Candidate, Round, WorkerInfo } from "../planning/types.js";
-import { findWaitReason, WaitReason } from "../planning/waitReason.js";
+import { countRoom, findWaitReason, WaitReason } from "../planning/waitReason.js";
 import type { PlannerContext } from "./context.js";
 import { isWaiting, maxSilentMs } from "./roundInput.js";
 
@@ -54,12 +54,28 @@
         log("info", "waiting work not placed", { unit, reason, waitingMs: Math.round(waitingMs), ...fields });
     };
 
+    const reportBackfillLimits = ({ backfillLimits }: Round): void => {
+        for (const { candidate, workers, windowMs } of backfillLimits) {
+            const key = `backfill ${candidate.key}`;
+            if (workers > 0 && isDue(key, candidate.waitingMs)) {
+                searchedAtMs.set(key, timer.nowMs());
+                log("info", "backfill limited for a gang", {
+                    unit: candidate.key,
+                    waitingMs: Math.round(candidate.waitingMs),
+                    workers,
+                    windowMs: Math.round(windowMs),
+                });
+            }
+        }
+    };
+
     const onRound = (workers: readonly WorkerInfo[], candidates: readonly Candidate[], round: Round): void => {
         const nowMs = timer.nowMs();
         if (nowMs - roundSearchedAtMs < searchIntervalMs) {
             return;
         }
         roundSearchedAtMs = nowMs;
+        reportBackfillLimits(round);
         const placed = new Set(round.placements.map(({ candidate }) => candidate.key));
         const claimed = new Set(round.claims.map(({ key }) => key));
         const longestWaiting = candidates
@@ -73,7 +89,10 @@
                 const ofService = workers.filter(({ service }) => service === candidate.job.service);
                 write(candidate.key, reason, candidate.waitingMs, {
                     tasks: candidate.taskIndexes.length,
+                    gang: candidate.step.gang,
+                    room: countRoom(workers, candidate),
                     priority: candidate.job.priority,
+                    inUse: Number(serviceShareInUse(workers, candidate).toFixed(3)),
                     acceleratorsInUse: shareInUse(ofService, "accelerators"),
                     coresInUse: shareInUse(ofService, "milliCores"),
                 });
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -118,15 +118,14 @@
     free: number;
 }
 
-const isMostlyFree = ({ capacity, free }: Totals): boolean =>
-    capacity > 0 && 1 - free / capacity < mostlyIdleUtilisation;
+const shareInUse = ({ capacity, free }: Totals): number => capacity > 0 ? 1 - free / capacity : 1;
 
 /**
- * Whether capacity that the candidate could use would stay idle: less than half of its service is in use, all resources
- * together or, if it needs no accelerators, the cores alone. Workers that accept no work may count or not, whichever
- * share is smaller: what runs on them is no competition, and their free capacity may come back.
+ * Share of a candidate's service that is in use, all resources together or, if it needs no accelerators and that is
+ * less, the cores alone. Workers that accept no work may count or not, whichever share is smaller: what runs on them is
+ * no competition, and their free capacity may come back. 1 if the service has no workers.
  */
-const hasIdleCapacity = (workers: readonly WorkerInfo[], { job, step }: Candidate): boolean => {
+export const serviceShareInUse = (workers: readonly WorkerInfo[], { job, step }: Candidate): number => {
     const sums = [coreEquivalentsOf, coresOf].slice(0, step.resources.accelerators === 0 ? 2 : 1).map(amountOf => ({
         amountOf,
         usable: { capacity: 0, free: 0 },
@@ -147,9 +146,13 @@
             }
         }
     }
-    return sums.some(({ usable, all }) => isMostlyFree(usable) || isMostlyFree(all));
+    return Math.min(...sums.flatMap(({ usable, all }) => [shareInUse(usable), shareInUse(all)]));
 };
 
+/** Whether capacity that the candidate could use would stay idle: less than half of its service is in use. */
+const hasIdleCapacity = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
+    serviceShareInUse(workers, candidate) < mostlyIdleUtilisation;
+
 /**
  * Whether the candidate may run far from its data and on workers that are kept free: it has waited long, and the
  * capacity would stay idle otherwise.
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -12,7 +12,7 @@
 import { indexOccupants, planPreemption } from "./preemption.js";
 import type { OccupantIndex } from "./preemption.js";
 import { fitCount, occupiedBy, subtractResources } from "./resources.js";
-import type { Assignment, Candidate, Occupant, PreemptionClaim, Round, WorkerInfo } from "./types.js";
+import type { Assignment, BackfillLimit, Candidate, Occupant, PreemptionClaim, Round, WorkerInfo } from "./types.js";
 
 /** Input of a planning round, which updates the workers in place as it places work. */
 export interface RoundInput {
@@ -136,7 +136,7 @@
  * Limits backfill on the workers that can host a blocked gang soonest to work that ends before the gang can start. A gang
  * that the usable workers cannot hold would keep them empty for nothing.
  */
-const limitBackfill = (workers: readonly WorkerInfo[], candidate: Candidate): void => {
+const limitBackfill = (workers: readonly WorkerInfo[], candidate: Candidate): BackfillLimit => {
     const options = gangDomains(workers, candidate)
         .filter(domain => fitsIfEmpty(domain, candidate))
         .map(domain => chooseWorkersFor(domain, candidate))
@@ -150,6 +150,7 @@
     chosen.forEach(worker => {
         worker.backfillWindowMs = Math.min(worker.backfillWindowMs, startsInMs);
     });
+    return { candidate, workers: chosen.length, windowMs: startsInMs };
 };
 
 /**
@@ -232,7 +233,7 @@
 /** Decides which tasks start where and which runs are preempted for them. */
 export const planRound = (input: RoundInput): Round => {
     const workersById = new Map(input.workers.map(worker => [worker.workerId, worker]));
-    const round: Round = { placements: [], evictions: [], claims: [] };
+    const round: Round = { placements: [], evictions: [], claims: [], backfillLimits: [] };
     const claims = new Map(
         input.claims.filter(claim => isClaimValid(claim, input, workersById)).map(claim => [claim.key, claim]),
     );
@@ -311,7 +312,7 @@
             && candidate.waitingMs > limitBackfillAfterMs;
         if (mayLimitBackfill && needsWholeWorker(input.workers, candidate) && tierOf(candidate) < Tier.Expired) {
             backfillWindows += 1;
-            limitBackfill(input.workers, candidate);
+            round.backfillLimits.push(limitBackfill(input.workers, candidate));
             unplaceable.onWindowsLimited();
         }
     };
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -95,6 +95,16 @@
     madeAtMs: number;
 }
 
+/** Workers on which a blocked gang limits backfill. */
+export interface BackfillLimit {
+    /** The blocked gang. */
+    candidate: Candidate;
+    /** Number of workers; 0 if the usable ones cannot hold the gang. */
+    workers: number;
+    /** Time within which other work must end there. */
+    windowMs: number;
+}
+
 /** Decisions of one planning round. */
 export interface Round {
     placements: { candidate: Candidate; assignments: Assignment[]; }[];
@@ -102,4 +112,6 @@
     evictions: { occupant: Occupant; forKey: string; }[];
     /** Claims to pass to the next round. */
     claims: PreemptionClaim[];
+    /** Blocked gangs that keep workers from longer work. */
+    backfillLimits: BackfillLimit[];
 }
--- a/src/planning/waitReason.ts
+++ b/src/planning/waitReason.ts
@@ -71,6 +71,14 @@
     return false;
 };
 
+/** Workers of the candidate's service that have the label it requires and accept work, cooldowns aside. */
+const suitableWorkers = (workers: readonly WorkerInfo[], candidate: Candidate): WorkerInfo[] =>
+    workers.filter(worker => (worker.usable || worker.coolingDown) && isSuitable(worker, candidate));
+
+/** Number of tasks of a candidate's kind that fit into what is free on suitable workers, whatever it is kept for. */
+export const countRoom = (workers: readonly WorkerInfo[], candidate: Candidate): number =>
+    suitableWorkers(workers, candidate).reduce((sum, worker) => sum + fittingTasks(worker, candidate), 0);
+
 /**
  * Names why a candidate was not placed, from the workers as the round left them: the first restriction, added one after
  * another, that leaves too little room.
@@ -88,7 +96,7 @@
     if (candidate.reservedWorkers !== undefined) {
         return WaitReason.Reservation;
     }
-    let admitted = workers.filter(worker => (worker.usable || worker.coolingDown) && isSuitable(worker, candidate));
+    let admitted = suitableWorkers(workers, candidate);
     if (admitted.length === 0) {
         return WaitReason.NoUsableWorker;
     }
--- a/test/waitReason.test.ts
+++ b/test/waitReason.test.ts
@@ -103,14 +103,31 @@
         const lines = linesAbout(fleet, "wide.0.0");
         assert.isAtLeast(lines.length, 3);
         assert.isAtMost(lines.length, 5);
-        const { reason, acceleratorsInUse, coresInUse } = lines[0].fields;
-        assert.deepEqual({ reason, acceleratorsInUse, coresInUse }, {
+        const { reason, acceleratorsInUse, coresInUse, inUse, room, gang } = lines[0].fields;
+        assert.deepEqual({ reason, acceleratorsInUse, coresInUse, inUse, room, gang }, {
             reason: WaitReason.Adjacency,
             acceleratorsInUse: 0,
             coresInUse: 0,
+            inUse: 0,
+            room: 4,
+            gang: true,
         });
     });
 
+    it("come with one about the blocked gang that keeps workers from longer work", async () => {
+        const fleet = createFleet({ workerCount: 2, vmCount: 1 });
+        await fleet.timer.advance(1_000);
+        const resources = { milliCores: 8_000, memoryMb: 8_000, accelerators: 8 };
+        const running = createStep({ resources: { ...resources, accelerators: 4 }, estimateMs: 60_000 });
+        await fleet.submit(createSubmission("running", [running], {}, { workMs: 60_000 }));
+        await fleet.submit(createSubmission("gang", [createStep({ taskCount: 2, gang: true, resources })]));
+        await fleet.timer.advance(3_000);
+        const lines = fleet.logLines.filter(line => line.message === "backfill limited for a gang");
+        assert.lengthOf(lines, 1);
+        const { unit, workers } = lines[0].fields;
+        assert.deepEqual({ unit, workers }, { unit: "gang.0.0", workers: 2 });
+    });
+
     it("name a run on a silent worker that is not known to have ended", async () => {
         const fleet = createFleet({ workerCount: 3, vmCount: 1 });
         await fleet.timer.advance(1_000);
