--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -10,7 +10,7 @@
 import type { PlannerContext } from "./context.js";
 import { allocateGuarantees, guaranteedGangs, reconcileReservations, updateReservations } from "./guarantees.js";
 import type { GuaranteeAllocations } from "./guarantees.js";
-import { collectCandidates, collectOccupants, collectWorkers, sumUrgentAccelerators } from "./roundInput.js";
+import { collectCandidates, collectOccupants, sumUrgentAccelerators, collectWorkers } from "./roundInput.js";
 import type { RunMonitor } from "./runMonitor.js";
 import type { RunStarter } from "./runStarter.js";
 import type { RunStopper } from "./runStopper.js";
@@ -121,6 +121,7 @@
         const nowMs = timer.nowMs();
         runGuarded(() => plan(nowMs), detail => context.log("error", "a planning round failed", { detail }));
         lastRoundDurationMs = timer.nowMs() - nowMs;
+        context.metrics.recordPlanningRound(lastRoundDurationMs);
     };
 
     const prepareRound = (): void => {
--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -30,6 +30,8 @@
     setOverdueRuns(phase: string, count: number): void;
     /** Counts a unit that waits although there is room for it, once for each log line; `reason` becomes a label. */
     recordUnplaced(reason: string): void;
+    /** Records the time that a planning round took. */
+    recordPlanningRound(durationMs: number): void;
     /** Returns all metrics in the Prometheus text format. */
     render(): Promise<string>;
 }
@@ -135,6 +137,12 @@
         labelNames: ["reason"],
         registers,
     });
+    const planningRounds = new Histogram({
+        name: "catkinswitch_planning_round_seconds",
+        help: "Time of a planning round; only on the planner.",
+        buckets: callBucketsS,
+        registers,
+    });
     return {
         recordRequest: (method, status, durationMs) => requests.observe({ method, status }, durationMs / msPerSecond),
         recordRefusal: reason => refusals.inc({ reason }),
@@ -153,6 +161,7 @@
         setWaitingTasks: (priority, count) => waiting.set({ priority }, count),
         setOverdueRuns: (phase, count) => overdueRuns.set({ phase }, count),
         recordUnplaced: reason => unplaced.inc({ reason }),
+        recordPlanningRound: durationMs => planningRounds.observe(durationMs / msPerSecond),
         render: () => registry.metrics(),
     };
 };
