--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -10,6 +10,7 @@
 import type { GuaranteeAllocations } from "./guarantees.js";
 import { isResumable } from "./isResumable.js";
 import type { WorkerSession } from "./session.js";
+import { usualLeaseMs } from "./workerLease.js";
 
 /** Time lost when a run is stopped and resumed: the stop, the wait for a placement and loading the checkpoint. */
 const resumeCostMs = 500;
@@ -37,6 +38,10 @@
 const isMigratable = (task: TaskState, nowMs: number): boolean =>
     task.run !== undefined && task.unit.job.submission.priority > 0 && isResumable(task, task.run, nowMs);
 
+/** Whether a run may be at work: its start is ordered, and its worker has answered within the length of a lease. */
+const isAtWork = ({ run }: TaskState, session: WorkerSession): boolean =>
+    run?.phase !== RunPhase.Recording && session.silentMs() < usualLeaseMs;
+
 /** Collects the listed workers with their free resources. */
 export const collectWorkers = (context: PlannerContext): WorkerInfo[] => {
     const workers: WorkerInfo[] = [];
@@ -55,6 +60,7 @@
             labels: descriptor.labels,
             capacity: descriptor.capacity,
             free: { ...descriptor.capacity },
+            notAtWork: { milliCores: 0, memoryMb: 0, accelerators: 0 },
             migratable: { milliCores: 0, memoryMb: 0, accelerators: 0 },
             usable: ready && !coolingDown,
             coolingDown,
@@ -69,6 +75,9 @@
         for (const task of context.runs.tasksOn(session)) {
             const { step } = task.unit;
             subtractResources(worker.free, occupiedBy(step), 1);
+            if (!isAtWork(task, session)) {
+                subtractResources(worker.notAtWork, occupiedBy(step), -1);
+            }
             if (isMigratable(task, context.timer.nowMs())) {
                 subtractResources(worker.migratable, occupiedBy(step), -1);
             }
--- a/src/execution/workerLease.ts
+++ b/src/execution/workerLease.ts
@@ -28,7 +28,7 @@
 const expiryMarginMs = 350;
 
 /** Lease of a worker's runs: outlasts a change of planner and a network partition of some seconds. */
-const usualLeaseMs = 8_000;
+export const usualLeaseMs = 8_000;
 
 /** Time after which a lease of `leaseMs` that is granted now has certainly expired and the runs have ended. */
 const endsAfterMs = (leaseMs: number): number => leaseMs * slowClockFactor + expiryMarginMs;
--- a/src/planning/emptyFleet.ts
+++ b/src/planning/emptyFleet.ts
@@ -20,6 +20,7 @@
     labels: [rack],
     capacity,
     free: { ...capacity },
+    notAtWork: { milliCores: 0, memoryMb: 0, accelerators: 0 },
     migratable: { milliCores: 0, memoryMb: 0, accelerators: 0 },
     usable: true,
     coolingDown: false,
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -99,54 +99,54 @@
     step.dataRack === undefined || worker.rack === step.dataRack;
 
 /** Share of a resource that is in use on workers; 0 if they have none of it. */
-export const utilisation = (workers: readonly WorkerInfo[], amountOf: (resources: TaskResources) => number): number => {
+export const utilisation = (workers: readonly WorkerInfo[], amountOf: AmountOf): number => {
     const capacity = workers.reduce((sum, worker) => sum + amountOf(worker.capacity), 0);
     const free = workers.reduce((sum, worker) => sum + amountOf(worker.free), 0);
     return capacity === 0 ? 0 : 1 - free / capacity;
 };
 
-const coresOf = (resources: TaskResources): number => resources.milliCores;
+/** One reading of resources. */
+type AmountOf = (resources: TaskResources) => number;
+
+const coresOf: AmountOf = resources => resources.milliCores;
 
 /** Whether less than half of the accelerators and less than half of the cores are in use. */
 export const isMostlyIdle = (workers: readonly WorkerInfo[]): boolean =>
     utilisation(workers, resources => resources.accelerators) < mostlyIdleUtilisation
     && utilisation(workers, resources => resources.milliCores) < mostlyIdleUtilisation;
 
-/** Capacity and free amounts of one reading of resources, summed over workers. */
-interface Totals {
-    capacity: number;
-    free: number;
-}
-
-const shareInUse = ({ capacity, free }: Totals): number => capacity > 0 ? 1 - free / capacity : 1;
+/** Amount of a resource that runs at work use on a worker. */
+const amountInUse = ({ capacity, free, notAtWork }: WorkerInfo, amountOf: AmountOf): number =>
+    Math.min(amountOf(capacity), Math.max(0, amountOf(capacity) - amountOf(free) - amountOf(notAtWork)));
 
 /**
- * Share of a candidate's service that is in use, all resources together or, if it needs no accelerators and that is
- * less, the cores alone. Workers that accept no work may count or not, whichever share is smaller: what runs on them is
- * no competition, and their free capacity may come back. 1 if the service has no workers.
+ * Share of a service that is in use by one reading of resources; 1 if it has no workers. A worker that accepts no work
+ * counts only while less than half of it is in use: its runs may have ended, and its free capacity may come back.
  */
-export const serviceShareInUse = (workers: readonly WorkerInfo[], { job, step }: Candidate): number => {
-    const sums = [coreEquivalentsOf, coresOf].slice(0, step.resources.accelerators === 0 ? 2 : 1).map(amountOf => ({
-        amountOf,
-        usable: { capacity: 0, free: 0 },
-        all: { capacity: 0, free: 0 },
-    }));
+const shareInUse = (workers: readonly WorkerInfo[], service: string, amountOf: AmountOf): number => {
+    let totalCapacity = 0;
+    let totalInUse = 0;
     for (const worker of workers) {
-        if (worker.service !== job.service) {
+        if (worker.service !== service) {
             continue;
         }
-        for (const { amountOf, usable, all } of sums) {
-            const capacity = amountOf(worker.capacity);
-            const free = amountOf(worker.free);
-            all.capacity += capacity;
-            all.free += free;
-            if (worker.usable || worker.coolingDown) {
-                usable.capacity += capacity;
-                usable.free += free;
-            }
+        const capacity = amountOf(worker.capacity);
+        const inUse = amountInUse(worker, amountOf);
+        if (worker.usable || worker.coolingDown || inUse < capacity * mostlyIdleUtilisation) {
+            totalCapacity += capacity;
+            totalInUse += inUse;
         }
     }
-    return Math.min(...sums.flatMap(({ usable, all }) => [shareInUse(usable), shareInUse(all)]));
+    return totalCapacity > 0 ? totalInUse / totalCapacity : 1;
+};
+
+/**
+ * Share of a candidate's service that is in use, all resources together or, if it needs no accelerators and that is less,
+ * the cores alone.
+ */
+export const serviceShareInUse = (workers: readonly WorkerInfo[], { job: { service }, step }: Candidate): number => {
+    const share = shareInUse(workers, service, coreEquivalentsOf);
+    return step.resources.accelerators > 0 ? share : Math.min(share, shareInUse(workers, service, coresOf));
 };
 
 /** Whether capacity that the candidate could use would stay idle: less than half of its service is in use. */
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -10,6 +10,8 @@
     capacity: TaskResources;
     /** Resources that no run and no claim occupies; reduced as the round places work. */
     free: TaskResources;
+    /** Resources that are not free although nothing works there: of placements not recorded yet and of runs that have most likely ended. */
+    notAtWork: TaskResources;
     /** Resources of runs of priority above 0 that can be resumed elsewhere with little loss. */
     migratable: TaskResources;
     /** Whether tasks may be started there now. */
