--- a/bench/placementRun.ts
+++ b/bench/placementRun.ts
@@ -3,12 +3,7 @@
 import { allocateGuarantees, reconcileReservations, updateReservations } from "../src/execution/guarantees.js";
 import type { GuaranteeAllocations } from "../src/execution/guarantees.js";
 import { isResumable } from "../src/execution/isResumable.js";
-import {
-    collectCandidates,
-    collectOccupants,
-    collectWorkers,
-    sumUrgentAccelerators,
-} from "../src/execution/roundInput.js";
+import { collectCandidates, collectOccupants, collectUrgentUse, collectWorkers } from "../src/execution/roundInput.js";
 import { activeRuns, RunPhase } from "../src/jobs/progress.js";
 import type { JobState } from "../src/jobs/progress.js";
 import { fitsEmptyFleet } from "../src/planning/emptyFleet.js";
@@ -215,7 +210,7 @@
         waiting = collectCandidates(planner, guarantees);
         recordGuaranteed(guarantees);
         const occupants = () => collectOccupants(planner, guarantees);
-        const urgentHeadroom = urgentDemand.expected(nowMs, sumUrgentAccelerators(planner), workers);
+        const urgentHeadroom = urgentDemand.expected(nowMs, collectUrgentUse(planner), workers);
         const startedMs = performance.now();
         const decisions = policy(
             { nowMs, workers, candidates: waiting, occupants, claims, urgentHeadroom },
--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -1,9 +1,10 @@
 import { expiresAfterMs, objectiveMs } from "../jobs/objective.js";
-import { areDependenciesComplete, RunPhase } from "../jobs/progress.js";
-import type { Run, TaskState, Unit } from "../jobs/progress.js";
+import { areDependenciesComplete, dueAtMs, RunPhase } from "../jobs/progress.js";
+import type { JobState, Run, TaskState, Unit } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
 import { coreEquivalentsOf, occupiedBy, subtractResources } from "../planning/resources.js";
 import type { Candidate, Occupant, WorkerInfo } from "../planning/types.js";
+import type { UrgentUse } from "../planning/urgentDemand.js";
 import type { PlannerContext } from "./context.js";
 import { withinLimits } from "./customerLimits.js";
 import { peakAccelerators } from "./guarantees.js";
@@ -218,13 +219,20 @@
     return occupants;
 };
 
-/** Number of accelerators that jobs of priority 0 use or wait for. */
-export const sumUrgentAccelerators = (context: PlannerContext): number => {
-    let accelerators = 0;
+/** Monotonic time at which a job, or its latest occurrence, arrived. */
+const arrivalMs = (job: JobState, { timer }: PlannerContext): number => {
+    const latestDueAtMs = dueAtMs(job.submission, job.createdOccurrences - 1);
+    return latestDueAtMs === undefined ? job.acceptedAtMs : timer.nowMs() - (timer.wallClockMs() - latestDueAtMs);
+};
+
+/** What jobs of priority 0 use or wait for. */
+export const collectUrgentUse = (context: PlannerContext): UrgentUse => {
+    const use: UrgentUse = { accelerators: 0 };
     for (const job of context.openJobs) {
         if (job.submission.priority === 0 && !isEnded(job.phase) && !job.cancelled) {
-            accelerators += peakAccelerators(job);
+            use.accelerators += peakAccelerators(job);
+            use.latestArrivalMs = Math.max(use.latestArrivalMs ?? Number.NEGATIVE_INFINITY, arrivalMs(job, context));
         }
     }
-    return accelerators;
+    return use;
 };
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -10,7 +10,7 @@
 import type { PlannerContext } from "./context.js";
 import { allocateGuarantees, guaranteedGangs, reconcileReservations, updateReservations } from "./guarantees.js";
 import type { GuaranteeAllocations } from "./guarantees.js";
-import { collectCandidates, collectOccupants, sumUrgentAccelerators, collectWorkers } from "./roundInput.js";
+import { collectCandidates, collectOccupants, collectUrgentUse, collectWorkers } from "./roundInput.js";
 import type { RunMonitor } from "./runMonitor.js";
 import type { RunStarter } from "./runStarter.js";
 import type { RunStopper } from "./runStopper.js";
@@ -161,7 +161,7 @@
         candidates: Candidate[],
         guarantees: GuaranteeAllocations,
     ): void => {
-        const urgentHeadroom = urgentDemand.expected(nowMs, sumUrgentAccelerators(context), workers);
+        const urgentHeadroom = urgentDemand.expected(nowMs, collectUrgentUse(context), workers);
         const occupants = (): Occupant[] => collectOccupants(context, guarantees);
         const round = planRound({ nowMs, workers, candidates, occupants, claims, urgentHeadroom });
         claims = round.claims;
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -143,7 +143,7 @@
 };
 
 /** Wall-clock time at which an occurrence is due; `undefined` for a job without scheduled occurrences. */
-const dueAtMs = (job: JobSubmission, occurrence: number): number | undefined =>
+export const dueAtMs = (job: JobSubmission, occurrence: number): number | undefined =>
     job.repeatCount === 0 ? undefined : job.startAtMs + occurrence * job.intervalMs;
 
 /** Number of occurrences of a job. */
--- a/test/planning.test.ts
+++ b/test/planning.test.ts
@@ -278,7 +278,7 @@
                 worker.free.accelerators -= 1;
             }
         });
-        const headroom = demand.expected(startMs, 0, idleWorkers);
+        const headroom = demand.expected(startMs, { accelerators: 0 }, idleWorkers);
         const candidates = [createCandidate(`small${burst}`, { taskCount: 46 })];
         const filled = planRound(
             createRoundInput({ workers: idleWorkers, candidates, urgentHeadroom: withHeadroom ? headroom : 0 }),
@@ -311,7 +311,7 @@
             gang: true,
             sameRack: true,
         });
-        demand.expected(startMs + 2_000, 16, workers);
+        demand.expected(startMs + 2_000, { accelerators: 16, latestArrivalMs: startMs + 2_000 }, workers);
         const round = planRound(createRoundInput({ workers, candidates: [urgent], occupants: smallRuns }));
         evictionCount += round.evictions.length;
         round.evictions.forEach(({ occupant }) => smallRuns.splice(smallRuns.indexOf(occupant), 1));
@@ -338,8 +338,21 @@
     it("is released when there was no burst for a while, and is bounded", () => {
         const demand = createUrgentDemand();
         const workers = createRacks(2, 6);
-        assert.equal(demand.expected(0, 90, workers), 0);
-        assert.isAtMost(demand.expected(1_000, 0, workers), 96 * 0.15);
-        assert.equal(demand.expected(12_000, 0, workers), 0);
+        assert.equal(demand.expected(0, { accelerators: 90, latestArrivalMs: 0 }, workers), 0);
+        const afterBurst = demand.expected(1_000, { accelerators: 0 }, workers);
+        assert.isAbove(afterBurst, 0);
+        assert.isAtMost(afterBurst, 96 * 0.15);
+        assert.equal(demand.expected(12_000, { accelerators: 0 }, workers), 0);
+    });
+
+    // work stood for tens of seconds beside whole workers that were kept for bursts which had ended
+    it("is not reserved while the last urgent work ends and none arrives", () => {
+        const demand = createUrgentDemand();
+        const workers = createRacks(2, 6);
+        for (let second = 0; second <= 30; second++) {
+            const use = { accelerators: 90 - 3 * second, latestArrivalMs: 0 };
+            const headroom = demand.expected(second * 1_000, use, workers);
+            assert.equal(headroom > 0, second > 0 && second < 10, `after ${second} s`);
+        }
     });
 });
