--- a/tools/planningMutants.ts
+++ b/tools/planningMutants.ts
@@ -98,4 +98,20 @@
         tests: "waitingWork",
         fails: "starts within 3 s on an idle fleet",
     },
+    {
+        without: "headroom that ends with the arrivals of urgent work",
+        file: "planning/urgentDemand.js",
+        find: "nowMs - latestArrivalMs >= peakWindowMs",
+        replace: "false",
+        tests: "test/planning",
+        fails: "is not reserved while the last urgent work ends and none arrives",
+    },
+    {
+        without: "work that passes blocked gangs once it has waited as long as it runs",
+        file: "planning/placement.js",
+        find: "waitingMs > Math.max(relaxAfterMs, step.estimateMs)",
+        replace: "false",
+        tests: "keptFreeRoom",
+        fails: "waits no longer than it runs",
+    },
 ];
