--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -35,6 +35,8 @@
 const roundIntervalMs = 250;
 /** Maximum share of the time spent in planning, so that orders and reports are not delayed. */
 const maxPlanningShare = 0.3;
+/** Maximum pause for that: a round may also seem long because the process was held up, and waiting work has a bound. */
+const maxPauseMs = 500;
 /** Priorities reported in the metric of waiting tasks; queues use 0 to 2. */
 const reportedPriorities = [0, 1, 2];
 
@@ -172,7 +174,8 @@
 
     const request = (): void => {
         if (cancelScheduled === undefined && startedAtMs !== undefined && !context.isTermOver()) {
-            cancelScheduled = timer.after(Math.max(roundDelayMs, lastRoundDurationMs / maxPlanningShare), runRound);
+            const pauseMs = Math.min(lastRoundDurationMs / maxPlanningShare, maxPauseMs);
+            cancelScheduled = timer.after(Math.max(roundDelayMs, pauseMs), runRound);
         }
     };
 
