--- a/src/utils/coalescedTask.ts
+++ b/src/utils/coalescedTask.ts
@@ -1,26 +1,24 @@
 /**
  * Creates a function that performs a task, one run at a time. A call during a run is answered by one more run after it,
- * together with all other such calls; each call resolves with the result of the last run.
+ * together with all other such calls; calls during that one do not delay its answer.
  */
 export const createCoalescedTask = <Value>(task: () => Promise<Value>): () => Promise<Value> => {
     let running: Promise<Value> | undefined;
-    let isRequested = false;
+    let following: Promise<Value> | undefined;
 
-    const runWhileRequested = async (): Promise<Value> => {
-        for (;;) {
-            isRequested = false;
-            const result = await task();
-            if (!isRequested) {
-                return result;
-            }
-        }
-    };
-
-    return () => {
-        isRequested = true;
-        running ??= runWhileRequested().finally(() => {
+    const run = (): Promise<Value> => {
+        following = undefined;
+        running = task().finally(() => {
             running = undefined;
         });
         return running;
     };
+
+    return () => {
+        if (running === undefined && following === undefined) {
+            return run();
+        }
+        following ??= (running ?? Promise.resolve()).then(run, run);
+        return following;
+    };
 };
