--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -40,28 +40,16 @@
 /** Whether a worker is suitable and accepts work. */
 const mayHost = (worker: WorkerInfo, candidate: Candidate): boolean => worker.usable && isSuitable(worker, candidate);
 
-/**
- * Whether a candidate has waited too long for room to be kept from it for a blocked gang, which may start much later
- * than expected: as long as it runs itself.
- */
-export const mayPassBlockedGangs = ({ waitingMs, step }: Candidate): boolean =>
-    waitingMs > Math.max(relaxAfterMs, step.estimateMs);
-
 /** Whether a worker is kept free for urgent work that is expected or for a blocked gang. */
 const isKeptFree = (worker: WorkerInfo, candidate: Candidate): boolean =>
     (worker.isUrgentHeadroom && candidate.job.priority > 0) || !fitsBackfillWindow(worker, candidate);
 
-/** Whether a worker is kept free for other work than the candidate, which has not waited long enough to pass it. */
-const isHeldBack = (worker: WorkerInfo, candidate: Candidate): boolean =>
-    (worker.isUrgentHeadroom && candidate.job.priority > 0)
-    || (!fitsBackfillWindow(worker, candidate) && !mayPassBlockedGangs(candidate));
-
 const mustAvoidWorker = (worker: WorkerInfo, candidate: Candidate): boolean =>
     candidate.mustAvoid && candidate.avoidedWorkers.has(worker.workerId);
 
 /** Whether a task of the candidate may run on a worker, whatever is free there. */
 const isEligible = (worker: WorkerInfo, candidate: Candidate): boolean =>
-    mayHost(worker, candidate) && !isHeldBack(worker, candidate) && !mustAvoidWorker(worker, candidate);
+    mayHost(worker, candidate) && !isKeptFree(worker, candidate) && !mustAvoidWorker(worker, candidate);
 
 /**
  * Whether a task of a candidate that may relax what it prefers may run on a worker: it may be kept free for other work,
--- a/src/planning/waitReason.ts
+++ b/src/planning/waitReason.ts
@@ -5,7 +5,6 @@
     isNearData,
     isSuitable,
     mayColocate,
-    mayPassBlockedGangs,
 } from "./placement.js";
 import type { Candidate, WorkerInfo } from "./types.js";
 
@@ -56,10 +55,7 @@
         reason: WaitReason.UrgentHeadroom,
         admits: (worker, candidate) => !(worker.isUrgentHeadroom && candidate.job.priority > 0),
     },
-    {
-        reason: WaitReason.BackfillWindow,
-        admits: (worker, candidate) => fitsBackfillWindow(worker, candidate) || mayPassBlockedGangs(candidate),
-    },
+    { reason: WaitReason.BackfillWindow, admits: fitsBackfillWindow },
     { reason: WaitReason.Colocation, admits: mayColocate },
     { reason: WaitReason.Locality, admits: (worker, candidate) => isNearData(worker, candidate.step) },
 ];
--- a/test/keptFreeRoom.test.ts
+++ b/test/keptFreeRoom.test.ts
@@ -31,3 +31,24 @@
         second.forEach(({ fromMs }) => assert.isAtMost(fromMs - (first?.toMs ?? 0), estimateMs + 2 * roundMs));
     });
 });
+
+describe("a gang of whole workers beside a backlog of small work of lower priority", () => {
+    // with windows that give way to whatever has waited long, it did not start within 60 s
+    it("starts while the backlog lasts", async () => {
+        const fleet = createFleet({ workerCount: 16, vmCount: 1 });
+        await fleet.timer.advance(1_000);
+        const backlog = 400;
+        const resources = { milliCores: 8_000, memoryMb: 20_000, accelerators: 2 };
+        const small = createStep({ resources, estimateMs: 4_000 });
+        for (let index = 0; index < backlog; index++) {
+            await fleet.submit(createSubmission(`small${index}`, [small], { priority: 2 }, { workMs: 4_000 }));
+        }
+        await fleet.timer.advance(6_000);
+        const gang = createStep({ taskCount: 4, gang: true, resources: wholeWorker, estimateMs: 5_000 });
+        await fleet.submit(createSubmission("gang", [gang], { priority: 1 }, { workMs: 5_000 }));
+        await fleet.timer.advance(9_000);
+        const started = fleet.spans.filter(({ task }) => task.startsWith("gang."));
+        assert.isBelow(fleet.spans.filter(({ task }) => task.startsWith("small")).length, backlog, "some tasks wait");
+        assert.lengthOf(started, 4);
+    });
+});
