--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -1,5 +1,5 @@
 import { expiresAfterMs, objectiveMs } from "../jobs/objective.js";
-import { areDependenciesComplete, dueAtMs, RunPhase } from "../jobs/progress.js";
+import { areDependenciesComplete, RunPhase } from "../jobs/progress.js";
 import type { JobState, Run, TaskState, Unit } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
 import { coreEquivalentsOf, occupiedBy, subtractResources } from "../planning/resources.js";
@@ -219,11 +219,9 @@
     return occupants;
 };
 
-/** Monotonic time at which a job, or its latest occurrence, arrived. */
-const arrivalMs = (job: JobState, { timer }: PlannerContext): number => {
-    const latestDueAtMs = dueAtMs(job.submission, job.createdOccurrences - 1);
-    return latestDueAtMs === undefined ? job.acceptedAtMs : timer.nowMs() - (timer.wallClockMs() - latestDueAtMs);
-};
+/** Monotonic time at which a job, or its latest occurrence, arrived; `undefined` before the first occurrence. */
+const arrivalMs = ({ submission, acceptedAtMs, occurrenceAddedAtMs }: JobState): number | undefined =>
+    submission.repeatCount === 0 ? acceptedAtMs : occurrenceAddedAtMs;
 
 /** What jobs of priority 0 use or wait for. */
 export const collectUrgentUse = (context: PlannerContext): UrgentUse => {
@@ -231,7 +229,10 @@
     for (const job of context.openJobs) {
         if (job.submission.priority === 0 && !isEnded(job.phase) && !job.cancelled) {
             use.accelerators += peakAccelerators(job);
-            use.latestArrivalMs = Math.max(use.latestArrivalMs ?? Number.NEGATIVE_INFINITY, arrivalMs(job, context));
+            use.latestArrivalMs = Math.max(
+                use.latestArrivalMs ?? Number.NEGATIVE_INFINITY,
+                arrivalMs(job) ?? Number.NEGATIVE_INFINITY,
+            );
         }
     }
     return use;
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -132,7 +132,7 @@
                 context.openJobs.delete(job);
             }
             else if (!isEnded(job.phase)) {
-                addDueOccurrences(job, timer.wallClockMs());
+                addDueOccurrences(job, timer.wallClockMs(), timer.nowMs());
             }
         }
         runMonitor.evacuateRuns();
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -103,6 +103,8 @@
     units: Map<string, Unit>;
     /** Number of occurrences whose units have been created. */
     createdOccurrences: number;
+    /** Monotonic time at which this planner last created an occurrence that had become due. */
+    occurrenceAddedAtMs?: number;
 }
 
 /** Key of a unit within its job. */
@@ -143,7 +145,7 @@
 };
 
 /** Wall-clock time at which an occurrence is due; `undefined` for a job without scheduled occurrences. */
-export const dueAtMs = (job: JobSubmission, occurrence: number): number | undefined =>
+const dueAtMs = (job: JobSubmission, occurrence: number): number | undefined =>
     job.repeatCount === 0 ? undefined : job.startAtMs + occurrence * job.intervalMs;
 
 /** Number of occurrences of a job. */
@@ -167,8 +169,8 @@
 const isNextOccurrenceDue = ({ submission, createdOccurrences }: JobState, wallMs: number): boolean =>
     createdOccurrences < occurrenceCount(submission) && (dueAtMs(submission, createdOccurrences) ?? wallMs) <= wallMs;
 
-/** Creates the units of a job's occurrences that are due. */
-export const addDueOccurrences = (job: JobState, wallMs: number): void => {
+/** Creates the units of a job's occurrences that are due; `nowMs` is the monotonic time. */
+export const addDueOccurrences = (job: JobState, wallMs: number, nowMs: number): void => {
     if (!isNextOccurrenceDue(job, wallMs)) {
         return;
     }
@@ -176,6 +178,7 @@
     let openTasks = countOpenTasks(job);
     while (isNextOccurrenceDue(job, wallMs) && (openTasks === 0 || openTasks + addedTasks <= maxOpenTasks)) {
         addOccurrence(job);
+        job.occurrenceAddedAtMs = nowMs;
         openTasks += addedTasks;
     }
 };
--- a/test/recorder.test.ts
+++ b/test/recorder.test.ts
@@ -155,7 +155,7 @@
 const completeOccurrencesUntil = (job: JobState, occurrences: number): void => {
     const lastDueAtMs = job.submission.startAtMs + (occurrences - 1) * job.submission.intervalMs;
     while (job.createdOccurrences < occurrences) {
-        addDueOccurrences(job, lastDueAtMs);
+        addDueOccurrences(job, lastDueAtMs, 0);
         job.units.forEach(unit => unit.complete = true);
     }
     for (const unit of job.units.values()) {
@@ -226,7 +226,7 @@
         const submission = createScheduled(100, 40);
         const job = fixture.createJob(submission);
         for (let completed = 0; completed < submission.repeatCount; completed = job.createdOccurrences) {
-            addDueOccurrences(job, Number.MAX_SAFE_INTEGER);
+            addDueOccurrences(job, Number.MAX_SAFE_INTEGER, 0);
             assert.isAbove(
                 job.createdOccurrences,
                 completed,
