--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -39,9 +39,17 @@
 const isMigratable = (task: TaskState, nowMs: number): boolean =>
     task.run !== undefined && task.unit.job.submission.priority > 0 && isResumable(task, task.run, nowMs);
 
-/** Whether a run may be at work: its start is ordered, and its worker has answered within the length of a lease. */
-const isAtWork = ({ run }: TaskState, session: WorkerSession): boolean =>
-    run?.phase !== RunPhase.Recording && session.silentMs() < usualLeaseMs;
+/** Time after its placement from which a run that is not recorded yet does not count as in use: writes take 4 ms. */
+const unrecordedAfterMs = 500;
+
+/**
+ * Whether a run may be at work, or will be in a moment: it is recorded or was placed just now, and its worker has answered
+ * within the length of a lease.
+ */
+const isAtWork = ({ run }: TaskState, session: WorkerSession, nowMs: number): boolean => {
+    const staysUnrecorded = run?.phase === RunPhase.Recording && nowMs - run.orderedAtMs > unrecordedAfterMs;
+    return !staysUnrecorded && session.silentMs() < usualLeaseMs;
+};
 
 /** Collects the listed workers with their free resources. */
 export const collectWorkers = (context: PlannerContext): WorkerInfo[] => {
@@ -76,7 +84,7 @@
         for (const task of context.runs.tasksOn(session)) {
             const { step } = task.unit;
             subtractResources(worker.free, occupiedBy(step), 1);
-            if (!isAtWork(task, session)) {
+            if (!isAtWork(task, session, context.timer.nowMs())) {
                 subtractResources(worker.notAtWork, occupiedBy(step), -1);
             }
             if (isMigratable(task, context.timer.nowMs())) {
