--- a/test/accountOfUse.test.ts
+++ b/test/accountOfUse.test.ts
@@ -109,7 +109,7 @@
         await expectStart(fleet);
     });
 
-    it("starts although runs of a cut-off zone are not known to have ended after a change of planner", async () => {
+    const cutOffZone = async (): Promise<Fleet> => {
         const fleet = await createFleetWithHeadroom({ cut: 12 });
         await submitTo(fleet, "cut", 12, 8);
         await fleet.timer.advance(settleMs);
@@ -117,8 +117,24 @@
             worker.unreachable = true;
         });
         fleet.killVm(fleet.planner() ?? "");
-        // longer than their lease, so that the workers have ended their runs
-        await fleet.timer.advance(6_500);
+        return fleet;
+    };
+    /** Longer than a lease with the submissions that follow, so that the workers have ended their runs. */
+    const untilRunsLapsedMs = 6_500;
+
+    it("starts although runs of a cut-off zone are not known to have ended after a change of planner", async () => {
+        const fleet = await cutOffZone();
+        await fleet.timer.advance(untilRunsLapsedMs);
+        await runUrgentWork(fleet);
+        await expectStart(fleet);
+    });
+
+    it("starts although runs of a cut-off zone are not known to have ended after two changes of planner", async () => {
+        const fleet = await cutOffZone();
+        const secondChangeMs = 4_000;
+        await fleet.timer.advance(secondChangeMs);
+        fleet.killVm(fleet.planner() ?? "");
+        await fleet.timer.advance(untilRunsLapsedMs - secondChangeMs);
         await runUrgentWork(fleet);
         await expectStart(fleet);
     });
