--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -1,6 +1,6 @@
 import { objectiveMs } from "../jobs/objective.js";
-import { activeRuns, areDependenciesComplete, restoreJob } from "../jobs/progress.js";
-import type { JobState, RestoreJobOptions } from "../jobs/progress.js";
+import { activeRuns } from "../jobs/progress.js";
+import type { JobState } from "../jobs/progress.js";
 import { createJobProjection } from "../jobs/projection.js";
 import type { StoredJob } from "../jobs/projection.js";
 import { countPendingJobs } from "../jobs/queries/pendingJobs.js";
@@ -10,7 +10,6 @@
 import type { JobSubmission } from "../jobs/types.js";
 import type { EntryMetrics } from "../node/entryMetrics.js";
 import type { Log } from "../node/logs.js";
-import { relaxAfterMs } from "../planning/placement.js";
 import type { OperatorState } from "../queues/types.js";
 import { createTableFollower } from "../state/follower.js";
 import type { TableFollower } from "../state/follower.js";
@@ -26,6 +25,7 @@
 import { createRecorder } from "./recorder.js";
 import type { Recorder } from "./recorder.js";
 import { createReportHandler } from "./reportHandler.js";
+import { restoreWaitingJob } from "./restoreWaitingJob.js";
 import { createRoundScheduler } from "./rounds.js";
 import { createRunMonitor } from "./runMonitor.js";
 import { createRunStarter } from "./runStarter.js";
@@ -117,27 +117,6 @@
     followerAgeMs = Number.POSITIVE_INFINITY,
 ): number => Math.min(Math.max(0, wallMs - acceptedAtMs), followerAgeMs);
 
-/**
- * Restores a job. Steps whose turn has come count as having waited until they may relax what they prefer, if the job is
- * that old: the time of their turn is not stored, and a wait that began anew with each planner could exceed the bound on
- * waiting work.
- */
-const restoreWaitingJob = (
-    submission: JobSubmission,
-    stored: StoredJob,
-    { timer, ...options }: Omit<RestoreJobOptions, "nowMs"> & { timer: TimerService; },
-): JobState => {
-    const nowMs = timer.nowMs();
-    const job = restoreJob(submission, stored, { ...options, nowMs });
-    for (const unit of job.units.values()) {
-        const ageMs = unit.dueAtMs === undefined ? options.ageMs : timer.wallClockMs() - unit.dueAtMs;
-        if (!unit.complete && ageMs >= 0 && areDependenciesComplete(unit)) {
-            unit.readySinceMs = nowMs - Math.min(ageMs, relaxAfterMs);
-        }
-    }
-    return job;
-};
-
 /** Starts the planner of a term: fences earlier planners, reads stored jobs and workers' reports, then plans. */
 export const startPlanner = (options: PlannerOptions): Planner => {
     const { timer, log, term } = options;
