--- /dev/null
+++ b/review/standins-2/workerServer.ts
@@ -0,0 +1,195 @@
+/** Stand-in for one worker over HTTP, which lists at most 500 ends at a time. Test code only. */
+import { createServer } from "node:http";
+import type { IncomingMessage } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Refusal } from "../../src/execution/types.js";
+import type { OrderError } from "../../src/execution/types.js";
+import type { TaskId } from "../../src/jobs/types.js";
+import { listen } from "../../src/utils/http.js";
+import type { Result } from "../../src/utils/result.js";
+import { createTimerService } from "../../src/utils/timer.js";
+import { createWorkerModel } from "../../standins/runs/workerModel.js";
+import type { RunSpan } from "../../standins/runs/workerModel.js";
+import { readJson, sendJson } from "./tableServer.js";
+import type { TableServer } from "./tableServer.js";
+
+/** Something that a worker did, in the order in which it happened. */
+export interface WorkerEvent {
+    atMs: number;
+    worker: string;
+    /** `start`, `end`, or `noted` when the ack-cursor reaches the end. */
+    event: "start" | "end" | "noted";
+    task: string;
+    run: number;
+    /** How the run ended. */
+    how?: string;
+}
+
+/** Options of {@link startWorkerServer}. */
+export interface WorkerServerOptions {
+    id: string;
+    table: TableServer;
+    record: (event: WorkerEvent) => void;
+    /** Whether every run that starts now fails. */
+    failsAll: () => boolean;
+}
+
+/** One worker. */
+export interface WorkerServer {
+    id: string;
+    /** Whether it is cut off: what is sent to it is lost. */
+    isCut: boolean;
+    runningCount(): number;
+    close(): void;
+}
+
+/** Ends that one answer lists at most. */
+const maxListedEnds = 500;
+const heartbeatMs = 1_500;
+
+const parseTask = (name: unknown): TaskId => {
+    const [jobId, occurrence, step, index] = String(name).split(".");
+    return { jobId, occurrence: Number(occurrence), step: Number(step), index: Number(index) };
+};
+
+const formatTask = (task: TaskId): string => `${task.jobId}.${task.occurrence}.${task.step}.${task.index}`;
+
+const reasons = new Map<Refusal, string>([
+    [Refusal.Fenced, "fence"],
+    [Refusal.OldRun, "old"],
+    [Refusal.Late, "late"],
+    [Refusal.NoRoom, "room"],
+]);
+
+const toReply = <Value>(result: Result<Value, OrderError>, encode: (value: Value) => unknown) => {
+    if (result.ok) {
+        return { status: 200, body: encode(result.value) };
+    }
+    const { error } = result;
+    const reason = error.kind === "refused" ? reasons.get(error.refusal) : undefined;
+    const clockMs = error.kind === "refused" ? error.clockMs : undefined;
+    return { status: reason === undefined ? 400 : 409, body: { reason, "clock-ms": clockMs } };
+};
+
+/** Starts a worker on a free loopback port and registers it in the store. */
+export const startWorkerServer = async (options: WorkerServerOptions): Promise<WorkerServer> => {
+    const { id, table, record } = options;
+    const timer = createTimerService();
+    const bornMs = Date.now();
+    const ends: { task: string; run: number; how?: string; }[] = [];
+    let notedCount = 0;
+
+    const onSpan = ({ task, run, toMs, kind }: RunSpan): void => {
+        if (toMs === undefined) {
+            record({ atMs: Date.now(), worker: id, event: "start", task, run });
+            return;
+        }
+        ends.push({ task, run, how: kind });
+        record({ atMs: Date.now(), worker: id, event: "end", task, run, how: kind });
+    };
+    const model = createWorkerModel({ id, timer, bornMs, spans: [], failsAll: options.failsAll, onSpan });
+
+    /** Records the ends that an acknowledgement covers: they are numbered from 1 in the order in which they happened. */
+    const noteEnds = (cursor: number): void => {
+        for (; notedCount < Math.min(cursor, ends.length); notedCount++) {
+            record({ atMs: Date.now(), worker: id, event: "noted", ...ends[notedCount] });
+        }
+    };
+
+    const hold = async (body: Record<string, unknown>, fencingToken: number) => {
+        const acknowledged = Number(body["ack-cursor"] ?? 0);
+        const untilClockMs = body["until-ms"] === undefined ? undefined : Number(body["until-ms"]);
+        const first = model.hold({ fencingToken, acknowledged, untilClockMs });
+        if (first.ok) {
+            noteEnds(acknowledged);
+        }
+        if (first.ok && first.value.ended.length === 0 && body["wait-ms"] !== undefined) {
+            await Promise.race([
+                sleep(Number(body["wait-ms"])),
+                new Promise<void>(resolve => model.onceEnded(resolve)),
+            ]);
+        }
+        return toReply(model.hold({ fencingToken, acknowledged }), ({ clockMs, running, ended }) => ({
+            "clock-ms": clockMs,
+            born: bornMs,
+            running: running.map(run => [formatTask(run.task), run.run, run.checkpoint, run.percent, 0]),
+            finished: ended.slice(0, maxListedEnds)
+                .map(end => [end.number, formatTask(end.task), end.run, end.kind, end.checkpoint]),
+        }));
+    };
+
+    const handle = async (request: IncomingMessage, body: Record<string, unknown>) => {
+        const fencingToken = Number(body["fencing-token"] ?? 0);
+        const clockOf = ({ clockMs }: { clockMs: number; }) => ({ "clock-ms": clockMs });
+        if (request.headers["expected-instance"] !== id) {
+            return { status: 421, body: {} };
+        }
+        switch (request.url) {
+            case "/-/run-start":
+                return toReply(
+                    model.start({
+                        task: parseTask(body.task),
+                        run: Number(body["run-id"]),
+                        spec: String(body.spec),
+                        untilClockMs: Number(body["until-ms"]),
+                        checkpoint: String(body.checkpoint ?? ""),
+                        fencingToken,
+                    }),
+                    clockOf,
+                );
+            case "/-/run-stop":
+                return toReply(model.stop(parseTask(body.task), Number(body["run-id"]), fencingToken), clockOf);
+            case "/-/hold":
+                return hold(body, fencingToken);
+            default:
+                return { status: 404, body: {} };
+        }
+    };
+
+    const server = createServer((request, response) => {
+        if (worker.isCut) {
+            // lost on the way: it is neither carried out nor answered
+            return;
+        }
+        readJson(request).then(body => handle(request, body)).then(
+            reply => worker.isCut ? undefined : sendJson(response, reply),
+            () => response.destroy(),
+        );
+    });
+    server.keepAliveTimeout = 60_000;
+    const port = await listen(server, "127.0.0.1", 0);
+    let sequence = 0;
+    const publish = (): void => {
+        if (worker.isCut) {
+            return;
+        }
+        sequence += 1;
+        table.writeRow("servers", id, {
+            service: "doves",
+            address: `127.0.0.1:${port}`,
+            zone: "north-a",
+            version: "v1",
+            slots: 8,
+            state: "ready",
+            "cold-remaining-ms": 0,
+            capacity: { cpu: 64_000, "mem-mb": 262_144, gpu: 8 },
+            labels: ["a", "r1-1"],
+            born: bornMs,
+            sequence,
+        });
+    };
+    const heartbeat = setInterval(publish, heartbeatMs);
+    const worker: WorkerServer = {
+        id,
+        isCut: false,
+        runningCount: model.runningCount,
+        close: () => {
+            clearInterval(heartbeat);
+            model.crash();
+            server.close();
+            server.closeAllConnections();
+        },
+    };
+    publish();
+    return worker;
+};
