--- a/review/standins-2/deployment.ts
+++ b/review/standins-2/deployment.ts
@@ -2,6 +2,7 @@
 import { spawn } from "node:child_process";
 import type { ChildProcess } from "node:child_process";
 import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { request } from "node:http";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -26,6 +27,8 @@
     name: string;
     callers: string;
     readiness: string;
+    /** Settings file. */
+    file: string;
     child: ChildProcess;
 }
 
@@ -50,6 +53,10 @@
     submit(jobId: string, body: unknown): Promise<boolean>;
     /** Signals the process of an entry VM; `SIGKILL` ends it for good. */
     signal(vm: EntryVm, signal: NodeJS.Signals): void;
+    /** Starts the process of an entry VM again, with the same settings. */
+    restart(vm: EntryVm): void;
+    /** Starts a worker; with a port it is the next life of the machine that had it. */
+    addWorker(id: string, zone?: string, port?: number): Promise<WorkerServer>;
     stop(): void;
 }
 
@@ -62,6 +69,8 @@
 
 const callTimeoutMs = 3_000;
 const readyTimeoutMs = 30_000;
+/** Time that a VM alone takes to acquire the term and to begin to plan. */
+const untilPlanningMs = 3_500;
 const host = "doves.example";
 const prefix = "/bookings/";
 const apiKey = "key-1";
@@ -104,6 +113,16 @@
     tenants: [{ name: "hotel", "api-keys": [apiKey], guaranteed: { gpu: 8 } }],
 });
 
+const spawnVm = (file: string): ChildProcess => {
+    const [program, ...args] = readRunCommand();
+    const child = spawn(program === "node" ? process.execPath : program, args, {
+        env: { PATH: process.env.PATH, HOME: process.env.HOME, CATKINSWITCH_SETTINGS: file },
+        stdio: ["ignore", "pipe", "inherit"],
+    });
+    child.stdout?.on("data", (chunk: Buffer) => appendFileSync(`${file}.log`, chunk));
+    return child;
+};
+
 const startVm = async (name: string, directory: string, table: TableServer): Promise<EntryVm> => {
     const callers = `127.0.0.1:${await findFreePort()}`;
     const readiness = `127.0.0.1:${await findFreePort()}`;
@@ -123,13 +142,7 @@
         stopGraceS: 6,
     };
     writeFileSync(file, JSON.stringify(settings));
-    const [program, ...args] = readRunCommand();
-    const child = spawn(program === "node" ? process.execPath : program, args, {
-        env: { PATH: process.env.PATH, HOME: process.env.HOME, CATKINSWITCH_SETTINGS: file },
-        stdio: ["ignore", "pipe", "inherit"],
-    });
-    child.stdout?.on("data", (chunk: Buffer) => appendFileSync(join(directory, `${name}.log`), chunk));
-    return { name, callers, readiness, child };
+    return { name, callers, readiness, file, child: spawnVm(file) };
 };
 
 const waitUntilReady = async ({ name, readiness, child }: EntryVm): Promise<void> => {
@@ -146,6 +159,40 @@
     }
 };
 
+/** Sends a caller's request on a connection of its own. */
+const sendToVm = (vm: EntryVm, method: string, path: string, body: unknown): Promise<CallerAnswer> =>
+    new Promise(resolve => {
+        const [address, port] = vm.callers.split(":");
+        const noAnswer = (): void => resolve({ status: 0, body: undefined });
+        const text = body === undefined ? "" : JSON.stringify(body);
+        const headers = {
+            host,
+            authorization: `Bearer ${apiKey}`,
+            "deadline-ms": String(callTimeoutMs),
+            ...(text === ""
+                ? {}
+                : { "content-type": "application/json", "content-length": Buffer.byteLength(text) }),
+        };
+        const sent = request(
+            { host: address, port, method, path: `${prefix}${path}`, agent: false, timeout: callTimeoutMs, headers },
+            response => {
+                const chunks: Buffer[] = [];
+                response.on("data", (chunk: Buffer) => chunks.push(chunk));
+                response.on("error", noAnswer);
+                response.on("end", () => {
+                    const received = Buffer.concat(chunks).toString("utf8");
+                    resolve({
+                        status: response.statusCode ?? 0,
+                        body: received === "" ? undefined : JSON.parse(received),
+                    });
+                });
+            },
+        );
+        sent.on("timeout", () => sent.destroy());
+        sent.on("error", noAnswer);
+        sent.end(text);
+    });
+
 /** Starts the stand-ins and the entry VMs, and resolves when these are ready. */
 export const startDeployment = async (options: DeploymentOptions): Promise<Deployment> => {
     const directory = mkdtempSync(join(tmpdir(), "catkinswitch-review-"));
@@ -164,47 +211,25 @@
     const table = await startTableServer();
     table.writeRow("op", "config", configurationOf(options.maxAttempts));
     const workers: WorkerServer[] = [];
+    const addWorker: Deployment["addWorker"] = async (id, zone, port) => {
+        const worker = await startWorkerServer({
+            id,
+            table,
+            record,
+            failsAll: () => failingWorkers.has(id),
+            zone,
+            port,
+        });
+        workers.push(worker);
+        return worker;
+    };
     for (const id of options.workerIds) {
-        workers.push(await startWorkerServer({ id, table, record, failsAll: () => failingWorkers.has(id) }));
+        await addWorker(id);
     }
     const vms: EntryVm[] = [];
 
     const call: Deployment["call"] = async (vm, method, path, body) => {
-        const [address, port] = vm.callers.split(":");
-        const { request } = await import("node:http");
-        const text = body === undefined ? "" : JSON.stringify(body);
-        const answer = await new Promise<CallerAnswer>(resolve => {
-            const sent = request({
-                host: address,
-                port,
-                method,
-                path: `${prefix}${path}`,
-                agent: false,
-                timeout: callTimeoutMs,
-                headers: {
-                    host,
-                    authorization: `Bearer ${apiKey}`,
-                    "deadline-ms": String(callTimeoutMs),
-                    ...(text === ""
-                        ? {}
-                        : { "content-type": "application/json", "content-length": Buffer.byteLength(text) }),
-                },
-            }, response => {
-                const chunks: Buffer[] = [];
-                response.on("data", (chunk: Buffer) => chunks.push(chunk));
-                response.on("error", () => resolve({ status: 0, body: undefined }));
-                response.on("end", () => {
-                    const received = Buffer.concat(chunks).toString("utf8");
-                    resolve({
-                        status: response.statusCode ?? 0,
-                        body: received === "" ? undefined : JSON.parse(received),
-                    });
-                });
-            });
-            sent.on("timeout", () => sent.destroy());
-            sent.on("error", () => resolve({ status: 0, body: undefined }));
-            sent.end(text);
-        });
+        const answer = await sendToVm(vm, method, path, body);
         note(`${vm.name} answered ${method} ${path} with ${answer.status} ${JSON.stringify(answer.body)}`);
         return answer;
     };
@@ -247,13 +272,21 @@
             note(`${signal} to ${vm.name}`);
             vm.child.kill(signal);
         },
+        restart: vm => {
+            note(`${vm.name} starts again`);
+            vm.child = spawnVm(vm.file);
+        },
+        addWorker,
         stop,
     };
     try {
         for (let index = 1; index <= options.vmCount; index++) {
-            vms.push(await startVm(`vm-${index}`, directory, table));
+            const vm = await startVm(`vm-${index}`, directory, table);
+            vms.push(vm);
+            // the first one acquires the term before the next one starts
+            await waitUntilReady(vm);
+            await sleep(untilPlanningMs);
         }
-        await Promise.all(vms.map(waitUntilReady));
     }
     catch (error) {
         stop();
--- a/review/standins-2/tableServer.ts
+++ b/review/standins-2/tableServer.ts
@@ -28,7 +28,7 @@
     switches: TableSwitches;
     /** Writes a row with an empty part. */
     writeRow(table: string, key: string, value: unknown): void;
-    readRow(table: string, part: string, key: string): StateRow | undefined;
+    removeRow(table: string, key: string): void;
     close(): void;
 }
 
@@ -149,7 +149,9 @@
         writeRow: (name, key, value) => {
             table.commit({ part: "", conditions: [], writes: [{ table: name, key, value }] });
         },
-        readRow: (name, part, key) => table.read({ table: name, part }).rows.find(row => row.key === key),
+        removeRow: (name, key) => {
+            table.commit({ part: "", conditions: [], writes: [{ table: name, key }] });
+        },
         close: () => {
             server.close();
             server.closeAllConnections();
--- a/review/standins-2/workerServer.ts
+++ b/review/standins-2/workerServer.ts
@@ -32,6 +32,10 @@
     record: (event: WorkerEvent) => void;
     /** Whether every run that starts now fails. */
     failsAll: () => boolean;
+    /** @default "north-a" */
+    zone?: string;
+    /** Port of an earlier life of the machine. @default a free one */
+    port?: number;
 }
 
 /** One worker. */
@@ -39,13 +43,18 @@
     id: string;
     /** Whether it is cut off: what is sent to it is lost. */
     isCut: boolean;
+    port: number;
     runningCount(): number;
+    /** Ends this life as a loss of power does; the store drops its entry later. */
+    losePower(): void;
     close(): void;
 }
 
 /** Ends that one answer lists at most. */
 const maxListedEnds = 500;
 const heartbeatMs = 1_500;
+/** Silence after which the store drops an entry. */
+const entryExpiryMs = 3 * heartbeatMs;
 
 const parseTask = (name: unknown): TaskId => {
     const [jobId, occurrence, step, index] = String(name).split(".");
@@ -85,7 +94,7 @@
             return;
         }
         ends.push({ task, run, how: kind });
-        record({ atMs: Date.now(), worker: id, event: "end", task, run, how: kind });
+        record({ atMs: Date.now(), worker: id, event: "end", task, run, how: kind ?? "lost with the worker" });
     };
     const model = createWorkerModel({ id, timer, bornMs, spans: [], failsAll: options.failsAll, onSpan });
 
@@ -157,7 +166,7 @@
         );
     });
     server.keepAliveTimeout = 60_000;
-    const port = await listen(server, "127.0.0.1", 0);
+    const port = await listen(server, "127.0.0.1", options.port ?? 0);
     let sequence = 0;
     const publish = (): void => {
         if (worker.isCut) {
@@ -167,7 +176,7 @@
         table.writeRow("servers", id, {
             service: "doves",
             address: `127.0.0.1:${port}`,
-            zone: "north-a",
+            zone: options.zone ?? "north-a",
             version: "v1",
             slots: 8,
             state: "ready",
@@ -182,7 +191,14 @@
     const worker: WorkerServer = {
         id,
         isCut: false,
+        port,
         runningCount: model.runningCount,
+        losePower: () => {
+            clearInterval(heartbeat);
+            worker.isCut = true;
+            model.crash();
+            setTimeout(() => table.removeRow("servers", id), entryExpiryMs);
+        },
         close: () => {
             clearInterval(heartbeat);
             model.crash();
