--- a/review/standins-2/deployment.ts
+++ b/review/standins-2/deployment.ts
@@ -48,9 +48,15 @@
     /** Whether every run that starts on a worker now fails. */
     failingWorkers: Set<string>;
     note(text: string): void;
-    call(vm: EntryVm, method: "GET" | "POST" | "DELETE", path: string, body?: unknown): Promise<CallerAnswer>;
+    call(
+        vm: EntryVm,
+        method: "GET" | "POST" | "DELETE",
+        path: string,
+        body?: unknown,
+        tenant?: Tenant,
+    ): Promise<CallerAnswer>;
     /** Hands a job in, at each VM in turn until one accepts it. */
-    submit(jobId: string, body: unknown): Promise<boolean>;
+    submit(jobId: string, body: unknown, tenant?: Tenant): Promise<boolean>;
     /** Signals the process of an entry VM; `SIGKILL` ends it for good. */
     signal(vm: EntryVm, signal: NodeJS.Signals): void;
     /** Starts the process of an entry VM again, with the same settings. */
@@ -72,8 +78,33 @@
 /** Time that a VM alone takes to acquire the term and to begin to plan. */
 const untilPlanningMs = 3_500;
 const host = "doves.example";
-const prefix = "/bookings/";
-const apiKey = "key-1";
+
+/** A tenant, with the queue that it uses. */
+export interface Tenant {
+    name: string;
+    apiKey: string;
+    prefix: string;
+    priority: number;
+    guaranteedGpus: number;
+}
+
+/** Tenant of the urgent queue; calls are made in its name by default. */
+export const hotel: Tenant = {
+    name: "hotel",
+    apiKey: "key-1",
+    prefix: "/bookings/",
+    priority: 0,
+    guaranteedGpus: 8,
+};
+
+/** Tenant of the queue with the lowest priority. */
+export const ledger: Tenant = {
+    name: "ledger",
+    apiKey: "key-2",
+    prefix: "/ledger/",
+    priority: 2,
+    guaranteedGpus: 0,
+};
 
 const findFreePort = (): Promise<number> =>
     new Promise((resolve, reject) => {
@@ -97,20 +128,24 @@
 
 const configurationOf = (maxAttempts: number): unknown => ({
     version: 3,
-    routes: [{
-        name: "r-bookings",
+    routes: [hotel, ledger].map(({ name, prefix, priority }) => ({
+        name: `r-${name}`,
         host,
         prefix,
         service: "doves",
-        priority: 0,
+        priority,
         "max-attempts": maxAttempts,
         "slack-factor": 3,
         "target-latency-ms": 1_000,
         public: false,
-    }],
+    })),
     services: [{ name: "doves" }],
     limits: { "max-body-bytes": 262_144 },
-    tenants: [{ name: "hotel", "api-keys": [apiKey], guaranteed: { gpu: 8 } }],
+    tenants: [hotel, ledger].map(({ name, apiKey, guaranteedGpus }) => ({
+        name,
+        "api-keys": [apiKey],
+        ...(guaranteedGpus === 0 ? {} : { guaranteed: { gpu: guaranteedGpus } }),
+    })),
 });
 
 const spawnVm = (file: string): ChildProcess => {
@@ -160,7 +195,13 @@
 };
 
 /** Sends a caller's request on a connection of its own. */
-const sendToVm = (vm: EntryVm, method: string, path: string, body: unknown): Promise<CallerAnswer> =>
+const sendToVm = (
+    vm: EntryVm,
+    method: string,
+    path: string,
+    body: unknown,
+    { apiKey, prefix }: Tenant,
+): Promise<CallerAnswer> =>
     new Promise(resolve => {
         const [address, port] = vm.callers.split(":");
         const noAnswer = (): void => resolve({ status: 0, body: undefined });
@@ -228,8 +269,8 @@
     }
     const vms: EntryVm[] = [];
 
-    const call: Deployment["call"] = async (vm, method, path, body) => {
-        const answer = await sendToVm(vm, method, path, body);
+    const call: Deployment["call"] = async (vm, method, path, body, tenant = hotel) => {
+        const answer = await sendToVm(vm, method, path, body, tenant);
         note(`${vm.name} answered ${method} ${path} with ${answer.status} ${JSON.stringify(answer.body)}`);
         return answer;
     };
@@ -259,9 +300,9 @@
         failingWorkers,
         note,
         call,
-        submit: async (jobId, body) => {
+        submit: async (jobId, body, tenant) => {
             for (const vm of vms) {
-                const { status } = await call(vm, "POST", jobId, body);
+                const { status } = await call(vm, "POST", jobId, body, tenant);
                 if (status === 200) {
                     return true;
                 }
--- a/review/standins-2/lastingTasks.ts
+++ b/review/standins-2/lastingTasks.ts
@@ -1,4 +1,4 @@
-/** Case 8: a zone that holds the planner and a worker with lasting tasks loses power. */
+/** Case 10: a zone that holds the planner and a worker with lasting tasks loses power. */
 import { setTimeout as sleep } from "node:timers/promises";
 import { runCase, Verdict } from "./deployment.js";
 import type { Deployment } from "./deployment.js";
@@ -37,7 +37,7 @@
     return [...gaps.values(), ...[...endedAt.values()].map(atMs => Date.now() - atMs)];
 };
 
-await runCase({ folder: "review/8", workerIds: [], vmCount: 2, maxAttempts: 4 }, async (deployment, withTrouble) => {
+await runCase({ folder: "review/10", workerIds: [], vmCount: 2, maxAttempts: 4 }, async (deployment, withTrouble) => {
     const { vms, note } = deployment;
     const lost = await deployment.addWorker("i-0a", "north-a");
     await deployment.addWorker("i-0b", "north-b");
--- a/review/standins-2/workerServer.ts
+++ b/review/standins-2/workerServer.ts
@@ -80,6 +80,20 @@
     return { status: reason === undefined ? 400 : 409, body: { reason, "clock-ms": clockMs } };
 };
 
+const entryOf = (port: number, zone: string, bornMs: number, sequence: number): unknown => ({
+    service: "doves",
+    address: `127.0.0.1:${port}`,
+    zone,
+    version: "v1",
+    slots: 8,
+    state: "ready",
+    "cold-remaining-ms": 0,
+    capacity: { cpu: 64_000, "mem-mb": 262_144, gpu: 8 },
+    labels: ["a", "r1-1"],
+    born: bornMs,
+    sequence,
+});
+
 /** Starts a worker on a free loopback port and registers it in the store. */
 export const startWorkerServer = async (options: WorkerServerOptions): Promise<WorkerServer> => {
     const { id, table, record } = options;
@@ -96,7 +110,15 @@
         ends.push({ task, run, how: kind });
         record({ atMs: Date.now(), worker: id, event: "end", task, run, how: kind ?? "lost with the worker" });
     };
-    const model = createWorkerModel({ id, timer, bornMs, spans: [], failsAll: options.failsAll, onSpan });
+    const model = createWorkerModel({
+        id,
+        timer,
+        bornMs,
+        spans: [],
+        failsAll: options.failsAll,
+        savesCheckpoints: () => false,
+        onSpan,
+    });
 
     /** Records the ends that an acknowledgement covers: they are numbered from 1 in the order in which they happened. */
     const noteEnds = (cursor: number): void => {
@@ -173,19 +195,7 @@
             return;
         }
         sequence += 1;
-        table.writeRow("servers", id, {
-            service: "doves",
-            address: `127.0.0.1:${port}`,
-            zone: options.zone ?? "north-a",
-            version: "v1",
-            slots: 8,
-            state: "ready",
-            "cold-remaining-ms": 0,
-            capacity: { cpu: 64_000, "mem-mb": 262_144, gpu: 8 },
-            labels: ["a", "r1-1"],
-            born: bornMs,
-            sequence,
-        });
+        table.writeRow("servers", id, entryOf(port, options.zone ?? "north-a", bornMs, sequence));
     };
     const heartbeat = setInterval(publish, heartbeatMs);
     const worker: WorkerServer = {
