--- a/review/standins-2/deployment.ts
+++ b/review/standins-2/deployment.ts
@@ -10,7 +10,7 @@
 import { startTableServer } from "./tableServer.js";
 import type { TableServer } from "./tableServer.js";
 import { startWorkerServer } from "./workerServer.js";
-import type { WorkerEvent, WorkerServer } from "./workerServer.js";
+import type { WorkerEvent, WorkerServer, WorkerServerOptions } from "./workerServer.js";
 
 /** Options of {@link startDeployment}. */
 export interface DeploymentOptions {
@@ -39,6 +39,9 @@
     body: unknown;
 }
 
+/** Where a worker is, and the port of an earlier life of its machine. */
+export type WorkerPlace = Pick<WorkerServerOptions, "zone" | "rack" | "port">;
+
 /** The deployment. */
 export interface Deployment {
     table: TableServer;
@@ -62,7 +65,7 @@
     /** Starts the process of an entry VM again, with the same settings. */
     restart(vm: EntryVm): void;
     /** Starts a worker; with a port it is the next life of the machine that had it. */
-    addWorker(id: string, zone?: string, port?: number): Promise<WorkerServer>;
+    addWorker(id: string, place?: WorkerPlace): Promise<WorkerServer>;
     stop(): void;
 }
 
@@ -97,6 +100,15 @@
     guaranteedGpus: 8,
 };
 
+/** Another tenant with an urgent queue and a guarantee. */
+export const winery: Tenant = {
+    name: "winery",
+    apiKey: "key-3",
+    prefix: "/winery/",
+    priority: 0,
+    guaranteedGpus: 8,
+};
+
 /** Tenant of the queue with the lowest priority. */
 export const ledger: Tenant = {
     name: "ledger",
@@ -128,7 +140,7 @@
 
 const configurationOf = (maxAttempts: number): unknown => ({
     version: 3,
-    routes: [hotel, ledger].map(({ name, prefix, priority }) => ({
+    routes: [hotel, winery, ledger].map(({ name, prefix, priority }) => ({
         name: `r-${name}`,
         host,
         prefix,
@@ -141,7 +153,7 @@
     })),
     services: [{ name: "doves" }],
     limits: { "max-body-bytes": 262_144 },
-    tenants: [hotel, ledger].map(({ name, apiKey, guaranteedGpus }) => ({
+    tenants: [hotel, winery, ledger].map(({ name, apiKey, guaranteedGpus }) => ({
         name,
         "api-keys": [apiKey],
         ...(guaranteedGpus === 0 ? {} : { guaranteed: { gpu: guaranteedGpus } }),
@@ -252,15 +264,8 @@
     const table = await startTableServer();
     table.writeRow("op", "config", configurationOf(options.maxAttempts));
     const workers: WorkerServer[] = [];
-    const addWorker: Deployment["addWorker"] = async (id, zone, port) => {
-        const worker = await startWorkerServer({
-            id,
-            table,
-            record,
-            failsAll: () => failingWorkers.has(id),
-            zone,
-            port,
-        });
+    const addWorker: Deployment["addWorker"] = async (id, place = {}) => {
+        const worker = await startWorkerServer({ id, table, record, failsAll: () => failingWorkers.has(id), ...place });
         workers.push(worker);
         return worker;
     };
--- a/review/standins-2/workerServer.ts
+++ b/review/standins-2/workerServer.ts
@@ -34,6 +34,8 @@
     failsAll: () => boolean;
     /** @default "north-a" */
     zone?: string;
+    /** @default "r1-1" */
+    rack?: string;
     /** Port of an earlier life of the machine. @default a free one */
     port?: number;
 }
@@ -80,7 +82,12 @@
     return { status: reason === undefined ? 400 : 409, body: { reason, "clock-ms": clockMs } };
 };
 
-const entryOf = (port: number, zone: string, bornMs: number, sequence: number): unknown => ({
+const entryOf = (
+    port: number,
+    { zone = "north-a", rack = "r1-1" }: WorkerServerOptions,
+    bornMs: number,
+    sequence: number,
+): unknown => ({
     service: "doves",
     address: `127.0.0.1:${port}`,
     zone,
@@ -89,7 +96,7 @@
     state: "ready",
     "cold-remaining-ms": 0,
     capacity: { cpu: 64_000, "mem-mb": 262_144, gpu: 8 },
-    labels: ["a", "r1-1"],
+    labels: ["a", rack],
     born: bornMs,
     sequence,
 });
@@ -195,7 +202,7 @@
             return;
         }
         sequence += 1;
-        table.writeRow("servers", id, entryOf(port, options.zone ?? "north-a", bornMs, sequence));
+        table.writeRow("servers", id, entryOf(port, options, bornMs, sequence));
     };
     const heartbeat = setInterval(publish, heartbeatMs);
     const worker: WorkerServer = {
