--- a/review/standins-2/workerServer.ts
+++ b/review/standins-2/workerServer.ts
@@ -17,8 +17,8 @@
 export interface WorkerEvent {
     atMs: number;
     worker: string;
-    /** `start`, `end`, or `noted` when the ack-cursor reaches the end. */
-    event: "start" | "end" | "noted";
+    /** `start`, `end`, or `noted` when the ack-cursor reaches the end and no lease has lapsed between the two. */
+    event: "start" | "end" | "noted" | "notedAfterLapse";
     task: string;
     run: number;
     /** How the run ended. */
@@ -54,6 +54,8 @@
 
 /** Ends that one answer lists at most. */
 const maxListedEnds = 500;
+/** Longest lease that the worker grants. */
+const longestLeaseMs = 10_000;
 const heartbeatMs = 1_500;
 /** Silence after which the store drops an entry. */
 const entryExpiryMs = 3 * heartbeatMs;
@@ -101,20 +103,40 @@
     sequence,
 });
 
+/** Records when the lease of a worker has lapsed last, whether anything ran then or not. */
+const createLeaseRecord = () => {
+    let endsAtMs = 0;
+    let lapsedAtMs = 0;
+    const lastLapseMs = (): number => {
+        if (endsAtMs <= Date.now()) {
+            lapsedAtMs = endsAtMs;
+        }
+        return lapsedAtMs;
+    };
+    return {
+        lastLapseMs,
+        extend: (untilClockMs: number, clockMs: number): void => {
+            lastLapseMs();
+            endsAtMs = Math.max(endsAtMs, Date.now() + Math.min(untilClockMs - clockMs, longestLeaseMs));
+        },
+    };
+};
+
 /** Starts a worker on a free loopback port and registers it in the store. */
 export const startWorkerServer = async (options: WorkerServerOptions): Promise<WorkerServer> => {
     const { id, table, record } = options;
     const timer = createTimerService();
     const bornMs = Date.now();
-    const ends: { task: string; run: number; how?: string; }[] = [];
+    const ends: { task: string; run: number; how?: string; atMs: number; }[] = [];
     let notedCount = 0;
+    const leaseRecord = createLeaseRecord();
 
     const onSpan = ({ task, run, toMs, kind }: RunSpan): void => {
         if (toMs === undefined) {
             record({ atMs: Date.now(), worker: id, event: "start", task, run });
             return;
         }
-        ends.push({ task, run, how: kind });
+        ends.push({ task, run, how: kind, atMs: Date.now() });
         record({ atMs: Date.now(), worker: id, event: "end", task, run, how: kind ?? "lost with the worker" });
     };
     const model = createWorkerModel({
@@ -129,8 +151,11 @@
 
     /** Records the ends that an acknowledgement covers: they are numbered from 1 in the order in which they happened. */
     const noteEnds = (cursor: number): void => {
+        const lapsedAtMs = leaseRecord.lastLapseMs();
         for (; notedCount < Math.min(cursor, ends.length); notedCount++) {
-            record({ atMs: Date.now(), worker: id, event: "noted", ...ends[notedCount] });
+            const { atMs, ...end } = ends[notedCount];
+            const event = lapsedAtMs > atMs ? "notedAfterLapse" : "noted";
+            record({ ...end, atMs: Date.now(), worker: id, event });
         }
     };
 
@@ -140,6 +165,7 @@
         const first = model.hold({ fencingToken, acknowledged, untilClockMs });
         if (first.ok) {
             noteEnds(acknowledged);
+            leaseRecord.extend(untilClockMs ?? 0, first.value.clockMs);
         }
         if (first.ok && first.value.ended.length === 0 && body["wait-ms"] !== undefined) {
             await Promise.race([
@@ -163,18 +189,21 @@
             return { status: 421, body: {} };
         }
         switch (request.url) {
-            case "/-/run-start":
-                return toReply(
-                    model.start({
-                        task: parseTask(body.task),
-                        run: Number(body["run-id"]),
-                        spec: String(body.spec),
-                        untilClockMs: Number(body["until-ms"]),
-                        checkpoint: String(body.checkpoint ?? ""),
-                        fencingToken,
-                    }),
-                    clockOf,
-                );
+            case "/-/run-start": {
+                const untilClockMs = Number(body["until-ms"]);
+                const started = model.start({
+                    task: parseTask(body.task),
+                    run: Number(body["run-id"]),
+                    spec: String(body.spec),
+                    untilClockMs,
+                    checkpoint: String(body.checkpoint ?? ""),
+                    fencingToken,
+                });
+                if (started.ok) {
+                    leaseRecord.extend(untilClockMs, started.value.clockMs);
+                }
+                return toReply(started, clockOf);
+            }
             case "/-/run-stop":
                 return toReply(model.stop(parseTask(body.task), Number(body["run-id"]), fencingToken), clockOf);
             case "/-/hold":
