fix: runs whose ends a worker has not listed yet are not given up

Callers saw tasks run again that had been done (TWICE): after a worker was cut off for 4.5 s, 300 of 1,800 tasks were started a second time.

Cause: a worker lists at most 500 ends in an answer. The planner took the list for complete, so that a run that was neither running nor among these ends counted as lost, was stopped and started again.

Ruled out: the lease, which outlasts the cut; an acknowledgement beyond the listed ends.

Change: a report says whether its list of ends is complete; while it is not, runs that are missing from it are left alone. The stand-in of workers listed all ends at once; it lists 500 now.

--- a/src/execution/reportHandler.ts
+++ b/src/execution/reportHandler.ts
@@ -118,6 +118,7 @@
         }
     };
 
+    /** Follows the runs of a worker; one that is not listed may have ended while ends are left that are not listed yet. */
     const compareRuns = (session: WorkerSession, report: WorkerReport, sentAtMs: number): void => {
         const ended = new Set(report.ended.map(end => runKey(end.task, end.run)));
         const running = new Map(report.running.map(listed => [runKey(listed.task, listed.run), listed]));
@@ -128,7 +129,7 @@
             if (run !== undefined && listed !== undefined) {
                 updateRun(task, run, listed);
             }
-            else if (run !== undefined && !ended.has(key)) {
+            else if (run !== undefined && !ended.has(key) && report.endsComplete) {
                 resolveMissingRun(task, run, sentAtMs);
             }
         }
--- a/src/execution/types.ts
+++ b/src/execution/types.ts
@@ -77,8 +77,10 @@
     clockMs: number;
     bornMs: number;
     running: ReportedRun[];
-    /** Ended runs that are not acknowledged yet. */
+    /** Ended runs that are not acknowledged yet, as many as one answer lists; the others follow once these are. */
     ended: EndedRun[];
+    /** Whether `ended` certainly lists all of them. */
+    endsComplete: boolean;
 }
 
 /** Order to start a run of a task. */
--- a/standins/runs/workerModel.ts
+++ b/standins/runs/workerModel.ts
@@ -82,6 +82,9 @@
     runningCount(): number;
 }
 
+/** Number of ended runs that a worker lists in one answer; the others follow once these are acknowledged. */
+export const maxListedEnds = 500;
+
 const formatTaskId = (task: TaskId): string => `${task.jobId}.${task.occurrence}.${task.step}.${task.index}`;
 
 const defaultWorkMs = 1_000;
@@ -119,11 +122,15 @@
             listeners = [];
             notified.forEach(listener => listener());
         },
-        /** Removes the entries up to a number and returns the others. */
-        acknowledge: (number: number): EndedRun[] => {
+        /** Removes the entries up to a number. */
+        acknowledge: (number: number): void => {
             entries = entries.filter(({ end }) => end.number > number);
-            return entries.map(({ end }) => end);
         },
+        /** The first entries, as many as one answer lists. */
+        list: (): Pick<WorkerReport, "ended" | "endsComplete"> => ({
+            ended: entries.slice(0, maxListedEnds).map(({ end }) => end),
+            endsComplete: entries.length < maxListedEnds,
+        }),
         markUnacknowledged: (): void => {
             for (const { span } of entries) {
                 if (span !== undefined) {
@@ -156,6 +163,10 @@
     };
 };
 
+/** Work that a run has done by a monotonic time, with that of the runs that it resumes. */
+const workDoneMsAt = ({ span, resumedWorkMs }: ActiveRun, nowMs: number): number =>
+    resumedWorkMs + (span === undefined ? 0 : nowMs - span.fromMs);
+
 /** Creates a worker that has just started, without runs. */
 export const createWorkerModel = (options: WorkerModelOptions): WorkerModel => {
     const { timer, spans, checkpointMs = 500 } = options;
@@ -170,13 +181,10 @@
 
     const refuse = (refusal: Refusal) => fail(toRefusedError(refusal, clockMs()));
 
-    const workDoneMs = (active: ActiveRun): number =>
-        active.resumedWorkMs + (active.span === undefined ? 0 : timer.nowMs() - active.span.fromMs);
-
     const checkpointOf = (active: ActiveRun): string =>
         options.savesCheckpoints?.() === false
             ? ""
-            : String(Math.floor(workDoneMs(active) / checkpointMs) * checkpointMs);
+            : String(Math.floor(workDoneMsAt(active, timer.nowMs()) / checkpointMs) * checkpointMs);
 
     const endSpan = (active: ActiveRun, kind?: EndKind): void => {
         if (active.span !== undefined) {
@@ -244,7 +252,7 @@
             task: active.task,
             run: active.run,
             checkpoint: checkpointOf(active),
-            percent: Math.floor(100 * workDoneMs(active) / Math.max(1, active.spec.workMs)),
+            percent: Math.floor(100 * workDoneMsAt(active, timer.nowMs()) / Math.max(1, active.spec.workMs)),
             usage: 0,
         }));
 
@@ -283,8 +291,9 @@
                 return refuse(Refusal.Fenced);
             }
             lease.extend(order.untilClockMs ?? 0);
-            const ended = endedTasks.acknowledge(order.acknowledged);
-            return succeed({ clockMs: clockMs(), bornMs: options.bornMs, running: listRunningTasks(), ended });
+            endedTasks.acknowledge(order.acknowledged);
+            const listed = { running: listRunningTasks(), ...endedTasks.list() };
+            return succeed({ clockMs: clockMs(), bornMs: options.bornMs, ...listed });
         },
         onceEnded: endedTasks.onceAdded,
         crash: () => {
--- a/test/runStopper.test.ts
+++ b/test/runStopper.test.ts
@@ -35,7 +35,10 @@
         assert.isAbove(stops, 0);
         // not listed any more, so that it is not found again
         const { bornMs } = descriptor;
-        model.hold = () => ({ ok: true, value: { clockMs: 2_000, bornMs, running: [], ended: [] } });
+        model.hold = () => ({
+            ok: true,
+            value: { clockMs: 2_000, bornMs, running: [], ended: [], endsComplete: true },
+        });
         await fleet.timer.advance(1_000);
         model.stop = stopHealthy;
         await fleet.timer.advance(2_000);
--- a/test/session.test.ts
+++ b/test/session.test.ts
@@ -23,7 +23,7 @@
             holds.push(order);
             await timer.sleep(answerMs + (order.waitMs ?? 0));
             const clockMs = timer.nowMs() + worker.clockOffsetMs;
-            return succeed({ clockMs, bornMs: worker.bornMs, running: [], ended: [] });
+            return succeed({ clockMs, bornMs: worker.bornMs, running: [], ended: [], endsComplete: true });
         },
         close: () => {},
     };
--- a/tools/workerMutants.ts
+++ b/tools/workerMutants.ts
@@ -18,6 +18,14 @@
         tests: "test/session",
         fails: "is sent until a poll with it was answered",
     },
+    {
+        without: "taking a list of ends that may go on for incomplete",
+        file: "execution/reportHandler.js",
+        find: "&& report.endsComplete",
+        replace: "",
+        tests: "listedEnds",
+        fails: "has all of them recorded, and none of the tasks runs again",
+    },
     {
         without: "handing the fences of a worker's incarnation to the session of the next",
         file: "execution/sessionLifecycle.js",
