fix: a claimed guarantee is not bound to the rack of its data

Callers saw a guaranteed job that did not begin while work of low priority ran (RECLAIM): its data is on a rack that another guarantee uses.

Cause: the workers where runs may be preempted are chosen like those for placements: the rack of the data, or for a gang with adjacency one rack. Others were admitted only below half use, for guarantees too.

Ruled out: the order of candidates, and claims of other work.

Change: a claimed guarantee preempts where it prefers to run; if it cannot after 0.7 s, it runs and preempts on any worker of its service.

--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -7,6 +7,11 @@
 export const colocateAfterMs = 1_200;
 /** Waiting time after which work runs far from its data, where it is slower, or on workers that are kept free. */
 export const relaxAfterMs = 1_500;
+/**
+ * Waiting time after which a claimed guarantee runs far from its data and is spread over racks. It is due 2.7 s after its
+ * acceptance, and a preemption takes up to a second.
+ */
+export const relaxGuaranteeAfterMs = 700;
 /** Utilisation below which slow work uses no capacity that other work needs. */
 const mostlyIdleUtilisation = 0.5;
 
@@ -155,21 +160,29 @@
 
 /**
  * Whether the candidate may run far from its data and on workers that are kept free: it has waited long, and the
- * capacity would stay idle otherwise.
+ * capacity would stay idle otherwise or is guaranteed to its customer.
  */
 const mayRelax = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
-    candidate.waitingMs > relaxAfterMs && hasIdleCapacity(workers, candidate);
+    candidate.guaranteed
+        ? candidate.waitingMs > relaxGuaranteeAfterMs
+        : candidate.waitingMs > relaxAfterMs && hasIdleCapacity(workers, candidate);
 
 /**
- * Domains of workers, one of which must host all tasks of a gang. Only workers near its data are included if the gang
- * would fit there on empty workers. If no such domain has enough free resources now and the candidate may relax what it
- * prefers, all admissible workers are included.
+ * Domains of workers, one of which is to host all tasks of a gang. Only workers near its data are included if the gang
+ * would fit there on empty workers.
  */
-export const gangDomains = (workers: readonly WorkerInfo[], candidate: Candidate): WorkerInfo[][] => {
+export const preferredDomains = (workers: readonly WorkerInfo[], candidate: Candidate): WorkerInfo[][] => {
     const eligible = workers.filter(worker => isEligible(worker, candidate));
     const nearData = eligible.filter(worker => isNearData(worker, candidate.step));
-    const preferred = fitsIfEmpty(nearData, candidate) ? nearData : eligible;
-    const domains = adjacencyDomains(preferred, candidate);
+    return adjacencyDomains(fitsIfEmpty(nearData, candidate) ? nearData : eligible, candidate);
+};
+
+/**
+ * Domains of workers, one of which must host all tasks of a gang: the preferred ones or, if none of these has enough free
+ * resources now and the candidate may relax what it prefers, domains of all admissible workers.
+ */
+export const gangDomains = (workers: readonly WorkerInfo[], candidate: Candidate): WorkerInfo[][] => {
+    const domains = preferredDomains(workers, candidate);
     if (!mayRelax(workers, candidate) || fitsOneOf(domains, candidate)) {
         return domains;
     }
--- a/src/planning/preemption.ts
+++ b/src/planning/preemption.ts
@@ -1,5 +1,5 @@
 import { largeGangAccelerators, Tier, tierOf, workOf } from "./order.js";
-import { fittingTasks, gangDomains } from "./placement.js";
+import { fittingTasks, gangDomains, preferredDomains } from "./placement.js";
 import { coreEquivalentsOf, subtractResources } from "./resources.js";
 import type { Assignment, Candidate, Occupant, WorkerInfo } from "./types.js";
 
@@ -184,7 +184,8 @@
     candidate.taskIndexes.map((taskIndex, position) => ({ taskIndex, workerId: reservedWorkers[position] }));
 
 /**
- * Finds the cheapest set of runs to preempt so that all tasks of a candidate fit; `undefined` if there is none.
+ * Finds the cheapest set of runs to preempt so that all tasks of a candidate fit; `undefined` if there is none. A claimed
+ * guarantee preempts on the workers that it prefers, if it can.
  *
  * @param evicted runs that are preempted already in this round; their resources are claimed by other candidates
  */
@@ -193,12 +194,17 @@
     index: OccupantIndex,
     candidate: Candidate,
     evicted: ReadonlySet<Occupant>,
-): PreemptionPlan | undefined =>
-    candidate.reservedWorkers !== undefined
-        ? planReclaim(workers, candidate, candidate.reservedWorkers, index, evicted)
-        : gangDomains(workers, candidate)
+): PreemptionPlan | undefined => {
+    if (candidate.reservedWorkers !== undefined) {
+        return planReclaim(workers, candidate, candidate.reservedWorkers, index, evicted);
+    }
+    const findCheapestPlan = (domains: readonly WorkerInfo[][]): PreemptionPlan | undefined =>
+        domains
             .map(domain => planInDomain(domain.filter(worker => worker.usable), candidate, index, evicted))
             .filter(plan => plan !== undefined)
             .filter(plan => isWorthwhile(plan, candidate))
             .sort((left, right) => totalCost(left) - totalCost(right))
             .at(0);
+    const preferredPlan = candidate.guaranteed ? findCheapestPlan(preferredDomains(workers, candidate)) : undefined;
+    return preferredPlan ?? findCheapestPlan(gangDomains(workers, candidate));
+};
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -8,6 +8,7 @@
     placeGang,
     placeTasks,
     relaxAfterMs,
+    relaxGuaranteeAfterMs,
 } from "./placement.js";
 import { indexOccupants, planPreemption } from "./preemption.js";
 import type { OccupantIndex } from "./preemption.js";
@@ -166,7 +167,7 @@
             candidate;
         return JSON.stringify([
             windowsMs.map(windowMs => fitsWindow(windowMs, candidate)),
-            waitingMs > relaxAfterMs,
+            waitingMs > (guaranteed ? relaxGuaranteeAfterMs : relaxAfterMs),
             uninterruptedWaitMs > relaxAfterMs,
             waitingMs > colocateAfterMs,
             occupiedBy(step),
--- /dev/null
+++ b/test/reclaim.test.ts
@@ -0,0 +1,141 @@
+import { assert } from "chai";
+import { Adjacency } from "../src/configuration/types.js";
+import type { JobSubmission, Step } from "../src/jobs/types.js";
+import { planRound } from "../src/planning/round.js";
+import { GuaranteeCoverage } from "../src/queues/types.js";
+import type { QueueCustomer } from "../src/queues/types.js";
+import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
+import type { Fleet } from "./fixtures/fleet.js";
+import { addOccupant, createCandidate, createRacks, createRoundInput } from "./fixtures/planning.js";
+import { findViolations } from "./fixtures/violations.js";
+
+/** Time within which all tasks of a job that claims its customer's guarantee begin. */
+const reclaimMs = 2_700;
+const guaranteedAccelerators = 8;
+
+const createCustomer = (name: string): QueueCustomer => ({
+    name,
+    apiKeys: [`key-${name}`],
+    guaranteedAccelerators,
+    guaranteedUpToPriority: 0,
+    guaranteeCoverage: GuaranteeCoverage.WholeDemand,
+});
+
+/** A fleet of three racks with one worker each, and two customers with a guarantee of one worker. */
+const createGuaranteeFleet = async (): Promise<Fleet> => {
+    const fleet = createFleet({
+        workerCount: 0,
+        configuration: { customers: [createCustomer("hotel"), createCustomer("winery")] },
+    });
+    ["r1-1", "r1-2", "r1-3"].forEach(rack => fleet.addWorker(`w-${rack}`, rack));
+    fleet.notify();
+    await fleet.timer.advance(1_000);
+    return fleet;
+};
+
+/** Submits a job of eight tasks with one accelerator each. */
+const submitTasks = (
+    fleet: Fleet,
+    id: string,
+    submission: Partial<JobSubmission>,
+    workMs: number,
+    step: Partial<Step> = {},
+): Promise<string> => {
+    const resources = { milliCores: 6_000, memoryMb: 1_000, accelerators: 1 };
+    const steps = [createStep({ taskCount: guaranteedAccelerators, resources, estimateMs: workMs, ...step })];
+    return fleet.submit(createSubmission(id, steps, submission, { workMs }));
+};
+
+const startedTasks = (fleet: Fleet, id: string): number =>
+    new Set(fleet.spans.filter(({ task }) => task.startsWith(`${id}.`)).map(({ task }) => task)).size;
+
+// guards against a claimed guarantee that waited for the rack of its data while work of low priority kept the others
+describe("a job that claims a guarantee while another guarantee uses the rack of its data", () => {
+    const dataRack = "r1-1";
+
+    const submitAfterRackIsTaken = async (step: Partial<Step> = {}): Promise<Fleet> => {
+        const fleet = await createGuaranteeFleet();
+        await submitTasks(fleet, "covered", { customer: "winery", priority: 0 }, 60_000, { dataRack });
+        await fleet.timer.advance(1_000);
+        await submitTasks(fleet, "low1", { customer: "ledger", priority: 2 }, 60_000);
+        await submitTasks(fleet, "low2", { customer: "ledger", priority: 2 }, 60_000);
+        await fleet.timer.advance(5_000);
+        assert.deepEqual(["covered", "low1", "low2"].map(id => startedTasks(fleet, id)), [8, 8, 8]);
+        await submitTasks(fleet, "claiming", { customer: "hotel", priority: 0 }, 2_000, { dataRack, ...step });
+        await fleet.timer.advance(reclaimMs);
+        return fleet;
+    };
+
+    it("begins on another rack in time", async () => {
+        const fleet = await submitAfterRackIsTaken();
+        assert.equal(startedTasks(fleet, "claiming"), guaranteedAccelerators);
+        assert.deepEqual(findViolations(fleet.spans), []);
+    });
+
+    it("begins on another rack in time as a gang", async () => {
+        const fleet = await submitAfterRackIsTaken({ gang: true, adjacency: Adjacency.Rack, mayBeSpread: true });
+        assert.equal(startedTasks(fleet, "claiming"), guaranteedAccelerators);
+    });
+});
+
+describe("a claimed guarantee that is to run near its data", () => {
+    const createInput = (waitingMs: number, nearIsGuaranteed: boolean) => {
+        const workers = createRacks(2, 1);
+        const occupants = workers.map((worker, index) =>
+            addOccupant(worker, `run${index}`, {
+                priority: 2,
+                resources: { milliCores: 4_000, memoryMb: 8_000, accelerators: 8 },
+                guaranteed: index === 0 && nearIsGuaranteed,
+                lostCoreMs: index === 0 ? 1_000_000 : 1,
+            })
+        );
+        const candidates = [createCandidate("claiming", {
+            taskCount: 8,
+            priority: 0,
+            guaranteed: true,
+            waitingMs,
+            step: { dataRack: "r1-1" },
+        })];
+        return createRoundInput({ workers, occupants, candidates });
+    };
+    const evictedKeys = (waitingMs: number, nearIsGuaranteed: boolean): string[] =>
+        planRound(createInput(waitingMs, nearIsGuaranteed)).evictions.map(({ occupant }) => occupant.key);
+
+    it("preempts near its data where it may, whatever is lost there", () => {
+        assert.deepEqual(evictedKeys(0, false), ["run0"]);
+        assert.deepEqual(evictedKeys(2_000, false), ["run0"]);
+    });
+
+    it("preempts elsewhere once it has waited for a moment, if it may not preempt there", () => {
+        assert.deepEqual(evictedKeys(0, true), []);
+        assert.deepEqual(evictedKeys(1_000, true), ["run1"]);
+    });
+});
+
+describe("a gang that claims a guarantee while no rack has room for all of it", () => {
+    // guards against a claimed guarantee that waited for room in one rack though it may be spread over several
+    it("is spread over racks once it has waited for a moment, if it may be", () => {
+        const workers = createRacks(2, 2);
+        const resources = { milliCores: 4_000, memoryMb: 8_000, accelerators: 8 };
+        const occupants = workers.map((worker, index) =>
+            addOccupant(worker, `run${index}`, { priority: 2, resources, guaranteed: index % 2 === 0 })
+        );
+        const plan = (mayBeSpread: boolean): string[] =>
+            planRound(createRoundInput({
+                workers: workers.map(worker => ({ ...worker, free: { ...worker.free } })),
+                occupants,
+                candidates: [createCandidate("claiming", {
+                    taskCount: 2,
+                    accelerators: 8,
+                    priority: 0,
+                    gang: true,
+                    sameRack: true,
+                    guaranteed: true,
+                    waitingMs: 1_000,
+                    step: { mayBeSpread },
+                })],
+            })).evictions.map(({ occupant }) => occupant.key);
+        assert.sameMembers(plan(true), ["run1", "run3"]);
+        assert.deepEqual(plan(false), []);
+    });
+});
--- a/tools/planningMutants.ts
+++ b/tools/planningMutants.ts
@@ -2,6 +2,22 @@
 
 /** Mutants of the planning decisions. */
 export const planningMutants: readonly Mutant[] = [
+    {
+        without: "letting a claimed guarantee run far from its data",
+        file: "planning/placement.js",
+        find: "candidate.waitingMs > relaxGuaranteeAfterMs",
+        replace: "false",
+        tests: "test/reclaim",
+        fails: "begins on another rack in time",
+    },
+    {
+        without: "reclaiming near the data of a claimed guarantee first",
+        file: "planning/preemption.js",
+        find: "candidate.guaranteed ? findCheapestPlan(preferredDomains(workers, candidate)) : undefined",
+        replace: "undefined",
+        tests: "test/reclaim",
+        fails: "preempts near its data where it may",
+    },
     {
         without: "reservations that do not overlap",
         file: "planning/emptyFleet.js",
