fix: a claimed guarantee preempts tasks within their limit on disruptions

Callers saw a guaranteed job that never began while another customer's lasting tasks with miss-allowed used all accelerators (RECLAIM).

Cause: steps with such a limit were exempt from preemption altogether, whatever the limit.

Change: a claimed guarantee preempts such tasks while no more of the step are unavailable than the limit allows; independent tasks of a guarantee start as far as there is room. Other work still preempts none of them.

--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -3,7 +3,7 @@
 import type { JobState, Run, TaskState, Unit } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
 import { coreEquivalentsOf, occupiedBy, subtractResources } from "../planning/resources.js";
-import type { Candidate, Occupant, WorkerInfo } from "../planning/types.js";
+import type { Candidate, DisruptionLimit, Occupant, WorkerInfo } from "../planning/types.js";
 import type { UrgentUse } from "../planning/urgentDemand.js";
 import type { PlannerContext } from "./context.js";
 import { withinLimits } from "./customerLimits.js";
@@ -192,17 +192,33 @@
     return lostMs * coreEquivalentsOf(task.unit.step.resources);
 };
 
-const mayBePreempted = (unit: Unit): boolean => !unit.complete && unit.step.maxUnavailable === undefined;
+/** Progress that a long-running task reports while it is at work. */
+const atWorkPercent = 100;
 
-const toOccupant = (unit: Unit, tasks: readonly TaskState[], guaranteed: boolean, nowMs: number): Occupant => ({
+/** Whether a task is at work, as far as its worker has reported lately. */
+const isAvailable = ({ run }: TaskState): boolean =>
+    run?.phase === RunPhase.Running && run.percent >= atWorkPercent && run.worker.silentMs() === 0;
+
+const disruptionLimitOf = ({ step: { maxUnavailable }, tasks }: Unit): DisruptionLimit | undefined =>
+    maxUnavailable === undefined ? undefined : {
+        maxUnavailable,
+        unavailableTasks: new Set(tasks.filter(task => !isAvailable(task)).map(({ index }) => index)),
+    };
+
+const toOccupant = (
+    unit: Unit,
+    tasks: readonly TaskState[],
+    nowMs: number,
+    limits: Pick<Occupant, "guaranteed" | "disruptionLimit">,
+): Occupant => ({
     key: unit.key,
     priority: unit.job.submission.priority,
     resources: occupiedBy(unit.step),
     tasks: tasks.map(task => ({ taskIndex: task.index, workerId: task.run?.worker.id ?? "" })),
     lostCoreMs: tasks.reduce((sum, task) => sum + (task.run === undefined ? 0 : lostCoreMs(task, task.run, nowMs)), 0),
     evictions: unit.evictions,
-    guaranteed,
     resumable: tasks.every(task => task.run !== undefined && isResumable(task, task.run, nowMs)),
+    ...limits,
 });
 
 /** Collects the runs that may be preempted, those of a gang as one occupant. */
@@ -212,15 +228,16 @@
     for (const job of context.openJobs) {
         const guaranteed = guarantees.has(job);
         for (const unit of job.units.values()) {
-            if (!mayBePreempted(unit)) {
+            if (unit.complete) {
                 continue;
             }
             const running = unit.tasks.filter(task => task.run?.phase === RunPhase.Running);
+            const limits = { guaranteed, disruptionLimit: disruptionLimitOf(unit) };
             if (!unit.step.gang) {
-                running.forEach(task => occupants.push(toOccupant(unit, [task], guaranteed, nowMs)));
+                running.forEach(task => occupants.push(toOccupant(unit, [task], nowMs, limits)));
             }
             else if (running.length > 0 && running.length === unit.tasks.length) {
-                occupants.push(toOccupant(unit, running, guaranteed, nowMs));
+                occupants.push(toOccupant(unit, running, nowMs, limits));
             }
         }
     }
--- a/src/planning/preemption.ts
+++ b/src/planning/preemption.ts
@@ -28,15 +28,37 @@
 
 /**
  * A claimed guarantee preempts every run that is not covered by a guarantee itself; other work preempts only less
- * important runs that can be resumed or were not preempted often.
+ * important runs that can be resumed or were not preempted often, and none whose step limits disruptions.
  */
 const mayPreempt = (candidate: Candidate, occupant: Occupant): boolean => {
+    if (occupant.disruptionLimit !== undefined && !candidate.guaranteed) {
+        return false;
+    }
     const hasPrecedence = isMoreUrgent(candidate, occupant) || mayMigrateForStarved(candidate, occupant);
     const mayResumeOften = occupant.resumable && isMoreUrgent(candidate, occupant);
     const isSpared = occupant.evictions >= maxEvictions && !mayResumeOften;
     return !occupant.guaranteed && (candidate.guaranteed || (hasPrecedence && !isSpared));
 };
 
+/**
+ * Whether enough tasks of an occupant's step stay available if it is preempted.
+ *
+ * @param evicted occupants that are preempted already
+ * @param victims occupants that are to be preempted with it
+ */
+const isWithinDisruptionLimit = (
+    { key, tasks, disruptionLimit }: Occupant,
+    evicted: ReadonlySet<Occupant>,
+    victims: readonly Occupant[],
+): boolean => {
+    if (disruptionLimit === undefined) {
+        return true;
+    }
+    const preempted = [...evicted, ...victims].filter(other => other.key === key);
+    const stopped = [...tasks, ...preempted.flatMap(other => other.tasks)].map(({ taskIndex }) => taskIndex);
+    return new Set([...disruptionLimit.unavailableTasks, ...stopped]).size <= disruptionLimit.maxUnavailable;
+};
+
 const preemptionCost = (occupant: Occupant): number =>
     occupant.lostCoreMs * (occupant.priority === 0 ? urgentCostFactor : 1);
 
@@ -101,7 +123,9 @@
         if (fittingTasks(simulated, candidate) >= wantedTasks) {
             break;
         }
-        if (!evicted.has(occupant) && mayPreempt(candidate, occupant)) {
+        const isPreemptible = !evicted.has(occupant) && mayPreempt(candidate, occupant)
+            && isWithinDisruptionLimit(occupant, evicted, victims);
+        if (isPreemptible) {
             victims.push(occupant);
             cost += preemptionCost(occupant);
             subtractResources(simulated.free, occupant.resources, -taskCount);
@@ -112,7 +136,13 @@
 
 const costPerTask = (preemption: WorkerPreemption): number => preemption.cost / preemption.count;
 
-/** Picks workers of a domain in order of cost for each task gained, until all tasks are assigned. */
+/** Whether a candidate may start with the tasks for which there is room: independent tasks that claim a guarantee. */
+const mayStartPartly = ({ guaranteed, step }: Candidate): boolean => guaranteed && !step.gang;
+
+/**
+ * Picks workers of a domain in order of cost for each task gained, until all tasks are assigned. A plan for some of them
+ * is returned only if the candidate may start partly.
+ */
 const planInDomain = (
     domain: readonly WorkerInfo[],
     candidate: Candidate,
@@ -133,6 +163,9 @@
     for (const { worker } of byCost) {
         // picked again: fewer tasks are missing now, and a gang preempted on another worker frees resources here too
         const preemption = pickOn(worker, wantedTasks - assignments.length, evictedSoFar);
+        if (preemption.count === 0) {
+            continue;
+        }
         preemption.victims.forEach(victim => evictedSoFar.add(victim));
         victims.push(...preemption.victims);
         for (let count = 0; count < preemption.count; count++) {
@@ -142,7 +175,7 @@
             return { victims, assignments };
         }
     }
-    return undefined;
+    return assignments.length > 0 && mayStartPartly(candidate) ? { victims, assignments } : undefined;
 };
 
 /** Work of others that preempting may lose for an urgent job, as a multiple of the job's own work. */
@@ -184,8 +217,8 @@
     candidate.taskIndexes.map((taskIndex, position) => ({ taskIndex, workerId: reservedWorkers[position] }));
 
 /**
- * Finds the cheapest set of runs to preempt so that all tasks of a candidate fit; `undefined` if there is none. A claimed
- * guarantee preempts on the workers that it prefers, if it can.
+ * Finds the cheapest set of runs to preempt so that all tasks of a candidate fit, or most of them if it may start partly;
+ * `undefined` if there is none. A claimed guarantee preempts on the workers that it prefers, if it can.
  *
  * @param evicted runs that are preempted already in this round; their resources are claimed by other candidates
  */
@@ -203,7 +236,9 @@
             .map(domain => planInDomain(domain.filter(worker => worker.usable), candidate, index, evicted))
             .filter(plan => plan !== undefined)
             .filter(plan => isWorthwhile(plan, candidate))
-            .sort((left, right) => totalCost(left) - totalCost(right))
+            .sort((left, right) =>
+                right.assignments.length - left.assignments.length || totalCost(left) - totalCost(right)
+            )
             .at(0);
     const preferredPlan = candidate.guaranteed ? findCheapestPlan(preferredDomains(workers, candidate)) : undefined;
     return preferredPlan ?? findCheapestPlan(gangDomains(workers, candidate));
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -64,6 +64,13 @@
     reservedWorkers?: readonly string[];
 }
 
+/** How many tasks of a step may be unavailable at the same time because of scheduling decisions. */
+export interface DisruptionLimit {
+    maxUnavailable: number;
+    /** Indexes of the tasks that are not known to be at work. */
+    unavailableTasks: ReadonlySet<number>;
+}
+
 /** Runs that can only be preempted together: one task, or all tasks of a gang. */
 export interface Occupant {
     /** Identifies the job, occurrence and step of the runs. */
@@ -80,6 +87,8 @@
     guaranteed: boolean;
     /** It can continue elsewhere from its last checkpoint. */
     resumable: boolean;
+    /** Limit of its step, which all occupants with its key share. @default no limit */
+    disruptionLimit?: DisruptionLimit;
 }
 
 /** The worker on which a task is to start. */
--- a/test/reclaim.test.ts
+++ b/test/reclaim.test.ts
@@ -1,9 +1,11 @@
 import { assert } from "chai";
 import { Adjacency } from "../src/configuration/types.js";
+import { EndKind } from "../src/execution/types.js";
 import type { JobSubmission, Step } from "../src/jobs/types.js";
 import { planRound } from "../src/planning/round.js";
 import { GuaranteeCoverage } from "../src/queues/types.js";
 import type { QueueCustomer } from "../src/queues/types.js";
+import { succeed } from "../src/utils/result.js";
 import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import type { Fleet } from "./fixtures/fleet.js";
 import { addOccupant, createCandidate, createRacks, createRoundInput } from "./fixtures/planning.js";
@@ -139,3 +141,100 @@
         assert.deepEqual(plan(false), []);
     });
 });
+
+// guards against a guarantee that tasks with a limit on disruptions withheld for good, whatever the limit
+describe("a claimed guarantee while tasks with a limit on disruptions use all accelerators", () => {
+    const lastingTasks = 8;
+
+    const submitLastingJobs = async (maxUnavailable: number): Promise<Fleet> => {
+        const fleet = await createGuaranteeFleet();
+        for (const id of ["lasting1", "lasting2", "lasting3"]) {
+            const submission = { customer: "ledger", priority: 2 };
+            await submitTasks(fleet, id, submission, 600_000, { longRunning: true, maxUnavailable });
+        }
+        await fleet.timer.advance(2_000);
+        return fleet;
+    };
+
+    it("begins in time if all of them may be stopped at once", async () => {
+        const fleet = await submitLastingJobs(lastingTasks);
+        assert.lengthOf(fleet.spans, 3 * lastingTasks);
+        await submitTasks(fleet, "claiming", { customer: "hotel", priority: 0 }, 2_000);
+        await fleet.timer.advance(reclaimMs);
+        assert.equal(startedTasks(fleet, "claiming"), guaranteedAccelerators);
+    });
+
+    /** Plans for a claimed guarantee of eight tasks on a worker where a step's eight tasks run. */
+    const evictedTasks = (maxUnavailable: number, unavailable: readonly number[], gang = false): number[] => {
+        const [worker] = createRacks(1, 1);
+        const disruptionLimit = { maxUnavailable, unavailableTasks: new Set(unavailable) };
+        const occupants = Array.from({ length: lastingTasks }, (_, taskIndex) =>
+            addOccupant(worker, "lasting", {
+                tasks: [{ taskIndex, workerId: worker.workerId }],
+                priority: 2,
+                disruptionLimit,
+            }));
+        const options = { taskCount: guaranteedAccelerators, priority: 0, guaranteed: true, gang };
+        const candidates = [createCandidate("claiming", options)];
+        const { evictions, claims } = planRound(createRoundInput({ workers: [worker], occupants, candidates }));
+        const evicted = evictions.flatMap(({ occupant }) => occupant.tasks.map(({ taskIndex }) => taskIndex));
+        assert.lengthOf(claims.flatMap(({ assignments }) => assignments), evicted.length);
+        return evicted;
+    };
+
+    it("preempts as many as may be unavailable, and starts as many tasks", () => {
+        assert.lengthOf(evictedTasks(2, []), 2);
+    });
+
+    it("counts those that are not at work already", () => {
+        assert.lengthOf(evictedTasks(2, [5]).filter(index => index !== 5), 1);
+        assert.deepEqual(evictedTasks(2, [4, 5]).filter(index => ![4, 5].includes(index)), []);
+        assert.deepEqual(evictedTasks(2, [3, 4, 5]), []);
+    });
+
+    it("preempts none for a gang that would not fit", () => {
+        assert.deepEqual(evictedTasks(2, [], true), []);
+        assert.lengthOf(evictedTasks(8, [], true), 8);
+    });
+
+    it("is the only work that they are preempted for", () => {
+        const [worker] = createRacks(1, 1);
+        const occupant = addOccupant(worker, "lasting", {
+            resources: { milliCores: 4_000, memoryMb: 8_000, accelerators: 8 },
+            priority: 2,
+            disruptionLimit: { maxUnavailable: 8, unavailableTasks: new Set() },
+            lostCoreMs: 1,
+        });
+        const candidates = [createCandidate("urgent", { priority: 0 })];
+        const round = planRound(createRoundInput({ workers: [worker], occupants: [occupant], candidates }));
+        assert.deepEqual(round.evictions, []);
+    });
+
+    /** Has the workers report their runs as at work. */
+    const reportAtWork = (fleet: Fleet): void =>
+        fleet.workers.forEach(({ model }) => {
+            const { hold } = model;
+            model.hold = order => {
+                const held = hold(order);
+                return held.ok
+                    ? succeed({ ...held.value, running: held.value.running.map(run => ({ ...run, percent: 100 })) })
+                    : held;
+            };
+        });
+
+    it("never makes more of a step unavailable than its limit, in a series of claims", async () => {
+        const maxUnavailable = 3;
+        const fleet = await submitLastingJobs(maxUnavailable);
+        reportAtWork(fleet);
+        await fleet.timer.advance(2_000);
+        for (const id of ["claiming1", "claiming2", "claiming3", "claiming4"]) {
+            await submitTasks(fleet, id, { customer: "hotel", priority: 0 }, 60_000, { taskCount: 2 });
+            await fleet.timer.advance(reclaimMs);
+            assert.equal(startedTasks(fleet, id), 2, id);
+        }
+        for (const id of ["lasting1", "lasting2", "lasting3"]) {
+            const stopped = fleet.spans.filter(({ task, kind }) => task.startsWith(id) && kind === EndKind.Stopped);
+            assert.isAtMost(stopped.length, maxUnavailable, id);
+        }
+    });
+});
--- a/tools/planningMutants.ts
+++ b/tools/planningMutants.ts
@@ -2,6 +2,30 @@
 
 /** Mutants of the planning decisions. */
 export const planningMutants: readonly Mutant[] = [
+    {
+        without: "preempting tasks with a limit on disruptions for a claimed guarantee",
+        file: "planning/preemption.js",
+        find: "occupant.disruptionLimit !== undefined && !candidate.guaranteed",
+        replace: "occupant.disruptionLimit !== undefined",
+        tests: "test/reclaim",
+        fails: "begins in time if all of them may be stopped at once",
+    },
+    {
+        without: "the limit on disruptions of a step",
+        file: "planning/preemption.js",
+        find: "&& isWithinDisruptionLimit(occupant, evicted, victims)",
+        replace: "",
+        tests: "test/reclaim",
+        fails: "never makes more of a step unavailable than its limit",
+    },
+    {
+        without: "starting part of the tasks that claim a guarantee",
+        file: "planning/preemption.js",
+        find: "guaranteed && !step.gang",
+        replace: "false",
+        tests: "test/reclaim",
+        fails: "preempts as many as may be unavailable",
+    },
     {
         without: "letting a claimed guarantee run far from its data",
         file: "planning/placement.js",
