fix: the lease that an order to a worker's former life grants to the next one is reckoned with

Callers saw tasks run twice at once (TWICE) after workers had started again under their ids and were cut off soon after, while long tasks ran.

Cause: an order carries the end of the lease on the clock of the worker's life. The next life's clock begins anew, so that it takes an order that was meant for the former life for the longest lease that it accepts (10 s). The planner lowered its bound to its own grant (8 s) with the first answer, had only the 2 s of a start order before that, and a successor knew of neither.

Ruled out: the fencing token (the same for both lives) and Expected-Instance (the id, which both have).

Change: the longest lease bounds what earlier orders may have granted: from the first answer, from an answer with a clock that begins anew, and until orders without an answer cannot be carried out any more; a successor adds it for workers whose recorded runs name an earlier life.

--- a/bench/simulatedPlanner.ts
+++ b/bench/simulatedPlanner.ts
@@ -6,6 +6,7 @@
 import type { WorkerSession } from "../src/execution/session.js";
 import { createUnansweredStarts } from "../src/execution/unansweredStarts.js";
 import { createWorkerHealth } from "../src/execution/workerHealth.js";
+import { createWorkerLease } from "../src/execution/workerLease.js";
 import { restoreJob, RunPhase } from "../src/jobs/progress.js";
 import type { JobState } from "../src/jobs/progress.js";
 import type { JobSubmission } from "../src/jobs/types.js";
@@ -17,7 +18,10 @@
 
 const maxBodyBytes = 65_536;
 
-const createSession = ({ name, availabilityZone, rack, capacity }: WorkerFacts): WorkerSession => ({
+const createSession = (
+    timer: TimerService,
+    { name, availabilityZone, rack, capacity }: WorkerFacts,
+): WorkerSession => ({
     id: name,
     bornMs: 0,
     descriptor: {
@@ -35,11 +39,9 @@
     address: undefined,
     closed: false,
     isSynced: () => true,
+    lease: createWorkerLease({ timer, leaseMs: 0, longestLeaseMs: 0, earlierLeasesExpireAtMs: 0 }),
     mayExtendLease: () => true,
-    leaseExpiresAtMs: () => 0,
     silentMs: () => 0,
-    untilClockMs: () => 0,
-    recordLease: () => {},
     recordAnswer: () => {},
     recordNoAnswer: () => {},
     fenceRun: () => {},
@@ -74,7 +76,7 @@
 ): SimulatedPlanner => {
     const evacuatedZones = new Set<string>();
     const state = { configuration: queueConfigurationOf(snapshot, maxBodyBytes), evacuatedZones };
-    const sessions = new Map(workers.map(worker => [worker.name, createSession(worker)]));
+    const sessions = new Map(workers.map(worker => [worker.name, createSession(timer, worker)]));
     const runs = createRunTable();
     const jobs = new Map<string, JobState>();
     const openJobs = new Set<JobState>();
--- a/src/execution/leaseBounds.ts
+++ b/src/execution/leaseBounds.ts
@@ -13,6 +13,11 @@
 export interface InheritedLeases {
     /** Monotonic time by which the lease of a worker's runs has expired unless this planner has renewed it. */
     expiresAtMs(workerId: string): number;
+    /**
+     * Monotonic time by which the longest lease has expired that an order to an earlier incarnation of a worker may have
+     * granted to the next one.
+     */
+    nextIncarnationExpiresAtMs(): number;
     /** What is left of them, to be published until this planner knows more. */
     remaining(): LeaseBounds;
 }
@@ -46,6 +51,8 @@
     bounds: LeaseBounds | undefined;
     /** Time from then on for which leases that the row does not bound may go on. */
     unboundedMs: number;
+    /** Time from then on for which leases may go on that orders to an earlier incarnation of a worker granted to the next. */
+    nextIncarnationMs: number;
     /** Longest bound that a planner publishes. */
     maxMs: number;
 }
@@ -59,6 +66,7 @@
     const remainingMs = (atMs: number): number => Math.max(0, Math.ceil(atMs - options.nowMs()));
     return {
         expiresAtMs,
+        nextIncarnationExpiresAtMs: () => observedAtMs + options.nextIncarnationMs,
         remaining: () => ({
             byWorker: Object.fromEntries([...byWorker.keys()].map(id => [id, remainingMs(expiresAtMs(id))])),
             othersMs: remainingMs(observedAtMs + othersMs),
@@ -69,6 +77,7 @@
 /** Leases before the first planner: there are none. */
 export const noInheritedLeases: InheritedLeases = {
     expiresAtMs: () => Number.NEGATIVE_INFINITY,
+    nextIncarnationExpiresAtMs: () => Number.NEGATIVE_INFINITY,
     remaining: () => ({ byWorker: {}, othersMs: 0 }),
 };
 
--- a/src/execution/leasePublication.ts
+++ b/src/execution/leasePublication.ts
@@ -13,6 +13,8 @@
     onLeasesPublished: () => void;
     /** Time after which a lease that a planner grants now has certainly expired. */
     longestGrantMs: number;
+    /** Like `longestGrantMs`, for a lease that an order which is carried out late grants to a worker's next incarnation. */
+    longestLateGrantMs: number;
     /** Time since the last confirmation of its term in which a planner renews leases. */
     renewalWindowMs: number;
 }
@@ -40,7 +42,7 @@
 
 /** Creates the publication of a VM that is not the planner. */
 export const createLeasePublication = (options: LeasePublicationOptions): LeasePublication => {
-    const { timer, longestGrantMs, renewalWindowMs } = options;
+    const { timer, longestGrantMs, longestLateGrantMs, renewalWindowMs } = options;
     let inheritedLeases = noInheritedLeases;
     let withheldLeases = createWithheldLeases();
 
@@ -61,7 +63,8 @@
                 observedAtMs,
                 bounds: previous?.leases,
                 unboundedMs: renewedForMs + longestGrantMs,
-                maxMs: renewalWindowMs + longestGrantMs,
+                nextIncarnationMs: renewedForMs + longestLateGrantMs,
+                maxMs: renewalWindowMs + longestLateGrantMs,
             });
         },
         begin: (inherited, published) => {
--- a/src/execution/plannerElection.ts
+++ b/src/execution/plannerElection.ts
@@ -31,6 +31,8 @@
     onLeasesPublished: () => void;
     /** Time after which a lease that a planner grants now has certainly expired. */
     longestGrantMs: number;
+    /** Like `longestGrantMs`, for a lease that an order which is carried out late grants to a worker's next incarnation. */
+    longestLateGrantMs: number;
     onGained: (term: number, inheritedLeases: InheritedLeases) => void;
     onLost: (term: number, reason: string) => void;
 }
--- a/src/execution/runStarter.ts
+++ b/src/execution/runStarter.ts
@@ -6,7 +6,7 @@
 import type { PlannerContext } from "./context.js";
 import type { RunStopper } from "./runStopper.js";
 import type { WorkerSession } from "./session.js";
-import { Refusal } from "./types.js";
+import { isAnswered, Refusal } from "./types.js";
 import type { OrderError } from "./types.js";
 
 /** Starts tasks on the workers that a planning round assigned to them. */
@@ -144,8 +144,8 @@
         if (worker.client === undefined) {
             return;
         }
-        const untilClockMs = worker.untilClockMs(startLeaseMs);
-        worker.recordLease(untilClockMs);
+        const untilClockMs = worker.lease.untilClockMs(startLeaseMs);
+        const recordOutcome = worker.lease.recordLease(untilClockMs);
         const sentAtMs = timer.nowMs();
         const started = await worker.client.start({
             task: taskIdOf(task),
@@ -156,7 +156,8 @@
             fencingToken: term,
             gangSize: task.unit.step.gang ? task.unit.tasks.length : undefined,
         });
-        if (!started.ok && started.error.kind === "noAnswer") {
+        recordOutcome(started);
+        if (!isAnswered(started)) {
             context.unansweredStarts.record(worker.id, task, run.number);
         }
         const name = taskKey(taskIdOf(task));
--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -11,6 +11,7 @@
 import { createSessionKnowledge } from "./sessionKnowledge.js";
 import { Refusal } from "./types.js";
 import type { OrderError, WorkerClient, WorkerDescriptor, WorkerReport } from "./types.js";
+import type { WorkerLease } from "./workerLease.js";
 
 /** Callbacks of a worker session. */
 export interface SessionListener {
@@ -48,7 +49,9 @@
     leaseMs: (session: WorkerSession) => number;
     /** Longest lease that any poll grants. */
     maxLeaseMs: number;
-    /** Monotonic time by which every lease granted by earlier planners has expired, if it is not renewed. */
+    /** Longest lease that the worker accepts. */
+    longestLeaseMs: number;
+    /** Monotonic time by which every lease granted by earlier sessions has expired, if it is not renewed. */
     earlierLeasesExpireAtMs: number;
     listener: SessionListener;
 }
@@ -66,14 +69,10 @@
     isSynced(): boolean;
     /** Whether an order may extend the worker's lease. */
     mayExtendLease(): boolean;
-    /** Monotonic time by which every lease of the worker's runs has expired, if it is not renewed. */
-    leaseExpiresAtMs(): number;
+    /** Lease of the worker's runs. */
+    readonly lease: WorkerLease;
     /** Time since the last answer; 0 while the worker answers. */
     silentMs(): number;
-    /** End of a lease of at most `maxMs` for an order sent now, on the worker's clock; 0 before the first answer. */
-    untilClockMs(maxMs?: number): number;
-    /** Records the end of a lease that an order is about to carry. */
-    recordLease(untilClockMs: number): void;
     /**
      * Records an answer with its reading of the worker's clock, and polls for the worker's incarnation if the reading is too
      * low for this one; `sentAtMs` is the monotonic time at which the order was sent.
@@ -146,7 +145,7 @@
         const isWithheld = options.isLeaseWithheld();
         const mayRenew = synced && contact.silentMs() === 0 && options.mayRenew() && !isWithheld;
         const untilClockMs = mayRenew ? lease.untilClockMs(options.leaseMs(session)) : undefined;
-        lease.recordLease(untilClockMs ?? 0);
+        const recordOutcome = lease.recordLease(untilClockMs ?? 0);
         const skipLongPoll = pollPause.consumeSkipLongPoll();
         const mayLongPoll = synced && ends.areRecorded() && listener.isBusy(session) && !skipLongPoll
             && !isWithheld;
@@ -154,6 +153,7 @@
         const acknowledged = synced && contact.silentMs() === 0 ? ends.toSend() : 0;
         const waitMs = mayLongPoll ? longPollMs : undefined;
         const answer = await active.hold({ fencingToken, acknowledged, untilClockMs, waitMs });
+        recordOutcome(answer);
         if (closed) {
             return true;
         }
@@ -201,11 +201,9 @@
         client,
         address: options.descriptor?.address ?? options.address,
         isSynced: knowledge.isSynced,
+        lease,
         mayExtendLease: () => options.mayRenew() && !options.isLeaseWithheld(),
-        leaseExpiresAtMs: lease.expiresAtMs,
         silentMs: contact.silentMs,
-        untilClockMs: lease.untilClockMs,
-        recordLease: lease.recordLease,
         recordAnswer,
         recordNoAnswer: contact.recordNoAnswer,
         fenceRun: (task, number) => {
--- a/src/execution/sessionKnowledge.ts
+++ b/src/execution/sessionKnowledge.ts
@@ -32,7 +32,7 @@
     listener: SessionKnowledgeListener,
 ): SessionKnowledge => {
     const { timer, log } = options;
-    const lease = createWorkerLease(timer, options.maxLeaseMs, options.earlierLeasesExpireAtMs);
+    const lease = createWorkerLease({ ...options, leaseMs: options.maxLeaseMs });
     let synced = false;
     let leaseExpired = false;
 
@@ -57,6 +57,7 @@
             log("info", "worker may have restarted", { worker: options.id, bornMs: options.bornMs, clockMs });
             // the next poll shows which incarnation answers, and carries nothing of this one
             synced = false;
+            lease.recordNextIncarnation();
             listener.onPossibleRestart();
         },
         recordReport: clockMs => {
--- a/src/execution/sessionLifecycle.ts
+++ b/src/execution/sessionLifecycle.ts
@@ -8,7 +8,7 @@
 import { createWorkerSession } from "./session.js";
 import type { WorkerSession } from "./session.js";
 import type { WorkerClient, WorkerDescriptor } from "./types.js";
-import { slowClockFactor } from "./workerLease.js";
+import { endsAfterMs } from "./workerLease.js";
 
 /** Options of {@link createSessionLifecycle}. */
 export interface SessionLifecycleOptions {
@@ -40,8 +40,11 @@
     openSession(descriptor: WorkerDescriptor): WorkerSession;
     /** Opens the session of a worker that is not listed; without an address it has no client. */
     openUnlisted(id: string, bornMs: number, address: string | undefined): WorkerSession;
-    /** Opens the session of a worker's next incarnation; orders to the previous one may have granted it the longest lease. */
-    openNextIncarnation(descriptor: WorkerDescriptor): WorkerSession;
+    /**
+     * Opens the session of the incarnation after that of another session, whose orders may have granted it the longest
+     * lease.
+     */
+    openNextIncarnation(previous: WorkerSession, descriptor: WorkerDescriptor): WorkerSession;
     /** Closes the session of an incarnation that has ended, and abandons its runs. */
     closeSession(session: WorkerSession, reason: string): void;
     /**
@@ -104,6 +107,7 @@
             isLeaseWithheld: () => options.isLeaseWithheld(id),
             leaseMs: leaseMsOf,
             maxLeaseMs: options.maxLeaseMs,
+            longestLeaseMs: options.longestLeaseMs,
             earlierLeasesExpireAtMs: leasesExpireAtMs,
             listener: {
                 isBusy: busy => runs.tasksOn(busy).size > 0,
@@ -131,10 +135,11 @@
     const openUnlisted = (id: string, bornMs: number, address: string | undefined): WorkerSession =>
         open({ id, bornMs, address }, options.inheritedLeases.expiresAtMs(id));
 
-    const openNextIncarnation = (descriptor: WorkerDescriptor): WorkerSession => {
-        const longestLeaseEndsAtMs = timer.nowMs() + options.longestLeaseMs * slowClockFactor;
+    const openNextIncarnation = (previous: WorkerSession, descriptor: WorkerDescriptor): WorkerSession => {
+        const lastOrderAtMs = Math.max(timer.nowMs(), previous.lease.lateOrdersUntilMs());
         const inheritedExpireAtMs = options.inheritedLeases.expiresAtMs(descriptor.id);
-        return open({ ...descriptor, descriptor }, Math.max(inheritedExpireAtMs, longestLeaseEndsAtMs));
+        const expireAtMs = Math.max(inheritedExpireAtMs, lastOrderAtMs + endsAfterMs(options.longestLeaseMs));
+        return open({ ...descriptor, descriptor }, expireAtMs);
     };
 
     const closeSession = (session: WorkerSession, reason: string): void => {
--- a/src/execution/types.ts
+++ b/src/execution/types.ts
@@ -143,6 +143,10 @@
     /** No answer arrived: the worker may have carried the order out, or still may. */
     | { kind: "noAnswer"; detail: string; };
 
+/** Whether an order was answered, so that it is not carried out any more if it was not before. */
+export const isAnswered = (result: Result<unknown, OrderError>): boolean =>
+    result.ok || result.error.kind === "refused";
+
 /** Sends orders to one incarnation of a worker; every answer carries a reading of the worker's clock. */
 export interface WorkerClient {
     start(order: StartOrder): Promise<Result<OrderAnswer, OrderError>>;
--- a/src/execution/unansweredStarts.ts
+++ b/src/execution/unansweredStarts.ts
@@ -2,6 +2,7 @@
 import type { TaskState } from "../jobs/progress.js";
 import type { TimerService } from "../utils/timer.js";
 import type { FencedRun } from "./fenceQueue.js";
+import { lateOrderMs } from "./workerLease.js";
 
 /** Start orders without an answer, which a worker may still carry out, also in its next incarnation, which knows of no stop. */
 export interface UnansweredStarts {
@@ -16,9 +17,6 @@
     sentAtMs: number;
 }
 
-/** Time after which an order is certainly not carried out any more; orders may take effect up to 12 s late. */
-export const lateOrderMs = 15_000;
-
 /** Creates the record of a planner that has sent no orders. */
 export const createUnansweredStarts = (timer: TimerService): UnansweredStarts => {
     const byWorker = new Map<string, UnansweredStart[]>();
--- a/src/execution/workerSessions.ts
+++ b/src/execution/workerSessions.ts
@@ -5,8 +5,7 @@
 import type { WorkerSession } from "./session.js";
 import { createSessionLifecycle, moveRuns } from "./sessionLifecycle.js";
 import type { WorkerClient, WorkerDescriptor } from "./types.js";
-import { lateOrderMs } from "./unansweredStarts.js";
-import { grantedLeaseMs } from "./workerLease.js";
+import { grantedLeaseMs, lateOrderMs } from "./workerLease.js";
 
 /** Options of {@link createWorkerSessions}. */
 export interface WorkerSessionsOptions {
@@ -68,7 +67,7 @@
 /** Bounds on the leases of the workers that do not answer, by which a successor knows when their runs have ended. */
 const boundLeases = (sessions: Iterable<WorkerSession>, nowMs: number): LeaseBounds => {
     const unanswered = [...sessions].filter(session => !session.isSynced() || session.silentMs() > publishedSilenceMs);
-    const remainingMs = (session: WorkerSession): number => Math.max(0, Math.ceil(session.leaseExpiresAtMs() - nowMs));
+    const remainingMs = (session: WorkerSession): number => Math.max(0, Math.ceil(session.lease.expiresAtMs() - nowMs));
     return { byWorker: Object.fromEntries(unanswered.map(session => [session.id, remainingMs(session)])) };
 };
 
@@ -103,7 +102,7 @@
             return;
         }
         const isNextIncarnation = existing !== undefined && existing.bornMs < descriptor.bornMs;
-        const opened = isNextIncarnation ? openNextIncarnation(descriptor) : openSession(descriptor);
+        const opened = isNextIncarnation ? openNextIncarnation(existing, descriptor) : openSession(descriptor);
         if (existing?.bornMs === descriptor.bornMs) {
             moveRuns(context, existing, opened, () => true);
         }
@@ -127,7 +126,7 @@
         }
         else if (bornMs !== undefined && descriptor !== undefined) {
             const unlisted = { ...descriptor, bornMs, draining: true, leavesAtMs: undefined };
-            replaceSession(session, openNextIncarnation(unlisted));
+            replaceSession(session, openNextIncarnation(session, unlisted));
         }
         else {
             // whoever answers refuses the orders of this incarnation, whose runs have ended
@@ -160,6 +159,9 @@
         findOrOpen: (workerId, bornMs, address) => {
             const existing = sessions.get(workerId);
             if (existing !== undefined && existing.bornMs >= bornMs) {
+                if (existing.bornMs > bornMs) {
+                    existing.lease.extendEarlierLeases(options.inheritedLeases.nextIncarnationExpiresAtMs());
+                }
                 return existing;
             }
             const listed = findListed(workerId);
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -5,7 +5,7 @@
 import { createPlannerElection } from "../execution/plannerElection.js";
 import { asLease } from "../execution/plannerLease.js";
 import type { WorkerClient, WorkerDescriptor, WorkerDirectory } from "../execution/types.js";
-import { longestGrantMs } from "../execution/workerLease.js";
+import { longestGrantMs, longestLateGrantMs } from "../execution/workerLease.js";
 import { acceptJob } from "../jobs/commands/acceptJob.js";
 import type { Acceptance } from "../jobs/commands/acceptJob.js";
 import { cancelStoredJob } from "../jobs/commands/cancelStoredJob.js";
@@ -166,6 +166,7 @@
         leaseBounds: () => planner?.leaseBounds(),
         onLeasesPublished: () => planner?.onLeasesPublished(),
         longestGrantMs: longestGrantMs(options.maxLeaseMs),
+        longestLateGrantMs: longestLateGrantMs(options.maxLeaseMs),
         random: options.random ?? Math.random,
         onGained,
         onLost,
--- a/test/plannerElection.test.ts
+++ b/test/plannerElection.test.ts
@@ -34,6 +34,7 @@
     leaseBounds: () => undefined,
     onLeasesPublished: () => {},
     longestGrantMs: 8_500,
+    longestLateGrantMs: 25_500,
     random: () => 0,
     onGained: () => {},
     onLost: () => {},
--- a/test/session.test.ts
+++ b/test/session.test.ts
@@ -46,6 +46,7 @@
         isLeaseWithheld: () => false,
         leaseMs: () => 8_000,
         maxLeaseMs: 8_000,
+        longestLeaseMs: 10_000,
         earlierLeasesExpireAtMs: 0,
         listener,
     });
--- a/test/workerLease.test.ts
+++ b/test/workerLease.test.ts
@@ -2,6 +2,8 @@
 import { EndKind } from "../src/execution/types.js";
 import type { EndedRun } from "../src/execution/types.js";
 import { createWorkerLease } from "../src/execution/workerLease.js";
+import type { WorkerLease } from "../src/execution/workerLease.js";
+import type { TimerService } from "../src/utils/timer.js";
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
 import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 
@@ -13,10 +15,13 @@
 /** Bound on the restart of a long-running task whose worker was lost. */
 const longRunningRestartMs = 9_000;
 
+const createLease = (timer: TimerService, longestLeaseMs = leaseMs): WorkerLease =>
+    createWorkerLease({ timer, leaseMs, longestLeaseMs, earlierLeasesExpireAtMs: timer.nowMs() + 16_000 });
+
 describe("the lease of a worker's runs", () => {
     it("is assumed to last as long as an earlier planner may have granted, once the worker has answered", async () => {
         const timer = createVirtualTimer();
-        const lease = createWorkerLease(timer, leaseMs, timer.nowMs() + 16_000);
+        const lease = createLease(timer);
         await timer.advance(100);
         lease.recordClock(500);
         lease.boundEarlierLeases();
@@ -26,7 +31,7 @@
 
     it("is not extended by later answers without a renewal", async () => {
         const timer = createVirtualTimer();
-        const lease = createWorkerLease(timer, leaseMs, timer.nowMs() + 16_000);
+        const lease = createLease(timer);
         lease.recordClock(500);
         lease.boundEarlierLeases();
         const expiresAtMs = lease.expiresAtMs();
