fix: a worker's next life refuses late orders that were meant for its former life

Callers saw tasks run twice at once (TWICE) when an order was carried out seconds late by a worker that had started again under its id meanwhile and was cut off then.

Cause: both lives had the same fencing token, so the next life carried out what was meant for the former one: a late start or poll extended the lease of everything on it to 10 s from then, whatever the planner had sent since.

Ruled out: a longer bound alone, which would have to count 15 s from each order without an answer, for every run on the worker.

Change: each later session with a worker has a higher token within its term; tokens of terms do not overlap. An order without the answer of a closed session no longer ends the term when its late answer says fenced.

Two tests in runStopper start a run with the first token of the term, which is 1000 now and was 1 before; what they check is the same.

--- a/bench/simulatedPlanner.ts
+++ b/bench/simulatedPlanner.ts
@@ -36,6 +36,7 @@
         draining: false,
     },
     client: undefined,
+    fencingToken: 0,
     address: undefined,
     closed: false,
     isSynced: () => true,
--- a/src/execution/context.ts
+++ b/src/execution/context.ts
@@ -23,7 +23,7 @@
     timer: TimerService;
     log: Log;
     metrics: EntryMetrics;
-    /** Number of the term, which is the fencing token in orders to workers. */
+    /** Number of the term; fencing tokens in orders to workers begin with it. */
     term: number;
     /** All stored jobs, by id. */
     jobs: Map<string, JobState>;
--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -43,7 +43,7 @@
     timer: TimerService;
     log: Log;
     metrics: EntryMetrics;
-    /** Number of the term, which is the fencing token in orders to workers. */
+    /** Number of the term; fencing tokens in orders to workers begin with it. */
     term: number;
     /** Configuration in force and availability zones out of service. */
     operator: () => OperatorState;
--- a/src/execution/runStarter.ts
+++ b/src/execution/runStarter.ts
@@ -153,7 +153,7 @@
             spec,
             untilClockMs,
             checkpoint: task.checkpoint,
-            fencingToken: term,
+            fencingToken: worker.fencingToken,
             gangSize: task.unit.step.gang ? task.unit.tasks.length : undefined,
         });
         recordOutcome(started);
--- a/src/execution/runStopper.ts
+++ b/src/execution/runStopper.ts
@@ -17,12 +17,12 @@
 
 /** Creates the part of a planner that sends stop orders. */
 export const createRunStopper = (context: PlannerContext): RunStopper => {
-    const { log, timer, runs, term } = context;
+    const { log, timer, runs } = context;
 
     const sendStop = async (task: TaskState, run: Run): Promise<void> => {
-        const { client } = run.worker;
+        const { client, fencingToken } = run.worker;
         while (task.run === run && !run.worker.closed && client !== undefined && !context.isTermOver()) {
-            const stopped = await client.stop(taskIdOf(task), run.number, term);
+            const stopped = await client.stop(taskIdOf(task), run.number, fencingToken);
             const refusal = !stopped.ok && stopped.error.kind === "refused" ? stopped.error.refusal : undefined;
             if (stopped.ok || (refusal !== undefined && refusal !== Refusal.Unhealthy)) {
                 // a healthy worker refuses a stop only if it does not have the run
--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -9,6 +9,7 @@
 import type { FencedRun } from "./fenceQueue.js";
 import { createPollPause, pollRetryMs, runPollLoop } from "./pollLoop.js";
 import { createSessionKnowledge } from "./sessionKnowledge.js";
+import type { SessionKnowledge } from "./sessionKnowledge.js";
 import { Refusal } from "./types.js";
 import type { OrderError, WorkerClient, WorkerDescriptor, WorkerReport } from "./types.js";
 import type { WorkerLease } from "./workerLease.js";
@@ -39,7 +40,7 @@
     client?: WorkerClient;
     timer: TimerService;
     log: Log;
-    /** Number of the planner's term. */
+    /** Higher than that of any earlier session with the worker. */
     fencingToken: number;
     /** Whether the planner may still renew leases. */
     mayRenew: () => boolean;
@@ -63,6 +64,8 @@
     /** The worker as last listed; `undefined` for one that is not listed. */
     descriptor: WorkerDescriptor | undefined;
     readonly client: WorkerClient | undefined;
+    /** Token in all orders of the session. */
+    readonly fencingToken: number;
     /** Address of the worker; `undefined` if it is not known. */
     readonly address: string | undefined;
     /** Whether the worker has answered under this term, and its lease has not expired since: its runs are known. */
@@ -120,6 +123,9 @@
     let earlierBornMs: number | undefined;
 
     const handleOrderError = (error: OrderError, sentAtMs: number): void => {
+        if (closed) {
+            return;
+        }
         if (error.kind === "noAnswer") {
             contact.recordNoAnswer(error.detail);
             return;
@@ -199,6 +205,7 @@
         bornMs: options.bornMs,
         descriptor: options.descriptor,
         client,
+        fencingToken,
         address: options.descriptor?.address ?? options.address,
         isSynced: knowledge.isSynced,
         lease,
@@ -229,10 +236,7 @@
         },
     };
     if (options.descriptor === undefined) {
-        const unsubscribe = timer.every(
-            pollRetryMs,
-            () => closed || knowledge.isLeaseExpired() ? unsubscribe() : knowledge.checkLeaseExpiry(),
-        );
+        checkUntilLeaseExpired(timer, knowledge, () => closed);
     }
     if (client !== undefined) {
         startPolling(client);
@@ -240,5 +244,13 @@
     return session;
 };
 
+/** Checks whether the lease has expired without polls, which a worker that is not listed may not get. */
+const checkUntilLeaseExpired = (timer: TimerService, knowledge: SessionKnowledge, isClosed: () => boolean): void => {
+    const unsubscribe = timer.every(
+        pollRetryMs,
+        () => isClosed() || knowledge.isLeaseExpired() ? unsubscribe() : knowledge.checkLeaseExpiry(),
+    );
+};
+
 const logUnexpectedError = (log: Log, worker: string) => (detail: string): void =>
     log("error", "a report could not be taken", { worker, detail });
--- a/src/execution/sessionLifecycle.ts
+++ b/src/execution/sessionLifecycle.ts
@@ -1,6 +1,7 @@
 import { RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
 import type { Run, TaskState } from "../jobs/progress.js";
 import type { PlannerContext } from "./context.js";
+import { createFencingTokens } from "./fencingTokens.js";
 import { createGuardedClient } from "./guardedClient.js";
 import type { InheritedLeases } from "./leaseBounds.js";
 import type { ReportHandler } from "./reportHandler.js";
@@ -85,6 +86,7 @@
 export const createSessionLifecycle = (options: SessionLifecycleOptions): SessionLifecycle => {
     const { context, reports, runMonitor } = options;
     const { sessions, runs, timer, health } = context;
+    const fencingTokens = createFencingTokens(context.term);
 
     const leaseMsOf = (session: WorkerSession): number =>
         [...runs.tasksOn(session)].some(task => task.unit.step.longRunning)
@@ -102,7 +104,7 @@
             client: called === undefined ? undefined : createGuardedClient(options.createClient(called)),
             timer,
             log: context.log,
-            fencingToken: context.term,
+            fencingToken: fencingTokens.next(id),
             mayRenew: options.mayRenew,
             isLeaseWithheld: () => options.isLeaseWithheld(id),
             leaseMs: leaseMsOf,
--- a/test/formerLife.test.ts
+++ b/test/formerLife.test.ts
@@ -1,4 +1,5 @@
 import { assert } from "chai";
+import { createFencingTokens } from "../src/execution/fencingTokens.js";
 import { JobPhase } from "../src/jobs/types.js";
 import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import type { Fleet, FleetOptions } from "./fixtures/fleet.js";
@@ -147,3 +148,37 @@
         await assertRunsOnceAfterCutOff(fleet);
     });
 });
+
+describe("a worker that is back under its id, gets a late order of its former life and is cut off", () => {
+    for (const kind of ["start", "hold"] as const) {
+        for (const cutAfterMs of [1_600, 2_000, 2_500, 3_000, 3_500, 4_000, 4_500, 5_500]) {
+            for (const killsPlanner of [false, true]) {
+                const title = `${cutAfterMs} ms after a ${kind} was sent${killsPlanner ? ", with the planner" : ""}`;
+                it(title, async () => {
+                    const fleet = await createIdleFleet();
+                    delayNextOrder(fleet, kind);
+                    await submitTasks(fleet, "a1", 1);
+                    await fleet.timer.advance(100);
+                    fleet.restartWorker(restarted);
+                    await fleet.timer.advance(1_400);
+                    await submitTasks(fleet, "a2", 3);
+                    await fleet.timer.advance(cutAfterMs - 1_500);
+                    if (killsPlanner) {
+                        fleet.killVm(fleet.planner() ?? "");
+                    }
+                    await assertRunsOnceAfterCutOff(fleet);
+                });
+            }
+        }
+    }
+});
+
+describe("the fencing tokens of a term", () => {
+    it("are higher for each later session with a worker, and higher than those of the terms before", () => {
+        const tokens = createFencingTokens(7);
+        const ofWorker = Array.from({ length: 1_500 }, () => tokens.next("w0"));
+        assert.isTrue(ofWorker.slice(0, 1_000).every((token, index) => index === 0 || token > ofWorker[index - 1]));
+        assert.isBelow(Math.max(...ofWorker), createFencingTokens(8).next("w0"));
+        assert.equal(tokens.next("w1"), ofWorker[0]);
+    });
+});
--- a/test/runStopper.test.ts
+++ b/test/runStopper.test.ts
@@ -3,6 +3,9 @@
 import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import type { Fleet } from "./fixtures/fleet.js";
 
+/** Token of the first planner's first session with a worker. */
+const firstFencingToken = 1_000;
+
 /** Adds a run to a worker that no planner ordered, as an order of an earlier incarnation does when it arrives late. */
 const startUnknownRun = (fleet: Fleet, workMs: number): void => {
     const { model } = fleet.workers.get("w0") ?? assert.fail("there is a worker");
@@ -12,7 +15,7 @@
         spec: JSON.stringify({ workMs }),
         untilClockMs: 100_000,
         checkpoint: "",
-        fencingToken: 1,
+        fencingToken: firstFencingToken,
     });
     assert.isTrue(started.ok);
 };
--- a/tools/workerMutants.ts
+++ b/tools/workerMutants.ts
@@ -58,6 +58,14 @@
         tests: "formerLife",
         fails: "when the planner is killed before the list of workers shows the restart",
     },
+    {
+        without: "a higher fencing token for the next life of a worker",
+        file: "execution/fencingTokens.js",
+        find: "Math.min(earlierSessions, tokensPerTerm - 1)",
+        replace: "0",
+        tests: "formerLife",
+        fails: "2500 ms after a start was sent",
+    },
     {
         without: "handing the fences of a worker's incarnation to the session of the next",
         file: "execution/sessionLifecycle.js",
