fix: a planner follows the next life of a worker that is not listed

Seen on virtual time, found by reading for the cause of TWICE: a planner took over while a worker's entry was missing; the worker had started again under its id and run what was meant for its former life. It listed these runs to the new planner, which gave them up all the same: they lapsed and their tasks started anew.

Cause: a session with a worker that is not listed has no descriptor, and the session of the next life was only opened from one; without it the runs went to a session without a client.

Change: the next life is polled at the recorded address.

Evidence: the new test had four runs that lapsed and four repeated ones; now four that are done.

--- a/src/execution/sessionLifecycle.ts
+++ b/src/execution/sessionLifecycle.ts
@@ -45,7 +45,7 @@
      * Opens the session of the incarnation after that of another session, whose orders may have granted it the longest
      * lease.
      */
-    openNextIncarnation(previous: WorkerSession, descriptor: WorkerDescriptor): WorkerSession;
+    openNextIncarnation(previous: WorkerSession, worker: OpenedWorker): WorkerSession;
     /** Closes the session of an incarnation that has ended, and abandons its runs. */
     closeSession(session: WorkerSession, reason: string): void;
     /**
@@ -56,7 +56,7 @@
 }
 
 /** A worker with which a session is opened. */
-interface OpenedWorker {
+export interface OpenedWorker {
     id: string;
     bornMs: number;
     /** Absent for a worker that is not listed. */
@@ -137,11 +137,11 @@
     const openUnlisted = (id: string, bornMs: number, address: string | undefined): WorkerSession =>
         open({ id, bornMs, address }, options.inheritedLeases.expiresAtMs(id));
 
-    const openNextIncarnation = (previous: WorkerSession, descriptor: WorkerDescriptor): WorkerSession => {
+    const openNextIncarnation = (previous: WorkerSession, worker: OpenedWorker): WorkerSession => {
         const lastOrderAtMs = Math.max(timer.nowMs(), previous.lease.lateOrdersUntilMs());
-        const inheritedExpireAtMs = options.inheritedLeases.expiresAtMs(descriptor.id);
+        const inheritedExpireAtMs = options.inheritedLeases.expiresAtMs(worker.id);
         const expireAtMs = Math.max(inheritedExpireAtMs, lastOrderAtMs + endsAfterMs(options.longestLeaseMs));
-        return open({ ...descriptor, descriptor }, expireAtMs);
+        return open(worker, expireAtMs);
     };
 
     const closeSession = (session: WorkerSession, reason: string): void => {
--- a/src/execution/workerSessions.ts
+++ b/src/execution/workerSessions.ts
@@ -102,7 +102,9 @@
             return;
         }
         const isNextIncarnation = existing !== undefined && existing.bornMs < descriptor.bornMs;
-        const opened = isNextIncarnation ? openNextIncarnation(existing, descriptor) : openSession(descriptor);
+        const opened = isNextIncarnation
+            ? openNextIncarnation(existing, { ...descriptor, descriptor })
+            : openSession(descriptor);
         if (existing?.bornMs === descriptor.bornMs) {
             moveRuns(context, existing, opened, () => true);
         }
@@ -116,21 +118,21 @@
      * its runs are learned from its reports, and it gets no others until it is listed, as it may be of another kind.
      */
     const onRestarted = (session: WorkerSession, bornMs?: number): void => {
-        const listed = findListed(session.id);
-        const { descriptor } = session;
+        const { id, descriptor, address } = session;
+        const listed = findListed(id);
         if (session.closed) {
             return;
         }
         if (listed !== undefined && listed.bornMs > session.bornMs && listed.bornMs >= (bornMs ?? 0)) {
             openOrUpdate(listed);
         }
-        else if (bornMs !== undefined && descriptor !== undefined) {
-            const unlisted = { ...descriptor, bornMs, draining: true, leavesAtMs: undefined };
-            replaceSession(session, openNextIncarnation(session, unlisted));
+        else if (bornMs !== undefined) {
+            const unlisted = descriptor && { ...descriptor, bornMs, draining: true, leavesAtMs: undefined };
+            replaceSession(session, openNextIncarnation(session, { id, bornMs, address, descriptor: unlisted }));
         }
         else {
             // whoever answers refuses the orders of this incarnation, whose runs have ended
-            replaceSession(session, openUnlisted(session.id, session.bornMs + 1, undefined));
+            replaceSession(session, openUnlisted(id, session.bornMs + 1, undefined));
         }
     };
 
--- a/test/formerLife.test.ts
+++ b/test/formerLife.test.ts
@@ -173,6 +173,22 @@
     }
 });
 
+describe("a worker that is not listed when a planner takes over", () => {
+    // guards against runs that the worker listed and that were given up all the same
+    it("keeps the runs that its next life has begun by an order to its former life", async () => {
+        const fleet = await createIdleFleet();
+        fleet.restartWorker(restarted);
+        await submitTasks(fleet, "a1", 4);
+        await fleet.timer.advance(50);
+        fleet.unlisted.add(restarted);
+        fleet.notify();
+        fleet.killVm(fleet.planner() ?? "");
+        await fleet.timer.advance(lapseMs);
+        assert.deepEqual(findViolations(fleet.spans), []);
+        assert.deepEqual(fleet.spans.map(({ kind }) => kind), Array(4).fill("done"));
+    });
+});
+
 describe("the fencing tokens of a term", () => {
     it("are higher for each later session with a worker, and higher than those of the terms before", () => {
         const tokens = createFencingTokens(7);
--- a/tools/workerMutants.ts
+++ b/tools/workerMutants.ts
@@ -66,6 +66,14 @@
         tests: "formerLife",
         fails: "2500 ms after a start was sent",
     },
+    {
+        without: "following the next life of a worker that is not listed",
+        file: "execution/workerSessions.js",
+        find: "else if (bornMs !== undefined)",
+        replace: "else if (bornMs !== undefined && descriptor !== undefined)",
+        tests: "formerLife",
+        fails: "keeps the runs that its next life has begun",
+    },
     {
         without: "handing the fences of a worker's incarnation to the session of the next",
         file: "execution/sessionLifecycle.js",
