fix: a task does not start elsewhere while a worker's next life may begin its given up run

The worker started again under its id and carried the start out, as its next life had seen no stop. Another run of the task had ended with the former life, so the task was started elsewhere at once and ran twice (TWICE).

Cause: such a start was fenced on the next life, but nothing waited for the fence, which a worker that is cut off does not get.

Change: with a worker's next life the start is the task's current run again if the task has no other; it is stopped there or waited for like any run of which it is not known whether it started.

--- a/src/execution/sessionLifecycle.ts
+++ b/src/execution/sessionLifecycle.ts
@@ -1,5 +1,6 @@
-import { RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
+import { createUnknownRun, RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
 import type { Run, TaskState } from "../jobs/progress.js";
+import { isEnded } from "../jobs/types.js";
 import type { PlannerContext } from "./context.js";
 import { createFencingTokens } from "./fencingTokens.js";
 import { createGuardedClient } from "./guardedClient.js";
@@ -50,7 +51,7 @@
     closeSession(session: WorkerSession, reason: string): void;
     /**
      * Closes a session, and moves what the next incarnation may have received: the start orders of runs that were never
-     * reported, and orders of fenced runs that may still be on their way.
+     * reported or were given up without an answer, and orders of fenced runs that may still be on their way.
      */
     replaceSession(session: WorkerSession, successor: WorkerSession): void;
 }
@@ -127,7 +128,7 @@
         });
         sessions.set(id, session);
         // an incarnation that began since has not seen the stops that went to the one before
-        context.unansweredStarts.givenUpOn(id).forEach(({ task, run }) => session.fenceRun(task, run));
+        context.unansweredStarts.givenUpOn(id).forEach(({ task, run }) => session.fenceRun(taskIdOf(task), run));
         return session;
     };
 
@@ -160,6 +161,9 @@
         moveRuns(context, session, successor, run => run.firstListedAtMs === undefined);
         session.pendingFences().forEach(({ task, run }) => successor.fenceRun(task, run));
         closeSession(session, restartedReason);
+        if (successor.bornMs !== session.bornMs && successor.client !== undefined) {
+            restoreUnansweredStarts(context, successor);
+        }
     };
 
     return { openSession, openUnlisted, openNextIncarnation, closeSession, replaceSession };
@@ -190,6 +194,21 @@
     }
 };
 
+/**
+ * Makes runs whose start got no answer the current ones of their tasks again, if these have no other run: the next
+ * incarnation of the worker has not seen the stop after which they were given up.
+ */
+const restoreUnansweredStarts = (context: PlannerContext, worker: WorkerSession): void => {
+    const starts = context.unansweredStarts.givenUpOn(worker.id).sort((left, right) => right.run - left.run);
+    for (const { task, run, sentAtMs } of starts) {
+        const isWaiting = task.run === undefined && !task.done && !isEnded(task.unit.job.phase);
+        if (isWaiting) {
+            context.runs.set(task, createUnknownRun(run, worker, sentAtMs));
+            void context.record(task.unit.job);
+        }
+    }
+};
+
 const logMovedRun = ({ log }: PlannerContext, task: TaskState, { number, worker, phase }: Run): void =>
     log("info", "run moved to the worker's next session", {
         task: taskKey(taskIdOf(task)),
--- a/src/execution/unansweredStarts.ts
+++ b/src/execution/unansweredStarts.ts
@@ -1,19 +1,20 @@
-import { taskIdOf } from "../jobs/progress.js";
 import type { TaskState } from "../jobs/progress.js";
 import type { TimerService } from "../utils/timer.js";
-import type { FencedRun } from "./fenceQueue.js";
 import { lateOrderMs } from "./workerLease.js";
 
 /** Start orders without an answer, which a worker may still carry out, also in its next incarnation, which knows of no stop. */
 export interface UnansweredStarts {
     record(workerId: string, task: TaskState, run: number): void;
-    /** Runs that were given up since and must not start on the worker any more. */
-    givenUpOn(workerId: string): FencedRun[];
+    /** Those to a worker whose runs were given up since, so that they must not start there any more. */
+    givenUpOn(workerId: string): UnansweredStart[];
 }
 
-interface UnansweredStart {
+/** A start order without an answer. */
+export interface UnansweredStart {
     task: TaskState;
+    /** Number of the run. */
     run: number;
+    /** Monotonic time at which it was sent. */
     sentAtMs: number;
 }
 
@@ -40,9 +41,7 @@
         },
         givenUpOn: workerId => {
             dropOld();
-            return (byWorker.get(workerId) ?? [])
-                .filter(({ task, run }) => task.run?.number !== run)
-                .map(({ task, run }) => ({ task: taskIdOf(task), run }));
+            return (byWorker.get(workerId) ?? []).filter(({ task, run }) => task.run?.number !== run);
         },
     };
 };
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -186,6 +186,18 @@
 /** Returns the session of a recorded worker, by its id, incarnation and, if it is recorded, address. */
 export type FindSession = (workerId: string, bornMs: number, address?: string) => WorkerSession;
 
+/** Creates a run that may have been started on a worker; `orderedAtMs` is the monotonic time from which its work counts. */
+export const createUnknownRun = (number: number, worker: WorkerSession, orderedAtMs: number): Run => ({
+    number,
+    worker,
+    phase: RunPhase.Unknown,
+    orderedAtMs,
+    orderAnsweredAtMs: orderedAtMs,
+    percent: 0,
+    usage: 0,
+    checkpointedAtMs: orderedAtMs,
+});
+
 const restoreUnit = (
     unit: Unit,
     record: UnitRecord,
@@ -205,16 +217,8 @@
     for (const recorded of record.runs) {
         const task = unit.tasks[recorded.index];
         task.lastRunNumber = Math.max(task.lastRunNumber, recorded.run);
-        task.run = {
-            number: recorded.run,
-            worker: findSession(recorded.workerId, recorded.bornMs, addresses[recorded.workerId]),
-            phase: RunPhase.Unknown,
-            orderedAtMs: nowMs,
-            orderAnsweredAtMs: nowMs,
-            percent: 0,
-            usage: 0,
-            checkpointedAtMs: nowMs,
-        };
+        const worker = findSession(recorded.workerId, recorded.bornMs, addresses[recorded.workerId]);
+        task.run = createUnknownRun(recorded.run, worker, nowMs);
     }
 };
 
--- a/standins/runs/workerModel.ts
+++ b/standins/runs/workerModel.ts
@@ -47,6 +47,8 @@
     checkpointMs?: number;
     /** Rate of the worker's clock relative to real time. @default 1 */
     clockRate?: number;
+    /** Longest lease that it accepts. @default 10000 */
+    longestLeaseMs?: number;
     /** Whether every run that starts now fails. @default it does not */
     failsAll?: () => boolean;
     /** Whether it saves checkpoints of its runs; otherwise it reports empty ones. @default it does */
@@ -144,9 +146,9 @@
     };
 };
 
-/** Creates the lease of all runs on a worker, timed by the worker's clock, which runs at `rate` of real time. */
-const createLease = (timer: TimerService, clockMs: () => number, rate: number, onExpiry: () => void) => {
-    const longestLeaseMs = 10_000;
+/** Creates the lease of all runs on a worker, timed by the worker's clock. */
+const createLease = (options: WorkerModelOptions, clockMs: () => number, onExpiry: () => void) => {
+    const { timer, clockRate: rate = 1, longestLeaseMs = 10_000 } = options;
     let untilClockMs = 0;
     let cancel: Unsubscribe = () => {};
     return {
@@ -211,7 +213,7 @@
         running.forEach(active => endRun(active, EndKind.Lapsed));
     };
 
-    const lease = createLease(timer, clockMs, rate, expireLease);
+    const lease = createLease(options, clockMs, expireLease);
 
     const isOldRun = (name: string, run: number): boolean => run <= (highestRun.get(name) ?? 0);
 
--- a/test/formerLife.test.ts
+++ b/test/formerLife.test.ts
@@ -173,6 +173,25 @@
     }
 });
 
+describe("a start without an answer that was given up after a stop of the worker's former life", () => {
+    // guards against a task that was started elsewhere while the next life, which has seen no stop, had begun it
+    it("keeps its task from starting elsewhere until the next life has it no more", async () => {
+        const fleet = await createIdleFleet();
+        await submitTasks(fleet, "a0", 2);
+        await fleet.timer.advance(1_000);
+        delayNextOrder(fleet, "start");
+        await submitTasks(fleet, "a1", 1);
+        await fleet.timer.advance(3_900);
+        assert.deepEqual(fleet.spans.filter(({ task }) => task === "a1.0.0.0").map(({ run }) => run), [2]);
+        fleet.unlisted.add(restarted);
+        fleet.restartWorker(restarted);
+        while (!fleet.logLines.some(({ fields }) => fields.reason === "the worker has started anew")) {
+            await fleet.timer.advance(1);
+        }
+        await assertRunsOnceAfterCutOff(fleet);
+    });
+});
+
 describe("a worker that is not listed when a planner takes over", () => {
     // guards against runs that the worker listed and that were given up all the same
     it("keeps the runs that its next life has begun by an order to its former life", async () => {
--- a/tools/workerMutants.ts
+++ b/tools/workerMutants.ts
@@ -74,6 +74,14 @@
         tests: "formerLife",
         fails: "keeps the runs that its next life has begun",
     },
+    {
+        without: "keeping given up starts for the next life of a worker",
+        file: "execution/sessionLifecycle.js",
+        find: "task.run === undefined && !task.done && !isEnded(task.unit.job.phase)",
+        replace: "false",
+        tests: "formerLife",
+        fails: "keeps its task from starting elsewhere",
+    },
     {
         without: "handing the fences of a worker's incarnation to the session of the next",
         file: "execution/sessionLifecycle.js",
