--- a/standins/fleet/main.ts
+++ b/standins/fleet/main.ts
@@ -31,12 +31,26 @@
     loseAnswers: number;
 }
 
+/** A worker and its table entry. */
+interface FleetWorker {
+    model: WorkerModel;
+    bornMs: number;
+    address: string;
+    server: Server;
+    /** Whether requests to it are lost, and its updates of its entry. */
+    isCutOff: boolean;
+    /** Monotonic time of its last update of its entry. */
+    updatedAtMs: number;
+}
+
 /** Time between two updates of a worker's entry. */
 const heartbeatPeriodMs = 1_500;
+/** Time without an update after which an entry is removed. */
+const entryExpiryMs = 3 * heartbeatPeriodMs;
 const timer = createTimerService();
 const table = createTableModel();
 const spans: RunSpan[] = [];
-const workers = new Map<string, { model: WorkerModel; bornMs: number; address: string; }>();
+const workers = new Map<string, FleetWorker>();
 const switches: Switches = { tableDown: false, tableSilent: false, loseAnswers: 0 };
 
 const readBody = async (request: IncomingMessage): Promise<JsonBody> => {
@@ -142,12 +156,23 @@
     if (url.pathname === "/control/spans") {
         return { status: 200, body: spans };
     }
+    if (url.pathname === "/control/restart") {
+        restartWorker(String(body.id));
+        return { status: 200, body: {} };
+    }
+    if (url.pathname === "/control/cut") {
+        const worker = workers.get(String(body.id));
+        if (worker !== undefined) {
+            worker.isCutOff = body.isCutOff === true;
+        }
+        return { status: 200, body: {} };
+    }
     if (url.pathname === "/control/operator") {
         table.commit({ part: "", conditions: [], writes: [{ table: "op", key: String(body.key), value: body.value }] });
         return { status: 200, body: {} };
     }
     if (switches.tableSilent) {
-        return new Promise(() => {});
+        return never();
     }
     if (switches.tableDown) {
         return { status: 503, body: {} };
@@ -195,9 +220,27 @@
     return { status, body: { reason, "clock-ms": clockMs } };
 };
 
+const never = (): Promise<Reply> => new Promise(() => {});
+
 const handleWorker = (id: string) => async (request: IncomingMessage, url: URL): Promise<Reply> => {
     const worker = workers.get(id);
     const body = await readBody(request);
+    const isCutOff = (): boolean => worker?.isCutOff === true;
+    if (isCutOff()) {
+        return never();
+    }
+    const reply = await handleOrder(id, worker, request, url, body);
+    // what was carried out before the cut is not answered any more
+    return isCutOff() ? never() : reply;
+};
+
+const handleOrder = async (
+    id: string,
+    worker: FleetWorker | undefined,
+    request: IncomingMessage,
+    url: URL,
+    body: JsonBody,
+): Promise<Reply> => {
     if (worker === undefined || request.headers["expected-instance"] !== id) {
         return { status: 421, body: {} };
     }
@@ -268,17 +311,36 @@
     table.commit({ part: "", conditions: [], writes: [{ table: "servers", key: id, value }] });
 };
 
+/** Starts a worker anew under its id and address; its connections end, and its entry shows it with the next update. */
+const restartWorker = (id: string): void => {
+    const worker = workers.get(id);
+    if (worker !== undefined) {
+        worker.model.crash();
+        worker.server.closeAllConnections();
+        worker.bornMs = timer.wallClockMs();
+        worker.model = createWorkerModel({ id, timer, bornMs: worker.bornMs, spans });
+    }
+};
+
 const startWorker = async (id: string): Promise<void> => {
     const bornMs = timer.wallClockMs();
     const model = createWorkerModel({ id, timer, bornMs, spans });
     const server = createHttpServer(handleWorker(id));
     const port = await listen(server, "127.0.0.1", 0);
-    workers.set(id, { model, bornMs, address: `127.0.0.1:${port}` });
+    const address = `127.0.0.1:${port}`;
+    const worker: FleetWorker = { model, bornMs, address, server, isCutOff: false, updatedAtMs: timer.nowMs() };
+    workers.set(id, worker);
     let sequence = 0;
     publishWorkerEntry(id, sequence);
     timer.every(heartbeatPeriodMs, () => {
-        sequence += 1;
-        publishWorkerEntry(id, sequence);
+        if (!worker.isCutOff) {
+            sequence += 1;
+            worker.updatedAtMs = timer.nowMs();
+            publishWorkerEntry(id, sequence);
+        }
+        else if (timer.nowMs() - worker.updatedAtMs >= entryExpiryMs) {
+            table.commit({ part: "", conditions: [], writes: [{ table: "servers", key: id }] });
+        }
     });
 };
 
--- a/test/restartSoak.test.ts
+++ b/test/restartSoak.test.ts
@@ -1,4 +1,5 @@
 import { assert } from "chai";
+import { soakRestartsOfProcesses } from "./fixtures/restartProcessSoak.js";
 import { soakRestarts } from "./fixtures/restartSoak.js";
 
 /** Runs a range of seeds; returns what broke. */
@@ -28,4 +29,11 @@
     it("run once each although start orders are carried out by a life that began after they were given up", async () => {
         assert.deepEqual(await soakSeeds(950, 20, true), []);
     });
+
+    it("run once each with real processes", async () => {
+        const { problems, restarts, cancellations } = await soakRestartsOfProcesses({ seed: 7, durationMs: 8_000 });
+        assert.isAbove(restarts, 1);
+        assert.isAbove(cancellations, 0);
+        assert.deepEqual(problems, []);
+    });
 });
