fix: lasting tasks do not wait beside workers that are kept free

Callers saw a lasting task that failed and never ran again beside an empty worker (LOST), while a gang waited that could not start.

Cause: workers were kept free for the gang by the declared time of lasting tasks, which have no end; and lasting tasks gave up what they prefer only while less than half of the service was in use.

Change: no worker is kept free where lasting tasks run; lasting tasks give up their data's rack and kept-free room after 1.5 s however full it is.

--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -29,8 +29,14 @@
 /** Expected remaining time of a run that exceeded its declared time, as a share of its elapsed time. */
 const overrunShare = 0.3;
 
-/** Expected remaining run time, from the declared time or, once that is exceeded, from the elapsed time. */
+/**
+ * Expected remaining run time, from the declared time or, once that is exceeded, from the elapsed time; infinite for a
+ * long-running task.
+ */
 const remainingMs = ({ run, unit }: TaskState, nowMs: number): number => {
+    if (unit.step.longRunning) {
+        return Number.POSITIVE_INFINITY;
+    }
     const elapsedMs = nowMs - (run?.orderedAtMs ?? nowMs);
     return Math.max(unit.step.estimateMs - elapsedMs, elapsedMs * overrunShare);
 };
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -159,13 +159,14 @@
     serviceShareInUse(workers, candidate) < mostlyIdleUtilisation;
 
 /**
- * Whether the candidate may run far from its data and on workers that are kept free: it has waited long, and the
- * capacity would stay idle otherwise or is guaranteed to its customer.
+ * Whether the candidate may run far from its data and on workers that are kept free: it has waited long, and the capacity
+ * would stay idle otherwise, or it is guaranteed to its customer, or its tasks run for as long as their job exists and must
+ * not stand still however full the service is.
  */
 const mayRelax = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
     candidate.guaranteed
         ? candidate.waitingMs > relaxGuaranteeAfterMs
-        : candidate.waitingMs > relaxAfterMs && hasIdleCapacity(workers, candidate);
+        : candidate.waitingMs > relaxAfterMs && (candidate.step.longRunning || hasIdleCapacity(workers, candidate));
 
 /**
  * Domains of workers, one of which is to host all tasks of a gang. Only workers near its data are included if the gang
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -135,10 +135,11 @@
 
 /**
  * Limits backfill on the workers that can host a blocked gang soonest to work that ends before the gang can start. A gang
- * that the usable workers cannot hold would keep them empty for nothing.
+ * that the usable workers cannot hold, or where long-running tasks stay, would keep them empty for nothing.
  */
 const limitBackfill = (workers: readonly WorkerInfo[], candidate: Candidate): BackfillLimit => {
     const options = gangDomains(workers, candidate)
+        .map(domain => domain.filter(worker => Number.isFinite(worker.busyForMs)))
         .filter(domain => fitsIfEmpty(domain, candidate))
         .map(domain => chooseWorkersFor(domain, candidate))
         .map(chosen => ({
@@ -172,6 +173,7 @@
             waitingMs > colocateAfterMs,
             occupiedBy(step),
             step.fillsIdleCores,
+            step.longRunning,
             step.targetMs !== undefined,
             step.gang,
             step.adjacency,
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -20,7 +20,7 @@
     coolingDown: boolean;
     /** Reserved for work of priority 0 that is expected soon. */
     isUrgentHeadroom: boolean;
-    /** Longest remaining time of its runs, by their declared run times; 0 while nothing runs. */
+    /** Longest remaining time of its runs, by their declared run times; 0 while nothing runs, infinite for long-running ones. */
     busyForMs: number;
     /** Time within which backfilled work must end, since a blocked gang is expected to start there then. */
     backfillWindowMs: number;
--- a/tools/planningMutants.ts
+++ b/tools/planningMutants.ts
@@ -2,6 +2,22 @@
 
 /** Mutants of the planning decisions. */
 export const planningMutants: readonly Mutant[] = [
+    {
+        without: "letting lasting tasks relax what they prefer however full the service is",
+        file: "planning/placement.js",
+        find: "candidate.step.longRunning || ",
+        replace: "",
+        tests: "keptFreeRoom",
+        fails: "begins in time although others fill the rack of its data",
+    },
+    {
+        without: "keeping no workers free where lasting tasks run",
+        file: "execution/roundInput.js",
+        find: "if (unit.step.longRunning) {",
+        replace: "if (false) {",
+        tests: "keptFreeRoom",
+        fails: "starts on the empty worker",
+    },
     {
         without: "preempting tasks with a limit on disruptions for a claimed guarantee",
         file: "planning/preemption.js",
