fix: a placement is limited to what the job's record can hold

Callers saw a scheduled job that stood still on idle workers (LOST): some 500 of its occurrences had come due at once.

Cause: they were placed with a record of 73,000 bytes, which does not fit a row. The recorder gave it up, and its runs were neither started nor placed again, as that result was taken for the end of the term.

--- a/src/execution/recorder.ts
+++ b/src/execution/recorder.ts
@@ -1,5 +1,6 @@
 import { toJobRecord } from "../jobs/progress.js";
 import type { JobState } from "../jobs/progress.js";
+import { fitRow, sizeOfRecord } from "../jobs/recordSize.js";
 import { jobRowKey, JobRowKind, maxRowBytes, partOfJob, progressTable, termKey } from "../jobs/rows.js";
 import type { JobRecord } from "../jobs/types.js";
 import type { Log } from "../node/logs.js";
@@ -53,17 +54,6 @@
     jobs: { job: JobState; record: JobRecord; resolvers: ((recorded: boolean) => void)[]; }[];
 }
 
-const sizeOf = (record: JobRecord): number => Buffer.byteLength(JSON.stringify(record));
-
-/** Drops what saves work, but is not needed, of a record that is too large for a row: checkpoints and addresses. */
-const fitRow = (record: JobRecord): JobRecord => {
-    if (sizeOf(record) <= maxRowBytes) {
-        return record;
-    }
-    const units = Object.entries(record.units).map(([key, unit]) => [key, { ...unit, checkpoints: {} }]);
-    return { ...record, addresses: undefined, units: Object.fromEntries(units) };
-};
-
 const findProgressRow = ({ submission }: JobState, rows: readonly StateRow[]): StateRow | undefined =>
     rows.find(row => row.key === jobRowKey(submission.id, JobRowKind.Progress));
 
@@ -115,7 +105,7 @@
                 resolvers.forEach(resolve => resolve(false));
                 continue;
             }
-            const recordBytes = sizeOf(record);
+            const recordBytes = sizeOfRecord(record);
             if (recordBytes > maxRowBytes) {
                 log("error", "the record of a job is too large", { jobId: job.submission.id, recordBytes });
                 queue.waiting.delete(job);
--- a/src/execution/runStarter.ts
+++ b/src/execution/runStarter.ts
@@ -1,5 +1,6 @@
 import { requeueUnstarted, RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
 import type { Run, TaskState, Unit } from "../jobs/progress.js";
+import { leavesRoomInRow } from "../jobs/recordSize.js";
 import { isEnded, JobPhase } from "../jobs/types.js";
 import type { Assignment } from "../planning/types.js";
 import type { Result } from "../utils/result.js";
@@ -26,6 +27,9 @@
  */
 const startLeaseMs = 2_000;
 
+/** Share of the placed tasks of a step that stay placed each time that their record is too large. */
+const keptShare = 0.8;
+
 /** A task with the run that was created for its placement. */
 interface PlacedTask {
     task: TaskState;
@@ -92,6 +96,27 @@
     return { task, run };
 };
 
+/**
+ * Takes back placements with which the job's record would leave no room in its row: of independent tasks as many as it
+ * takes, of a gang all. Returns those that stay.
+ */
+const withdrawUnrecordable = (
+    { log, runs }: PlannerContext,
+    unit: Unit,
+    placed: readonly PlacedTask[],
+): readonly PlacedTask[] => {
+    const kept = [...placed];
+    while (kept.length > 0 && !leavesRoomInRow(unit.job)) {
+        const withdrawn = kept.splice(unit.step.gang ? 0 : Math.floor(kept.length * keptShare));
+        withdrawn.forEach(({ task }) => runs.clear(task));
+    }
+    if (kept.length < placed.length) {
+        const counts = { placed: placed.length, kept: kept.length };
+        log("info", "placement reduced to what fits the job's record", { unit: unit.key, ...counts });
+    }
+    return kept;
+};
+
 /** Creates the part of a planner that sends start orders. */
 export const createRunStarter = (context: PlannerContext, runStopper: RunStopper): RunStarter => {
     const { log, timer, runs, health, term } = context;
@@ -201,15 +226,19 @@
         const waitMs = plannedAtMs - (unit.readySinceMs ?? plannedAtMs);
         context.metrics.recordStart(unit.job.submission.priority, waitMs);
         const highestRun = Math.max(runNumberBase, ...unit.tasks.map(task => task.lastRunNumber));
-        const placed: PlacedTask[] = [];
+        const assigned: PlacedTask[] = [];
         for (const { taskIndex, workerId } of assignments) {
             const worker = context.sessions.get(workerId);
             const task = unit.tasks[taskIndex];
             if (worker !== undefined && task.run === undefined && !task.done) {
                 const number = unit.step.gang ? highestRun + 1 : Math.max(runNumberBase, task.lastRunNumber) + 1;
-                placed.push(placeTask(context, task, number, worker));
+                assigned.push(placeTask(context, task, number, worker));
             }
         }
+        const placed = withdrawUnrecordable(context, unit, assigned);
+        if (placed.length === 0) {
+            return;
+        }
         if (unit.job.phase === JobPhase.Queued) {
             unit.job.phase = JobPhase.Running;
         }
@@ -217,6 +246,9 @@
             if (recorded) {
                 startRecorded(unit, placed, plannedAtMs);
             }
+            else if (!context.isTermOver()) {
+                abandonPlacement(unit, placed, "it could not be recorded");
+            }
         });
     };
 
