--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -2,6 +2,14 @@
 
 /** Mutants of the mechanisms that keep what was acknowledged. */
 export const storageMutants: Mutant[] = [
+    {
+        without: "placing no more of a job than fits its record",
+        file: "jobs/recordSize.js",
+        find: "estimateRecordBytes(job) <= maxRowBytes * maxPlacedShare",
+        replace: "true",
+        tests: "largeRecords",
+        fails: "occurrences that are due at once",
+    },
     {
         without: "starting jobs at once whatever the accepting VM's wall clock",
         file: "jobs/progress.js",
