fix: lapsed runs do not count as in use after two changes of planner

Cause: a planner counted a worker's silence from its own first call, so that runs which had lapsed counted as at work for eight seconds more.

Ruled out: the lease itself; waiting until it has certainly expired stays.

Change: a run on a worker that has not answered this planner counts as at work until a lease that the earlier planner renewed last has most likely expired: the bound on the lease without the time in which that planner may have gone on to renew it.

--- a/src/execution/plannerElection.ts
+++ b/src/execution/plannerElection.ts
@@ -66,7 +66,7 @@
  * Time since the last confirmation in which leases of running tasks are renewed; covers a usual table outage. With the
  * lease it bounds the time for which a successor waits for runs on a worker that is gone.
  */
-const leaseRenewalWindowMs = 4_500;
+export const leaseRenewalWindowMs = 4_500;
 /** Age of the local copy above which no takeover is attempted; the copy of an unchanged table is up to 1.3 s old. */
 const maxLeaseRowAgeMs = 1_700;
 /** Interval at which renewals, handovers and takeovers are checked. */
--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -10,6 +10,7 @@
 import { peakAccelerators } from "./guarantees.js";
 import type { GuaranteeAllocations } from "./guarantees.js";
 import { isResumable } from "./isResumable.js";
+import { leaseRenewalWindowMs } from "./plannerElection.js";
 import type { WorkerSession } from "./session.js";
 import { usualLeaseMs } from "./workerLease.js";
 
@@ -49,12 +50,17 @@
 const unrecordedAfterMs = 500;
 
 /**
- * Whether a run may be at work, or will be in a moment: it is recorded or was placed just now, and its worker has answered
- * within the length of a lease.
+ * Whether a worker's lease has most likely expired: the worker has not answered for the length of a lease, or it has not
+ * answered this planner, and an earlier one would have had to renew the lease after it last confirmed its term.
  */
+const hasMostLikelyLapsed = (session: WorkerSession, nowMs: number): boolean =>
+    session.silentMs() >= usualLeaseMs
+    || (!session.isSynced() && nowMs > session.lease.expiresAtMs() - leaseRenewalWindowMs);
+
+/** Whether a run may be at work, or will be in a moment: it is recorded or was placed just now, and its lease lasts. */
 const isAtWork = ({ run }: TaskState, session: WorkerSession, nowMs: number): boolean => {
     const staysUnrecorded = run?.phase === RunPhase.Recording && nowMs - run.orderedAtMs > unrecordedAfterMs;
-    return !staysUnrecorded && session.silentMs() < usualLeaseMs;
+    return !staysUnrecorded && !hasMostLikelyLapsed(session, nowMs);
 };
 
 /** Collects the listed workers with their free resources. */
--- a/tools/planningMutants.ts
+++ b/tools/planningMutants.ts
@@ -2,6 +2,14 @@
 
 /** Mutants of the planning decisions. */
 export const planningMutants: readonly Mutant[] = [
+    {
+        without: "leaving runs that have most likely lapsed out of the account of use after changes of planner",
+        file: "execution/roundInput.js",
+        find: "!session.isSynced() && nowMs > session.lease.expiresAtMs() - leaseRenewalWindowMs",
+        replace: "false",
+        tests: "accountOfUse",
+        fails: "after two changes of planner",
+    },
     {
         without: "letting lasting tasks relax what they prefer however full the service is",
         file: "planning/placement.js",
