fix: a caller reads and cancels only jobs of its customer

A key of any customer, or a public queue, gave access to every job whose id was known (found by a review from the source).

Cause: GET and DELETE looked at the id alone.

Change: a job is visible to its customer, to all if it has none, and through its own queue while that is public; to others it does not exist.

Evidence: the four tests; the first one fails with the check taken out.

--- a/src/jobs/commands/cancelStoredJob.ts
+++ b/src/jobs/commands/cancelStoredJob.ts
@@ -1,4 +1,6 @@
 import { describeStateError, StateErrorKind } from "../../state/types.js";
+import { mayAccess } from "../jobAccess.js";
+import type { JobAccess } from "../jobAccess.js";
 import { phaseOf } from "../projection.js";
 import { readJob } from "../queries/readJob.js";
 import { jobRowKey, JobRowKind, jobsTable, partOfJob } from "../rows.js";
@@ -18,17 +20,18 @@
 const maxAttempts = 3;
 const retryPauseMs = 60;
 
-/** Stores the cancellation of a job; the planner then stops its runs. */
+/** Stores the cancellation of a job that `access` may cancel; the planner then stops its runs. */
 export const cancelStoredJob = async (
     context: JobCommandContext,
     jobId: string,
+    access?: JobAccess,
 ): Promise<Cancellation> => {
     const job = await readJob(context.state, jobId);
     if (job === "unavailable") {
         return Cancellation.Unavailable;
     }
     const phase = phaseOf(job);
-    if (phase === undefined) {
+    if (job?.submission === undefined || phase === undefined || !mayAccess(job.submission, access)) {
         return Cancellation.NoSuchJob;
     }
     if (isEnded(phase)) {
--- a/src/jobs/phaseCache.ts
+++ b/src/jobs/phaseCache.ts
@@ -1,9 +1,16 @@
+import type { JobOwner } from "./jobAccess.js";
 import type { JobPhase } from "./types.js";
 
+/** Phase of a job as last read, with the job's owner. */
+export interface CachedPhase {
+    phase: JobPhase;
+    owner: JobOwner;
+}
+
 /** Last read phases of jobs, served while the table is unavailable. */
 export interface PhaseCache {
-    set(jobId: string, phase: JobPhase): void;
-    get(jobId: string): JobPhase | undefined;
+    set(jobId: string, cached: CachedPhase): void;
+    get(jobId: string): CachedPhase | undefined;
 }
 
 /** Capacity; the least recently set phase is evicted first. */
@@ -11,11 +18,11 @@
 
 /** Creates an empty cache. */
 export const createPhaseCache = (): PhaseCache => {
-    const phases = new Map<string, JobPhase>();
+    const phases = new Map<string, CachedPhase>();
     return {
-        set: (jobId, phase) => {
+        set: (jobId, { phase, owner: { customer, queue } }) => {
             phases.delete(jobId);
-            phases.set(jobId, phase);
+            phases.set(jobId, { phase, owner: { customer, queue } });
             if (phases.size > maxCachedJobs) {
                 phases.delete(phases.keys().next().value ?? "");
             }
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -10,6 +10,7 @@
 import type { Acceptance } from "../jobs/commands/acceptJob.js";
 import { cancelStoredJob } from "../jobs/commands/cancelStoredJob.js";
 import type { Cancellation } from "../jobs/commands/cancelStoredJob.js";
+import type { JobAccess } from "../jobs/jobAccess.js";
 import { createPhaseCache } from "../jobs/phaseCache.js";
 import type { StoredJob } from "../jobs/projection.js";
 import { queryJobPhase } from "../jobs/queries/jobPhase.js";
@@ -53,9 +54,10 @@
 export interface EntryVm {
     /** Stores a submission; `deadlineMs` is the time that the caller waits, from now. */
     accept(submission: JobSubmission, deadlineMs: number): Promise<Acceptance>;
-    cancel(jobId: string): Promise<Cancellation>;
-    /** Phase of a job; `undefined` when there is no such job. */
-    phase(jobId: string): Promise<JobPhase | "unavailable" | undefined>;
+    /** Cancels a job. @default by anyone */
+    cancel(jobId: string, access?: JobAccess): Promise<Cancellation>;
+    /** Phase of a job; `undefined` when there is no such job. @default for anyone */
+    phase(jobId: string, access?: JobAccess): Promise<JobPhase | "unavailable" | undefined>;
     /** Stored rows of a job; `undefined` when there is no such job. */
     job(jobId: string): Promise<StoredJob | "unavailable" | undefined>;
     /** Number of jobs that wait in a queue, as last counted by the planner. */
@@ -178,8 +180,8 @@
 
     return {
         accept: (submission, deadlineMs) => acceptJob(context, submission, deadlineMs),
-        cancel: jobId => cancelStoredJob(context, jobId),
-        phase: jobId => queryJobPhase(state, phaseCache, jobId),
+        cancel: (jobId, access) => cancelStoredJob(context, jobId, access),
+        phase: (jobId, access) => queryJobPhase(state, phaseCache, jobId, access),
         job: jobId => readJob(state, jobId),
         pending: queue => (planner?.pendingCounts() ?? publishedPending)[queue] ?? 0,
         plannerAgeMs: follower.ageMs,
--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -2,6 +2,14 @@
 
 /** Mutants of the mechanisms that keep what was acknowledged. */
 export const storageMutants: Mutant[] = [
+    {
+        without: "the check whose job a caller reads or cancels",
+        file: "jobs/jobAccess.js",
+        find: "access === undefined || ",
+        replace: "true || ",
+        tests: "jobAccess",
+        fails: "can be read and cancelled with a key of its customer alone",
+    },
     {
         without: "placing no more of a job than fits its record",
         file: "jobs/recordSize.js",
