fix: the runs of a worker whose place another one has taken are given up at once

Seen by a review on the code before: the planner's VM and a worker lost power together, and the machine came back as a new worker. The lasting tasks of the old one ran again after 10.5 s, where 9 s are allowed (LOST).

Cause: an answer 421 shows that another worker answers at the address, but runs that a planner had only read from the records waited for the longest lease that the planner before may have granted.

Ruled out: late orders; whoever answers with 421 refuses those, too.

Change: after such an answer all runs of the worker have ended.

--- a/src/execution/workerSessions.ts
+++ b/src/execution/workerSessions.ts
@@ -131,8 +131,9 @@
             replaceSession(session, openNextIncarnation(session, { id, bornMs, address, descriptor: unlisted }));
         }
         else {
-            // whoever answers refuses the orders of this incarnation, whose runs have ended
-            replaceSession(session, openUnlisted(id, session.bornMs + 1, undefined));
+            // whoever answers refuses the orders to this incarnation, also late ones; the runs of this one have ended
+            openUnlisted(id, session.bornMs + 1, undefined);
+            closeSession(session, "another worker answers at its address");
         }
     };
 
--- a/test/leaseBounds.test.ts
+++ b/test/leaseBounds.test.ts
@@ -64,6 +64,24 @@
     });
 });
 
+describe("a lasting task whose worker was lost together with the planner", () => {
+    // guards against a wait for the lease of a worker whose place another one has taken
+    it("runs again as soon as another worker answers at the address", async () => {
+        const fleet = createFleet({ workerCount: 3 });
+        await fleet.timer.advance(settleMs);
+        await fleet.submit(createSubmission("a1", [createStep({ longRunning: true })], {}, { workMs: 600_000 }));
+        await fleet.timer.advance(2 * settleMs);
+        const { worker } = fleet.spans[0];
+        fleet.refusesOtherIncarnations = true;
+        fleet.unlisted.add(worker);
+        fleet.restartWorker(worker);
+        fleet.killVm(fleet.planner() ?? "");
+        await fleet.timer.advance(takeoverMs + settleMs);
+        assert.lengthOf(fleet.spans, 2);
+        assert.deepEqual(findViolations(fleet.spans), []);
+    });
+});
+
 describe("a run that an earlier planner keeps alive", () => {
     for (const clockRate of [1, 0.98]) {
         it(`is not given up while its lease lasts, with a clock at a rate of ${clockRate}`, async () => {
