fix: smaller runs under guarantees are moved for a claimed guarantee that fits nowhere else

Cause: covered runs are never preempted, also where they fit elsewhere.

Ruled out: preferences and limits on disruptions, mended before; neither was in play.

Change: after 0.7 s smaller covered runs of single tasks are moved to other workers, if all of them fit there. The search for runs to preempt is a file of its own now.

--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -10,8 +10,9 @@
     relaxAfterMs,
     relaxGuaranteeAfterMs,
 } from "./placement.js";
-import { indexOccupants, planPreemption } from "./preemption.js";
-import type { OccupantIndex } from "./preemption.js";
+import { planPreemption } from "./preemption.js";
+import { indexOccupants } from "./preemptionSearch.js";
+import type { OccupantIndex } from "./preemptionSearch.js";
 import { fitCount, occupiedBy, subtractResources } from "./resources.js";
 import type { Assignment, BackfillLimit, Candidate, Occupant, PreemptionClaim, Round, WorkerInfo } from "./types.js";
 
--- a/test/reclaim.test.ts
+++ b/test/reclaim.test.ts
@@ -238,3 +238,64 @@
         }
     });
 });
+
+describe("a claimed guarantee for a whole worker while smaller runs under guarantees are spread over all workers", () => {
+    const ofAccelerators = (accelerators: number) => ({ milliCores: 4_000, memoryMb: 8_000, accelerators });
+
+    /** Plans for a task that needs a whole worker; each worker has guaranteed runs and one that may be preempted. */
+    const planWith = (guaranteedAccelerators: readonly number[], borrowedAccelerators: number, waitingMs = 1_000) => {
+        const workers = createRacks(3, 1);
+        const occupants = workers.flatMap((worker, index) => [
+            addOccupant(worker, `covered${index}.0.0`, {
+                resources: ofAccelerators(guaranteedAccelerators[index]),
+                priority: 0,
+                guaranteed: true,
+                lostCoreMs: 10_000 + index,
+            }),
+            addOccupant(worker, `low${index}.0.0`, { resources: ofAccelerators(borrowedAccelerators), priority: 2 }),
+        ]);
+        const options = { accelerators: 8, priority: 0, guaranteed: true, waitingMs };
+        const candidates = [createCandidate("claiming", options)];
+        const { evictions } = planRound(createRoundInput({ workers, occupants, candidates }));
+        return evictions.map(({ occupant }) => occupant.key.split(".")[0]);
+    };
+
+    it("has those on one worker moved to the others", () => {
+        assert.sameMembers(planWith([3, 3, 2], 5), ["covered0", "low0"]);
+    });
+
+    it("has none moved that would not fit elsewhere", () => {
+        assert.deepEqual(planWith([5, 5, 5], 3), []);
+    });
+
+    it("has none moved before it has waited for a moment, nor runs of its own size", () => {
+        assert.deepEqual(planWith([3, 3, 2], 5, 0), []);
+        assert.deepEqual(planWith([8, 8, 8], 0), []);
+    });
+
+    // guards against a guarantee that did not begin since the runs of another one were spread over all workers
+    it("begins in time, and what was moved goes on", async () => {
+        const fleet = await createGuaranteeFleet();
+        for (let index = 0; index < 3; index++) {
+            const lowPriority = { customer: "ledger", priority: 2 };
+            const resources = { milliCores: 6_000, memoryMb: 1_000, accelerators: 5 };
+            await submitTasks(fleet, `low${index}`, lowPriority, 60_000, { taskCount: 1, resources });
+        }
+        await fleet.timer.advance(1_000);
+        await submitTasks(fleet, "covered", { customer: "winery", priority: 0 }, 60_000);
+        await fleet.timer.advance(2_000);
+        assert.lengthOf(
+            new Set(fleet.spans.filter(({ task }) => task.startsWith("covered")).map(span => span.worker)),
+            3,
+        );
+        const resources = { milliCores: 6_000, memoryMb: 1_000, accelerators: 8 };
+        const whole = { taskCount: 1, resources };
+        await submitTasks(fleet, "claiming", { customer: "hotel", priority: 0 }, 60_000, whole);
+        await fleet.timer.advance(reclaimMs);
+        assert.equal(startedTasks(fleet, "claiming"), 1);
+        await fleet.timer.advance(3_000);
+        const running = fleet.spans.filter(({ task, toMs }) => task.startsWith("covered") && toMs === undefined);
+        assert.lengthOf(running, guaranteedAccelerators);
+        assert.deepEqual(findViolations(fleet.spans), []);
+    });
+});
--- a/tools/planningMutants.ts
+++ b/tools/planningMutants.ts
@@ -2,6 +2,22 @@
 
 /** Mutants of the planning decisions. */
 export const planningMutants: readonly Mutant[] = [
+    {
+        without: "moving smaller guaranteed runs for a claimed guarantee",
+        file: "planning/displacement.js",
+        find: "isCompletePlan(plan, candidate)",
+        replace: "false",
+        tests: "test/reclaim",
+        fails: "begins in time, and what was moved goes on",
+    },
+    {
+        without: "moving only runs that fit elsewhere",
+        file: "planning/displacement.js",
+        find: "&& canMoveVictims(search, plan, workers)",
+        replace: "",
+        tests: "test/reclaim",
+        fails: "has none moved that would not fit elsewhere",
+    },
     {
         without: "leaving runs that have most likely lapsed out of the account of use after changes of planner",
         file: "execution/roundInput.js",
@@ -28,7 +44,7 @@
     },
     {
         without: "preempting tasks with a limit on disruptions for a claimed guarantee",
-        file: "planning/preemption.js",
+        file: "planning/preemptionSearch.js",
         find: "occupant.disruptionLimit !== undefined && !candidate.guaranteed",
         replace: "occupant.disruptionLimit !== undefined",
         tests: "test/reclaim",
@@ -36,7 +52,7 @@
     },
     {
         without: "the limit on disruptions of a step",
-        file: "planning/preemption.js",
+        file: "planning/preemptionSearch.js",
         find: "&& isWithinDisruptionLimit(occupant, evicted, victims)",
         replace: "",
         tests: "test/reclaim",
@@ -44,7 +60,7 @@
     },
     {
         without: "starting part of the tasks that claim a guarantee",
-        file: "planning/preemption.js",
+        file: "planning/preemptionSearch.js",
         find: "guaranteed && !step.gang",
         replace: "false",
         tests: "test/reclaim",
@@ -61,7 +77,7 @@
     {
         without: "reclaiming near the data of a claimed guarantee first",
         file: "planning/preemption.js",
-        find: "candidate.guaranteed ? findCheapestPlan(preferredDomains(workers, candidate)) : undefined",
+        find: "findCheapestPlan(search, preferredDomains(workers, candidate), evicted)",
         replace: "undefined",
         tests: "test/reclaim",
         fails: "preempts near its data where it may",
@@ -100,7 +116,7 @@
     },
     {
         without: "protecting guaranteed work from preemption",
-        file: "planning/preemption.js",
+        file: "planning/preemptionSearch.js",
         find: "!occupant.guaranteed && ",
         replace: "",
         tests: "planning",
@@ -132,7 +148,7 @@
     },
     {
         without: "preempting in proportion to the work that is lost",
-        file: "planning/preemption.js",
+        file: "planning/preemptionSearch.js",
         find: "totalCost(plan) <= workOf(candidate) * maxLostWorkFactor",
         replace: "true",
         tests: "test/planning",
@@ -140,7 +156,7 @@
     },
     {
         without: "preempting resumable work however often it was preempted",
-        file: "planning/preemption.js",
+        file: "planning/preemptionSearch.js",
         find: "occupant.resumable && isMoreUrgent(candidate, occupant)",
         replace: "false",
         tests: "test/planning",
