--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -123,6 +123,9 @@
     return socket.errored !== null || socket.readableEnded ? ClosedBy.Caller : ClosedBy.Server;
 };
 
+/** Base of request targets, which are paths. */
+const baseUrl = "http://localhost";
+
 const answerRequest = async (
     message: IncomingMessage,
     response: ServerResponse,
@@ -131,7 +134,13 @@
     openRequests: OpenRequests | undefined,
 ): Promise<void> => {
     const abortController = new AbortController();
-    const url = new URL(message.url ?? "/", "http://localhost");
+    const target = message.url ?? "/";
+    if (!URL.canParse(target, baseUrl)) {
+        const detail = "the request target is no URL";
+        writeAnswer(response, problemAnswer({ title: "malformed target", status: 400, detail, outcome: "notRun" }));
+        return;
+    }
+    const url = new URL(target, baseUrl);
     const method = message.method ?? "GET";
     const openRequest = openRequests?.add(method, url.pathname, answer => writeAnswer(response, answer));
     response.once("close", () => {
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -29,6 +29,14 @@
         server.close();
     });
 
+    // guards against callers' mistakes that were answered as errors of the server
+    for (const target of ["//", "//:", "http://[", "//host:port/"]) {
+        it(`refuses the request target ${target}`, async () => {
+            const connection = track(await openCallerConnection(address));
+            assert.equal((await connection.request(formatRequest("GET", target)))?.status, 400);
+        });
+    }
+
     it("answers a request that arrived on an idle connection before it closes gracefully", async () => {
         const connection = track(await openCallerConnection(address));
         await connection.request(formatRequest("GET", "/first"));
