--- a/test/formerLife.test.ts
+++ b/test/earlierIncarnations.test.ts
@@ -5,9 +5,9 @@
 import type { Fleet, FleetOptions } from "./fixtures/fleet.js";
 import { findViolations } from "./fixtures/violations.js";
 
-/** Time after which an idle worker's clock is far ahead of the clock of its next life. */
+/** Time after which an idle worker's clock is far ahead of the clock of its next incarnation. */
 const idleMs = 20_000;
-/** Time after which the list of workers shows a restart; orders reach the next life before. */
+/** Time after which the list of workers shows a restart; orders reach the next incarnation before. */
 const listDelayMs = 800;
 const workMs = 30_000;
 /** Time in which tasks that are given up start elsewhere, and what runs on without a renewal lapses. */
@@ -64,9 +64,9 @@
     assert.isAtLeast(startedAgain.length, lostTasks, "what was lost has started elsewhere");
 };
 
-// guards against tasks that ran twice: the next life of a worker takes the end of a lease in an order to its former life
+// guards against tasks that ran twice: the next incarnation of a worker takes the end of a lease in an order to its earlier incarnation
 // for one on its own clock, which begins anew, so that the lease lasted longer than the planner reckoned with
-describe("a worker that is back under its id, has run what was meant for its former life and is cut off", () => {
+describe("a worker that is back under its id, has run what was meant for its earlier incarnation and is cut off", () => {
     /** Restarts the worker and waits until it has begun what is sent to it then. */
     const restartAndRun = async (options: FleetOptions = {}): Promise<Fleet> => {
         const fleet = await createIdleFleet(options);
@@ -78,7 +78,7 @@
         return fleet;
     };
 
-    // in the first milliseconds the answers are on their way, or the poll that shows which life answers
+    // in the first milliseconds the answers are on their way, or the poll that shows which incarnation answers
     for (const cutAfterMs of [3, 6, 9, 100, 300, 600, 900, 1_200, 2_000, 4_000]) {
         it(`after ${cutAfterMs} ms`, async () => {
             const fleet = await restartAndRun();
@@ -149,7 +149,7 @@
     });
 });
 
-describe("a worker that is back under its id, gets a late order of its former life and is cut off", () => {
+describe("a worker that is back under its id, gets a late order of its earlier incarnation and is cut off", () => {
     for (const kind of ["start", "hold"] as const) {
         for (const cutAfterMs of [1_600, 2_000, 2_500, 3_000, 3_500, 4_000, 4_500, 5_500]) {
             for (const killsPlanner of [false, true]) {
@@ -173,9 +173,9 @@
     }
 });
 
-describe("a start without an answer that was given up after a stop of the worker's former life", () => {
-    // guards against a task that was started elsewhere while the next life, which has seen no stop, had begun it
-    it("keeps its task from starting elsewhere until the next life has it no more", async () => {
+describe("a start without an answer that was given up after a stop of the worker's earlier incarnation", () => {
+    // guards against a task that was started elsewhere while the next incarnation, which has seen no stop, had begun it
+    it("keeps its task from starting elsewhere until the next incarnation has it no more", async () => {
         const fleet = await createIdleFleet();
         await submitTasks(fleet, "a0", 2);
         await fleet.timer.advance(1_000);
@@ -194,7 +194,7 @@
 
 describe("a worker that is not listed when a planner takes over", () => {
     // guards against runs that the worker listed and that were given up all the same
-    it("keeps the runs that its next life has begun by an order to its former life", async () => {
+    it("keeps the runs that its next incarnation has begun by an order to its earlier incarnation", async () => {
         const fleet = await createIdleFleet();
         fleet.restartWorker(restarted);
         await submitTasks(fleet, "a1", 4);
--- a/test/restartSoak.test.ts
+++ b/test/restartSoak.test.ts
@@ -18,7 +18,7 @@
     return broken;
 };
 
-// guards against leases and orders of a worker's former life that reach its next one
+// guards against leases and orders of a worker's earlier incarnation that reach its next one
 describe("long tasks on workers that start again under their ids and are cut off soon after", function() {
     this.timeout(60_000);
 
@@ -26,7 +26,7 @@
         assert.deepEqual(await soakSeeds(75, 40, false), []);
     });
 
-    it("run once each although start orders are carried out by a life that began after they were given up", async () => {
+    it("run once each although start orders are carried out by an incarnation that began after they were given up", async () => {
         assert.deepEqual(await soakSeeds(950, 20, true), []);
     });
 
