feat: customers' limits on cores, memory and accelerators, and shares by weight

Cause: only a limit on accelerators was known, and it dropped a step as a whole, by age; the platform's maximum and weight were not read, so that starts exceeded the maximum. Change: budgets in the planning round, counted over all runs that may be active; parts of steps; claims hold their part; claimed guarantees and urgent work preempt runs of their own customer below a limit; work beyond a share is placed last in its tier and priority; wait reasons; a job that exceeds its limit by itself is refused. The round's claims, preemptions and cache of shapes are modules of their own.

--- a/src/configuration/queries/queueConfiguration.ts
+++ b/src/configuration/queries/queueConfiguration.ts
@@ -1,3 +1,4 @@
+import { unlimited } from "../../planning/customerBudgets.js";
 import { GuaranteeCoverage } from "../../queues/types.js";
 import type { GuaranteedGang, QueueConfiguration, QueueCustomer } from "../../queues/types.js";
 import { Urgency } from "../types.js";
@@ -33,7 +34,7 @@
         guaranteedUpToPriority: priorityOf[Urgency.MayWait],
         guaranteeCoverage: GuaranteeCoverage.EarliestFirst,
         guaranteedGangs: gangs,
-        maxAccelerators: Number.isFinite(limit) ? limit : undefined,
+        maximum: Number.isFinite(limit) ? { ...unlimited, accelerators: limit } : undefined,
     };
 };
 
--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -6,7 +6,6 @@
 import type { Candidate, DisruptionLimit, Occupant, WorkerInfo } from "../planning/types.js";
 import type { UrgentUse } from "../planning/urgentDemand.js";
 import type { PlannerContext } from "./context.js";
-import { withinLimits } from "./customerLimits.js";
 import { peakAccelerators } from "./guarantees.js";
 import type { GuaranteeAllocations } from "./guarantees.js";
 import { isResumable } from "./isResumable.js";
@@ -175,7 +174,7 @@
     };
 };
 
-/** Collects the steps that have tasks to place, within the limits of their customers. */
+/** Collects the steps that have tasks to place. */
 export const collectCandidates = (context: PlannerContext, guarantees: GuaranteeAllocations): Candidate[] => {
     const nowMs = context.timer.nowMs();
     const wallMs = context.timer.wallClockMs();
@@ -194,7 +193,7 @@
             }
         }
     }
-    return withinLimits(context, candidates);
+    return candidates;
 };
 
 /** Work that would be lost if a run were stopped now, in core-milliseconds. */
@@ -224,6 +223,7 @@
     limits: Pick<Occupant, "guaranteed" | "disruptionLimit">,
 ): Occupant => ({
     key: unit.key,
+    customer: unit.job.submission.customer,
     priority: unit.job.submission.priority,
     resources: occupiedBy(unit.step),
     tasks: tasks.map(task => ({ taskIndex: task.index, workerId: task.run?.worker.id ?? "" })),
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -8,6 +8,7 @@
 import { createUrgentDemand } from "../planning/urgentDemand.js";
 import { runGuarded } from "../utils/runGuarded.js";
 import type { PlannerContext } from "./context.js";
+import { collectCustomerUse } from "./customerLimits.js";
 import { allocateGuarantees, guaranteedGangs, reconcileReservations, updateReservations } from "./guarantees.js";
 import type { GuaranteeAllocations } from "./guarantees.js";
 import { collectCandidates, collectOccupants, collectUrgentUse, collectWorkers } from "./roundInput.js";
@@ -165,7 +166,17 @@
     ): void => {
         const urgentHeadroom = urgentDemand.expected(nowMs, collectUrgentUse(context), workers);
         const occupants = (): Occupant[] => collectOccupants(context, guarantees);
-        const round = planRound({ nowMs, workers, candidates, occupants, claims, urgentHeadroom });
+        const { limits: customerUses, shares: shareUses } = collectCustomerUse(context);
+        const round = planRound({
+            nowMs,
+            workers,
+            candidates,
+            occupants,
+            claims,
+            urgentHeadroom,
+            customerUses,
+            shareUses,
+        });
         claims = round.claims;
         logPreemptions(context, candidates, round);
         applyRound(context, runStopper, runStarter, round);
--- a/src/execution/waitReporter.ts
+++ b/src/execution/waitReporter.ts
@@ -84,7 +84,7 @@
             .slice(0, maxUnitsPerSearch);
         for (const candidate of longestWaiting) {
             searchedAtMs.set(candidate.key, nowMs);
-            const reason = findWaitReason(workers, candidate, claimed);
+            const reason = findWaitReason(workers, candidate, claimed, round.limited);
             if (reason !== WaitReason.NoRoom) {
                 const ofService = workers.filter(({ service }) => service === candidate.job.service);
                 write(candidate.key, reason, candidate.waitingMs, {
--- a/src/planning/order.ts
+++ b/src/planning/order.ts
@@ -53,13 +53,21 @@
 export const workOf = ({ step, taskIndexes }: Candidate): number =>
     taskIndexes.length * step.estimateMs * coreEquivalentsOf(step.resources);
 
-/** Sorts waiting work by tier, then by priority, then by latest start. */
-export const orderCandidates = (candidates: readonly Candidate[]): Candidate[] =>
+/**
+ * Sorts waiting work by tier, then by priority, then by latest start.
+ *
+ * @param beyondShares work that is placed after other work of its tier and priority
+ */
+export const orderCandidates = (
+    candidates: readonly Candidate[],
+    beyondShares: ReadonlySet<Candidate> = new Set(),
+): Candidate[] =>
     candidates
         .map(candidate => ({ candidate, tier: tierOf(candidate) }))
         .sort((left, right) =>
             left.tier - right.tier
             || left.candidate.job.priority - right.candidate.job.priority
+            || Number(beyondShares.has(left.candidate)) - Number(beyondShares.has(right.candidate))
             || untilLatestStartMs(left.candidate) - untilLatestStartMs(right.candidate)
             || (left.candidate.key < right.candidate.key ? -1 : 1)
         )
--- a/src/planning/preemptionSearch.ts
+++ b/src/planning/preemptionSearch.ts
@@ -46,7 +46,7 @@
  * @param evicted occupants that are preempted already
  * @param victims occupants that are to be preempted with it
  */
-const isWithinDisruptionLimit = (
+export const isWithinDisruptionLimit = (
     { key, tasks, disruptionLimit }: Occupant,
     evicted: ReadonlySet<Occupant>,
     victims: readonly Occupant[],
@@ -59,7 +59,8 @@
     return new Set([...disruptionLimit.unavailableTasks, ...stopped]).size <= disruptionLimit.maxUnavailable;
 };
 
-const preemptionCost = (occupant: Occupant): number =>
+/** Work that preempting a run costs, in core-milliseconds; that of priority 0 counts for more. */
+export const preemptionCost = (occupant: Occupant): number =>
     occupant.lostCoreMs * (occupant.priority === 0 ? urgentCostFactor : 1);
 
 /** The tasks of an occupant on one worker. */
--- a/src/planning/resources.ts
+++ b/src/planning/resources.ts
@@ -20,6 +20,10 @@
     free.accelerators -= perTask.accelerators * count;
 };
 
+/** Adds the resources of `count` tasks to `sum`, in place. */
+export const addResources = (sum: TaskResources, perTask: TaskResources, count: number): void =>
+    subtractResources(sum, perTask, -count);
+
 const quotient = (free: number, perTask: number): number =>
     perTask <= 0 ? Number.POSITIVE_INFINITY : Math.floor(free / perTask);
 
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -1,20 +1,14 @@
+import { createClaims, isClaimSatisfied } from "./claims.js";
+import { createCustomerBudgets } from "./customerBudgets.js";
+import type { CustomerUses } from "./customerBudgets.js";
+import { findBeyondShares } from "./customerShares.js";
+import type { ShareUses } from "./customerShares.js";
 import { orderCandidates, Tier, tierOf } from "./order.js";
-import {
-    colocateAfterMs,
-    fitsIfEmpty,
-    fitsWindow,
-    gangDomains,
-    isMostlyIdle,
-    placeGang,
-    placeTasks,
-    relaxAfterMs,
-    relaxGuaranteeAfterMs,
-} from "./placement.js";
-import { planPreemption } from "./preemption.js";
-import { indexOccupants } from "./preemptionSearch.js";
-import type { OccupantIndex } from "./preemptionSearch.js";
+import { fitsIfEmpty, gangDomains, isMostlyIdle, placeGang, placeTasks, relaxAfterMs } from "./placement.js";
 import { fitCount, occupiedBy, subtractResources } from "./resources.js";
+import { createRoundPreemption, mayPreemptOthers } from "./roundPreemption.js";
 import type { Assignment, BackfillLimit, Candidate, Occupant, PreemptionClaim, Round, WorkerInfo } from "./types.js";
+import { createUnplaceableCache } from "./unplaceableCache.js";
 
 /** Input of a planning round, which updates the workers in place as it places work. */
 export interface RoundInput {
@@ -27,10 +21,12 @@
     claims: readonly PreemptionClaim[];
     /** Accelerators that work of priority 0 is expected to need soon, beyond what it uses now. */
     urgentHeadroom: number;
+    /** What the customers with a limit use. @default no customer has one */
+    customerUses?: CustomerUses;
+    /** Weights and use of the customers with a share. @default no customer has one */
+    shareUses?: ShareUses;
 }
 
-/** Age at which a claim is dropped if its resources are not free yet: a stop takes 0.2 s, its answer up to 1 s. */
-const claimTimeoutMs = 1_500;
 /** Number of blocked gangs for which backfill is limited in a round. */
 const maxBackfillWindows = 2;
 /** Waiting time after which backfill is limited for a blocked gang. */
@@ -51,40 +47,6 @@
     }
 };
 
-/** Allocates the resources of a claim, or releases them if `sign` is -1. */
-const allocateClaim = (workersById: ReadonlyMap<string, WorkerInfo>, claim: PreemptionClaim, sign: 1 | -1): void => {
-    for (const assignment of claim.assignments) {
-        const worker = workersById.get(assignment.workerId);
-        if (worker !== undefined) {
-            subtractResources(worker.free, claim.resources, sign);
-        }
-    }
-};
-
-const isClaimValid = (
-    claim: PreemptionClaim,
-    input: RoundInput,
-    workersById: ReadonlyMap<string, WorkerInfo>,
-): boolean =>
-    input.nowMs - claim.madeAtMs <= claimTimeoutMs
-    && input.candidates.some(candidate => candidate.key === claim.key)
-    && claim.assignments.every(assignment => workersById.get(assignment.workerId)?.usable === true);
-
-/** Whether all claimed tasks fit on the claimed workers at once. */
-const isClaimSatisfied = (workersById: ReadonlyMap<string, WorkerInfo>, claim: PreemptionClaim): boolean => {
-    const needed = new Map<string, number>();
-    claim.assignments.forEach(({ workerId }) => needed.set(workerId, (needed.get(workerId) ?? 0) + 1));
-    return [...needed].every(([workerId, count]) => {
-        const worker = workersById.get(workerId);
-        return worker !== undefined && fitCount(worker.free, claim.resources) >= count;
-    });
-};
-
-/** Whether a candidate may preempt other work. */
-const mayPreemptOthers = (candidate: Candidate): boolean =>
-    candidate.guaranteed || tierOf(candidate) === Tier.Starved
-    || (candidate.job.priority === 0 && tierOf(candidate) <= Tier.Urgent);
-
 /** Whether a candidate whose claim is not free yet starts elsewhere if it can: stops may take long, or never end. */
 const mayGiveClaimUp = (candidate: Candidate): boolean =>
     candidate.reservedWorkers === undefined && candidate.waitingMs > relaxAfterMs;
@@ -156,56 +118,6 @@
     return { candidate, workers: chosen.length, windowMs: startsInMs };
 };
 
-/**
- * Caches the shapes of work that did not fit in a round, so that a backlog of similar work is checked once. Free
- * resources and backfill windows only shrink within a round, except for claims, which are used by their own candidates
- * alone. Of the declared time, only the windows that it fits are part of a shape.
- */
-const createUnplaceableCache = (workers: readonly WorkerInfo[]) => {
-    const smallestFailed = new Map<string, number>();
-    let windowsMs: number[] = [];
-    const shapeKeyOf = (candidate: Candidate): string => {
-        const { step, job, guaranteed, avoidedWorkers, mustAvoid, runningOn, waitingMs, uninterruptedWaitMs } =
-            candidate;
-        return JSON.stringify([
-            windowsMs.map(windowMs => fitsWindow(windowMs, candidate)),
-            waitingMs > (guaranteed ? relaxGuaranteeAfterMs : relaxAfterMs),
-            uninterruptedWaitMs > relaxAfterMs,
-            waitingMs > colocateAfterMs,
-            occupiedBy(step),
-            step.fillsIdleCores,
-            step.longRunning,
-            step.targetMs !== undefined,
-            step.gang,
-            step.adjacency,
-            step.mayBeSpread,
-            step.dataRack,
-            step.requiredLabel,
-            step.maxPerWorker,
-            job.service,
-            job.priority,
-            guaranteed,
-            mustAvoid ? [...avoidedWorkers] : [],
-            step.maxPerWorker === undefined ? [] : [...runningOn],
-        ]);
-    };
-    return {
-        /** Records that backfill windows of workers have changed. */
-        onWindowsLimited: (): void => {
-            windowsMs = [...new Set(workers.map(worker => worker.backfillWindowMs))].filter(Number.isFinite);
-        },
-        add: (candidate: Candidate): void => {
-            const shapeKey = shapeKeyOf(candidate);
-            const size = candidate.step.gang ? candidate.taskIndexes.length : 0;
-            smallestFailed.set(shapeKey, Math.min(size, smallestFailed.get(shapeKey) ?? Number.POSITIVE_INFINITY));
-        },
-        /** Whether work of the same shape and at most the same size did not fit. */
-        has: (candidate: Candidate): boolean =>
-            (candidate.step.gang ? candidate.taskIndexes.length : 0)
-                >= (smallestFailed.get(shapeKeyOf(candidate)) ?? Number.POSITIVE_INFINITY),
-    };
-};
-
 /** What is left of a candidate of which some tasks are placed; these count for its limit per worker. */
 const withoutPlaced = (candidate: Candidate, assignments: readonly Assignment[]): Candidate => {
     const placed = new Set(assignments.map(assignment => assignment.taskIndex));
@@ -237,60 +149,37 @@
 /** Decides which tasks start where and which runs are preempted for them. */
 export const planRound = (input: RoundInput): Round => {
     const workersById = new Map(input.workers.map(worker => [worker.workerId, worker]));
-    const round: Round = { placements: [], evictions: [], claims: [], backfillLimits: [] };
-    const claims = new Map(
-        input.claims.filter(claim => isClaimValid(claim, input, workersById)).map(claim => [claim.key, claim]),
-    );
-    const claimedGuarantees = new Set(
-        input.candidates.filter(candidate => candidate.guaranteed).map(candidate => candidate.key),
-    );
-    const allocateClaims = (ofGuarantees: boolean): void =>
-        claims.forEach(claim =>
-            claimedGuarantees.has(claim.key) === ofGuarantees && allocateClaim(workersById, claim, 1)
-        );
-    allocateClaims(true);
-    let occupants: OccupantIndex | undefined;
+    const budgets = createCustomerBudgets(input.customerUses ?? new Map());
+    const round: Round = {
+        placements: [],
+        evictions: [],
+        claims: [],
+        backfillLimits: [],
+        limited: budgets.limited,
+    };
+    const { candidates } = input;
+    const claims = createClaims({ nowMs: input.nowMs, workersById, candidates, previous: input.claims, budgets });
+    const { preempt, preemptForLimit } = createRoundPreemption(input, round, claims, budgets);
     const unplaceable = createUnplaceableCache(input.workers);
-    const evicted = new Set<Occupant>();
     let backfillWindows = 0;
 
     const place = (candidate: Candidate, assignments: Assignment[]): void => {
         allocate(workersById, candidate, assignments);
+        budgets.spend(candidate, assignments.length);
         round.placements.push({ candidate, assignments });
     };
 
     const placeOnClaim = (candidate: Candidate, claim: PreemptionClaim): void => {
-        allocateClaim(workersById, claim, -1);
-        const assignments = assignClaimed(input.workers, workersById, candidate, claim);
+        claims.remove(claim);
+        const isAllowed = (budgets.limit(candidate)?.taskIndexes.length ?? 0) >= claim.assignments.length;
+        const assignments = isAllowed ? assignClaimed(input.workers, workersById, candidate, claim) : undefined;
         if (assignments === undefined) {
-            allocateClaim(workersById, claim, 1);
+            claims.add(claim);
             return;
         }
-        claims.delete(candidate.key);
         place(candidate, assignments);
     };
 
-    const preempt = (candidate: Candidate): boolean => {
-        occupants ??= indexOccupants(input.occupants());
-        const plan = planPreemption(input.workers, occupants, candidate, evicted);
-        if (plan === undefined) {
-            return false;
-        }
-        plan.victims.forEach(victim => {
-            evicted.add(victim);
-            round.evictions.push({ occupant: victim, forKey: candidate.key });
-        });
-        const claim: PreemptionClaim = {
-            key: candidate.key,
-            resources: occupiedBy(candidate.step),
-            assignments: plan.assignments,
-            madeAtMs: input.nowMs,
-        };
-        claims.set(candidate.key, claim);
-        allocateClaim(workersById, claim, 1);
-        return true;
-    };
-
     /** Claims the reserved workers, and places the gang at once if nothing has to be preempted there. */
     const decideReserved = (candidate: Candidate): void => {
         preempt(candidate);
@@ -341,24 +230,37 @@
 
     let headroomReserved = false;
     let otherClaimsAllocated = false;
-    for (const candidate of orderCandidates(input.candidates)) {
-        if (!candidate.guaranteed && !otherClaimsAllocated) {
+    const beyondShares = findBeyondShares(
+        orderCandidates(input.candidates),
+        input.workers,
+        input.shareUses ?? new Map(),
+    );
+    for (const whole of orderCandidates(input.candidates, beyondShares)) {
+        if (!whole.guaranteed && !otherClaimsAllocated) {
             // claimed guarantees must not wait for resources that other work has claimed
             otherClaimsAllocated = true;
-            allocateClaims(false);
+            claims.allocateOthers();
         }
-        if (candidate.job.priority > 0 && !headroomReserved) {
+        if (whole.job.priority > 0 && !headroomReserved) {
             headroomReserved = true;
             // a mostly idle fleet has capacity for a burst anyway, and waiting work must not be delayed for one
             if (!isMostlyIdle(input.workers)) {
                 reserveUrgentHeadroom(input.workers, input.urgentHeadroom);
             }
         }
-        const claim = claims.get(candidate.key);
+        const claim = claims.get(whole.key);
         if (claim !== undefined) {
-            placeOnClaim(candidate, claim);
+            placeOnClaim(whole, claim);
+            continue;
+        }
+        const candidate = budgets.limit(whole);
+        if (candidate?.taskIndexes.length !== whole.taskIndexes.length) {
+            preemptForLimit(whole);
+        }
+        if (candidate === undefined) {
+            continue;
         }
-        else if (candidate.reservedWorkers !== undefined) {
+        if (candidate.reservedWorkers !== undefined) {
             decideReserved(candidate);
         }
         else if (candidate.step.gang) {
@@ -368,6 +270,6 @@
             decideTasks(candidate);
         }
     }
-    round.claims = [...claims.values()];
+    round.claims = claims.list();
     return round;
 };
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -1,4 +1,5 @@
 import type { JobSubmission, Step, TaskResources } from "../jobs/types.js";
+import type { WaitReason } from "./waitReason.js";
 
 /** A worker in a planning round: its capacity, its free resources and what may run there. */
 export interface WorkerInfo {
@@ -75,6 +76,8 @@
 export interface Occupant {
     /** Identifies the job, occurrence and step of the runs. */
     key: string;
+    /** Whom the job belongs to. @default no customer */
+    customer?: string;
     priority: number;
     resources: TaskResources;
     /** Its tasks and their workers; several for a gang. */
@@ -125,4 +128,6 @@
     claims: PreemptionClaim[];
     /** Blocked gangs that keep workers from longer work. */
     backfillLimits: BackfillLimit[];
+    /** Why customers' limits kept candidates, in whole or in part, from being placed; by key. */
+    limited: ReadonlyMap<string, WaitReason>;
 }
--- a/src/planning/waitReason.ts
+++ b/src/planning/waitReason.ts
@@ -10,6 +10,10 @@
 
 /** Why a candidate was not placed in a round. */
 export enum WaitReason {
+    /** Its customer's limit does not allow it to start beside what the customer runs. */
+    CustomerLimit = "customerLimit",
+    /** It needs more than its customer's limit by itself, which was lowered after it had been accepted. */
+    ExceedsCustomerLimit = "exceedsCustomerLimit",
     /** No worker of its service that has the required label accepts work. */
     NoUsableWorker = "noUsableWorker",
     /** It does not fit into what is free on usable workers. */
@@ -84,12 +88,18 @@
  * another, that leaves too little room.
  *
  * @param claimed keys of the candidates for which runs are being preempted
+ * @param limited candidates that their customers' limits hold back, by key
  */
 export const findWaitReason = (
     workers: readonly WorkerInfo[],
     candidate: Candidate,
     claimed: ReadonlySet<string>,
+    limited: ReadonlyMap<string, WaitReason> = new Map(),
 ): WaitReason => {
+    const limitReason = limited.get(candidate.key);
+    if (limitReason !== undefined) {
+        return limitReason;
+    }
     if (claimed.has(candidate.key)) {
         return WaitReason.ClaimPending;
     }
--- a/src/queues/types.ts
+++ b/src/queues/types.ts
@@ -1,4 +1,4 @@
-import type { Step } from "../jobs/types.js";
+import type { Step, TaskResources } from "../jobs/types.js";
 
 /** A queue that customers submit jobs to. */
 export interface Queue {
@@ -52,8 +52,10 @@
     guaranteeCoverage: GuaranteeCoverage;
     /** Gangs that make up its guarantee, each with a reservation. @default accelerators on any workers */
     guaranteedGangs?: GuaranteedGang[];
-    /** Most accelerators that it may use at a time. @default no limit */
-    maxAccelerators?: number;
+    /** Most that its runs may occupy at a time, across all workers; infinite for a resource without a limit. @default no limit */
+    maximum?: TaskResources;
+    /** Its share of the capacity relative to the other customers', while work of several has to wait. @default none */
+    weight?: number;
 }
 
 /** One version of the operator's configuration of queues and customers. */
--- a/test/jobAccess.test.ts
+++ b/test/jobAccess.test.ts
@@ -1,13 +1,12 @@
 import { assert } from "chai";
-import { createCallerHandler } from "../platform/callers.js";
 import { Cancellation } from "../src/jobs/commands/cancelStoredJob.js";
 import type { JobAccess } from "../src/jobs/jobAccess.js";
 import { JobPhase } from "../src/jobs/types.js";
-import { createEntryMetrics } from "../src/node/entryMetrics.js";
 import type { EntryVm } from "../src/node/entryVm.js";
 import { GuaranteeCoverage } from "../src/queues/types.js";
 import type { QueueConfiguration } from "../src/queues/types.js";
 import type { JsonRequest } from "../src/utils/http.js";
+import { createFleetCallerHandler } from "./fixtures/callerHandler.js";
 import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import { createConfiguration } from "./fixtures/queueConfiguration.js";
 
@@ -45,16 +44,7 @@
     await fleet.submit(submission);
     await fleet.timer.advance(500);
     const vm = fleet.vms.get("vm0") as EntryVm;
-    const handle = createCallerHandler({
-        vm,
-        operator: { current: () => ({ configuration, evacuatedZones: new Set() }), ageMs: () => 0, onChange: () => {} },
-        log: () => {},
-        metrics: createEntryMetrics(),
-        nowMs: fleet.timer.nowMs,
-        wallClockMs: fleet.timer.wallClockMs,
-        maxConfigurationAgeMs: () => 5_000,
-        isStopping: () => false,
-    });
+    const handle = createFleetCallerHandler(fleet, "vm0", configuration);
     const call = async (method: string, key: string | undefined, prefix = "/bookings/"): Promise<unknown> => {
         const headers = { host: "doves.example", ...(key === undefined ? {} : { authorization: `Bearer ${key}` }) };
         const answered = handle(
