feat: check of a configuration before it is sent

Cause: mistakes in a configuration of the users' platform showed only once it was in force; for statements of intent a guarantee above the customer's own limit was accepted and could never be met.

--- a/src/configuration/queries/checkTogether.ts
+++ b/src/configuration/queries/checkTogether.ts
@@ -1,7 +1,9 @@
 import { findUnplaceable } from "../../planning/emptyFleet.js";
 import type { NamedGang } from "../../planning/emptyFleet.js";
+import { findContradictions } from "../../queues/reviewConfiguration.js";
 import type { WorkerFacts } from "../../workers/types.js";
 import type { FileProblem, LocatedIntent } from "./collect.js";
+import { queueConfigurationOf } from "./queueConfiguration.js";
 import { stepOf } from "./shapeStep.js";
 
 const formatLocation = (located: LocatedIntent): string => `${located.file}:${located.line}`;
@@ -85,6 +87,16 @@
     return problems;
 };
 
+/** Finds customers whose limits contradict their guarantees, at the statement of the guarantee. */
+const findContradictoryLimits = (intents: readonly LocatedIntent[]): FileProblem[] => {
+    const statements = intents.map(({ intent }) => intent);
+    const configuration = queueConfigurationOf({ version: 0, statements }, 0);
+    return findContradictions(configuration).flatMap(({ customer, detail }) => {
+        const located = intents.find(({ intent }) => intent.customer === customer && intent.guarantee !== undefined);
+        return located === undefined ? [] : [problemAt(located, `customer "${customer}": ${detail}`)];
+    });
+};
+
 /** Finds duplicate statements and, if workers are given, unknown availability zones and guarantees that do not fit. */
 export const checkTogether = (
     intents: readonly LocatedIntent[],
@@ -94,6 +106,7 @@
         ...findDuplicates(intents, located => `the name "${located.intent.name}"`),
         ...findDuplicates(intents, settingKey("calls")),
         ...findDuplicates(intents, settingKey("jobs")),
+        ...findContradictoryLimits(intents),
     ];
     if (workers === undefined || workers.length === 0) {
         return problems;
--- a/src/configuration/queries/queueConfiguration.ts
+++ b/src/configuration/queries/queueConfiguration.ts
@@ -2,7 +2,7 @@
 import { GuaranteeCoverage } from "../../queues/types.js";
 import type { GuaranteedGang, QueueConfiguration, QueueCustomer } from "../../queues/types.js";
 import { Urgency } from "../types.js";
-import type { Snapshot, Statement } from "../types.js";
+import type { Intent } from "../types.js";
 import { maxAcceleratorsOf } from "./settings.js";
 import { stepOf } from "./shapeStep.js";
 
@@ -15,15 +15,21 @@
 
 const acceleratorsOf = ({ step }: GuaranteedGang): number => step.taskCount * step.resources.accelerators;
 
+/** Statements of one version, published or not. */
+export interface VersionedIntents {
+    version: number;
+    statements: readonly Intent[];
+}
+
 /** Returns one gang for each of the `count` gangs of a guarantee. */
-const gangsOf = ({ name, customer, guarantee }: Statement): GuaranteedGang[] =>
+const gangsOf = ({ name, customer, guarantee }: Intent): GuaranteedGang[] =>
     guarantee === undefined ? [] : Array.from({ length: guarantee.count }, (_, index) => ({
         name: `${customer}/${name}#${index}`,
         step: stepOf(guarantee.shape, 0, false),
         holdsWithZoneOut: guarantee.holdsWithZoneOut,
     }));
 
-const customerOf = (snapshot: Snapshot, name: string): QueueCustomer => {
+const customerOf = (snapshot: VersionedIntents, name: string): QueueCustomer => {
     const statements = snapshot.statements.filter(statement => statement.customer === name);
     const limit = maxAcceleratorsOf(snapshot, name);
     const gangs = statements.flatMap(gangsOf);
@@ -39,7 +45,7 @@
 };
 
 /** Derives the queue configuration from a snapshot; jobs name their customer, so that there are no queues. */
-export const queueConfigurationOf = (snapshot: Snapshot, maxBodyBytes: number): QueueConfiguration => {
+export const queueConfigurationOf = (snapshot: VersionedIntents, maxBodyBytes: number): QueueConfiguration => {
     const names = new Set(snapshot.statements.flatMap(statement => statement.customer ?? []));
     return {
         version: snapshot.version,
--- a/src/configuration/queries/settings.ts
+++ b/src/configuration/queries/settings.ts
@@ -1,4 +1,4 @@
-import type { CallsStatement, JobsStatement, Snapshot, Statement } from "../types.js";
+import type { CallsStatement, Intent, JobsStatement, Snapshot, Statement } from "../types.js";
 
 /** A setting and the statement that sets it. */
 export interface ResolvedSetting<Value> {
@@ -46,8 +46,8 @@
     snapshot.statements.some(statement => statement.customer === customer);
 
 /** Lowest limit on a customer's accelerators among its statements; infinity if none sets one. */
-export const maxAcceleratorsOf = (snapshot: Snapshot, customer: string): number =>
-    snapshot.statements
+export const maxAcceleratorsOf = ({ statements }: { statements: readonly Intent[]; }, customer: string): number =>
+    statements
         .filter(statement => statement.customer === customer)
         .reduce(
             (limit, statement) => Math.min(limit, statement.jobs?.maxAccelerators ?? limit),
--- a/test/configuration.test.ts
+++ b/test/configuration.test.ts
@@ -9,7 +9,7 @@
 import { checkTogether } from "../src/configuration/queries/checkTogether.js";
 import { collectIntents } from "../src/configuration/queries/collect.js";
 import type { LocatedIntent } from "../src/configuration/queries/collect.js";
-import { currentVersionKey, snapshotKey } from "../src/configuration/types.js";
+import { currentVersionKey, snapshotKey, Urgency } from "../src/configuration/types.js";
 import type { CurrentVersion, Snapshot } from "../src/configuration/types.js";
 import { parseJsonWithComments } from "../src/utils/jsonWithComments.js";
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
@@ -128,6 +128,23 @@
         assert.equal(withZoneOut[0].file, "zone-redundant.intent.jsonc");
     });
 
+    // guards against a guarantee that the customer's own limit keeps from ever being met
+    it("compares guarantees with the limits of their customers", () => {
+        const guarantee = { shape: buildShape(8), count: 2, holdsWithZoneOut: false };
+        const guaranteed = buildLocatedIntent({ name: "guaranteed", customer: "doves", guarantee });
+        const limitTo = (maxAccelerators: number): LocatedIntent =>
+            buildLocatedIntent({
+                name: "limited",
+                customer: "doves",
+                service: "planning",
+                jobs: { urgency: Urgency.Normal, maxAccelerators },
+            });
+        assert.isEmpty(checkTogether([limitTo(16), guaranteed], undefined));
+        const [problem] = checkTogether([limitTo(15), guaranteed], undefined);
+        assert.equal(problem.file, "guaranteed.intent.jsonc");
+        assert.match(problem.detail, /guaranteed 16 accelerators and may use 15 at most/);
+    });
+
     it("reports unknown availability zones and duplicate statements", () => {
         const workers = buildWorkerFacts(["a", "b"], 2);
         assert.match(
