fix: preemption below a customer's limit loses no more than twice the candidate's work

Guarantees still preempt in any case. Test: test/customerLimits.test.ts, preempts at a loss of 20,000 core-milliseconds and not of 30,000.

--- a/src/planning/limitPreemption.ts
+++ b/src/planning/limitPreemption.ts
@@ -1,5 +1,5 @@
 import type { TaskResources } from "../jobs/types.js";
-import { isWithinDisruptionLimit, mayPreempt, preemptionCost } from "./preemptionSearch.js";
+import { isWithinDisruptionLimit, isWorthwhile, mayPreempt, preemptionCost } from "./preemptionSearch.js";
 import { addResources, coreEquivalentsOf } from "./resources.js";
 import type { Candidate, Occupant } from "./types.js";
 
@@ -12,7 +12,7 @@
 
 /**
  * Picks runs of a candidate's own customer to preempt when it is the customer's limit that keeps the candidate from
- * starting, the cheapest for each core first; none if they do not suffice.
+ * starting, the cheapest for each core first; none if they do not suffice or lose too much work.
  *
  * @param shortfall what has to end, beyond what is being stopped
  * @param evicted runs that are preempted already in this round
@@ -38,5 +38,5 @@
             addResources(freed, occupant.resources, occupant.tasks.length);
         }
     }
-    return covers(freed, shortfall) ? victims : [];
+    return covers(freed, shortfall) && isWorthwhile(victims, candidate) ? victims : [];
 };
--- a/src/planning/preemptionSearch.ts
+++ b/src/planning/preemptionSearch.ts
@@ -187,11 +187,11 @@
 const maxLostWorkFactor = 2;
 
 /** Whether the work that is lost stands in proportion to the job's own; a claimed guarantee is due whatever is lost. */
-const isWorthwhile = (plan: PreemptionPlan, candidate: Candidate): boolean =>
-    candidate.guaranteed || totalCost(plan) <= workOf(candidate) * maxLostWorkFactor;
+export const isWorthwhile = (victims: readonly Occupant[], candidate: Candidate): boolean =>
+    candidate.guaranteed || totalCost(victims) <= workOf(candidate) * maxLostWorkFactor;
 
-const totalCost = (plan: PreemptionPlan): number =>
-    plan.victims.reduce((sum, victim) => sum + preemptionCost(victim), 0);
+const totalCost = (victims: readonly Occupant[]): number =>
+    victims.reduce((sum, victim) => sum + preemptionCost(victim), 0);
 
 /** The cheapest plan in one of several domains; those that place more tasks go first. */
 export const findCheapestPlan = (
@@ -202,8 +202,10 @@
     domains
         .map(domain => planInDomain(search, domain.filter(worker => worker.usable), evicted))
         .filter(plan => plan !== undefined)
-        .filter(plan => isWorthwhile(plan, search.candidate))
-        .sort((left, right) => right.assignments.length - left.assignments.length || totalCost(left) - totalCost(right))
+        .filter(plan => isWorthwhile(plan.victims, search.candidate))
+        .sort((left, right) =>
+            right.assignments.length - left.assignments.length || totalCost(left.victims) - totalCost(right.victims)
+        )
         .at(0);
 
 /** Whether a plan places all tasks of a candidate. */
--- a/test/customerLimits.test.ts
+++ b/test/customerLimits.test.ts
@@ -91,6 +91,18 @@
         assert.deepEqual(placedCounts(round), {});
         assert.deepEqual(plan(createUses(2, 2, 1)).evictions, []);
     });
+
+    // guards against urgent work that throws away many times its own work for room below a limit
+    it("preempts no run of the customer for urgent work if that loses far more than the urgent work is", () => {
+        const workers = createRacks(1, 1);
+        const candidates = [createCandidate("urgent", { priority: 0 })];
+        const plan = (lostCoreMs: number) => {
+            const occupants = [addOccupant(workers[0], "running", { customer: "hotel", priority: 2, lostCoreMs })];
+            return planRound(createRoundInput({ workers, candidates, occupants, customerUses: createUses(1, 1) }));
+        };
+        assert.lengthOf(plan(20_000).evictions, 1);
+        assert.lengthOf(plan(30_000).evictions, 0);
+    });
 });
 
 // guards against a customer that sends many times its usual and delays the others' work of the same urgency
