feat: refuse submissions unsent while the table answers nothing

In addition a repeated submission got "not run" when its repetition could not be sent, although its first write, which got no answer, may have taken effect.

Ruled out: one submission as the probe, which would end as unknown; opening for all priorities at once.

Change: acceptJob asks submissionAdmission.ts, which feeds the gate with every operation of the VM and probes while it is in doubt or closed. Metrics, log lines when the gate closes and opens, and the dump.

--- a/bench/experiment/replayLoad.ts
+++ b/bench/experiment/replayLoad.ts
@@ -90,7 +90,7 @@
     for (let attempt = 1; attempt <= maxCallerAttempts && !arrival.accepted; attempt++) {
         const vm = pickOne(random, [...fleet.vms.values()]);
         const submission = { ...arrival.submission, acceptedAtMs: timer.wallClockMs() };
-        const acceptance = await vm.accept(submission, callerDeadlineMs);
+        const { acceptance } = await vm.accept(submission, callerDeadlineMs);
         arrival.accepted = acceptance === Acceptance.Accepted;
         if (!arrival.accepted) {
             await timer.sleep(callerRetryMs);
--- a/src/jobs/commands/acceptJob.ts
+++ b/src/jobs/commands/acceptJob.ts
@@ -1,8 +1,11 @@
 import type { Log } from "../../node/logs.js";
-import { describeStateError, StateErrorKind } from "../../state/types.js";
+import { describeStateError } from "../../state/types.js";
 import type { StateTable } from "../../state/types.js";
 import type { TimerService } from "../../utils/timer.js";
 import { jobRowKey, JobRowKind, jobsTable, partOfJob } from "../rows.js";
+import { toWriteOutcome, WriteOutcome } from "../sentSubmissions.js";
+import type { SentSubmissions } from "../sentSubmissions.js";
+import type { SubmissionAdmission, UnsentRefusal } from "../submissionAdmission.js";
 import type { JobSubmission } from "../types.js";
 
 /** Outcome of storing a submission. */
@@ -15,6 +18,13 @@
     Unknown = "unknown",
 }
 
+/** Result of a submission. */
+export interface AcceptResult {
+    acceptance: Acceptance;
+    /** Time after which the caller of a submission that was not sent may come back. */
+    retryAfterMs?: number;
+}
+
 /** Dependencies of the commands on jobs. */
 export interface JobCommandContext {
     state: StateTable;
@@ -22,27 +32,27 @@
     log: Log;
 }
 
+/** Dependencies of {@link acceptJob}. */
+export interface AcceptContext extends JobCommandContext {
+    admission: SubmissionAdmission;
+    sentSubmissions: SentSubmissions;
+}
+
 /** Pause before a write is retried. */
 const retryPauseMs = 60;
 /** Share of the caller's deadline in which a write without an answer is retried; afterwards the outcome is unknown. */
 const retryShareOfDeadline = 0.5;
 
-/**
- * Stores a submission; its customer is answered only afterwards. A submission whose id is already stored counts as
- * accepted.
- *
- * @param deadlineMs time that the caller waits, from now
- */
-export const acceptJob = async (
-    context: JobCommandContext,
+/** Writes a submission until it is answered or the time is over. */
+const store = async (
+    { state, timer, log }: AcceptContext,
     submission: JobSubmission,
-    deadlineMs: number,
-): Promise<Acceptance> => {
-    const { state, timer, log } = context;
+    giveUpAtMs: number,
+    wasSentBefore: boolean,
+): Promise<WriteOutcome> => {
     const key = jobRowKey(submission.id, JobRowKind.Submission);
     const startedAtMs = timer.nowMs();
-    const giveUpAtMs = startedAtMs + deadlineMs * retryShareOfDeadline;
-    let mayHaveArrived = false;
+    let mayHaveArrived = wasSentBefore;
     for (let attempt = 1;; attempt++) {
         const written = await state.commit({
             part: partOfJob(submission.id),
@@ -58,22 +68,84 @@
                 attempt,
                 tookMs: Math.round(timer.nowMs() - startedAtMs),
             });
-            return Acceptance.Accepted;
+            return WriteOutcome.Stored;
         }
-        if (written.error.kind === StateErrorKind.Conflict) {
+        const outcome = toWriteOutcome(written);
+        if (outcome === WriteOutcome.StoredEarlier) {
             log("info", "job is stored already", { jobId: submission.id, attempt });
-            return Acceptance.Accepted;
+            return outcome;
         }
-        mayHaveArrived ||= written.error.kind === StateErrorKind.NoAnswer;
+        mayHaveArrived ||= outcome === WriteOutcome.Unknown;
         const reason = describeStateError(written.error);
         if (!mayHaveArrived) {
             log("warn", "job not accepted", { jobId: submission.id, reason, attempt });
-            return Acceptance.NotRun;
+            return WriteOutcome.NotStored;
         }
         if (timer.nowMs() > giveUpAtMs) {
             log("warn", "job may have been accepted", { jobId: submission.id, reason, attempt });
-            return Acceptance.Unknown;
+            return WriteOutcome.Unknown;
         }
         await timer.sleep(retryPauseMs);
     }
 };
+
+const acceptanceOf: Record<WriteOutcome, Acceptance> = {
+    [WriteOutcome.Stored]: Acceptance.Accepted,
+    [WriteOutcome.StoredEarlier]: Acceptance.Accepted,
+    [WriteOutcome.NotStored]: Acceptance.NotRun,
+    [WriteOutcome.Unknown]: Acceptance.Unknown,
+};
+
+/** Answers a submission that is not sent: one that this VM sent before is or may be stored, whatever happens now. */
+const answerUnsent = (
+    { log, sentSubmissions }: AcceptContext,
+    { id, priority }: JobSubmission,
+    { retryAfterMs, outageMs }: UnsentRefusal,
+): AcceptResult => {
+    const reason = "not sent: the table answers no operation";
+    const acceptance = acceptanceOf[sentSubmissions.outcomeOf(id)];
+    switch (acceptance) {
+        case Acceptance.NotRun:
+            log("warn", "job not accepted", {
+                jobId: id,
+                priority,
+                reason,
+                attempt: 0,
+                outageMs: Math.round(outageMs),
+                retryAfterMs,
+            });
+            return { acceptance, retryAfterMs };
+        case Acceptance.Unknown:
+            log("warn", "job may have been accepted", { jobId: id, reason, attempt: 0 });
+            return { acceptance };
+        case Acceptance.Accepted:
+            log("info", "job is stored already", { jobId: id, attempt: 0 });
+            return { acceptance };
+    }
+};
+
+/**
+ * Stores a submission; its customer is answered only afterwards. A submission whose id is already stored counts as
+ * accepted. One that the table would not answer is refused without being sent.
+ *
+ * @param deadlineMs time that the caller waits, from now
+ */
+export const acceptJob = async (
+    context: AcceptContext,
+    submission: JobSubmission,
+    deadlineMs: number,
+): Promise<AcceptResult> => {
+    const { timer, admission, sentSubmissions } = context;
+    const giveUpAtMs = timer.nowMs() + deadlineMs * retryShareOfDeadline;
+    const refusal = await admission.admit(submission.priority, deadlineMs * retryShareOfDeadline);
+    if (refusal !== undefined) {
+        return answerUnsent(context, submission, refusal);
+    }
+    const earlier = sentSubmissions.outcomeOf(submission.id);
+    const finish = sentSubmissions.begin(submission.id);
+    const outcome = await store(context, submission, giveUpAtMs, earlier !== WriteOutcome.NotStored);
+    finish(outcome);
+    // what was stored before is still there when a repeated write gets no answer
+    const isStoredBefore = outcome === WriteOutcome.Unknown && earlier === WriteOutcome.Stored;
+    return { acceptance: isStoredBefore ? Acceptance.Accepted : acceptanceOf[outcome] };
+};
--- a/src/jobs/commands/submitJob.ts
+++ b/src/jobs/commands/submitJob.ts
@@ -15,6 +15,7 @@
 import { readJob } from "../queries/readJob.js";
 import type { JobSubmission } from "../types.js";
 import { Acceptance } from "./acceptJob.js";
+import type { AcceptResult } from "./acceptJob.js";
 
 /** Body of a request to submit a job. */
 export interface JobRequest {
@@ -46,7 +47,7 @@
     snapshot: Snapshot;
     /** All workers; a shape is accepted unchecked while the list is empty or unknown. */
     fleet: readonly WorkerFacts[] | undefined;
-    accept(submission: JobSubmission): Promise<Acceptance>;
+    accept(submission: JobSubmission): Promise<AcceptResult>;
     /** Time of acceptance, since the Unix epoch. */
     wallClockMs: number;
 }
@@ -130,7 +131,7 @@
             ? fail(rejection)
             : matchStored(existing, submission);
     }
-    switch (await context.accept(submission)) {
+    switch ((await context.accept(submission)).acceptance) {
         case Acceptance.NotRun:
             return fail({ kind: "unavailable", detail: "neither the platform nor a peer with access answers" });
         case Acceptance.Unknown:
--- a/src/jobs/submissionGate.ts
+++ b/src/jobs/submissionGate.ts
@@ -22,7 +22,7 @@
     Send = "send",
     /** Decide again after `waitMs`; nothing is sent before. */
     Wait = "wait",
-    /** It is not sent; its caller may come back after `retryAfterMs`. */
+    /** It is not sent; its caller may come back after `retryAfterMs`. `outageMs` is the length of the outage so far. */
     Refuse = "refuse",
 }
 
@@ -30,7 +30,7 @@
 export type GateDecision =
     | { kind: GateDecisionKind.Send; }
     | { kind: GateDecisionKind.Wait; waitMs: number; }
-    | { kind: GateDecisionKind.Refuse; retryAfterMs: number; };
+    | { kind: GateDecisionKind.Refuse; retryAfterMs: number; outageMs: number; };
 
 /**
  * Time without an answer above which the gate closes: after the 1.2 s of the table's timeout a write is not stored in
@@ -108,8 +108,9 @@
     const { priority, nowMs, mayWaitMs, random } = input;
     const { outageSinceMs, openedAtMs = Number.NEGATIVE_INFINITY, pastOutagesMs } = gate;
     if (outageSinceMs !== undefined) {
-        const retryAfterMs = chooseRetryAfterMs(nowMs - outageSinceMs, pastOutagesMs, random);
-        return { kind: GateDecisionKind.Refuse, retryAfterMs };
+        const outageMs = nowMs - outageSinceMs;
+        const retryAfterMs = chooseRetryAfterMs(outageMs, pastOutagesMs, random);
+        return { kind: GateDecisionKind.Refuse, retryAfterMs, outageMs };
     }
     const waitMs = openedAtMs + Math.min(priority, lowestPriority) * openingStepMs - nowMs;
     if (waitMs <= 0) {
@@ -117,5 +118,5 @@
     }
     return waitMs <= mayWaitMs
         ? { kind: GateDecisionKind.Wait, waitMs }
-        : { kind: GateDecisionKind.Refuse, retryAfterMs: minRetryAfterMs };
+        : { kind: GateDecisionKind.Refuse, retryAfterMs: minRetryAfterMs, outageMs: 0 };
 };
--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -16,6 +16,10 @@
     watchOpenRequests(count: () => number): void;
     /** Records a completed call to the platform's table. */
     recordTableCall(operation: string, outcome: string, durationMs: number): void;
+    /** Counts a submission that was refused without being sent, as the table answers no operation. */
+    recordUnsentSubmission(priority: number): void;
+    /** Sets whether submissions are refused without being sent. */
+    setSubmissionGateClosed(isClosed: boolean): void;
     /** Records a completed order to a worker. */
     recordOrder(kind: string, outcome: string, durationMs: number): void;
     /** Records the start of a run, `waitMs` after its tasks could start. */
@@ -42,6 +46,27 @@
 const jobBucketsS = [0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 300, 1_800];
 const msPerSecond = 1_000;
 
+/** Creates the metrics of the gate that refuses submissions while the table is unavailable. */
+const createGateMetrics = (
+    registers: Registry[],
+): Pick<EntryMetrics, "recordUnsentSubmission" | "setSubmissionGateClosed"> => {
+    const unsentSubmissions = new Counter({
+        name: "catkinswitch_unsent_submissions_total",
+        help: "Submissions refused without being sent, as the table answered no operation, by priority.",
+        labelNames: ["priority"],
+        registers,
+    });
+    const submissionGate = new Gauge({
+        name: "catkinswitch_submission_gate_closed",
+        help: "1 while submissions are refused without being sent, as the table answers no operation.",
+        registers,
+    });
+    return {
+        recordUnsentSubmission: priority => unsentSubmissions.inc({ priority }),
+        setSubmissionGateClosed: isClosed => submissionGate.set(isClosed ? 1 : 0),
+    };
+};
+
 /** Creates the metrics in a new registry. */
 export const createEntryMetrics = (): EntryMetrics => {
     const registry = new Registry();
@@ -154,6 +179,7 @@
         },
         recordTableCall: (operation, outcome, durationMs) =>
             tableCalls.observe({ operation, outcome }, durationMs / msPerSecond),
+        ...createGateMetrics(registers),
         recordOrder: (kind, outcome, durationMs) => orders.observe({ kind, outcome }, durationMs / msPerSecond),
         recordStart: (priority, waitMs) => starts.observe({ priority }, waitMs / msPerSecond),
         recordJobEnd: (phase, priority, durationMs) => jobs.observe({ phase, priority }, durationMs / msPerSecond),
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -7,7 +7,7 @@
 import type { WorkerClient, WorkerDescriptor, WorkerDirectory } from "../execution/types.js";
 import { longestGrantMs, longestLateGrantMs } from "../execution/workerLease.js";
 import { acceptJob } from "../jobs/commands/acceptJob.js";
-import type { Acceptance } from "../jobs/commands/acceptJob.js";
+import type { AcceptResult } from "../jobs/commands/acceptJob.js";
 import { cancelStoredJob } from "../jobs/commands/cancelStoredJob.js";
 import type { Cancellation } from "../jobs/commands/cancelStoredJob.js";
 import type { JobAccess } from "../jobs/jobAccess.js";
@@ -17,6 +17,9 @@
 import type { PendingCounts } from "../jobs/queries/pendingJobs.js";
 import { readJob } from "../jobs/queries/readJob.js";
 import { plannerLeaseKey, plannerPart, plannerTable } from "../jobs/rows.js";
+import { createSentSubmissions } from "../jobs/sentSubmissions.js";
+import type { SentSubmissions } from "../jobs/sentSubmissions.js";
+import { createSubmissionAdmission } from "../jobs/submissionAdmission.js";
 import type { JobPhase, JobSubmission } from "../jobs/types.js";
 import type { OperatorSource } from "../queues/types.js";
 import { createTableFollower } from "../state/follower.js";
@@ -48,12 +51,14 @@
     /** Source of the jitter that keeps several VMs from acting at the same moment. @default Math.random */
     random?: Random;
     metrics: EntryMetrics;
+    /** Submissions that this VM sent, also for other VMs. @default empty */
+    sentSubmissions?: SentSubmissions;
 }
 
 /** One entry VM: accepts and cancels jobs, answers queries about them and plans while it holds the planner's term. */
 export interface EntryVm {
     /** Stores a submission; `deadlineMs` is the time that the caller waits, from now. */
-    accept(submission: JobSubmission, deadlineMs: number): Promise<Acceptance>;
+    accept(submission: JobSubmission, deadlineMs: number): Promise<AcceptResult>;
     /** Cancels a job. @default by anyone */
     cancel(jobId: string, access?: JobAccess): Promise<Cancellation>;
     /** Phase of a job; `undefined` when there is no such job. @default for anyone */
@@ -89,7 +94,10 @@
 
 /** Starts an entry VM and its part in the election of the planner. */
 export const startEntryVm = (options: EntryVmOptions): EntryVm => {
-    const { state, timer, log, operator, directory, metrics } = options;
+    const { timer, log, operator, directory, metrics, random = Math.random } = options;
+    const admission = createSubmissionAdmission({ state: options.state, timer, log, metrics, random });
+    const state = admission.table;
+    const sentSubmissions = options.sentSubmissions ?? createSentSubmissions(timer, options.retainMs);
     const eventLoopDelay = createEventLoopDelayMonitor(timer);
     const eventLoopDelayMs = options.eventLoopDelayMs ?? eventLoopDelay.meanMs;
     const phaseCache = createPhaseCache();
@@ -169,7 +177,7 @@
         onLeasesPublished: () => planner?.onLeasesPublished(),
         longestGrantMs: longestGrantMs(options.maxLeaseMs),
         longestLateGrantMs: longestLateGrantMs(options.maxLeaseMs),
-        random: options.random ?? Math.random,
+        random,
         onGained,
         onLost,
     });
@@ -179,7 +187,8 @@
     const context = { state, timer, log };
 
     return {
-        accept: (submission, deadlineMs) => acceptJob(context, submission, deadlineMs),
+        accept: (submission, deadlineMs) =>
+            acceptJob({ ...context, admission, sentSubmissions }, submission, deadlineMs),
         cancel: (jobId, access) => cancelStoredJob(context, jobId, access),
         phase: (jobId, access) => queryJobPhase(state, phaseCache, jobId, access),
         job: jobId => readJob(state, jobId),
@@ -193,6 +202,7 @@
             plannerAgeMs: follower.ageMs(),
             latenessMs: Math.round(eventLoopDelayMs()),
             pending: planner?.pendingCounts() ?? publishedPending,
+            submissionGate: admission.dump(),
             term: election.currentTerm(),
             planner: planner?.dump(),
         }),
@@ -202,6 +212,7 @@
         },
         stop: () => {
             eventLoopDelay.stop();
+            admission.stop();
             follower.stop();
             election.stop();
             onLost();
