test: mutants of the refusal of submissions without the table

The entry on unknown outcomes names the code as it is now.

Ran: npm run show-failing -- submission (8 mechanisms, each test fails without its mechanism).

--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -2,6 +2,7 @@
 import { planningMutants } from "./planningMutants.js";
 import { stopMutants } from "./stopMutants.js";
 import { storageMutants } from "./storageMutants.js";
+import { submissionMutants } from "./submissionMutants.js";
 import { workerMutants } from "./workerMutants.js";
 
 /** A change of compiled code that disables a mechanism. */
@@ -22,6 +23,7 @@
 const mutants: readonly Mutant[] = [
     ...planningMutants,
     ...storageMutants,
+    ...submissionMutants,
     ...workerMutants,
     {
         without: "restoring reservations from the records under a new planner",
@@ -227,7 +229,7 @@
     {
         without: "on entry VMs: reporting an unknown outcome for a submission whose write got no answer",
         file: "jobs/commands/acceptJob.js",
-        find: "mayHaveArrived ||= written.error.kind === StateErrorKind.NoAnswer;",
+        find: "mayHaveArrived ||= outcome === WriteOutcome.Unknown;",
         replace: "",
         tests: "entryVm",
         fails: "is not reported as refused while a write",
