fix: a process without processor time does not close the submission gate

Cause: the operations in progress of a process that was suspended time out as soon as it runs again, before their answers are read, which looked like an outage.

Ruled out: leaving it to the next answer: submissions read in the same turn would be refused, and lower priorities held for 0.5 s.

Change: the gate does not close while its check is more than 0.1 s late, nor before the next check in time.

--- a/src/jobs/submissionAdmission.ts
+++ b/src/jobs/submissionAdmission.ts
@@ -50,7 +50,7 @@
 const doubtAfterMs = 300;
 /** Time after which an operation in progress counts as unanswered; a slow table takes up to 0.5 s. */
 const overdueAfterMs = 600;
-/** Lateness of a check above which answers may have arrived that this process has had no time to read. */
+/** Lateness of a check from which the process had no processor time: answers may have arrived that it has not read. */
 const maxCheckLatenessMs = 100;
 /** Range of keys that holds no rows, read by probes. */
 const probeRange = { from: "~", before: "~~" };
@@ -62,9 +62,16 @@
     let refused = 0;
     let probes = 0;
     let checkDueAtMs = timer.nowMs() + probeIntervalMs;
+    /** Whether the latest check was late; operations may have timed out meanwhile although the table answered them. */
+    let wasDelayed = false;
+
+    const isDelayed = (): boolean => timer.nowMs() - checkDueAtMs > maxCheckLatenessMs;
 
     const onEvidence = (evidence: OutageEvidence): void => {
         const before = gate;
+        if (before.outageSinceMs === undefined && (wasDelayed || isDelayed())) {
+            return;
+        }
         gate = updateSubmissionGate(gate, evidence);
         if (before.outageSinceMs === undefined && gate.outageSinceMs !== undefined) {
             refused = 0;
@@ -92,9 +99,8 @@
     };
 
     const check = async (): Promise<void> => {
-        if (timer.nowMs() - checkDueAtMs <= maxCheckLatenessMs) {
-            onEvidence(contact.evidence(overdueAfterMs));
-        }
+        wasDelayed = isDelayed();
+        onEvidence(contact.evidence(overdueAfterMs));
         if (gate.outageSinceMs !== undefined) {
             await probe();
         }
--- a/test/submissionsWithoutTable.test.ts
+++ b/test/submissionsWithoutTable.test.ts
@@ -2,12 +2,15 @@
 import { Acceptance } from "../src/jobs/commands/acceptJob.js";
 import { partOfJob } from "../src/jobs/rows.js";
 import { createSentSubmissions, recordRelayedSubmissions, WriteOutcome } from "../src/jobs/sentSubmissions.js";
+import { createSubmissionAdmission } from "../src/jobs/submissionAdmission.js";
+import { createEntryMetrics } from "../src/node/entryMetrics.js";
 import { createRelayedTable } from "../src/state/relay.js";
 import type { RelayedTable } from "../src/state/relay.js";
 import { StateErrorKind } from "../src/state/types.js";
 import type { StateError, StateTable } from "../src/state/types.js";
 import { fail } from "../src/utils/result.js";
 import type { Result } from "../src/utils/result.js";
+import { createVirtualTimer } from "../src/utils/virtualTimer.js";
 import type { VirtualTimer } from "../src/utils/virtualTimer.js";
 import { createFleetCallerHandler } from "./fixtures/callerHandler.js";
 import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
@@ -231,6 +234,34 @@
     });
 });
 
+describe("the admission of submissions", () => {
+    // guards against refusals by a VM that was suspended: its operations have timed out, and the table is available
+    it("stays open when the process got no processor time", async () => {
+        const virtual = createVirtualTimer();
+        let suspendedMs = 0;
+        const lines: string[] = [];
+        const replies: (() => void)[] = [];
+        const lost = fail({ kind: StateErrorKind.NoAnswer as const, detail: "timed out" });
+        const hang = () => new Promise<typeof lost>(resolve => replies.push(() => resolve(lost)));
+        const admission = createSubmissionAdmission({
+            state: { commit: hang, read: hang, changes: hang },
+            timer: { ...virtual, nowMs: () => virtual.nowMs() + suspendedMs },
+            log: (_level, message) => lines.push(message),
+            metrics: createEntryMetrics(),
+            random: () => 0,
+        });
+        ["p0", "p1"].forEach(part => void admission.table.read({ table: "jobs", part }));
+        await virtual.advance(240);
+        suspendedMs = 5_000;
+        await virtual.advance(20);
+        replies.forEach(reply => reply());
+        await virtual.advance(100);
+        admission.stop();
+        assert.deepEqual(lines, []);
+        assert.isUndefined(await admission.admit(1, 0));
+    });
+});
+
 describe("a submission that was sent without an answer", () => {
     // guards against a refusal as not run of a submission that an earlier, unanswered write stored
     it("is not refused when it is repeated at once while the table refuses everything", async () => {
--- a/tools/submissionMutants.ts
+++ b/tools/submissionMutants.ts
@@ -26,6 +26,14 @@
         tests: "submissionsWithoutTable",
         fails: "are refused unsent while none has",
     },
+    {
+        without: "keeping the submission gate open after a pause of the process",
+        file: "jobs/submissionAdmission.js",
+        find: "(wasDelayed || isDelayed())",
+        replace: "false",
+        tests: "submissionsWithoutTable",
+        fails: "stays open when the process got no processor time",
+    },
     {
         without: "sending the most urgent submissions first when the submission gate opens",
         file: "jobs/submissionGate.js",
