--- a/test/submissionGate.test.ts
+++ b/test/submissionGate.test.ts
@@ -31,6 +31,7 @@
         assert.isTrue(isOpenAfter(failOn(["p0", "p0", "planner"], 1_000, 9_000)), "one part of jobs alone");
     });
 
+    // guards against a gate that closes on an idle VM, or for one part that is silent among others
     it("gets no older by silence, nor by a time before the latest answer", () => {
         const failedOnce = failOn(["p0", "p1"], 1_000, 1_004);
         assert.equal(unansweredMs(failedOnce), 4, "whatever the time, if nothing else was due");
@@ -49,6 +50,7 @@
         assert.equal(hurried.kind, GateDecisionKind.Refuse);
     });
 
+    // guards against callers that use up their retries during the outage, and against a burst of them after it
     it("asks callers back by how long outages have lasted, spread over half of the estimate", () => {
         const draw = (outageMs: number, past: number[]) =>
             Array.from({ length: 200 }, () => chooseRetryAfterMs(outageMs, past, random));
@@ -62,6 +64,7 @@
 });
 
 describe("the contact with the table", () => {
+    // guards against a gate that closes whenever nothing changes for as long as a long poll waits
     it("does not take a long poll that waits for an operation without an answer", async () => {
         const timer = createVirtualTimer();
         const lost = async () => {
--- a/test/submissionsWithoutTable.test.ts
+++ b/test/submissionsWithoutTable.test.ts
@@ -98,6 +98,7 @@
 for (const takesEffect of [false, true]) {
     const lost = takesEffect ? "answers" : "requests";
     describe(`submissions while the table's ${lost} are lost`, () => {
+        // guards against submissions that end as unknown one by one, and against a "not run" that is false
         it("are refused unsent, never run, and are accepted afterwards", async () => {
             const { fault, wrapTable } = createTableFault();
             const fleet = await createStartedFleet({ wrapTable });
@@ -136,6 +137,7 @@
 }
 
 describe("submissions to a VM that alone has no access to the table", () => {
+    // guards against one VM's partition that closes the gates of others, and a refusal of a job that is stored
     it("are refused by it with whole seconds in retry-after, while the others accept throughout", async () => {
         const fleet = await createStartedFleet();
         const stored = submitTo(fleet, "vm1", "stored");
@@ -188,6 +190,7 @@
         return { fleet: await createStartedFleet({ wrapTable }), silent };
     };
 
+    // guards against a gate that takes only direct answers as answers
     it("are accepted while one of them has access", async () => {
         const { fleet, silent } = await createRelayedFleet();
         silent.add("vm1").add("vm2");
@@ -197,6 +200,7 @@
         assert.isEmpty(linesOf(fleet, "submission gate closed"));
     });
 
+    // guards against a gate that an idle VM closes late, as it has no operations on several parts
     it("are refused unsent while none has, and accepted soon after one has again", async () => {
         const { fleet, silent } = await createRelayedFleet();
         silent.add("vm0").add("vm1").add("vm2");
@@ -213,6 +217,7 @@
 });
 
 describe("submissions while the table is impaired but answers", () => {
+    // guards against refusals of what other parts would store
     it("are sent when one part alone is silent", async () => {
         const { fault, wrapTable } = createTableFault();
         const fleet = await createStartedFleet({ wrapTable });
@@ -224,6 +229,7 @@
         assert.isEmpty(linesOf(fleet, "submission gate closed"));
     });
 
+    // guards against refusals of what a slow table would store in time
     it("are accepted when it is 60 times slower than usual", async () => {
         const { fault, wrapTable } = createTableFault();
         const fleet = await createStartedFleet({ wrapTable });
@@ -283,6 +289,7 @@
 });
 
 describe("a submission that a VM sent for another one", () => {
+    // guards against a "not run" for a job that this VM sent to the table when it relayed another VM's write
     it("is not refused there as not run while its outcome is unknown", async () => {
         const sent = createSentSubmissions({ nowMs: () => 0 }, 1_000);
         const unanswered = fail({ kind: StateErrorKind.NoAnswer as const, detail: "lost" });
