feat: unanswered starts of gang members are sent again before the gang is stopped

Cause: a start order without an answer stopped the whole gang, although the order can be repeated: a worker that has the run answers 200, and one that stopped or ended it refuses. Ruled out: a fresh lease in each try. It moves the time by which the run counts as ended past the time for which the other members wait. Clearing the run when a later try is refused: an earlier one may still be carried out. Change: up to 4 tries, the last at most 1.1 s after the first, all with the same run, worker, checkpoint and lease; then all members are stopped at once. A listed member whose gang has left its run is stopped instead of ending alone.

--- a/src/execution/reportHandler.ts
+++ b/src/execution/reportHandler.ts
@@ -23,6 +23,10 @@
 
 const runKey = (task: TaskId, run: number): string => `${taskKey(task)}#${run}`;
 
+/** Whether other members of a run's gang do not have that run any more, so that it would wait for them until it ends alone. */
+const isLeftByGang = ({ unit }: TaskState, run: Run): boolean =>
+    unit.step.gang && !unit.complete && unit.tasks.some(member => member.run?.number !== run.number);
+
 /** Creates the handler of a planner's reports from workers. */
 export const createReportHandler = (
     context: PlannerContext,
@@ -73,6 +77,9 @@
             if (isEnded(task.unit.job.phase) && !task.done) {
                 runStopper.stop(task, run, `job ${task.unit.job.phase}`);
             }
+            else if (isLeftByGang(task, run)) {
+                runStopper.stop(task, run, "another member is lost");
+            }
         }
         run.firstListedAtMs ??= nowMs;
         task.unit.job.hasStarted = true;
--- a/src/execution/runStarter.ts
+++ b/src/execution/runStarter.ts
@@ -1,14 +1,14 @@
-import { requeueUnstarted, RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
+import { requeueUnstarted, RunPhase } from "../jobs/progress.js";
 import type { Run, TaskState, Unit } from "../jobs/progress.js";
 import { leavesRoomInRow } from "../jobs/recordSize.js";
 import { isEnded, JobPhase } from "../jobs/types.js";
 import type { Assignment } from "../planning/types.js";
-import type { Result } from "../utils/result.js";
 import type { PlannerContext } from "./context.js";
 import type { RunStopper } from "./runStopper.js";
 import type { WorkerSession } from "./session.js";
-import { isAnswered, Refusal } from "./types.js";
-import type { OrderError } from "./types.js";
+import { isCurrent } from "./startOutcomes.js";
+import type { PlacedTask } from "./startOutcomes.js";
+import { acceptsStarts, createStartSender } from "./startSender.js";
 
 /** Starts tasks on the workers that a planning round assigned to them. */
 export interface RunStarter {
@@ -21,31 +21,9 @@
 /** Age above which a placement is discarded and planned again, because its input is out of date. */
 const maxPlacementAgeMs = 1_500;
 
-/**
- * Lease in a start order; the next poll extends it. It bounds the time until a start without an answer is abandoned on
- * an idle worker that stopped answering, and is long compared with the 0.9 s that an answer may take.
- */
-const startLeaseMs = 2_000;
-
 /** Share of the placed tasks of a step that stay placed each time that their record is too large. */
 const keptShare = 0.8;
 
-/** A task with the run that was created for its placement. */
-interface PlacedTask {
-    task: TaskState;
-    run: Run;
-}
-
-/** Whether the run was neither abandoned nor replaced meanwhile. */
-const isCurrent = ({ task, run }: PlacedTask): boolean => task.run === run;
-
-const outcomeOf = (result: Result<unknown, OrderError>): string => {
-    if (result.ok) {
-        return "started";
-    }
-    return result.error.kind === "refused" ? result.error.refusal : `no answer: ${result.error.detail}`;
-};
-
 /** Reason why a placement is no longer valid once it is recorded; `undefined` if it is. */
 const findPlacementProblem = (
     context: PlannerContext,
@@ -65,11 +43,8 @@
     if (context.timer.nowMs() - plannedAtMs > maxPlacementAgeMs) {
         return "recording it took too long";
     }
-    const { evacuatedZones } = context.operator();
     const isUnusable = ({ run: { worker } }: PlacedTask): boolean =>
-        worker.descriptor === undefined || worker.descriptor.draining || worker.closed || !worker.isSynced()
-        || !worker.mayExtendLease()
-        || evacuatedZones.has(worker.descriptor.availabilityZone);
+        !acceptsStarts(context, worker) || !worker.mayExtendLease();
     const unusable = placed.find(isUnusable);
     return unusable === undefined ? undefined : `worker ${unusable.run.worker.id} is not to be used any more`;
 };
@@ -119,7 +94,8 @@
 
 /** Creates the part of a planner that sends start orders. */
 export const createRunStarter = (context: PlannerContext, runStopper: RunStopper): RunStarter => {
-    const { log, timer, runs, health, term } = context;
+    const { log, timer, runs, term } = context;
+    const startSender = createStartSender(context, runStopper);
     const runNumberBase = (term - 1) * runNumbersPerTerm;
 
     const abandonPlacement = (unit: Unit, placed: readonly PlacedTask[], reason: string): void => {
@@ -132,77 +108,6 @@
         context.requestRound();
     };
 
-    const onRefused = (
-        { task, run }: PlacedTask,
-        error: OrderError & { kind: "refused"; },
-        sentAtMs: number,
-    ): void => {
-        if (error.refusal === Refusal.Unhealthy) {
-            health.recordFault(run.worker.id);
-        }
-        if (error.clockMs !== undefined) {
-            run.worker.recordAnswer(error.clockMs, sentAtMs);
-        }
-        runs.clear(task);
-        if (task.unit.step.gang) {
-            runStopper.stopMembers(task.unit, run.number, "another member was refused");
-        }
-        run.worker.resumePolling(true);
-        requeueUnstarted(task.unit.job);
-        void context.record(task.unit.job);
-        context.requestRound();
-    };
-
-    const onStarted = ({ task, run }: PlacedTask, clockMs: number | undefined, sentAtMs: number): void => {
-        task.unit.job.hasStarted = true;
-        run.worker.recordAnswer(clockMs, sentAtMs);
-        if (run.phase === RunPhase.Starting) {
-            run.phase = RunPhase.Running;
-            run.orderAnsweredAtMs = timer.nowMs();
-        }
-        run.worker.resumePolling();
-    };
-
-    const sendStart = async (placed: PlacedTask, spec: string): Promise<void> => {
-        const { task, run } = placed;
-        const { worker } = run;
-        if (worker.client === undefined) {
-            return;
-        }
-        const untilClockMs = worker.lease.untilClockMs(startLeaseMs);
-        const recordOutcome = worker.lease.recordLease(untilClockMs);
-        const sentAtMs = timer.nowMs();
-        const started = await worker.client.start({
-            task: taskIdOf(task),
-            run: run.number,
-            spec,
-            untilClockMs,
-            checkpoint: task.checkpoint,
-            fencingToken: worker.fencingToken,
-            gangSize: task.unit.step.gang ? task.unit.tasks.length : undefined,
-        });
-        recordOutcome(started);
-        if (!isAnswered(started)) {
-            context.unansweredStarts.record(worker.id, task, run.number);
-        }
-        const name = taskKey(taskIdOf(task));
-        log("info", "start ordered", { task: name, run: run.number, worker: worker.id, outcome: outcomeOf(started) });
-        if (!isCurrent(placed)) {
-            return;
-        }
-        if (started.ok) {
-            onStarted(placed, started.value.clockMs, sentAtMs);
-        }
-        else if (started.error.kind === "refused") {
-            onRefused(placed, started.error, sentAtMs);
-        }
-        else {
-            run.phase = run.phase === RunPhase.Starting ? RunPhase.Unknown : run.phase;
-            worker.recordNoAnswer(started.error.detail);
-            worker.resumePolling(true);
-        }
-    };
-
     const startRecorded = (unit: Unit, placed: readonly PlacedTask[], plannedAtMs: number): void => {
         const problem = findPlacementProblem(context, unit, placed, plannedAtMs);
         if (problem !== undefined) {
@@ -217,7 +122,7 @@
         for (const entry of placed.filter(isCurrent)) {
             entry.run.phase = RunPhase.Starting;
             entry.run.orderedAtMs = timer.nowMs();
-            void sendStart(entry, unit.job.submission.spec);
+            startSender.send(entry, unit.job.submission.spec);
         }
     };
 
--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -20,6 +20,8 @@
     recordOrder(kind: string, outcome: string, durationMs: number): void;
     /** Records the start of a run, `waitMs` after its tasks could start. */
     recordStart(priority: number, waitMs: number): void;
+    /** Counts a start order of a gang member that was sent again, by the outcome of that. */
+    recordRepeatedStart(outcome: string): void;
     /** Records the end of a job, `durationMs` after its acceptance. */
     recordJobEnd(phase: string, priority: number, durationMs: number): void;
     /** Counts a term that this VM gained or lost as the planner. */
@@ -106,6 +108,12 @@
         buckets: jobBucketsS,
         registers,
     });
+    const repeatedStarts = new Counter({
+        name: "catkinswitch_repeated_starts_total",
+        help: "Start orders of gang members that were sent again, by outcome; only on the planner.",
+        labelNames: ["outcome"],
+        registers,
+    });
     const jobs = new Histogram({
         name: "catkinswitch_job_seconds",
         help: "Time from the acceptance of a job to its end, by phase and priority.",
@@ -156,6 +164,7 @@
             tableCalls.observe({ operation, outcome }, durationMs / msPerSecond),
         recordOrder: (kind, outcome, durationMs) => orders.observe({ kind, outcome }, durationMs / msPerSecond),
         recordStart: (priority, waitMs) => starts.observe({ priority }, waitMs / msPerSecond),
+        recordRepeatedStart: outcome => repeatedStarts.inc({ outcome }),
         recordJobEnd: (phase, priority, durationMs) => jobs.observe({ phase, priority }, durationMs / msPerSecond),
         recordTermChange: change => terms.inc({ change }),
         setWaitingTasks: (priority, count) => waiting.set({ priority }, count),
