feat: runs that cannot end before their worker leaves are stopped at the notice

Cause: a run that is not resumable ran on until its worker was gone, and its gang with it. Resumable runs were stopped 0.9 s before, which is as long as a stop may take, so a round that came 0.25 s later lost the checkpoint. Ruled out: judging by the declared time alone, which is off by half in either direction: from 10 % of the work on the rate of progress counts. Progress without its age, since a report may be 1 s old. Filtering the evictions of a round for work that was moved: its claims would keep the victims from others, so the round is planned again without it. Change: departures.ts decides (pure), evacuation.ts applies; runs that are not resumable stop as soon as they cannot end in time, within maxUnavailable; resumable ones that cannot end move 1.5 s before the worker leaves, others at 0.9 s as before; long-running tasks as before. Until the worker is gone, at most 6 s, work that was moved preempts nothing unless guaranteed.

--- a/src/execution/reportHandler.ts
+++ b/src/execution/reportHandler.ts
@@ -84,6 +84,7 @@
         run.firstListedAtMs ??= nowMs;
         task.unit.job.hasStarted = true;
         run.percent = listed.percent;
+        run.reportedAtMs = nowMs;
         run.usage = listed.usage;
         if (listed.checkpoint !== "" && listed.checkpoint !== task.checkpoint) {
             endedRuns.updateCheckpoint(task, listed.checkpoint);
--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -3,9 +3,10 @@
 import type { JobState, Run, TaskState, Unit } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
 import { coreEquivalentsOf, occupiedBy, subtractResources } from "../planning/resources.js";
-import type { Candidate, DisruptionLimit, Occupant, WorkerInfo } from "../planning/types.js";
+import type { Candidate, Occupant, WorkerInfo } from "../planning/types.js";
 import type { UrgentUse } from "../planning/urgentDemand.js";
 import type { PlannerContext } from "./context.js";
+import { disruptionLimitOf } from "./disruptionLimit.js";
 import { peakAccelerators } from "./guarantees.js";
 import type { GuaranteeAllocations } from "./guarantees.js";
 import { isResumable } from "./isResumable.js";
@@ -203,19 +204,6 @@
     return lostMs * coreEquivalentsOf(task.unit.step.resources);
 };
 
-/** Progress that a long-running task reports while it is at work. */
-const atWorkPercent = 100;
-
-/** Whether a task is at work, as far as its worker has reported lately. */
-const isAvailable = ({ run }: TaskState): boolean =>
-    run?.phase === RunPhase.Running && run.percent >= atWorkPercent && run.worker.silentMs() === 0;
-
-const disruptionLimitOf = ({ step: { maxUnavailable }, tasks }: Unit): DisruptionLimit | undefined =>
-    maxUnavailable === undefined ? undefined : {
-        maxUnavailable,
-        unavailableTasks: new Set(tasks.filter(task => !isAvailable(task)).map(({ index }) => index)),
-    };
-
 const toOccupant = (
     unit: Unit,
     tasks: readonly TaskState[],
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -3,7 +3,6 @@
 import { isEnded } from "../jobs/types.js";
 import { untilLatestStartMs, workOf } from "../planning/order.js";
 import { noReservations } from "../planning/reservations.js";
-import { planRound } from "../planning/round.js";
 import type { Candidate, Occupant, PreemptionClaim, Round, WorkerInfo } from "../planning/types.js";
 import { createUrgentDemand } from "../planning/urgentDemand.js";
 import { runGuarded } from "../utils/runGuarded.js";
@@ -11,6 +10,7 @@
 import { collectCustomerUse } from "./customerLimits.js";
 import { allocateGuarantees, guaranteedGangs, reconcileReservations, updateReservations } from "./guarantees.js";
 import type { GuaranteeAllocations } from "./guarantees.js";
+import { planWithHeldPreemption } from "./heldPreemption.js";
 import { collectCandidates, collectOccupants, collectUrgentUse, collectWorkers } from "./roundInput.js";
 import type { RunMonitor } from "./runMonitor.js";
 import type { RunStarter } from "./runStarter.js";
@@ -47,6 +47,10 @@
     return context.jobs.get(key.slice(0, at))?.units.get(key.slice(at + 1));
 };
 
+/** Whether a candidate was moved from a leaving worker just now, so that it preempts nothing, unless it is guaranteed. */
+const holdsPreemption = (context: PlannerContext, { key, guaranteed }: Candidate): boolean =>
+    !guaranteed && (findUnit(context, key)?.holdsPreemptionUntilMs ?? 0) > context.timer.nowMs();
+
 /** Whether the job has ended and none of its runs is left. */
 const isFinished = (job: JobState): boolean => isEnded(job.phase) && activeRuns(job).length === 0;
 
@@ -167,20 +171,14 @@
         const urgentHeadroom = urgentDemand.expected(nowMs, collectUrgentUse(context), workers);
         const occupants = (): Occupant[] => collectOccupants(context, guarantees);
         const { limits: customerUses, shares: shareUses } = collectCustomerUse(context);
-        const round = planRound({
-            nowMs,
-            workers,
-            candidates,
-            occupants,
-            claims,
-            urgentHeadroom,
-            customerUses,
-            shareUses,
-        });
+        const { input, round } = planWithHeldPreemption(
+            { nowMs, workers, candidates, occupants, claims, urgentHeadroom, customerUses, shareUses },
+            candidate => holdsPreemption(context, candidate),
+        );
         claims = round.claims;
         logPreemptions(context, candidates, round);
         applyRound(context, runStopper, runStarter, round);
-        waitReporter.onRound(workers, candidates, round);
+        waitReporter.onRound(input.workers, candidates, round);
     };
 
     const request = (): void => {
--- a/src/execution/runMonitor.ts
+++ b/src/execution/runMonitor.ts
@@ -1,7 +1,7 @@
-import { gangMembersOf, RunPhase } from "../jobs/progress.js";
+import { RunPhase } from "../jobs/progress.js";
 import type { Run, TaskState } from "../jobs/progress.js";
 import type { PlannerContext } from "./context.js";
-import { isResumable } from "./isResumable.js";
+import { createEvacuation } from "./evacuation.js";
 import type { RunStopper } from "./runStopper.js";
 import type { WorkerSession } from "./session.js";
 
@@ -9,7 +9,7 @@
 export interface RunMonitor {
     /** Stops the runs on a worker that have stalled, after each report from it. */
     onReport(session: WorkerSession): void;
-    /** Stops resumable runs on workers that are about to leave or whose availability zone is out of service. */
+    /** Moves runs from workers that are about to leave, and resumable ones from availability zones that are out of service. */
     evacuateRuns(): void;
 }
 
@@ -22,8 +22,6 @@
 const minStallMs = 1_500;
 /** Minimum for a gang without any progress yet: its members wait for each other to start. */
 const minGangStallMs = 2_500;
-/** Time before a worker leaves at which its runs are evacuated: covers a stop, its report and a start elsewhere. */
-const evacuationLeadMs = 900;
 /** Time for which a stalled unit waits rather than run on the same worker again. */
 const mustAvoidMs = 2_000;
 /** Progress of a run whose work is complete. */
@@ -81,35 +79,5 @@
         }
     };
 
-    const evacuateTask = (task: TaskState, reason: string): void => {
-        const { run } = task;
-        if (run === undefined || run.phase !== RunPhase.Running || !isResumable(task, run, context.timer.nowMs())) {
-            return;
-        }
-        gangMembersOf(task).forEach(member => member.run !== undefined && runStopper.stop(member, member.run, reason));
-    };
-
-    const evacuationReason = ({ descriptor }: WorkerSession): string | undefined => {
-        const { configuration, evacuatedZones } = context.operator();
-        if (descriptor === undefined) {
-            return undefined;
-        }
-        if (descriptor.draining && (descriptor.leavesAtMs ?? Infinity) - context.timer.nowMs() < evacuationLeadMs) {
-            return "its worker is leaving";
-        }
-        return configuration?.evacuatesRunsFromZones === true && evacuatedZones.has(descriptor.availabilityZone)
-            ? "its availability zone is out"
-            : undefined;
-    };
-
-    const evacuateRuns = (): void => {
-        for (const session of context.sessions.values()) {
-            const reason = evacuationReason(session);
-            if (reason !== undefined) {
-                [...context.runs.tasksOn(session)].forEach(task => evacuateTask(task, reason));
-            }
-        }
-    };
-
-    return { onReport, evacuateRuns };
+    return { onReport, evacuateRuns: createEvacuation(context, runStopper) };
 };
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -28,6 +28,8 @@
     orderAnsweredAtMs: number;
     /** Completed share of the work in percent, as last reported. */
     percent: number;
+    /** Monotonic time of the latest report of it. @default it was not listed yet */
+    reportedAtMs?: number;
     /** Last reported tail latency in milliseconds for tasks that serve requests, else milli-cores in use. */
     usage: number;
     /** Monotonic time at which its checkpoint last changed. */
@@ -77,6 +79,8 @@
     evictions: number;
     /** Monotonic time before which its tasks are not started again. */
     notBeforeMs: number;
+    /** Monotonic time until which it preempts nothing, as it was moved from a worker that is about to leave. */
+    holdsPreemptionUntilMs: number;
 }
 
 /** A job and its progress. */
@@ -137,6 +141,7 @@
         failedRunMs: 0,
         evictions: 0,
         notBeforeMs: Number.NEGATIVE_INFINITY,
+        holdsPreemptionUntilMs: Number.NEGATIVE_INFINITY,
     };
     for (let index = 0; index < step.taskCount; index++) {
         unit.tasks.push({ unit, index, done: false, failedRuns: new Set(), checkpoint: "", lastRunNumber: 0 });
--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -22,6 +22,8 @@
     recordStart(priority: number, waitMs: number): void;
     /** Counts a start order of a gang member that was sent again, by the outcome of that. */
     recordRepeatedStart(outcome: string): void;
+    /** Counts a run, or a gang as one, that was moved from a worker that is about to leave. */
+    recordDepartureMove(resumable: boolean): void;
     /** Records the end of a job, `durationMs` after its acceptance. */
     recordJobEnd(phase: string, priority: number, durationMs: number): void;
     /** Counts a term that this VM gained or lost as the planner. */
@@ -44,6 +46,28 @@
 const jobBucketsS = [0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 300, 1_800];
 const msPerSecond = 1_000;
 
+/** Creates the counters of decisions that keep gangs and other runs from being lost. */
+const createGangCounters = (
+    registers: Registry[],
+): Pick<EntryMetrics, "recordRepeatedStart" | "recordDepartureMove"> => {
+    const repeatedStarts = new Counter({
+        name: "catkinswitch_repeated_starts_total",
+        help: "Start orders of gang members that were sent again, by outcome; only on the planner.",
+        labelNames: ["outcome"],
+        registers,
+    });
+    const departureMoves = new Counter({
+        name: "catkinswitch_departure_moves_total",
+        help: "Runs and gangs moved from workers that are about to leave, by whether they resume; only on the planner.",
+        labelNames: ["resumable"],
+        registers,
+    });
+    return {
+        recordRepeatedStart: outcome => repeatedStarts.inc({ outcome }),
+        recordDepartureMove: resumable => departureMoves.inc({ resumable: String(resumable) }),
+    };
+};
+
 /** Creates the metrics in a new registry. */
 export const createEntryMetrics = (): EntryMetrics => {
     const registry = new Registry();
@@ -108,12 +132,6 @@
         buckets: jobBucketsS,
         registers,
     });
-    const repeatedStarts = new Counter({
-        name: "catkinswitch_repeated_starts_total",
-        help: "Start orders of gang members that were sent again, by outcome; only on the planner.",
-        labelNames: ["outcome"],
-        registers,
-    });
     const jobs = new Histogram({
         name: "catkinswitch_job_seconds",
         help: "Time from the acceptance of a job to its end, by phase and priority.",
@@ -164,7 +182,7 @@
             tableCalls.observe({ operation, outcome }, durationMs / msPerSecond),
         recordOrder: (kind, outcome, durationMs) => orders.observe({ kind, outcome }, durationMs / msPerSecond),
         recordStart: (priority, waitMs) => starts.observe({ priority }, waitMs / msPerSecond),
-        recordRepeatedStart: outcome => repeatedStarts.inc({ outcome }),
+        ...createGangCounters(registers),
         recordJobEnd: (phase, priority, durationMs) => jobs.observe({ phase, priority }, durationMs / msPerSecond),
         recordTermChange: change => terms.inc({ change }),
         setWaitingTasks: (priority, count) => waiting.set({ priority }, count),
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -41,8 +41,8 @@
     },
     {
         without: "checking the operator state again before a start",
-        file: "execution/runStarter.js",
-        find: "|| evacuatedZones.has(worker.descriptor.availabilityZone)",
+        file: "execution/startSender.js",
+        find: "&& !operator().evacuatedZones.has(descriptor.availabilityZone)",
         replace: "",
         tests: "test/planner",
         fails: "abandons a placement when its zone is evacuated",
@@ -282,9 +282,9 @@
     },
     {
         without: "on entry VMs: not evacuating runs that save no checkpoints",
-        file: "execution/runMonitor.js",
-        find: "!isResumable(task, run, context.timer.nowMs())",
-        replace: "!task.unit.step.checkpointing",
+        file: "execution/evacuation.js",
+        find: "run?.phase === RunPhase.Running && isResumable(task, run, timer.nowMs())",
+        replace: "run?.phase === RunPhase.Running && task.unit.step.checkpointing",
         tests: "planner",
         fails: "lets runs that declare checkpoints and have saved none",
     },
