feat: wide gangs that cannot resume are placed on the workers with the least risk

Cause: losses of contact left no trace, failures were forgotten with the next success, and all of a worker's history with the session, also when the same incarnation was listed again after an outage. Ruled out: adding the risk to the suspicion of all work, which would move existing placements; changing compareOffers. Without any history nothing is computed from it. The history belongs to the incarnation, and outlives its sessions.

--- a/src/execution/contactTracker.ts
+++ b/src/execution/contactTracker.ts
@@ -10,7 +10,12 @@
 }
 
 /** Tracks whether a worker answers, and logs each change. */
-export const createContactTracker = (timer: TimerService, log: Log, worker: string): ContactTracker => {
+export const createContactTracker = (
+    timer: TimerService,
+    log: Log,
+    worker: string,
+    onLost: () => void = () => {},
+): ContactTracker => {
     let lastAnswerAtMs = timer.nowMs();
     let silentSinceMs: number | undefined;
     return {
@@ -26,6 +31,7 @@
             if (silentSinceMs === undefined) {
                 silentSinceMs = lastAnswerAtMs;
                 log("warn", "worker does not answer", { worker, reason });
+                onLost();
             }
         },
     };
--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -334,5 +334,6 @@
         cleared: session.isSynced(),
         silentMs: session.silentMs(),
         suspicion: context.health.suspicionOf(session.id),
+        risk: context.health.riskOf(session.id),
     })),
 });
--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -13,6 +13,7 @@
 import { leaseRenewalWindowMs } from "./plannerElection.js";
 import type { WorkerSession } from "./session.js";
 import { usualLeaseMs } from "./workerLease.js";
+import { addRackRisk } from "./workerRisk.js";
 
 /** Time lost when a run is stopped and resumed: the stop, the wait for a placement and loading the checkpoint. */
 const resumeCostMs = 500;
@@ -90,6 +91,7 @@
             backfillWindowMs: Number.POSITIVE_INFINITY,
             hasReservation: false,
             suspicion: context.health.suspicionOf(session.id),
+            risk: context.health.riskOf(session.id),
             hasServingTask: false,
             hasIdleFillingTask: false,
         };
@@ -108,6 +110,7 @@
         }
         workers.push(worker);
     }
+    addRackRisk(workers);
     return workers;
 };
 
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -2,6 +2,7 @@
 import type { JobState, Unit } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
 import { untilLatestStartMs, workOf } from "../planning/order.js";
+import { isExposed } from "../planning/placement.js";
 import { noReservations } from "../planning/reservations.js";
 import type { Candidate, Occupant, PreemptionClaim, Round, WorkerInfo } from "../planning/types.js";
 import { createUrgentDemand } from "../planning/urgentDemand.js";
@@ -82,6 +83,20 @@
     }
 };
 
+/** Logs where wide gangs that cannot resume are placed while some workers are at risk. */
+const logRiskyPlacements = ({ log, metrics }: PlannerContext, workers: readonly WorkerInfo[], round: Round): void => {
+    const atRisk = new Map(workers.filter(({ risk }) => risk > 0).map(({ workerId, risk }) => [workerId, risk]));
+    metrics.setWorkersAtRisk(atRisk.size);
+    for (const { candidate, assignments } of round.placements) {
+        if (atRisk.size > 0 && isExposed(candidate)) {
+            const risks = [...new Set(assignments.map(({ workerId }) => workerId))].map(id => atRisk.get(id) ?? 0);
+            const placed = { tasks: assignments.length, workers: risks.length };
+            const used = { usedAtRisk: risks.filter(risk => risk > 0).length, highestRisk: Math.max(...risks) };
+            log("info", "wide gang placed", { unit: candidate.key, ...placed, atRisk: atRisk.size, ...used });
+        }
+    }
+};
+
 const applyRound = (context: PlannerContext, runStopper: RunStopper, runStarter: RunStarter, round: Round): void => {
     for (const { occupant, forKey } of round.evictions) {
         const unit = findUnit(context, occupant.key);
@@ -177,6 +192,7 @@
         );
         claims = round.claims;
         logPreemptions(context, candidates, round);
+        logRiskyPlacements(context, input.workers, round);
         applyRound(context, runStopper, runStarter, round);
         waitReporter.onRound(input.workers, candidates, round);
     };
--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -24,6 +24,8 @@
     onLeaseExpired(session: WorkerSession): void;
     /** Called when a later incarnation of the worker answers; `bornMs` is its start, unless it refuses to be called. */
     onRestarted(session: WorkerSession, bornMs?: number): void;
+    /** Called when the worker does not answer any more. */
+    onContactLost(session: WorkerSession): void;
     /** Called when the worker has seen a higher fencing token. */
     onFenced(session: WorkerSession): void;
 }
@@ -110,7 +112,7 @@
 /** Opens a session: polls the worker for its runs, renews their lease and passes on the reports. */
 export const createWorkerSession = (options: WorkerSessionOptions): WorkerSession => {
     const { timer, log, client, fencingToken, listener } = options;
-    const contact = createContactTracker(timer, log, options.id);
+    const contact = createContactTracker(timer, log, options.id, () => listener.onContactLost(session));
     const ends = createEndCursor();
     const pollPause = createPollPause(timer);
     const logPollError = createUnexpectedErrorLog(log, "a worker could not be polled");
--- a/src/execution/sessionLifecycle.ts
+++ b/src/execution/sessionLifecycle.ts
@@ -124,10 +124,17 @@
                 },
                 onLeaseExpired: expired => reports.abandonRuns(expired, "its lease has lapsed", false),
                 onRestarted: options.onRestarted,
+                onContactLost: lost => {
+                    // a session that was replaced says nothing about the incarnation that runs now
+                    if (sessions.get(id) === lost) {
+                        health.recordLostContact(id);
+                    }
+                },
                 onFenced: fenced => options.onFenced(`worker ${fenced.id} has seen a later term`),
             },
         });
         sessions.set(id, session);
+        health.beginSession(id, bornMs);
         // an incarnation that began since has not seen the stops that went to the one before
         context.unansweredStarts.givenUpOn(id).forEach(({ task, run }) => session.fenceRun(taskIdOf(task), run));
         return session;
@@ -153,8 +160,8 @@
         session.close();
         if (sessions.get(session.id) === session) {
             sessions.delete(session.id);
+            health.endSession(session.id);
         }
-        health.reset(session.id);
         reports.abandonRuns(session, reason, true);
     };
 
--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -24,6 +24,8 @@
     recordRepeatedStart(outcome: string): void;
     /** Counts a run, or a gang as one, that was moved from a worker that is about to leave. */
     recordDepartureMove(resumable: boolean): void;
+    /** Sets the number of workers with a risk, by their recent history or their rack's. */
+    setWorkersAtRisk(count: number): void;
     /** Records the end of a job, `durationMs` after its acceptance. */
     recordJobEnd(phase: string, priority: number, durationMs: number): void;
     /** Counts a term that this VM gained or lost as the planner. */
@@ -49,7 +51,7 @@
 /** Creates the counters of decisions that keep gangs and other runs from being lost. */
 const createGangCounters = (
     registers: Registry[],
-): Pick<EntryMetrics, "recordRepeatedStart" | "recordDepartureMove"> => {
+): Pick<EntryMetrics, "recordRepeatedStart" | "recordDepartureMove" | "setWorkersAtRisk"> => {
     const repeatedStarts = new Counter({
         name: "catkinswitch_repeated_starts_total",
         help: "Start orders of gang members that were sent again, by outcome; only on the planner.",
@@ -62,7 +64,13 @@
         labelNames: ["resumable"],
         registers,
     });
+    const workersAtRisk = new Gauge({
+        name: "catkinswitch_workers_at_risk",
+        help: "Workers with a risk, by their recent history or their rack's; only on the planner.",
+        registers,
+    });
     return {
+        setWorkersAtRisk: count => workersAtRisk.set(count),
         recordRepeatedStart: outcome => repeatedStarts.inc({ outcome }),
         recordDepartureMove: resumable => departureMoves.inc({ resumable: String(resumable) }),
     };
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -305,18 +305,29 @@
 /** Number of domains, the tightest fits, that are compared by the suspicion of their workers. */
 const maxDomainsCompared = 3;
 
+/** Number of members from which a gang counts as wide; losing any one of them throws away the work of all. */
+const wideGangTasks = 4;
+
+/** Whether the loss of one worker throws away the work of many tasks: a wide gang that cannot resume. */
+export const isExposed = ({ step }: Candidate): boolean =>
+    step.gang && !step.checkpointing && step.taskCount >= wideGangTasks;
+
+const addRisk = (worker: WorkerInfo): WorkerInfo => ({ ...worker, suspicion: worker.suspicion + worker.risk });
+
 /** Finds workers for all tasks of a gang; `undefined` if they do not all fit. */
-export const placeGang = (workers: readonly WorkerInfo[], candidate: Candidate): Assignment[] | undefined =>
-    gangDomains(workers, candidate)
-        .map(domain => offersOf(domain, candidate))
+export const placeGang = (workers: readonly WorkerInfo[], candidate: Candidate): Assignment[] | undefined => {
+    const avoidsRisk = isExposed(candidate) && workers.some(({ risk }) => risk > 0);
+    return gangDomains(workers, candidate)
+        .map(domain => offersOf(avoidsRisk ? domain.map(addRisk) : domain, candidate))
         .map(offers => ({ offers, count: sumOffered(offers) }))
         .filter(option => option.count >= candidate.taskIndexes.length)
         .sort((left, right) => left.count - right.count)
-        .slice(0, maxDomainsCompared)
+        .slice(0, avoidsRisk ? undefined : maxDomainsCompared)
         .map(({ offers }) => ({ offers, assignments: pack(offers, candidate.taskIndexes) }))
         .map(({ offers, assignments }) => ({ assignments, suspicion: highestSuspicion(assignments, offers) }))
         .sort((left, right) => left.suspicion - right.suspicion)
         .at(0)?.assignments;
+};
 
 /** Whether a task of the candidate could run near its data if nothing else ran there. */
 const canRunNearData = (workers: readonly WorkerInfo[], candidate: Candidate): boolean =>
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -29,6 +29,8 @@
     hasReservation: boolean;
     /** Score of recent failures and slowness there; 0 for a healthy worker. */
     suspicion: number;
+    /** How likely it is to lose its runs, by its recent history and, with less weight, its rack's; 0 without any. */
+    risk: number;
     /** A task that serves its own users, with a bound on response times, runs there. */
     hasServingTask: boolean;
     /** A task that fills idle cores runs there. */
--- a/test/session.test.ts
+++ b/test/session.test.ts
@@ -33,6 +33,7 @@
         onReport: () => {},
         onLeaseExpired: () => {},
         onRestarted: (_session, bornMs) => restarts.push(bornMs),
+        onContactLost: () => {},
         onFenced: () => {},
     };
     const session = createWorkerSession({
--- a/tools/planningMutants.ts
+++ b/tools/planningMutants.ts
@@ -218,4 +218,20 @@
         tests: "test/rounds",
         fails: "go on soon after one during which the process was held up",
     },
+    {
+        without: "risk in the placement of wide gangs that cannot resume",
+        file: "planning/placement.js",
+        find: "worker.suspicion + worker.risk",
+        replace: "worker.suspicion",
+        tests: "workerRisk",
+        fails: "is placed on the workers with the least risk",
+    },
+    {
+        without: "comparing the risk of all domains",
+        file: "planning/placement.js",
+        find: "avoidsRisk ? undefined : maxDomainsCompared",
+        replace: "maxDomainsCompared",
+        tests: "workerRisk",
+        fails: "however many are a tighter fit",
+    },
 ];
--- a/tools/workerMutants.ts
+++ b/tools/workerMutants.ts
@@ -202,4 +202,28 @@
         tests: "departures",
         fails: "preempts nothing until the worker is gone",
     },
+    {
+        without: "keeping a worker's history over sessions with the same incarnation",
+        file: "execution/workerHealth.js",
+        find: "entry?.bornMs === bornMs",
+        replace: "false",
+        tests: "workerRisk",
+        fails: "avoids it also once its entry was gone for a while",
+    },
+    {
+        without: "counting losses of contact",
+        file: "execution/sessionLifecycle.js",
+        find: "health.recordLostContact(id);",
+        replace: "",
+        tests: "workerRisk",
+        fails: "avoids a worker for a while that did not answer",
+    },
+    {
+        without: "the rack in a worker's risk",
+        file: "execution/workerRisk.js",
+        find: "const rackWeight = 0.1;",
+        replace: "const rackWeight = 0;",
+        tests: "workerRisk",
+        fails: "includes that of its rack with less weight",
+    },
 ];
