fix: a gang restarts from the newest checkpoint of its members

Cause: each report of a member replaced the checkpoint of the whole gang if it differed, so a member that still listed an older one brought that back with every poll, and so did the last periodic checkpoint of a member that had failed. Ruled out: comparing checkpoints, which are opaque; counting them, as polls may miss some. Change: a checkpoint counts as newer if its run has not reported it before; one that a stopped member saved is not replaced by those of members that ended otherwise.

--- a/src/execution/endedRunHandler.ts
+++ b/src/execution/endedRunHandler.ts
@@ -1,10 +1,11 @@
-import { activeRuns, gangMembersOf, isJobComplete, taskIdOf, taskKey } from "../jobs/progress.js";
+import { activeRuns, isJobComplete, taskIdOf, taskKey } from "../jobs/progress.js";
 import type { JobState, Run, TaskState, Unit } from "../jobs/progress.js";
 import { isEnded, JobPhase } from "../jobs/types.js";
 import { describeRunWork } from "./context.js";
 import type { PlannerContext } from "./context.js";
 import type { RunStopper } from "./runStopper.js";
 import type { WorkerSession } from "./session.js";
+import { createTaskCheckpoints } from "./taskCheckpoints.js";
 import { EndKind } from "./types.js";
 import type { EndedRun } from "./types.js";
 
@@ -14,8 +15,8 @@
     applyEnd(task: TaskState, run: Run, end: EndedRun): void;
     /** Applies the end of a run that was abandoned before; a success or failure still counts. */
     applyStaleEnd(task: TaskState, end: EndedRun, session: WorkerSession): void;
-    /** Stores a checkpoint for a task and the other members of its gang; an empty one is ignored. */
-    updateCheckpoint(task: TaskState, checkpoint: string): void;
+    /** Stores the checkpoint that a listed run reports; returns whether it is a new one. */
+    applyCheckpoint(task: TaskState, run: Run, checkpoint: string): boolean;
     /** Ends a job that has not ended yet, and stops its runs. */
     endJob(job: JobState, phase: JobPhase, reason: string): void;
 }
@@ -28,6 +29,7 @@
 /** Creates the handler of a planner's ended runs. */
 export const createEndedRunHandler = (context: PlannerContext, runStopper: RunStopper): EndedRunHandler => {
     const { log, timer, health } = context;
+    const checkpoints = createTaskCheckpoints();
 
     const endJob = (job: JobState, phase: JobPhase, reason: string): void => {
         if (isEnded(job.phase)) {
@@ -81,16 +83,6 @@
         }
     };
 
-    const updateCheckpoint = (task: TaskState, checkpoint: string): void => {
-        if (checkpoint === "") {
-            return;
-        }
-        // a checkpoint of any member covers the whole gang, and all members must start from the same one
-        gangMembersOf(task).forEach(other => {
-            other.checkpoint = checkpoint;
-        });
-    };
-
     const applyLongRunningEnd = (task: TaskState, end: EndedRun, session: WorkerSession): void => {
         task.unit.notBeforeMs = timer.nowMs() + restartDelayMs;
         if (end.kind === EndKind.Failed) {
@@ -102,7 +94,7 @@
         const { unit } = task;
         const session = run.worker;
         const work = describeRunWork(task, run, timer.nowMs());
-        updateCheckpoint(task, end.checkpoint);
+        checkpoints.applyEnd(task, run, end);
         const name = taskKey(taskIdOf(task));
         log("info", "run ended", { task: name, run: end.run, kind: end.kind, worker: session.id, ...work });
         if (unit.step.longRunning) {
@@ -149,5 +141,5 @@
         }
     };
 
-    return { applyEnd, applyStaleEnd, updateCheckpoint, endJob };
+    return { applyEnd, applyStaleEnd, applyCheckpoint: checkpoints.apply, endJob };
 };
--- a/src/execution/reportHandler.ts
+++ b/src/execution/reportHandler.ts
@@ -86,8 +86,7 @@
         run.percent = listed.percent;
         run.reportedAtMs = nowMs;
         run.usage = listed.usage;
-        if (listed.checkpoint !== "" && listed.checkpoint !== task.checkpoint) {
-            endedRuns.updateCheckpoint(task, listed.checkpoint);
+        if (endedRuns.applyCheckpoint(task, run, listed.checkpoint)) {
             run.checkpointedAtMs = nowMs;
         }
     };
--- a/src/execution/runStarter.ts
+++ b/src/execution/runStarter.ts
@@ -65,6 +65,7 @@
         orderAnsweredAtMs: Number.POSITIVE_INFINITY,
         percent: 0,
         usage: 0,
+        ownCheckpoint: task.checkpoint,
         checkpointedAtMs: nowMs,
     };
     runs.set(task, run);
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -32,6 +32,8 @@
     reportedAtMs?: number;
     /** Last reported tail latency in milliseconds for tasks that serve requests, else milli-cores in use. */
     usage: number;
+    /** Checkpoint that it started from or last reported itself. @default not known */
+    ownCheckpoint?: string;
     /** Monotonic time at which its checkpoint last changed. */
     checkpointedAtMs: number;
     /** Monotonic time at which the worker first listed it as running. */
--- a/test/gangStarts.test.ts
+++ b/test/gangStarts.test.ts
@@ -1,4 +1,5 @@
 import { assert } from "chai";
+import { startRetryDelayMs } from "../src/execution/startRetry.js";
 import { Refusal } from "../src/execution/types.js";
 import { JobPhase } from "../src/jobs/types.js";
 import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
@@ -178,6 +179,18 @@
     }
 });
 
+describe("the tries of a start order", () => {
+    // guards against tries that are used up in a moment by a connection that is refused, and against endless ones
+    it("are apart, few, and early enough for the answer of the last to be there within 2 s", () => {
+        const first = { count: 1, firstSentAtMs: 0, lastSentAtMs: 0 };
+        assert.equal(startRetryDelayMs(first, 900), 0);
+        assert.equal(startRetryDelayMs(first, 5), 295);
+        assert.isUndefined(startRetryDelayMs({ ...first, count: 4, lastSentAtMs: 900 }, 905));
+        assert.isUndefined(startRetryDelayMs({ ...first, count: 2, lastSentAtMs: 900 }, 1_800));
+        assert.isUndefined(startRetryDelayMs(first, 1_101));
+    });
+});
+
 describe("members of a gang that one of them has left", () => {
     // guards against members that wait until they end alone because the stops of the planner before were lost
     it("are stopped by the next planner", async () => {
--- a/tools/workerMutants.ts
+++ b/tools/workerMutants.ts
@@ -226,4 +226,20 @@
         tests: "workerRisk",
         fails: "includes that of its rack with less weight",
     },
+    {
+        without: "ignoring a checkpoint that its run has reported before",
+        file: "execution/taskCheckpoints.js",
+        find: "run.ownCheckpoint ?? task.checkpoint",
+        replace: "task.checkpoint",
+        tests: "gangRestarts",
+        fails: "does not go back to a checkpoint that another member still reports",
+    },
+    {
+        without: "preferring the checkpoint that a stopped member saved",
+        file: "execution/taskCheckpoints.js",
+        find: "savedWhenStopped.get(unit) === run.number",
+        replace: "false",
+        tests: "gangRestarts",
+        fails: "restarts from a checkpoint that a member saved when it was stopped",
+    },
 ];
