fix: gangs are stopped in time when a member's worker starts again without answering

The tests for restarts in gangStarts named the worker before it was known, so they restarted none. Ruled out: planner changes while a worker is silent; they cause what is left and are treated as before. Change: 2 s after the first try a gang is stopped if a moved member is still unknown; if a report does not list a member, all are told to stop at once. The tests restart the worker now. A mutant of missingRuns named the file it was in before.

--- a/src/execution/missingRuns.ts
+++ b/src/execution/missingRuns.ts
@@ -17,14 +17,22 @@
     { unansweredStarts }: PlannerContext,
     runStopper: RunStopper,
     abandonRun: (task: TaskState, run: Run, reason: string) => void,
-): MissingRunHandler => ({
-    resolve: (task, run, sentAtMs) => {
+): MissingRunHandler => {
+    /** Stops a run, and the members of its gang, which would wait for it until they end alone. */
+    const stopWithGang = (task: TaskState, run: Run, reason: string): void => {
+        runStopper.stop(task, run, reason);
+        if (task.unit.step.gang && !task.unit.complete) {
+            runStopper.stopMembers(task.unit, run.number, "another member may not have started");
+        }
+    };
+
+    const resolve: MissingRunHandler["resolve"] = (task, run, sentAtMs) => {
         const isAnswered = run.orderAnsweredAtMs < sentAtMs;
         if (run.phase === RunPhase.Unknown) {
-            runStopper.stop(task, run, "it is not known whether it started");
+            stopWithGang(task, run, "it is not known whether it started");
         }
         else if (run.phase === RunPhase.Running && isAnswered) {
-            runStopper.stop(task, run, "the worker does not list it");
+            stopWithGang(task, run, "the worker does not list it");
         }
         else if (run.phase === RunPhase.Stopping && isAnswered) {
             if (run.firstListedAtMs === undefined) {
@@ -33,5 +41,7 @@
             }
             abandonRun(task, run, "stopped");
         }
-    },
-});
+    };
+
+    return { resolve };
+};
--- a/src/execution/startOutcomes.ts
+++ b/src/execution/startOutcomes.ts
@@ -80,7 +80,7 @@
     /** Leaves it to the worker's reports whether the run has started; a gang is stopped. */
     const onUnanswered = (placed: PlacedTask): void => {
         const { task, run } = placed;
-        if (!isCurrent(placed) || run.phase !== RunPhase.Starting) {
+        if (!isCurrent(placed) || (run.phase !== RunPhase.Starting && run.phase !== RunPhase.Unknown)) {
             return;
         }
         run.phase = RunPhase.Unknown;
--- a/src/execution/startSender.ts
+++ b/src/execution/startSender.ts
@@ -22,6 +22,9 @@
  */
 const startLeaseMs = 2_000;
 
+/** Time after the first try of a gang member's start after which the gang is stopped if it is not known to have started. */
+const startKnownAfterMs = 2_000;
+
 /** Whether runs may be started on a worker, apart from the extension of its lease. */
 export const acceptsStarts = ({ operator }: PlannerContext, { descriptor, closed, isSynced }: WorkerSession): boolean =>
     descriptor !== undefined && !descriptor.draining && !closed && isSynced()
@@ -89,6 +92,18 @@
         isCurrent(placed) && placed.run.phase === RunPhase.Starting && context.mayOrder()
         && acceptsStarts(context, placed.run.worker);
 
+    /** Stops a gang whose run was moved to the worker's next session, unless that tells in time whether it has started. */
+    const stopGangIfUnknown = async (placed: PlacedTask, firstSentAtMs: number): Promise<void> => {
+        const { task, run } = placed;
+        if (isCurrent(placed) || task.run?.number !== run.number || !task.unit.step.gang) {
+            return;
+        }
+        await timer.sleep(Math.max(0, firstSentAtMs + startKnownAfterMs - timer.nowMs()));
+        if (task.run?.number === run.number && !context.isTermOver()) {
+            onUnanswered({ task, run: task.run });
+        }
+    };
+
     /**
      * Sends the order until it is answered or must not be sent again. Each try carries the lease of the first, so that none
      * is carried out after the time at which the run counts as ended.
@@ -100,6 +115,7 @@
             const tries: StartTries = { count, firstSentAtMs, lastSentAtMs: timer.nowMs() };
             const started = await sendOnce(placed, order, tries);
             if (started === undefined || !isCurrent(placed)) {
+                await stopGangIfUnknown(placed, firstSentAtMs);
                 return;
             }
             if (started.ok) {
@@ -118,6 +134,7 @@
             }
             if (delayMs === undefined || !mayRepeat(placed)) {
                 onUnanswered(placed);
+                await stopGangIfUnknown(placed, firstSentAtMs);
                 return;
             }
         }
--- a/test/gangStarts.test.ts
+++ b/test/gangStarts.test.ts
@@ -8,6 +8,8 @@
 
 const memberCount = 3;
 const settleMs = 1_000;
+/** Time in which a gang is placed and its placement recorded. */
+const placementMs = 20;
 /** Time after the first try within which the tries end, and in which the members are told to stop. */
 const triesMs = 2_000;
 const lateOrderMs = 15_000;
@@ -49,6 +51,8 @@
         return kind === "start" && id === workerId ? fault(++attempt) : CallFault.None;
     };
     await fleet.submit(createSubmission("gang", [gangStep], {}, { workMs }));
+    await fleet.timer.advance(placementMs);
+    assert.notEqual(workerId, "", "its start is ordered");
     return { fleet, workerId };
 };
 
@@ -166,6 +170,29 @@
         });
     }
 
+    // guards against members that wait for one whose worker started again and does not answer
+    it("has the gang stopped in time when the worker starts again and does not answer then", async () => {
+        const { fleet, workerId } = await startGang(5_000, () => CallFault.RequestLost);
+        await fleet.timer.advance(300);
+        fleet.restartWorker(workerId);
+        fleet.workers.get(workerId)!.unreachable = true;
+        await fleet.timer.advance(triesMs);
+        assert.sameMembers(stoppedTasks(fleet), allTasks);
+        await fleet.timer.advance(lateOrderMs);
+        assertNoneAlone(fleet);
+        assert.deepEqual(findViolations(fleet.spans), []);
+    });
+
+    // guards against members that wait until the stop of the one that did not start is answered
+    it("has the gang stopped at once when the worker's next incarnation does not list the run", async () => {
+        const { fleet, workerId } = await startGang(5_000, () => CallFault.RequestLost);
+        fleet.orderDelayMs = (_vm, kind, id) => kind === "stop" && id === workerId ? 850 : 0;
+        await fleet.timer.advance(300);
+        fleet.restartWorker(workerId);
+        await fleet.timer.advance(200);
+        assert.sameMembers(stoppedTasks(fleet), allTasks);
+    });
+
     for (const killAfterMs of [300, 905, 1_500]) {
         // guards against tries of a planner that another one has replaced
         it(`is left to the next planner when the planner is killed after ${killAfterMs} ms`, async () => {
@@ -194,12 +221,13 @@
 describe("members of a gang that one of them has left", () => {
     // guards against members that wait until they end alone because the stops of the planner before were lost
     it("are stopped by the next planner", async () => {
-        const { fleet } = await startGang(5_000, () => CallFault.None, refuseNextStart);
-        const { orderFault } = fleet;
-        const first = fleet.planner()!;
-        fleet.orderFault = (vm, kind, id) =>
-            vm === first && kind === "stop" ? CallFault.RequestLost : orderFault(vm, kind, id);
-        await fleet.timer.advance(50);
+        let first = "";
+        const { fleet } = await startGang(5_000, () => CallFault.None, (prepared, id) => {
+            first = prepared.planner()!;
+            refuseNextStart(prepared, id);
+            prepared.orderFault = (vm, kind) =>
+                vm === first && kind === "stop" ? CallFault.RequestLost : CallFault.None;
+        });
         void fleet.vms.get(first)?.stepDown();
         await fleet.timer.advance(lateOrderMs);
         assertNoneAlone(fleet);
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -250,8 +250,8 @@
     },
     {
         without: "on entry VMs: stopping a run whose start order got no answer",
-        file: "execution/reportHandler.js",
-        find: "runStopper.stop(task, run, \"it is not known whether it started\")",
+        file: "execution/missingRuns.js",
+        find: "stopWithGang(task, run, \"it is not known whether it started\")",
         replace: "abandonRun(task, run, \"in doubt\")",
         tests: "interleavings",
         fails: "under every choice of two faults",
--- a/tools/workerMutants.ts
+++ b/tools/workerMutants.ts
@@ -242,4 +242,20 @@
         tests: "gangRestarts",
         fails: "restarts from a checkpoint that a member saved when it was stopped",
     },
+    {
+        without: "stopping the gang of a run whose worker's next session does not answer",
+        file: "execution/startSender.js",
+        find: "onUnanswered({ task, run: task.run });",
+        replace: "",
+        tests: "gangStarts",
+        fails: "when the worker starts again and does not answer then",
+    },
+    {
+        without: "stopping a gang as soon as a worker does not list a member",
+        file: "execution/missingRuns.js",
+        find: "task.unit.step.gang && !task.unit.complete",
+        replace: "false",
+        tests: "gangStarts",
+        fails: "when the worker's next incarnation does not list the run",
+    },
 ];
