--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -24,6 +24,12 @@
     recordOrder(kind: string, outcome: string, durationMs: number): void;
     /** Records the start of a run, `waitMs` after its tasks could start. */
     recordStart(priority: number, waitMs: number): void;
+    /** Counts a start order of a gang member that was sent again, by the outcome of that. */
+    recordRepeatedStart(outcome: string): void;
+    /** Counts a run, or a gang as one, that was moved from a worker that is about to leave. */
+    recordDepartureMove(resumable: boolean): void;
+    /** Sets the number of workers with a risk, by their recent history or their rack's. */
+    setWorkersAtRisk(count: number): void;
     /** Records the end of a job, `durationMs` after its acceptance. */
     recordJobEnd(phase: string, priority: number, durationMs: number): void;
     /** Counts a term that this VM gained or lost as the planner. */
@@ -67,6 +73,34 @@
     };
 };
 
+/** Creates the counters of decisions that keep gangs and other runs from being lost. */
+const createGangCounters = (
+    registers: Registry[],
+): Pick<EntryMetrics, "recordRepeatedStart" | "recordDepartureMove" | "setWorkersAtRisk"> => {
+    const repeatedStarts = new Counter({
+        name: "catkinswitch_repeated_starts_total",
+        help: "Start orders of gang members that were sent again, by outcome; only on the planner.",
+        labelNames: ["outcome"],
+        registers,
+    });
+    const departureMoves = new Counter({
+        name: "catkinswitch_departure_moves_total",
+        help: "Runs and gangs moved from workers that are about to leave, by whether they resume; only on the planner.",
+        labelNames: ["resumable"],
+        registers,
+    });
+    const workersAtRisk = new Gauge({
+        name: "catkinswitch_workers_at_risk",
+        help: "Workers with a risk, by their recent history or their rack's; only on the planner.",
+        registers,
+    });
+    return {
+        setWorkersAtRisk: count => workersAtRisk.set(count),
+        recordRepeatedStart: outcome => repeatedStarts.inc({ outcome }),
+        recordDepartureMove: resumable => departureMoves.inc({ resumable: String(resumable) }),
+    };
+};
+
 /** Creates the metrics in a new registry. */
 export const createEntryMetrics = (): EntryMetrics => {
     const registry = new Registry();
@@ -182,6 +216,7 @@
         ...createGateMetrics(registers),
         recordOrder: (kind, outcome, durationMs) => orders.observe({ kind, outcome }, durationMs / msPerSecond),
         recordStart: (priority, waitMs) => starts.observe({ priority }, waitMs / msPerSecond),
+        ...createGangCounters(registers),
         recordJobEnd: (phase, priority, durationMs) => jobs.observe({ phase, priority }, durationMs / msPerSecond),
         recordTermChange: change => terms.inc({ change }),
         setWaitingTasks: (priority, count) => waiting.set({ priority }, count),
