test: workers of the stand-ins run at a speed of their own

Cause: a fleet with slow workers could not be expressed; every member of a gang ended by its own time. Change: the worker model has a rate of work, a gang works at the rate of its slowest member, and the tasks of a step may be uneven. The defaults are as before.

--- a/bench/simulatedPlanner.ts
+++ b/bench/simulatedPlanner.ts
@@ -4,6 +4,7 @@
 import { createRunTable } from "../src/execution/context.js";
 import type { PlannerContext } from "../src/execution/context.js";
 import type { WorkerSession } from "../src/execution/session.js";
+import { createSpeedHistory } from "../src/execution/speedHistory.js";
 import { createUnansweredStarts } from "../src/execution/unansweredStarts.js";
 import { createWorkerHealth } from "../src/execution/workerHealth.js";
 import { createWorkerLease } from "../src/execution/workerLease.js";
@@ -100,6 +101,7 @@
         runs,
         unansweredStarts: createUnansweredStarts(timer),
         health: createWorkerHealth(timer),
+        speeds: createSpeedHistory(timer, () => {}, createEntryMetrics()),
         operator: () => state,
         mayOrder: () => true,
         record: async () => true,
--- a/src/execution/context.ts
+++ b/src/execution/context.ts
@@ -5,6 +5,7 @@
 import type { OperatorState } from "../queues/types.js";
 import type { TimerService } from "../utils/timer.js";
 import type { WorkerSession } from "./session.js";
+import type { SpeedHistory } from "./speedHistory.js";
 import type { UnansweredStarts } from "./unansweredStarts.js";
 import type { WorkerHealth } from "./workerHealth.js";
 
@@ -34,6 +35,7 @@
     runs: RunTable;
     unansweredStarts: UnansweredStarts;
     health: WorkerHealth;
+    speeds: SpeedHistory;
     /** Configuration in force and availability zones out of service. */
     operator: () => OperatorState;
     /** Whether new orders may be sent. */
--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -15,7 +15,7 @@
 import type { TableFollower } from "../state/follower.js";
 import type { StateRow, StateTable } from "../state/types.js";
 import { awaitGuarded, runGuarded } from "../utils/runGuarded.js";
-import type { TimerService } from "../utils/timer.js";
+import type { TimerService, Unsubscribe } from "../utils/timer.js";
 import { createRunTable } from "./context.js";
 import type { PlannerContext } from "./context.js";
 import { createEndedRunHandler } from "./endedRunHandler.js";
@@ -31,6 +31,8 @@
 import { createRunStarter } from "./runStarter.js";
 import { createRunStopper } from "./runStopper.js";
 import type { WorkerSession } from "./session.js";
+import { createSpeedHistory, speedRefreshIntervalMs } from "./speedHistory.js";
+import { withSpeedRecording } from "./speedRecorder.js";
 import { takeOver } from "./takeover.js";
 import type { WorkerClient, WorkerDescriptor } from "./types.js";
 import { createUnansweredStarts } from "./unansweredStarts.js";
@@ -137,6 +139,7 @@
         runs: createRunTable(),
         unansweredStarts: createUnansweredStarts(timer),
         health: createWorkerHealth(timer),
+        speeds: createSpeedHistory(timer, log, options.metrics),
         operator: options.operator,
         mayOrder: () => !termOver && options.mayOrder(),
         record: job => recorder?.record(job) ?? Promise.resolve(false),
@@ -149,7 +152,7 @@
     const runMonitor = createRunMonitor(context, runStopper);
     const sessions = createWorkerSessions({
         context,
-        reports: createReportHandler(context, runStopper, endedRuns),
+        reports: withSpeedRecording(context, createReportHandler(context, runStopper, endedRuns)),
         runMonitor,
         workers: options.workers,
         createClient: options.createClient,
@@ -227,10 +230,7 @@
         log("error", "the takeover failed unexpectedly", { term, detail });
         options.onFenced("the takeover failed");
     });
-    const subscriptions = [
-        timer.every(deletionIntervalMs, () => deleteExpiredJobs(context, options.state, options.retainMs)),
-        timer.every(overdueCheckIntervalMs, createOverdueRunMonitor(context).check),
-    ];
+    const subscriptions = subscribe(context, options);
 
     return {
         pendingCounts: () => recorder === undefined ? undefined : countPendingJobs(context.openJobs),
@@ -256,6 +256,13 @@
     };
 };
 
+/** Subscribes what a planner does at intervals besides its rounds. */
+const subscribe = (context: PlannerContext, { timer, state, retainMs }: PlannerOptions): Unsubscribe[] => [
+    timer.every(deletionIntervalMs, () => deleteExpiredJobs(context, state, retainMs)),
+    timer.every(overdueCheckIntervalMs, createOverdueRunMonitor(context).check),
+    timer.every(speedRefreshIntervalMs, context.speeds.refresh),
+];
+
 /**
  * Groups changed rows by job. They cannot be applied one by one: a full read may return a job's cancellation before its
  * submission.
@@ -334,5 +341,6 @@
         cleared: session.isSynced(),
         silentMs: session.silentMs(),
         suspicion: context.health.suspicionOf(session.id),
+        relativeSpeed: context.speeds.speedOf(session),
     })),
 });
--- /dev/null
+++ b/src/execution/speedHistory.ts
@@ -0,0 +1,139 @@
+import type { EntryMetrics } from "../node/entryMetrics.js";
+import type { Log } from "../node/logs.js";
+import { estimateSpeeds } from "../planning/workerSpeeds.js";
+import type { SpeedEstimate, SpeedObservation } from "../planning/workerSpeeds.js";
+import type { TimerService } from "../utils/timer.js";
+import type { WorkerSession } from "./session.js";
+
+/** One life of a worker under its id. */
+export type Incarnation = Pick<WorkerSession, "id" | "bornMs">;
+
+/** Progress of one run, or of a gang, in a span of time. */
+export interface ObservedWork {
+    unitKey: string;
+    queue: string;
+    gang: boolean;
+    workers: readonly Incarnation[];
+    /** Work done, by declared time. */
+    workMs: number;
+    /** Monotonic times between which it was done. */
+    fromMs: number;
+    toMs: number;
+    /** Whether it is the first observation of its run. */
+    isFirstOfRun: boolean;
+}
+
+/** Speeds of the workers as a planner has learned them in its term; a new incarnation of a worker starts without any. */
+export interface SpeedHistory {
+    /** Adds an observation, which counts from the next refresh on. */
+    add(work: ObservedWork): void;
+    /** Estimates the speeds anew, without observations that are too old. */
+    refresh(): void;
+    /** Speed of a worker relative to the others; 1 if nothing is known. */
+    speedOf(worker: Incarnation): number;
+    /** Speed of the slowest of several workers. */
+    slowestOf(workers: readonly Incarnation[]): number;
+}
+
+/** Interval at which the speeds are estimated; an estimate with 350 workers takes some milliseconds. */
+export const speedRefreshIntervalMs = 2_000;
+/** Age at which an observation no longer counts, so that a worker that was slow for a while is used as before. */
+const expiryMs = 120_000;
+/** Observations that count for a worker; the newest ones are kept. */
+const maxObservationsPerWorker = 12;
+/** Time for which observations of one worker and step are combined; a change of speed has to show in long runs. */
+const maxCombinedMs = 30_000;
+/** Log lines that one refresh writes at most. */
+const maxLogLines = 10;
+
+interface Entry extends Omit<SpeedObservation, "rate"> {
+    workMs: number;
+    elapsedMs: number;
+}
+
+const keyOf = ({ id, bornMs }: Incarnation): string => `${id}@${bornMs}`;
+const idOf = (key: string): string => key.slice(0, key.lastIndexOf("@"));
+
+const createEntry = ({ unitKey, queue, gang, workers, workMs, fromMs, toMs }: ObservedWork): Entry => ({
+    unitKey,
+    queue,
+    gang,
+    workerIds: workers.map(keyOf),
+    workMs,
+    elapsedMs: toMs - fromMs,
+    runs: 1,
+    firstAtMs: fromMs,
+    lastAtMs: toMs,
+});
+
+const combine = (entry: Entry, work: ObservedWork): Entry => ({
+    ...entry,
+    workMs: entry.workMs + work.workMs,
+    elapsedMs: entry.elapsedMs + work.toMs - work.fromMs,
+    runs: entry.runs + (work.isFirstOfRun ? 1 : 0),
+    lastAtMs: work.toMs,
+});
+
+/** Removes entries that are too old, and those of workers that have enough newer ones. */
+const removeOutdated = (entries: Map<string, Entry>, nowMs: number): void => {
+    const counts = new Map<string, number>();
+    for (const [key, { workerIds, lastAtMs }] of [...entries].reverse()) {
+        const isNeeded = workerIds.some(id => (counts.get(id) ?? 0) < maxObservationsPerWorker);
+        if (nowMs - lastAtMs > expiryMs || !isNeeded) {
+            entries.delete(key);
+            continue;
+        }
+        workerIds.forEach(id => counts.set(id, (counts.get(id) ?? 0) + 1));
+    }
+};
+
+const toObservation = ({ workMs, elapsedMs, ...rest }: Entry): SpeedObservation => ({
+    ...rest,
+    rate: workMs / elapsedMs,
+});
+
+const isSlow = (estimate: SpeedEstimate | undefined): boolean => (estimate?.speed ?? 1) < 1;
+
+/** Creates a history without observations. */
+export const createSpeedHistory = (timer: TimerService, log: Log, metrics: EntryMetrics): SpeedHistory => {
+    // in the order of their last observations
+    const entries = new Map<string, Entry>();
+    let estimates = new Map<string, SpeedEstimate>();
+    let slowCount = 0;
+
+    const logChanges = (previous: ReadonlyMap<string, SpeedEstimate>): void => {
+        const changed = [...new Set([...previous.keys(), ...estimates.keys()])]
+            .filter(key => isSlow(previous.get(key)) !== isSlow(estimates.get(key)));
+        changed.slice(0, maxLogLines).forEach(key => {
+            const { speed, observations } = estimates.get(key) ?? { speed: 1, observations: 0 };
+            const message = speed < 1 ? "worker taken for slow" : "worker no longer taken for slow";
+            log("info", message, { worker: idOf(key), speed, observations, changes: changed.length });
+        });
+    };
+
+    const speedOf = (worker: Incarnation): number => slowCount === 0 ? 1 : estimates.get(keyOf(worker))?.speed ?? 1;
+
+    return {
+        add: work => {
+            const key = `${work.unitKey}@${work.workers.map(keyOf).join()}`;
+            const existing = entries.get(key);
+            const mayCombine = existing !== undefined && work.toMs - existing.firstAtMs <= maxCombinedMs;
+            entries.delete(key);
+            entries.set(key, mayCombine ? combine(existing, work) : createEntry(work));
+        },
+        refresh: () => {
+            if (entries.size === 0 && estimates.size === 0) {
+                return;
+            }
+            removeOutdated(entries, timer.nowMs());
+            const previous = estimates;
+            estimates = estimateSpeeds([...entries.values()].map(toObservation), previous);
+            slowCount = [...estimates.values()].filter(isSlow).length;
+            metrics.setSlowWorkers(slowCount);
+            logChanges(previous);
+        },
+        speedOf,
+        slowestOf: workers =>
+            slowCount === 0 ? 1 : workers.reduce((slowest, worker) => Math.min(slowest, speedOf(worker)), 1),
+    };
+};
--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -28,6 +28,8 @@
     setWaitingTasks(priority: number, count: number): void;
     /** Sets the number of runs that have been in a phase for longer than recording and ordering take. */
     setOverdueRuns(phase: string, count: number): void;
+    /** Sets the number of workers that are taken for slow. */
+    setSlowWorkers(count: number): void;
     /** Counts a unit that waits although there is room for it, once for each log line; `reason` becomes a label. */
     recordUnplaced(reason: string): void;
     /** Records the time that a planning round took. */
@@ -131,6 +133,11 @@
         labelNames: ["phase"],
         registers,
     });
+    const slowWorkers = new Gauge({
+        name: "catkinswitch_slow_workers",
+        help: "Workers that are taken for slow compared with the others; only on the planner.",
+        registers,
+    });
     const unplaced = new Counter({
         name: "catkinswitch_unplaced_total",
         help: "Log lines about work that waits although there is room for it, by reason; only on the planner.",
@@ -160,6 +167,7 @@
         recordTermChange: change => terms.inc({ change }),
         setWaitingTasks: (priority, count) => waiting.set({ priority }, count),
         setOverdueRuns: (phase, count) => overdueRuns.set({ phase }, count),
+        setSlowWorkers: count => slowWorkers.set(count),
         recordUnplaced: reason => unplaced.inc({ reason }),
         recordPlanningRound: durationMs => planningRounds.observe(durationMs / msPerSecond),
         render: () => registry.metrics(),
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -100,7 +100,7 @@
     workers.reduce((sum, worker) => sum + fittingTasksIfEmpty(worker, candidate), 0) >= candidate.taskIndexes.length;
 
 /** Whether a worker is in the rack that holds a step's data. */
-export const isNearData = (worker: WorkerInfo, step: Step): boolean =>
+export const isNearData = (worker: Pick<WorkerInfo, "rack">, step: Step): boolean =>
     step.dataRack === undefined || worker.rack === step.dataRack;
 
 /** Share of a resource that is in use on workers; 0 if they have none of it. */
--- a/standins/runs/gangs.ts
+++ b/standins/runs/gangs.ts
@@ -4,8 +4,10 @@
 
 /** One member of a gang. */
 export interface GangMember {
-    /** Called once all members have joined. */
-    work(): void;
+    /** Rate at which it would work by itself. */
+    speed: number;
+    /** Called once all members have joined; the gang works at the rate of its slowest member. */
+    work(speed: number): void;
     /** Called when the gang ends before this member does. */
     end(kind: EndKind): void;
 }
@@ -58,7 +60,8 @@
             if (gang.members.size === gang.size && !gang.isComplete) {
                 gang.isComplete = true;
                 gang.cancelTimeout();
-                gang.members.forEach(joined => joined.work());
+                const speed = Math.min(...[...gang.members].map(joined => joined.speed));
+                gang.members.forEach(joined => joined.work(speed));
             }
         },
         leave: (key, member, kind) => {
--- a/standins/runs/workerModel.ts
+++ b/standins/runs/workerModel.ts
@@ -20,6 +20,8 @@
     workMs: number;
     /** Number of runs that fail, counted over all workers, before one succeeds. */
     failures: number;
+    /** Largest deviation of a task's work from `workMs`, as a share of it; none in a gang. @default 0 */
+    unevenShare?: number;
 }
 
 /** Interval in which one run of a task worked; recorded for checks. */
@@ -47,6 +49,8 @@
     checkpointMs?: number;
     /** Rate of the worker's clock relative to real time. @default 1 */
     clockRate?: number;
+    /** Rate at which it works. @default 1 */
+    speed?: number;
     /** Longest lease that it accepts. @default 10000 */
     longestLeaseMs?: number;
     /** Whether every run that starts now fails. @default it does not */
@@ -67,6 +71,8 @@
     span?: RunSpan;
     /** Work done by earlier runs, from the checkpoint. */
     resumedWorkMs: number;
+    /** Rate at which it works. */
+    speed: number;
     cancel: Unsubscribe;
     /** Reports the run's end to its gang. */
     leaveGang: (kind: EndKind) => void;
@@ -93,14 +99,24 @@
 
 const parseSpec = (text: string): WorkSpec => {
     const spec = parseJson(text) as
-        | { workMs?: number; runTimeMs?: number; failures?: number; fails?: boolean; }
+        | { workMs?: number; runTimeMs?: number; failures?: number; fails?: boolean; unevenShare?: number; }
         | undefined;
     return {
         workMs: spec?.workMs ?? spec?.runTimeMs ?? defaultWorkMs,
         failures: spec?.failures ?? (spec?.fails === true ? Number.POSITIVE_INFINITY : 0),
+        unevenShare: spec?.unevenShare,
     };
 };
 
+/** Fractional part of its multiples spreads evenly between 0 and 1. */
+const goldenRatio = 0.618_034;
+
+/** Work of one task: those of a step spread evenly over the range that its specification allows. */
+const workOfTask = (spec: WorkSpec, { task: { index }, gangSize = 1 }: StartOrder): WorkSpec => {
+    const deviation = 2 * ((index + 1) * goldenRatio % 1) - 1;
+    return gangSize > 1 ? spec : { ...spec, workMs: spec.workMs * (1 + (spec.unevenShare ?? 0) * deviation) };
+};
+
 const toRefusedError = (refusal: Refusal, clockMs: number): OrderError => ({
     kind: "refused",
     refusal,
@@ -166,8 +182,12 @@
 };
 
 /** Work that a run has done by a monotonic time, with that of the runs that it resumes. */
-const workDoneMsAt = ({ span, resumedWorkMs }: ActiveRun, nowMs: number): number =>
-    resumedWorkMs + (span === undefined ? 0 : nowMs - span.fromMs);
+const workDoneMsAt = ({ span, resumedWorkMs, speed }: ActiveRun, nowMs: number): number =>
+    resumedWorkMs + (span === undefined ? 0 : (nowMs - span.fromMs) * speed);
+
+/** Latest checkpoint that a run has saved by a monotonic time. */
+const checkpointAt = (active: ActiveRun, nowMs: number, checkpointMs: number): string =>
+    String(Math.floor(workDoneMsAt(active, nowMs) / checkpointMs) * checkpointMs);
 
 /** Creates a worker that has just started, without runs. */
 export const createWorkerModel = (options: WorkerModelOptions): WorkerModel => {
@@ -184,9 +204,7 @@
     const refuse = (refusal: Refusal) => fail(toRefusedError(refusal, clockMs()));
 
     const checkpointOf = (active: ActiveRun): string =>
-        options.savesCheckpoints?.() === false
-            ? ""
-            : String(Math.floor(workDoneMsAt(active, timer.nowMs()) / checkpointMs) * checkpointMs);
+        options.savesCheckpoints?.() === false ? "" : checkpointAt(active, timer.nowMs(), checkpointMs);
 
     const endSpan = (active: ActiveRun, kind?: EndKind): void => {
         if (active.span !== undefined) {
@@ -222,29 +240,32 @@
         return token === highestToken;
     };
 
-    const startWork = (active: ActiveRun, kind: EndKind): void => {
+    const startWork = (active: ActiveRun, kind: EndKind, speed: number): void => {
         const { task, run, spec, resumedWorkMs } = active;
+        active.speed = speed;
         active.span = { task: formatTaskId(task), run, worker: options.id, fromMs: timer.nowMs() };
         spans.push(active.span);
         options.onSpan?.(active.span);
-        active.cancel = timer.after(Math.max(1, spec.workMs - resumedWorkMs), () => endRun(active, kind));
+        active.cancel = timer.after(Math.max(1, (spec.workMs - resumedWorkMs) / speed), () => endRun(active, kind));
     };
 
     const startRun = (order: StartOrder): void => {
         const { task, run, gangSize = 1 } = order;
-        const spec = parseSpec(order.spec);
+        const spec = workOfTask(parseSpec(order.spec), order);
         const willFail = options.failsAll?.() === true || countFailures(spans, formatTaskId(task)) < spec.failures;
         const kind = willFail ? EndKind.Failed : EndKind.Done;
         const resumedWorkMs = Number(order.checkpoint) || 0;
-        const active: ActiveRun = { task, run, spec, resumedWorkMs, cancel: () => {}, leaveGang: () => {} };
+        const speed = options.speed ?? 1;
+        const active: ActiveRun = { task, run, spec, resumedWorkMs, speed, cancel: () => {}, leaveGang: () => {} };
         running.set(formatTaskId(task), active);
         if (options.gangs === undefined || gangSize === 1) {
-            startWork(active, kind);
+            startWork(active, kind, speed);
             return;
         }
         const { gangs } = options;
         const key = `${task.jobId}.${task.occurrence}.${task.step}#${run}`;
-        const member = { work: () => startWork(active, kind), end: (endKind: EndKind) => endRun(active, endKind) };
+        const work = (gangSpeed: number) => startWork(active, kind, gangSpeed);
+        const member = { speed, work, end: (endKind: EndKind) => endRun(active, endKind) };
         active.leaveGang = endKind => gangs.leave(key, member, endKind);
         gangs.join(key, gangSize, member);
     };
--- a/test/rounds.test.ts
+++ b/test/rounds.test.ts
@@ -1,6 +1,7 @@
 import { assert } from "chai";
 import { createRunTable } from "../src/execution/context.js";
 import { createRoundScheduler } from "../src/execution/rounds.js";
+import { createSpeedHistory } from "../src/execution/speedHistory.js";
 import { createUnansweredStarts } from "../src/execution/unansweredStarts.js";
 import { createWorkerHealth } from "../src/execution/workerHealth.js";
 import { createEntryMetrics } from "../src/node/entryMetrics.js";
@@ -23,6 +24,7 @@
         runs: createRunTable(),
         unansweredStarts: createUnansweredStarts(timer),
         health: createWorkerHealth(timer),
+        speeds: createSpeedHistory(timer, () => {}, createEntryMetrics()),
         operator: () => ({ configuration: undefined, evacuatedZones: new Set<string>() }),
         mayOrder: () => true,
         record: async () => true,
--- /dev/null
+++ b/test/workerSpeedsLearned.test.ts
@@ -0,0 +1,91 @@
+import { assert } from "chai";
+import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
+import type { Fleet } from "./fixtures/fleet.js";
+import { dumpPlanner } from "./fixtures/plannerDump.js";
+
+const settleMs = 1_000;
+const slowSpeed = 0.5;
+const workerCount = 8;
+const slowIds = ["w0", "w4"];
+const wholeWorker = { milliCores: 32_000, memoryMb: 64_000, accelerators: 8 };
+
+interface Work {
+    count: number;
+    workMs: number;
+    step?: Parameters<typeof createStep>[0];
+}
+
+const createUnevenFleet = async (): Promise<Fleet> => {
+    const speedOf = (id: string): number => slowIds.includes(id) ? slowSpeed : 1;
+    const fleet = createFleet({ workerCount, vmCount: 2, speedOf });
+    await fleet.timer.advance(settleMs);
+    return fleet;
+};
+
+let submitted = 0;
+
+/** Runs jobs one after the other, each with a task on every worker, declared at twice their time. */
+const runJobs = async (fleet: Fleet, { count, workMs, step }: Work): Promise<void> => {
+    for (let index = 0; index < count; index++) {
+        const wide = createStep({ taskCount: workerCount, resources: wholeWorker, estimateMs: workMs * 2, ...step });
+        await fleet.submit(createSubmission(`job-${submitted++}`, [wide], {}, { workMs }));
+        await fleet.timer.advance(workMs / slowSpeed + 500);
+    }
+};
+
+const learnedSlowIds = (fleet: Fleet): string[] =>
+    dumpPlanner(fleet)?.workers.filter(({ relativeSpeed }) => relativeSpeed < 1).map(({ id }) => id).sort() ?? [];
+
+describe("a planner on workers of uneven speed", () => {
+    it("learns which are slow from the times of runs, and forgets it with the incarnation", async () => {
+        const fleet = await createUnevenFleet();
+        await runJobs(fleet, { count: 4, workMs: 2_000 });
+        assert.deepEqual(learnedSlowIds(fleet), slowIds);
+        fleet.restartWorker("w0");
+        await fleet.timer.advance(settleMs);
+        assert.deepEqual(learnedSlowIds(fleet), ["w4"]);
+    });
+
+    it("learns it from the progress of long runs, also after a change of planner", async () => {
+        const fleet = await createUnevenFleet();
+        const quarter = { milliCores: 8_000, memoryMb: 8_000, accelerators: 2 };
+        for (let index = 0; index < 4; index++) {
+            const step = createStep({
+                taskCount: workerCount,
+                resources: quarter,
+                estimateMs: 90_000,
+                maxPerWorker: 1,
+            });
+            await fleet.submit(createSubmission(`long-${index}`, [step], {}, { workMs: 60_000 }));
+        }
+        await fleet.timer.advance(20_000);
+        assert.deepEqual(learnedSlowIds(fleet), slowIds);
+        fleet.killVm(fleet.planner() ?? "");
+        await fleet.timer.advance(8_000);
+        assert.isEmpty(learnedSlowIds(fleet));
+        await fleet.timer.advance(22_000);
+        assert.deepEqual(learnedSlowIds(fleet), slowIds);
+    });
+
+    it("learns nothing from runs away from their data and from gangs that span racks", async () => {
+        const fleet = await createUnevenFleet();
+        slowIds.forEach(id => Object.assign(fleet.workers.get(id)?.descriptor ?? {}, { rack: "r1-2" }));
+        fleet.notify();
+        await runJobs(fleet, { count: 6, workMs: 2_000, step: { dataRack: "r1-1" } });
+        await runJobs(fleet, { count: 20, workMs: 2_000, step: { gang: true } });
+        assert.isAbove(fleet.spans.filter(({ worker }) => slowIds.includes(worker)).length, 2);
+        assert.isEmpty(learnedSlowIds(fleet));
+    });
+
+    it("takes no worker for slow that was cut off while it worked", async () => {
+        const fleet = await createUnevenFleet();
+        const worker = fleet.workers.get("w3");
+        for (let index = 0; index < 6 && worker !== undefined; index++) {
+            fleet.timer.after(500, () => worker.unreachable = true);
+            fleet.timer.after(3_500, () => worker.unreachable = false);
+            await runJobs(fleet, { count: 1, workMs: 2_000 });
+            await fleet.timer.advance(2_000);
+        }
+        assert.notInclude(learnedSlowIds(fleet), "w3");
+    });
+});
