feat: placement prefers workers by their speed

Cause: a gang ends with its slowest member, and urgent work was placed on slow workers beside idle fast ones. Change: gangs and work of priority 0 take fast workers first; a gang that needs slow ones takes as many of them as it can, since it is no faster than the slowest. Wide batch work with time to spare takes slow workers where these fit as well. The speed is compared after cooldown, earlier failure, suspicion, kept-free workers and reservations, so no room is taken for it that is meant for other work. Ruled out: leaving slow workers out of a gang's domains (a gang that fits only with them would wait); slow workers first for batch work whatever the fit (breaks up whole workers).

--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -89,6 +89,7 @@
             backfillWindowMs: Number.POSITIVE_INFINITY,
             hasReservation: false,
             suspicion: context.health.suspicionOf(session.id),
+            relativeSpeed: context.speeds.speedOf(session),
             hasServingTask: false,
             hasIdleFillingTask: false,
         };
--- a/src/planning/emptyFleet.ts
+++ b/src/planning/emptyFleet.ts
@@ -29,6 +29,7 @@
     backfillWindowMs: Number.POSITIVE_INFINITY,
     hasReservation: false,
     suspicion: 0,
+    relativeSpeed: 1,
     hasServingTask: false,
     hasIdleFillingTask: false,
 });
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -1,6 +1,7 @@
 import { Adjacency } from "../configuration/types.js";
 import type { Step, TaskResources } from "../jobs/types.js";
 import { coreEquivalentsOf, fitCount, occupiedBy } from "./resources.js";
+import { compareAfterFit, compareBeforeFit, SpeedPreference, speedPreferenceOf } from "./speedPreference.js";
 import type { Assignment, Candidate, WorkerInfo } from "./types.js";
 
 /** Waiting time after which tasks that fill idle cores and tasks that serve users may share a worker. */
@@ -262,25 +263,31 @@
 };
 
 /**
- * Sorts by: no cooldown, no earlier failure there, least suspicion, not kept free, no reservation, best fit, fullest rack, fullest worker. Filling
- * workers and racks that are in use already leaves whole ones free.
+ * Sorts by: no cooldown, no earlier failure there, least suspicion, not kept free, no reservation, preferred speed, best
+ * fit, fullest rack, fullest worker. Filling workers and racks that are in use already leaves whole ones free.
  */
-const compareOffers = (left: Offer, right: Offer): number =>
+const compareOffers = (preference: SpeedPreference) => (left: Offer, right: Offer): number =>
     Number(left.worker.coolingDown) - Number(right.worker.coolingDown)
     || Number(left.avoided) - Number(right.avoided)
     || left.worker.suspicion - right.worker.suspicion
     || Number(left.keptFree) - Number(right.keptFree)
     || Number(left.borrowed) - Number(right.borrowed)
+    || compareBeforeFit[preference](left.worker, right.worker)
     || left.leftover - right.leftover
     || left.freeInRack - right.freeInRack
+    || compareAfterFit[preference](left.worker, right.worker)
     || left.worker.free.accelerators - right.worker.free.accelerators
     || left.worker.free.milliCores - right.worker.free.milliCores
     || (left.worker.workerId < right.worker.workerId ? -1 : 1);
 
 /** Assigns tasks to workers in order of preference; returns fewer assignments than tasks when they do not all fit. */
-const pack = (offers: readonly Offer[], taskIndexes: readonly number[]): Assignment[] => {
+const pack = (
+    offers: readonly Offer[],
+    taskIndexes: readonly number[],
+    preference: SpeedPreference,
+): Assignment[] => {
     const assignments: Assignment[] = [];
-    for (const { worker, count } of [...offers].sort(compareOffers)) {
+    for (const { worker, count } of [...offers].sort(compareOffers(preference))) {
         const assigned = Math.min(count, taskIndexes.length - assignments.length);
         for (let index = 0; index < assigned; index++) {
             assignments.push({ taskIndex: taskIndexes[assignments.length], workerId: worker.workerId });
@@ -294,15 +301,39 @@
 
 const sumOffered = (offers: readonly Offer[]): number => offers.reduce((sum, offer) => sum + offer.count, 0);
 
-const highestSuspicion = (assignments: readonly Assignment[], offers: readonly Offer[]): number => {
+/** Tasks of a gang on workers of one domain, with what its worst workers are like. */
+interface PackedGang {
+    assignments: Assignment[];
+    highestSuspicion: number;
+    slowestSpeed: number;
+}
+
+const describePacked = (assignments: Assignment[], offers: readonly Offer[]): PackedGang => {
     const used = new Set(assignments.map(assignment => assignment.workerId));
-    return offers.reduce(
-        (highest, { worker }) => used.has(worker.workerId) ? Math.max(highest, worker.suspicion) : highest,
-        0,
-    );
+    const packed = { assignments, highestSuspicion: 0, slowestSpeed: 1 };
+    for (const { worker } of offers) {
+        if (used.has(worker.workerId)) {
+            packed.highestSuspicion = Math.max(packed.highestSuspicion, worker.suspicion);
+            packed.slowestSpeed = Math.min(packed.slowestSpeed, worker.relativeSpeed);
+        }
+    }
+    return packed;
+};
+
+/**
+ * Assigns a gang to the fastest workers. If slow ones are among them it is as slow as these, so it takes as many of them
+ * as it can, and leaves fast workers to other work.
+ */
+const packGang = (offers: readonly Offer[], taskIndexes: readonly number[]): PackedGang => {
+    const packed = describePacked(pack(offers, taskIndexes, SpeedPreference.Fast), offers);
+    if (packed.slowestSpeed === 1) {
+        return packed;
+    }
+    const likeOffers = offers.filter(({ worker }) => worker.relativeSpeed >= packed.slowestSpeed);
+    return describePacked(pack(likeOffers, taskIndexes, SpeedPreference.Slow), likeOffers);
 };
 
-/** Number of domains, the tightest fits, that are compared by the suspicion of their workers. */
+/** Number of domains, the tightest fits, that are compared by the suspicion and the speed of their workers. */
 const maxDomainsCompared = 3;
 
 /** Finds workers for all tasks of a gang; `undefined` if they do not all fit. */
@@ -313,9 +344,8 @@
         .filter(option => option.count >= candidate.taskIndexes.length)
         .sort((left, right) => left.count - right.count)
         .slice(0, maxDomainsCompared)
-        .map(({ offers }) => ({ offers, assignments: pack(offers, candidate.taskIndexes) }))
-        .map(({ offers, assignments }) => ({ assignments, suspicion: highestSuspicion(assignments, offers) }))
-        .sort((left, right) => left.suspicion - right.suspicion)
+        .map(({ offers }) => packGang(offers, candidate.taskIndexes))
+        .sort((left, right) => left.highestSuspicion - right.highestSuspicion || right.slowestSpeed - left.slowestSpeed)
         .at(0)?.assignments;
 
 /** Whether a task of the candidate could run near its data if nothing else ran there. */
@@ -330,7 +360,8 @@
     const nearData = canRunNearData(workers, candidate)
         ? eligible.filter(worker => isNearData(worker, candidate.step))
         : eligible;
-    const placedNear = pack(offersOf(nearData, candidate), candidate.taskIndexes);
+    const preference = speedPreferenceOf(candidate);
+    const placedNear = pack(offersOf(nearData, candidate), candidate.taskIndexes, preference);
     const remaining = candidate.taskIndexes.slice(placedNear.length);
     if (remaining.length === 0 || !mayRelax(workers, candidate)) {
         return placedNear;
@@ -338,5 +369,5 @@
     // what fits on the preferred workers is used up
     const tried = new Set(nearData);
     const others = workers.filter(worker => !tried.has(worker) && isAdmissible(worker, candidate));
-    return [...placedNear, ...pack(offersOf(others, candidate), remaining)];
+    return [...placedNear, ...pack(offersOf(others, candidate), remaining, preference)];
 };
--- /dev/null
+++ b/src/planning/speedPreference.ts
@@ -0,0 +1,47 @@
+/** Which workers a step is placed on where they differ in speed. It addresses fleets in which some workers are slow. */
+import type { Candidate, WorkerInfo } from "./types.js";
+
+/** What speed of workers a placement prefers, where they do not differ in what matters more. */
+export enum SpeedPreference {
+    /** Faster workers, even where slower ones would be a better fit. */
+    Fast,
+    /** Slower workers, even where faster ones would be a better fit. */
+    Slow,
+    /** Slower workers, where faster ones are no better fit. */
+    SlowIfFitIsEqual,
+    None,
+}
+
+/** Tasks from which independent work counts as wide: it uses workers that other work cannot use together. */
+const wideTaskCount = 8;
+/** Multiple of the remaining critical path that has to be left: a worker at half speed, and a declared time 1.5 too short. */
+const slackFactorOnSlow = 3;
+
+/** Preference of a candidate for the workers of its tasks; that of a gang is for its slowest worker. */
+export const speedPreferenceOf = (candidate: Candidate): SpeedPreference => {
+    const { step, job, timeToObjectiveMs, remainingCriticalPathMs } = candidate;
+    if (step.gang || job.priority === 0) {
+        return SpeedPreference.Fast;
+    }
+    const hasTime = timeToObjectiveMs >= remainingCriticalPathMs * slackFactorOnSlow;
+    return step.taskCount >= wideTaskCount && hasTime ? SpeedPreference.SlowIfFitIsEqual : SpeedPreference.None;
+};
+
+type CompareWorkers = (left: WorkerInfo, right: WorkerInfo) => number;
+
+const slowFirst: CompareWorkers = (left, right) => left.relativeSpeed - right.relativeSpeed;
+const anyOrder: CompareWorkers = () => 0;
+
+/** Order of workers by speed that precedes how well they fit. */
+export const compareBeforeFit: Record<SpeedPreference, CompareWorkers> = {
+    [SpeedPreference.Fast]: (left, right) => slowFirst(right, left),
+    [SpeedPreference.Slow]: slowFirst,
+    [SpeedPreference.SlowIfFitIsEqual]: anyOrder,
+    [SpeedPreference.None]: anyOrder,
+};
+
+/** Order by speed of workers that fit equally well. */
+export const compareAfterFit: Record<SpeedPreference, CompareWorkers> = {
+    ...compareBeforeFit,
+    [SpeedPreference.SlowIfFitIsEqual]: slowFirst,
+};
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -29,6 +29,8 @@
     hasReservation: boolean;
     /** Score of recent failures and slowness there; 0 for a healthy worker. */
     suspicion: number;
+    /** Rate of work relative to the other workers; 1 unless it is known to be slow. */
+    relativeSpeed: number;
     /** A task that serves its own users, with a bound on response times, runs there. */
     hasServingTask: boolean;
     /** A task that fills idle cores runs there. */
