feat: remaining times and stalls by the speed of the workers

Cause: a run on a worker at half speed takes twice its declared time, so backfill before a blocked gang was planned to a wrong time, and a long run was stopped as stalled at half the progress. Change: busyForMs and the stall timeout divide the declared time by the speed of the worker, in a gang by that of the slowest. Objectives and critical paths stay with the declared time. Ruled out: a shorter stall timeout on fast workers, as a run far from its data is not known to be slow.

--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -1,5 +1,5 @@
 import { expiresAfterMs, objectiveMs } from "../jobs/objective.js";
-import { areDependenciesComplete, RunPhase } from "../jobs/progress.js";
+import { areDependenciesComplete, RunPhase, workersOf } from "../jobs/progress.js";
 import type { JobState, Run, TaskState, Unit } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
 import { coreEquivalentsOf, occupiedBy, subtractResources } from "../planning/resources.js";
@@ -30,15 +30,28 @@
 const overrunShare = 0.3;
 
 /**
- * Expected remaining run time, from the declared time or, once that is exceeded, from the elapsed time; infinite for a
- * long-running task.
+ * Expected remaining run time, from the declared time at the speed of the workers or, once that is exceeded, from the
+ * elapsed time; infinite for a long-running task.
  */
-const remainingMs = ({ run, unit }: TaskState, nowMs: number): number => {
+const remainingMs = ({ run, unit }: TaskState, speed: number, nowMs: number): number => {
     if (unit.step.longRunning) {
         return Number.POSITIVE_INFINITY;
     }
     const elapsedMs = nowMs - (run?.orderedAtMs ?? nowMs);
-    return Math.max(unit.step.estimateMs - elapsedMs, elapsedMs * overrunShare);
+    return Math.max(unit.step.estimateMs / speed - elapsedMs, elapsedMs * overrunShare);
+};
+
+/** Finds the speed at which a task runs, that of the slowest member of its gang; a gang is looked at once. */
+const createRunSpeeds = ({ speeds }: PlannerContext) => {
+    const byGang = new Map<Unit, number>();
+    return (task: TaskState, worker: WorkerSession): number => {
+        if (!task.unit.step.gang) {
+            return speeds.speedOf(worker);
+        }
+        const speed = byGang.get(task.unit) ?? speeds.slowestOf(workersOf(task));
+        byGang.set(task.unit, speed);
+        return speed;
+    };
 };
 
 /** Whether the resources of a task's run count as migratable: it is resumable and not of priority 0. */
@@ -65,6 +78,7 @@
 /** Collects the listed workers with their free resources. */
 export const collectWorkers = (context: PlannerContext): WorkerInfo[] => {
     const workers: WorkerInfo[] = [];
+    const speedOfRun = createRunSpeeds(context);
     for (const session of context.sessions.values()) {
         const { descriptor } = session;
         if (descriptor === undefined) {
@@ -102,7 +116,8 @@
             if (isMigratable(task, context.timer.nowMs())) {
                 subtractResources(worker.migratable, occupiedBy(step), -1);
             }
-            worker.busyForMs = Math.max(worker.busyForMs, remainingMs(task, context.timer.nowMs()));
+            const leftMs = remainingMs(task, speedOfRun(task, session), context.timer.nowMs());
+            worker.busyForMs = Math.max(worker.busyForMs, leftMs);
             worker.hasServingTask ||= step.targetMs !== undefined;
             worker.hasIdleFillingTask ||= step.fillsIdleCores;
         }
--- a/src/execution/runMonitor.ts
+++ b/src/execution/runMonitor.ts
@@ -1,4 +1,4 @@
-import { gangMembersOf, RunPhase } from "../jobs/progress.js";
+import { gangMembersOf, RunPhase, workersOf } from "../jobs/progress.js";
 import type { Run, TaskState } from "../jobs/progress.js";
 import type { PlannerContext } from "./context.js";
 import { isResumable } from "./isResumable.js";
@@ -15,7 +15,8 @@
 
 /**
  * Time without progress, as a share of the declared time, after which a run counts as stalled. Progress is reported in
- * whole percents, and a run on a slow worker and far from its data is some 25 times slower than declared.
+ * whole percents, and a run far from its data on a worker that is not known to be slow is some 25 times slower than
+ * declared.
  */
 const stallShare = 0.3;
 /** Minimum time without progress before a run counts as stalled: two polls of the worker. */
@@ -38,11 +39,11 @@
     sinceMs: number;
 }
 
-/** Time without progress after which a run counts as stalled. */
-const stallTimeoutMs = ({ unit: { step } }: TaskState, run: Run): number =>
+/** Time without progress after which a run on workers of a speed counts as stalled. */
+const stallTimeoutMs = ({ unit: { step } }: TaskState, run: Run, speed: number): number =>
     Math.max(
         step.gang && run.percent === 0 ? minGangStallMs : minStallMs,
-        step.estimateMs * stallShare,
+        step.estimateMs * stallShare / speed,
     );
 
 /** Creates the part of a planner that stops stalled runs and evacuates workers. */
@@ -60,7 +61,7 @@
             observed.set(task, { run, percent: run.percent, checkpoint: task.checkpoint, sinceMs });
             return false;
         }
-        return nowMs - previous.sinceMs > stallTimeoutMs(task, run);
+        return nowMs - previous.sinceMs > stallTimeoutMs(task, run, context.speeds.slowestOf(workersOf(task)));
     };
 
     const onReport = (session: WorkerSession): void => {
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -366,6 +366,10 @@
 /** Members of a task's gang, itself included; just the task if it is in none. */
 export const gangMembersOf = (task: TaskState): readonly TaskState[] => task.unit.step.gang ? task.unit.tasks : [task];
 
+/** Workers on which a task and the other members of its gang have runs. */
+export const workersOf = (task: TaskState): WorkerSession[] =>
+    gangMembersOf(task).flatMap(member => member.run === undefined ? [] : [member.run.worker]);
+
 /** Whether all steps that a unit depends on are complete. */
 export const areDependenciesComplete = (unit: Unit): boolean =>
     unit.step.after.every(earlier => unit.job.units.get(unitKeyOf(unit.occurrence, earlier))?.complete === true);
--- a/test/workerSpeedsLearned.test.ts
+++ b/test/workerSpeedsLearned.test.ts
@@ -1,4 +1,8 @@
 import { assert } from "chai";
+import { createSimulatedPlanner } from "../bench/simulatedPlanner.js";
+import { createWorkload, targetProfile } from "../bench/workload.js";
+import { collectWorkers } from "../src/execution/roundInput.js";
+import { createVirtualTimer } from "../src/utils/virtualTimer.js";
 import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import type { Fleet } from "./fixtures/fleet.js";
 import { dumpPlanner } from "./fixtures/plannerDump.js";
@@ -15,8 +19,13 @@
     step?: Parameters<typeof createStep>[0];
 }
 
+/** Time without progress after which a task of 10 s counts as stalled, and the time until a poll shows it. */
+const stallMs = 3_000;
+const pollMs = 1_500;
+
+const speedOf = (id: string): number => slowIds.includes(id) ? slowSpeed : 1;
+
 const createUnevenFleet = async (): Promise<Fleet> => {
-    const speedOf = (id: string): number => slowIds.includes(id) ? slowSpeed : 1;
     const fleet = createFleet({ workerCount, vmCount: 2, speedOf });
     await fleet.timer.advance(settleMs);
     return fleet;
@@ -77,6 +86,22 @@
         assert.isEmpty(learnedSlowIds(fleet));
     });
 
+    it("judges a stall by the speed of the worker", async () => {
+        const fleet = createFleet({ workerCount, vmCount: 1, speedOf, savesCheckpoints: () => false });
+        await fleet.timer.advance(settleMs);
+        await runJobs(fleet, { count: 4, workMs: 2_000 });
+        const step = createStep({ taskCount: workerCount, resources: wholeWorker, estimateMs: 10_000 });
+        await fleet.submit(createSubmission("still", [step], {}, { workMs: 4 * 3_600_000 }));
+        await fleet.timer.advance(9_000);
+        const ranMs = (id: string): number => {
+            const span = fleet.spans.find(({ task, worker }) => worker === id && task.startsWith("still"));
+            return (span?.toMs ?? Infinity) - (span?.fromMs ?? 0);
+        };
+        assert.isAtMost(ranMs("w1"), stallMs + pollMs);
+        slowIds.forEach(id => assert.isAbove(ranMs(id), stallMs / slowSpeed, id));
+        slowIds.forEach(id => assert.isAtMost(ranMs(id), stallMs / slowSpeed + pollMs, id));
+    });
+
     it("takes no worker for slow that was cut off while it worked", async () => {
         const fleet = await createUnevenFleet();
         const worker = fleet.workers.get("w3");
@@ -89,3 +114,39 @@
         assert.notInclude(learnedSlowIds(fleet), "w3");
     });
 });
+
+describe("the input of a planning round", () => {
+    it("has the remaining times of runs by the speed of their workers, in a gang by that of the slowest", () => {
+        const { workers, snapshot } = createWorkload(targetProfile, 1);
+        const timer = createVirtualTimer();
+        const planner = createSimulatedPlanner(workers, snapshot, timer);
+        const [slow, fast, other] = [...planner.sessions.values()];
+        const estimateMs = 8_000;
+        const run = (id: string, workerIds: readonly string[], gang: boolean): void => {
+            const step = createStep({ taskCount: workerIds.length, gang, estimateMs });
+            const assignments = workerIds.map((workerId, taskIndex) => ({ taskIndex, workerId }));
+            planner.run(planner.addJob(createSubmission(id, [step])), assignments, "");
+        };
+        for (let step = 0; step < 4; step++) {
+            [slow, fast, other].forEach(worker =>
+                planner.speeds.add({
+                    unitKey: `step-${step}`,
+                    queue: "bookings",
+                    gang: false,
+                    workers: [worker],
+                    workMs: worker === slow ? 500 : 1_000,
+                    fromMs: step * 2_000,
+                    toMs: step * 2_000 + 1_000,
+                    isFirstOfRun: true,
+                })
+            );
+        }
+        planner.speeds.refresh();
+        run("alone", [slow.id, other.id], false);
+        run("gang", [slow.id, fast.id], true);
+        const busyForMs = (id: string) => collectWorkers(planner).find(({ workerId }) => workerId === id)?.busyForMs;
+        assert.equal(busyForMs(slow.id), estimateMs / slowSpeed);
+        assert.equal(busyForMs(fast.id), estimateMs / slowSpeed);
+        assert.equal(busyForMs(other.id), estimateMs);
+    });
+});
