--- a/bench/experiment/readLoad.ts
+++ b/bench/experiment/readLoad.ts
@@ -24,6 +24,16 @@
     properties: {
         racks: { type: "integer", minimum: 1 },
         workersPerRack: { type: "integer", minimum: 1 },
+        slowWorkers: {
+            type: "object",
+            nullable: true,
+            additionalProperties: false,
+            required: ["share", "speed"],
+            properties: {
+                share: { type: "number", minimum: 0, maximum: 1 },
+                speed: { type: "number", exclusiveMinimum: 0 },
+            },
+        },
         vms: { type: "integer", minimum: 1, nullable: true },
         durationMs: time,
         streams: {
@@ -56,6 +66,7 @@
                     acceleratorsPerTask: range,
                     runTimeMs: range,
                     estimateError: share,
+                    unevenShare: share,
                     gang: flag,
                     sameRack: flag,
                     checkpointShare: share,
--- a/bench/experiment/replayLoad.ts
+++ b/bench/experiment/replayLoad.ts
@@ -62,7 +62,7 @@
     });
     const { priority, slackFactor, targetLatencyMs, customer = "guest" } = stream;
     const overrides = { priority, slackFactor, targetLatencyMs, customer, uselessAfterObjectives: lateFactor };
-    const work = { workMs: runTimeMs, failures };
+    const work = { workMs: runTimeMs, failures, unevenShare: stream.unevenShare };
     return {
         stream,
         atMs,
@@ -168,6 +168,12 @@
     }, 0);
 };
 
+/** Speed of a worker; the slow ones are spread evenly, so that each rack has some. */
+const speedOfWorker = ({ slowWorkers: { share, speed } = { share: 0, speed: 1 } }: Load, id: string): number => {
+    const number = Number(id.slice(1));
+    return Math.floor((number + 1) * share) > Math.floor(number * share) ? speed : 1;
+};
+
 /** A replay that has ended. */
 export interface Replay {
     result: ReplayResult;
@@ -181,7 +187,7 @@
 /** Replays a load; the seed decides the arrivals, their sizes and which VMs they reach. */
 export const replayLoad = async (load: Load, seed: number): Promise<Replay> => {
     const random = createRandom(seed);
-    const fleet = createFleet({ workerCount: 0, vmCount: load.vms });
+    const fleet = createFleet({ workerCount: 0, vmCount: load.vms, speedOf: id => speedOfWorker(load, id) });
     for (let index = 0; index < load.racks * load.workersPerRack; index++) {
         fleet.addWorker(`w${index}`, `r1-${Math.floor(index / load.workersPerRack)}`);
     }
--- a/bench/experiment/types.ts
+++ b/bench/experiment/types.ts
@@ -15,6 +15,8 @@
     taskCount: Range;
     acceleratorsPerTask: Range;
     runTimeMs: Range;
+    /** Largest deviation of a task's run time from that of its step, as a share of it; none in gangs. @default 0 */
+    unevenShare?: number;
     /** Largest deviation of declared from actual run times, as a share of the actual one. @default 0 */
     estimateError?: number;
     /** @default false */
@@ -60,6 +62,8 @@
 export interface Load {
     racks: number;
     workersPerRack: number;
+    /** Workers that run at another speed than the others, spread over the racks. @default none */
+    slowWorkers?: { share: number; speed: number; };
     /** @default 3 */
     vms?: number;
     /** Time after which the replay ends. */
