perf: looking up and comparing speeds costs less in planning rounds

Cause: a speed was looked up by a key that was built each time, and offers were compared through a table of functions; slow workers were preferred before the fullest one, which breaks up whole workers. Change: slow workers are kept by id and incarnation; a round looks nothing up while none is slow; speeds are compared by a sign, without a product that may be minus zero; slow workers come first only where nothing else distinguishes two. The gauge returns to 0 when a planner stops.

--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -256,11 +256,12 @@
     };
 };
 
-/** Subscribes what a planner does at intervals besides its rounds. */
-const subscribe = (context: PlannerContext, { timer, state, retainMs }: PlannerOptions): Unsubscribe[] => [
+/** Subscribes what a planner does at intervals besides its rounds, and returns what is to be called when it stops. */
+const subscribe = (context: PlannerContext, { timer, state, metrics, retainMs }: PlannerOptions): Unsubscribe[] => [
     timer.every(deletionIntervalMs, () => deleteExpiredJobs(context, state, retainMs)),
     timer.every(overdueCheckIntervalMs, createOverdueRunMonitor(context).check),
     timer.every(speedRefreshIntervalMs, context.speeds.refresh),
+    () => metrics.setSlowWorkers(0),
 ];
 
 /**
--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -44,6 +44,9 @@
 /** Finds the speed at which a task runs, that of the slowest member of its gang; a gang is looked at once. */
 const createRunSpeeds = ({ speeds }: PlannerContext) => {
     const byGang = new Map<Unit, number>();
+    if (!speeds.knowsSlowWorkers()) {
+        return () => 1;
+    }
     return (task: TaskState, worker: WorkerSession): number => {
         if (!task.unit.step.gang) {
             return speeds.speedOf(worker);
--- a/src/execution/speedHistory.ts
+++ b/src/execution/speedHistory.ts
@@ -33,6 +33,8 @@
     speedOf(worker: Incarnation): number;
     /** Speed of the slowest of several workers. */
     slowestOf(workers: readonly Incarnation[]): number;
+    /** Whether any worker is taken for slow. */
+    knowsSlowWorkers(): boolean;
 }
 
 /** Interval at which the speeds are estimated; an estimate with 350 workers takes about 12 ms. */
@@ -53,6 +55,7 @@
 
 const keyOf = ({ id, bornMs }: Incarnation): string => `${id}@${bornMs}`;
 const idOf = (key: string): string => key.slice(0, key.lastIndexOf("@"));
+const bornMsOf = (key: string): number => Number(key.slice(key.lastIndexOf("@") + 1));
 
 const createEntry = ({ unitKey, queue, gang, workers, workMs, fromMs, toMs }: ObservedWork): Entry => ({
     unitKey,
@@ -94,7 +97,8 @@
     // in the order of their last observations
     const entries = new Map<string, Entry>();
     let estimates = new Map<string, SpeedEstimate>();
-    let slowCount = 0;
+    // by worker id, as planning rounds look speeds up often
+    let slowWorkers = new Map<string, { bornMs: number; speed: number; }>();
 
     const logChanges = (previous: ReadonlyMap<string, SpeedEstimate>): void => {
         const changed = [...new Set([...previous.keys(), ...estimates.keys()])]
@@ -108,7 +112,10 @@
         });
     };
 
-    const speedOf = (worker: Incarnation): number => slowCount === 0 ? 1 : estimates.get(keyOf(worker))?.speed ?? 1;
+    const speedOf = ({ id, bornMs }: Incarnation): number => {
+        const slow = slowWorkers.get(id);
+        return slow?.bornMs === bornMs ? slow.speed : 1;
+    };
 
     return {
         add: work => {
@@ -125,12 +132,15 @@
             removeOutdated(entries, timer.nowMs());
             const previous = estimates;
             estimates = estimateSpeeds([...entries.values()], previous);
-            slowCount = [...estimates.values()].filter(isSlow).length;
-            metrics.setSlowWorkers(slowCount);
+            slowWorkers = new Map(
+                [...estimates].filter(([, estimate]) => isSlow(estimate))
+                    .map(([key, { speed }]) => [idOf(key), { bornMs: bornMsOf(key), speed }]),
+            );
+            metrics.setSlowWorkers(slowWorkers.size);
             logChanges(previous);
         },
         speedOf,
-        slowestOf: workers =>
-            slowCount === 0 ? 1 : workers.reduce((slowest, worker) => Math.min(slowest, speedOf(worker)), 1),
+        slowestOf: workers => workers.reduce((slowest, worker) => Math.min(slowest, speedOf(worker)), 1),
+        knowsSlowWorkers: () => slowWorkers.size > 0,
     };
 };
--- a/src/planning/placement.ts
+++ b/src/planning/placement.ts
@@ -1,7 +1,7 @@
 import { Adjacency } from "../configuration/types.js";
 import type { Step, TaskResources } from "../jobs/types.js";
 import { coreEquivalentsOf, fitCount, occupiedBy } from "./resources.js";
-import { compareAfterFit, compareBeforeFit, SpeedPreference, speedPreferenceOf } from "./speedPreference.js";
+import { signAfterFit, signBeforeFit, SpeedPreference, speedPreferenceOf } from "./speedPreference.js";
 import type { Assignment, Candidate, WorkerInfo } from "./types.js";
 
 /** Waiting time after which tasks that fill idle cores and tasks that serve users may share a worker. */
@@ -262,23 +262,32 @@
     return offers;
 };
 
+/** Compares the speeds of two workers, slow ones first if the sign is positive; apart, as a product may be minus zero. */
+const compareSpeeds = (sign: number, { worker: left }: Offer, { worker: right }: Offer): number =>
+    sign < 0 ? right.relativeSpeed - left.relativeSpeed : sign > 0 ? left.relativeSpeed - right.relativeSpeed : 0;
+
 /**
- * Sorts by: no cooldown, no earlier failure there, least suspicion, not kept free, no reservation, preferred speed, best
- * fit, fullest rack, fullest worker. Filling workers and racks that are in use already leaves whole ones free.
+ * Sorts by: no cooldown, no earlier failure there, least suspicion, not kept free, no reservation, fast workers if these
+ * are preferred, best fit, fullest rack, fullest worker, slow workers if these are. Filling workers and racks that are in
+ * use already leaves whole ones free.
  */
-const compareOffers = (preference: SpeedPreference) => (left: Offer, right: Offer): number =>
-    Number(left.worker.coolingDown) - Number(right.worker.coolingDown)
-    || Number(left.avoided) - Number(right.avoided)
-    || left.worker.suspicion - right.worker.suspicion
-    || Number(left.keptFree) - Number(right.keptFree)
-    || Number(left.borrowed) - Number(right.borrowed)
-    || compareBeforeFit[preference](left.worker, right.worker)
-    || left.leftover - right.leftover
-    || left.freeInRack - right.freeInRack
-    || compareAfterFit[preference](left.worker, right.worker)
-    || left.worker.free.accelerators - right.worker.free.accelerators
-    || left.worker.free.milliCores - right.worker.free.milliCores
-    || (left.worker.workerId < right.worker.workerId ? -1 : 1);
+const compareOffers = (preference: SpeedPreference) => {
+    const beforeFit = signBeforeFit[preference];
+    const afterFit = signAfterFit[preference];
+    return (left: Offer, right: Offer): number =>
+        Number(left.worker.coolingDown) - Number(right.worker.coolingDown)
+        || Number(left.avoided) - Number(right.avoided)
+        || left.worker.suspicion - right.worker.suspicion
+        || Number(left.keptFree) - Number(right.keptFree)
+        || Number(left.borrowed) - Number(right.borrowed)
+        || compareSpeeds(beforeFit, left, right)
+        || left.leftover - right.leftover
+        || left.freeInRack - right.freeInRack
+        || left.worker.free.accelerators - right.worker.free.accelerators
+        || left.worker.free.milliCores - right.worker.free.milliCores
+        || compareSpeeds(afterFit, left, right)
+        || (left.worker.workerId < right.worker.workerId ? -1 : 1);
+};
 
 /** Assigns tasks to workers in order of preference; returns fewer assignments than tasks when they do not all fit. */
 const pack = (
--- a/src/planning/speedPreference.ts
+++ b/src/planning/speedPreference.ts
@@ -1,5 +1,5 @@
 /** Which workers a step is placed on where they differ in speed. It addresses fleets in which some workers are slow. */
-import type { Candidate, WorkerInfo } from "./types.js";
+import type { Candidate } from "./types.js";
 
 /** What speed of workers a placement prefers, where they do not differ in what matters more. */
 export enum SpeedPreference {
@@ -27,21 +27,16 @@
     return step.taskCount >= wideTaskCount && hasTime ? SpeedPreference.SlowIfFitIsEqual : SpeedPreference.None;
 };
 
-type CompareWorkers = (left: WorkerInfo, right: WorkerInfo) => number;
-
-const slowFirst: CompareWorkers = (left, right) => left.relativeSpeed - right.relativeSpeed;
-const anyOrder: CompareWorkers = () => 0;
-
-/** Order of workers by speed that precedes how well they fit. */
-export const compareBeforeFit: Record<SpeedPreference, CompareWorkers> = {
-    [SpeedPreference.Fast]: (left, right) => slowFirst(right, left),
-    [SpeedPreference.Slow]: slowFirst,
-    [SpeedPreference.SlowIfFitIsEqual]: anyOrder,
-    [SpeedPreference.None]: anyOrder,
+/** Sign of the difference in speed by which workers are ordered before how well they fit is compared. */
+export const signBeforeFit: Record<SpeedPreference, number> = {
+    [SpeedPreference.Fast]: -1,
+    [SpeedPreference.Slow]: 1,
+    [SpeedPreference.SlowIfFitIsEqual]: 0,
+    [SpeedPreference.None]: 0,
 };
 
-/** Order by speed of workers that fit equally well. */
-export const compareAfterFit: Record<SpeedPreference, CompareWorkers> = {
-    ...compareBeforeFit,
-    [SpeedPreference.SlowIfFitIsEqual]: slowFirst,
+/** Sign of the difference in speed by which workers that fit equally well are ordered. */
+export const signAfterFit: Record<SpeedPreference, number> = {
+    ...signBeforeFit,
+    [SpeedPreference.SlowIfFitIsEqual]: 1,
 };
--- a/tools/planningMutants.ts
+++ b/tools/planningMutants.ts
@@ -221,10 +221,10 @@
     {
         without: "learning the speeds of workers",
         file: "execution/speedHistory.js",
-        find: "slowCount = [...estimates.values()].filter(isSlow).length",
-        replace: "slowCount = 0",
+        find: "return slow?.bornMs === bornMs ? slow.speed : 1;",
+        replace: "return 1;",
         tests: "workerSpeedsLearned",
-        fails: "learns which are slow from the times of runs",
+        fails: "logs each worker that it takes for slow once",
     },
     {
         without: "leaving out runs away from their data and gangs that span racks",
@@ -248,7 +248,7 @@
         find: "!unit[0].gang && unit.length >= minStepWorkers",
         replace: "false",
         tests: "test/workerSpeeds.test",
-        fails: "from the tasks of steps",
+        fails: "finds slow workers from tasks of steps",
     },
     {
         without: "blaming a slow gang on the members that nothing better is known of",
@@ -256,7 +256,7 @@
         find: "if (!isSlow) {\n        return workerIds;\n    }",
         replace: "return workerIds;",
         tests: "test/workerSpeeds.test",
-        fails: "finds one slow worker among gangs",
+        fails: "finds a slow worker from gangs, and blames no other",
     },
     {
         without: "fast workers first for gangs and urgent work",
