--- a/src/planning/emptyFleet.ts
+++ b/src/planning/emptyFleet.ts
@@ -30,6 +30,7 @@
     hasReservation: false,
     suspicion: 0,
     risk: 0,
+    relativeSpeed: 1,
     hasServingTask: false,
     hasIdleFillingTask: false,
 });
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -31,6 +31,8 @@
     suspicion: number;
     /** How likely it is to lose its runs, by its recent history and, with less weight, its rack's; 0 without any. */
     risk: number;
+    /** Rate of work relative to the other workers; 1 unless it is known to be slow. */
+    relativeSpeed: number;
     /** A task that serves its own users, with a bound on response times, runs there. */
     hasServingTask: boolean;
     /** A task that fills idle cores runs there. */
