fix: resumable runs are not moved early beyond the limit of their step

Cause: the earlier move of resumable runs, 1.5 s before their worker leaves, ignored maxUnavailable. Change: the limit holds for every stop but that of what is resumable at 0.9 s, which is as before: it would be lost anyway.

--- a/src/execution/departures.ts
+++ b/src/execution/departures.ts
@@ -15,7 +15,7 @@
 }
 
 /** Time before the worker leaves at which a resumable run is moved in any case: a stop with its checkpoint takes as long. */
-const latestMoveMs = 900;
+export const latestMoveMs = 900;
 /**
  * Time before the worker leaves at which a resumable run is moved that cannot end before: the stop with its checkpoint,
  * 0.9 s, the interval of 0.25 s between the rounds that decide it, and 0.35 s for the report and the start elsewhere.
--- a/src/execution/evacuation.ts
+++ b/src/execution/evacuation.ts
@@ -1,15 +1,13 @@
 import { gangMembersOf, RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
 import type { Run, TaskState } from "../jobs/progress.js";
 import type { PlannerContext } from "./context.js";
-import { mustDepart } from "./departures.js";
+import { latestMoveMs, mustDepart } from "./departures.js";
 import type { DepartingRun } from "./departures.js";
 import { disruptionLimitOf } from "./disruptionLimit.js";
 import { isResumable } from "./isResumable.js";
 import type { RunStopper } from "./runStopper.js";
 import type { WorkerSession } from "./session.js";
 
-/** Time before a worker leaves at which a long-running task is moved: covers a stop, its report and a start elsewhere. */
-const longRunningMoveMs = 900;
 /** Longest time for which work that was moved does not preempt other work; workers leave 5.5 s after a short notice. */
 const maxPreemptionHoldMs = 6_000;
 
@@ -53,10 +51,9 @@
     };
 
     const mustLeave = (task: TaskState, run: DepartingRun): boolean => {
-        if (task.unit.step.longRunning) {
-            return run.resumable && run.untilDepartureMs < longRunningMoveMs;
-        }
-        return mustDepart(run) && (run.resumable || isWithinDisruptionLimit(task));
+        // so late, what can resume is moved whatever limits disruptions, since it would be lost with its worker
+        const isLastChance = run.resumable && run.untilDepartureMs < latestMoveMs;
+        return isLastChance || (!task.unit.step.longRunning && mustDepart(run) && isWithinDisruptionLimit(task));
     };
 
     const move = (task: TaskState, { number, worker }: Run, run: DepartingRun): void => {
--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -1,5 +1,5 @@
 import { assert } from "chai";
-import { mustDepart } from "../src/execution/departures.js";
+import { latestMoveMs, mustDepart } from "../src/execution/departures.js";
 import type { DepartingRun } from "../src/execution/departures.js";
 import { EndKind } from "../src/execution/types.js";
 import type { JobSubmission, Step } from "../src/jobs/types.js";
@@ -138,6 +138,15 @@
         assert.equal(first.toMs, goneAtMs);
     });
 
+    it("is moved as late as before beyond the limit of its step if it is resumable", async () => {
+        const step = { taskCount: 3, maxUnavailable: 1, checkpointing: true };
+        const { fleet, goneAtMs } = await departFrom(step, { workMs: 20_000 });
+        await fleet.timer.advance(10_000);
+        const [first] = spansOf(fleet);
+        assert.equal(first.kind, EndKind.Stopped);
+        assert.isAbove(first.toMs ?? 0, goneAtMs - latestMoveMs);
+    });
+
     it("stays until the worker is gone if it is long-running", async () => {
         const { fleet, goneAtMs } = await departFrom({ longRunning: true }, { workMs: 60_000 });
         await fleet.timer.advance(10_000);
--- a/tools/workerMutants.ts
+++ b/tools/workerMutants.ts
@@ -189,8 +189,8 @@
     {
         without: "the limit of a step when its worker leaves",
         file: "execution/evacuation.js",
-        find: "(run.resumable || isWithinDisruptionLimit(task))",
-        replace: "true",
+        find: "&& isWithinDisruptionLimit(task)",
+        replace: "",
         tests: "departures",
         fails: "is not stopped beyond the limit of its step",
     },
