--- a/bench/simulatedPlanner.ts
+++ b/bench/simulatedPlanner.ts
@@ -77,6 +77,7 @@
     timer: TimerService,
 ): SimulatedPlanner => {
     const evacuatedZones = new Set<string>();
+    const metrics = createEntryMetrics();
     const state = { configuration: queueConfigurationOf(snapshot, maxBodyBytes), evacuatedZones };
     const sessions = new Map(workers.map(worker => [worker.name, createSession(timer, worker)]));
     const runs = createRunTable();
@@ -93,7 +94,7 @@
     return {
         timer,
         log: () => {},
-        metrics: createEntryMetrics(),
+        metrics,
         term: 1,
         jobs,
         openJobs,
@@ -101,7 +102,7 @@
         runs,
         unansweredStarts: createUnansweredStarts(timer),
         health: createWorkerHealth(timer),
-        speeds: createSpeedHistory(timer, () => {}, createEntryMetrics()),
+        speeds: createSpeedHistory(timer, () => {}, metrics),
         operator: () => state,
         mayOrder: () => true,
         record: async () => true,
