--- a/test/workerSpeeds.test.ts
+++ b/test/workerSpeeds.test.ts
@@ -1,8 +1,11 @@
 import { assert } from "chai";
+import { createSpeedHistory } from "../src/execution/speedHistory.js";
+import { createEntryMetrics } from "../src/node/entryMetrics.js";
 import { estimateSpeeds } from "../src/planning/workerSpeeds.js";
 import type { SpeedEstimates, SpeedObservation } from "../src/planning/workerSpeeds.js";
 import { createRandom } from "../src/utils/random.js";
 import type { Random } from "../src/utils/random.js";
+import { createVirtualTimer } from "../src/utils/virtualTimer.js";
 
 const slowSpeed = 0.5;
 const workerIds = Array.from({ length: 16 }, (_, index) => `w${index}`);
@@ -30,6 +33,7 @@
     ["takes no fast worker for slow if most gangs have a slow member", quarter, 150, 8, true, 0],
     alikeBySteps,
     ["takes none for slow where all run alike, by tasks", [], 320, 1, false, 0],
+    ["takes none for slow where all run alike, by pairs of tasks", [], 160, 2, false, 0],
     ["takes none for slow where all run alike, by gangs", [], 106, 3, true, 0],
 ];
 
@@ -85,3 +89,28 @@
         assert.isEmpty(findSlow(observations));
     });
 });
+
+describe("the history of workers' speeds", () => {
+    it("has the speed of a slow worker, and notices that it has recovered while older observations still count", () => {
+        let nowMs = 0;
+        const timer = { ...createVirtualTimer(), nowMs: () => nowMs };
+        const history = createSpeedHistory(timer, () => {}, createEntryMetrics());
+        for (const slowSpeedNow of [slowSpeed, 1]) {
+            for (let step = 0; step < 20; step++, nowMs += 2_000) {
+                for (const id of workerIds) {
+                    const fromMs = nowMs - 1_000 / (quarter.includes(id) ? slowSpeedNow : 1);
+                    const where = {
+                        unitKey: `job-${nowMs}`,
+                        queue: "bookings",
+                        gang: false,
+                        workers: [{ id, bornMs: 1 }],
+                    };
+                    history.add({ ...where, workMs: 1_000, fromMs, toMs: nowMs, isFirstOfRun: true });
+                }
+                history.refresh();
+            }
+            quarter.forEach(id => assert.equal(history.speedOf({ id, bornMs: 1 }), slowSpeedNow, id));
+            quarter.forEach(id => assert.equal(history.speedOf({ id, bornMs: 2 }), 1, id));
+        }
+    });
+});
--- a/test/workerSpeedsLearned.test.ts
+++ b/test/workerSpeedsLearned.test.ts
@@ -150,7 +150,7 @@
 });
 
 describe("the input of a planning round", () => {
-    it("has the remaining times of runs by the speed of their workers, in a gang by that of the slowest", () => {
+    it("has the remaining times of runs by the speed of their workers, in a gang by that of the slowest", async () => {
         const { planner, near: [slow, fast, other] } = createRecorder();
         for (let step = 0; step < slowSteps; step++) {
             [slow, fast, other].forEach(worker => {
@@ -160,6 +160,7 @@
             });
         }
         planner.speeds.refresh();
+        assert.match(await planner.metrics.render(), /catkinswitch_slow_workers 1\n/);
         const job = planner.addJob(createSubmission("gang", [createStep({ taskCount: 2, gang: true, estimateMs })]));
         planner.run(job, [slow, fast].map(({ id: workerId }, taskIndex) => ({ taskIndex, workerId })), "");
         planner.run(planner.addJob(createSubmission("task", [createStep({ estimateMs })])), [
