feat: postpone the work whose delay costs least when a service is overloaded

Cause: the order by tier, priority and latest start lets a wide job that is due first make several small ones miss their objectives; nothing compares a job's value with what it takes. Ruled out: postponing across tiers (guarantees, urgent work and starved gangs keep their precedence); an account of each run in the round's input (its objects alone took a tenth of a round; a mean per worker is enough). Postponed work is placed last in its tier and takes whatever room is left. Without overload nothing is postponed, and the order is the former one.

--- a/bench/baselines.ts
+++ b/bench/baselines.ts
@@ -14,7 +14,14 @@
     workersFor: (candidate: Candidate) => WorkerInfo[],
     queueOf: (candidate: Candidate) => string | undefined,
 ): Round => {
-    const round: Round = { placements: [], evictions: [], claims: [], backfillLimits: [], limited: new Map() };
+    const round: Round = {
+        placements: [],
+        evictions: [],
+        claims: [],
+        backfillLimits: [],
+        limited: new Map(),
+        postponements: new Map(),
+    };
     const byId = new Map(input.workers.map(worker => [worker.workerId, worker]));
     const blockedQueues = new Set<string>();
     const oldestFirst = [...input.candidates].sort((left, right) => left.job.acceptedAtMs - right.job.acceptedAtMs);
--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -62,6 +62,27 @@
     return !staysUnrecorded && !hasMostLikelyLapsed(session, nowMs);
 };
 
+/** Whether a task's run is being stopped, which takes less than a second. */
+const isStopping = ({ run }: TaskState): boolean => run?.phase === RunPhase.Stopping;
+
+/** Accumulates when the runs of a worker end, weighted by their sizes. */
+const createMeanOfEnds = () => {
+    let size = 0;
+    let endingSize = 0;
+    let sumMs = 0;
+    return {
+        add: (runSize: number, remainingRunMs: number): void => {
+            size += runSize;
+            if (Number.isFinite(remainingRunMs)) {
+                endingSize += runSize;
+                sumMs += runSize * remainingRunMs;
+            }
+        },
+        share: (): number => size === 0 ? 0 : endingSize / size,
+        meanMs: (): number => endingSize === 0 ? 0 : sumMs / endingSize,
+    };
+};
+
 /** Collects the listed workers with their free resources. */
 export const collectWorkers = (context: PlannerContext): WorkerInfo[] => {
     const workers: WorkerInfo[] = [];
@@ -72,6 +93,7 @@
         }
         const ready = isReady(context, session);
         const coolingDown = ready && context.health.isCoolingDown(session.id);
+        const ends = createMeanOfEnds();
         const worker: WorkerInfo = {
             workerId: session.id,
             service: descriptor.service,
@@ -98,13 +120,18 @@
             if (!isAtWork(task, session, context.timer.nowMs())) {
                 subtractResources(worker.notAtWork, occupiedBy(step), -1);
             }
-            if (isMigratable(task, context.timer.nowMs())) {
+            const migratable = isMigratable(task, context.timer.nowMs());
+            if (migratable) {
                 subtractResources(worker.migratable, occupiedBy(step), -1);
             }
-            worker.busyForMs = Math.max(worker.busyForMs, remainingMs(task, context.timer.nowMs()));
+            const remainingRunMs = remainingMs(task, context.timer.nowMs());
+            worker.busyForMs = Math.max(worker.busyForMs, remainingRunMs);
+            ends.add(coreEquivalentsOf(occupiedBy(step)), isStopping(task) ? 0 : remainingRunMs);
             worker.hasServingTask ||= step.targetMs !== undefined;
             worker.hasIdleFillingTask ||= step.fillsIdleCores;
         }
+        worker.endingShare = ends.share();
+        worker.meanRemainingMs = ends.meanMs();
         workers.push(worker);
     }
     return workers;
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -4,13 +4,14 @@
 import { untilLatestStartMs, workOf } from "../planning/order.js";
 import { noReservations } from "../planning/reservations.js";
 import { planRound } from "../planning/round.js";
-import type { Candidate, Occupant, PreemptionClaim, Round, WorkerInfo } from "../planning/types.js";
+import type { Candidate, Occupant, Postponements, PreemptionClaim, Round, WorkerInfo } from "../planning/types.js";
 import { createUrgentDemand } from "../planning/urgentDemand.js";
 import { runGuarded } from "../utils/runGuarded.js";
 import type { PlannerContext } from "./context.js";
 import { collectCustomerUse } from "./customerLimits.js";
 import { allocateGuarantees, guaranteedGangs, reconcileReservations, updateReservations } from "./guarantees.js";
 import type { GuaranteeAllocations } from "./guarantees.js";
+import { createPostponementReporter } from "./postponementReporter.js";
 import { collectCandidates, collectOccupants, collectUrgentUse, collectWorkers } from "./roundInput.js";
 import type { RunMonitor } from "./runMonitor.js";
 import type { RunStarter } from "./runStarter.js";
@@ -110,7 +111,9 @@
     const { timer } = context;
     const urgentDemand = createUrgentDemand();
     const waitReporter = createWaitReporter(context);
+    const postponementReporter = createPostponementReporter(context);
     let claims: PreemptionClaim[] = [];
+    let postponements: Postponements = new Map();
     let reservationState = noReservations;
     let cancelScheduled: (() => void) | undefined;
     let startedAtMs: number | undefined;
@@ -155,6 +158,10 @@
         if (candidates.length > 0) {
             planCandidates(nowMs, workers ?? collectWorkers(context), candidates, guarantees);
         }
+        else {
+            postponements = new Map();
+        }
+        postponementReporter.onRound(candidates, postponements);
         waitReporter.reportHeldUnits();
     };
 
@@ -176,8 +183,10 @@
             urgentHeadroom,
             customerUses,
             shareUses,
+            postponements,
         });
         claims = round.claims;
+        postponements = round.postponements;
         logPreemptions(context, candidates, round);
         applyRound(context, runStopper, runStarter, round);
         waitReporter.onRound(workers, candidates, round);
--- a/src/execution/waitReporter.ts
+++ b/src/execution/waitReporter.ts
@@ -90,6 +90,7 @@
                 write(candidate.key, reason, candidate.waitingMs, {
                     tasks: candidate.taskIndexes.length,
                     gang: candidate.step.gang,
+                    postponed: round.postponements.get(candidate.key)?.active === true,
                     room: countRoom(workers, candidate),
                     priority: candidate.job.priority,
                     inUse: Number(serviceShareInUse(workers, candidate).toFixed(3)),
--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -26,6 +26,8 @@
     recordTermChange(change: "gained" | "lost"): void;
     /** Sets the number of tasks of a priority that wait to be placed. */
     setWaitingTasks(priority: number, count: number): void;
+    /** Sets the number of jobs of a priority that are postponed since not all waiting work can be completed in time. */
+    setPostponedJobs(priority: number, count: number): void;
     /** Sets the number of runs that have been in a phase for longer than recording and ordering take. */
     setOverdueRuns(phase: string, count: number): void;
     /** Counts a unit that waits although there is room for it, once for each log line; `reason` becomes a label. */
@@ -125,6 +127,12 @@
         labelNames: ["priority"],
         registers,
     });
+    const postponed = new Gauge({
+        name: "catkinswitch_postponed_jobs",
+        help: "Jobs placed after others since not all can be completed in time, by priority; only on the planner.",
+        labelNames: ["priority"],
+        registers,
+    });
     const overdueRuns = new Gauge({
         name: "catkinswitch_overdue_runs",
         help: "Runs that are neither started nor ended in the usual time, by phase; only on the planner.",
@@ -159,6 +167,7 @@
         recordJobEnd: (phase, priority, durationMs) => jobs.observe({ phase, priority }, durationMs / msPerSecond),
         recordTermChange: change => terms.inc({ change }),
         setWaitingTasks: (priority, count) => waiting.set({ priority }, count),
+        setPostponedJobs: (priority, count) => postponed.set({ priority }, count),
         setOverdueRuns: (phase, count) => overdueRuns.set({ phase }, count),
         recordUnplaced: reason => unplaced.inc({ reason }),
         recordPlanningRound: durationMs => planningRounds.observe(durationMs / msPerSecond),
--- a/src/planning/order.ts
+++ b/src/planning/order.ts
@@ -1,5 +1,5 @@
 import { coreEquivalentsOf } from "./resources.js";
-import type { Candidate } from "./types.js";
+import type { Candidate, Postponements } from "./types.js";
 
 /** Tiers in which waiting work is placed; lower values first. */
 export enum Tier {
@@ -57,15 +57,22 @@
  * Sorts waiting work by tier, then by priority, then by latest start.
  *
  * @param beyondShares work that is placed after other work of its tier and priority
+ * @param postponements by key, work that is placed after other work of its tier
  */
 export const orderCandidates = (
     candidates: readonly Candidate[],
     beyondShares: ReadonlySet<Candidate> = new Set(),
+    postponements: Postponements = new Map(),
 ): Candidate[] =>
     candidates
-        .map(candidate => ({ candidate, tier: tierOf(candidate) }))
+        .map(candidate => ({
+            candidate,
+            tier: tierOf(candidate),
+            isPostponed: postponements.get(candidate.key)?.active === true,
+        }))
         .sort((left, right) =>
             left.tier - right.tier
+            || Number(left.isPostponed) - Number(right.isPostponed)
             || left.candidate.job.priority - right.candidate.job.priority
             || Number(beyondShares.has(left.candidate)) - Number(beyondShares.has(right.candidate))
             || untilLatestStartMs(left.candidate) - untilLatestStartMs(right.candidate)
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -4,10 +4,20 @@
 import { findBeyondShares } from "./customerShares.js";
 import type { ShareUses } from "./customerShares.js";
 import { orderCandidates, Tier, tierOf } from "./order.js";
+import { findPostponements } from "./overload.js";
 import { fitsIfEmpty, gangDomains, isMostlyIdle, placeGang, placeTasks, relaxAfterMs } from "./placement.js";
 import { fitCount, occupiedBy, subtractResources } from "./resources.js";
 import { createRoundPreemption, mayPreemptOthers } from "./roundPreemption.js";
-import type { Assignment, BackfillLimit, Candidate, Occupant, PreemptionClaim, Round, WorkerInfo } from "./types.js";
+import type {
+    Assignment,
+    BackfillLimit,
+    Candidate,
+    Occupant,
+    Postponements,
+    PreemptionClaim,
+    Round,
+    WorkerInfo,
+} from "./types.js";
 import { createUnplaceableCache } from "./unplaceableCache.js";
 
 /** Input of a planning round, which updates the workers in place as it places work. */
@@ -25,6 +35,8 @@
     customerUses?: CustomerUses;
     /** Weights and use of the customers with a share. @default no customer has one */
     shareUses?: ShareUses;
+    /** Postponements of the previous round. @default none */
+    postponements?: Postponements;
 }
 
 /** Number of blocked gangs for which backfill is limited in a round. */
@@ -146,8 +158,32 @@
     }
 };
 
+/** Orders the candidates of a round, and decides which of them are postponed. */
+const orderRound = (
+    { nowMs, candidates, workers, customerUses = new Map(), shareUses = new Map(), postponements = new Map() }:
+        RoundInput,
+): { ordered: Candidate[]; postponements: Postponements; } => {
+    const withoutShares = orderCandidates(candidates);
+    const beyondShares = findBeyondShares(withoutShares, workers, shareUses);
+    const ordered = beyondShares.size === 0 ? withoutShares : orderCandidates(candidates, beyondShares);
+    const current = findPostponements({
+        nowMs,
+        ordered,
+        workers,
+        beyondShares,
+        customerUses,
+        previous: postponements,
+    });
+    const isAnyPostponed = [...current.values()].some(({ active }) => active);
+    return {
+        ordered: isAnyPostponed ? orderCandidates(candidates, beyondShares, current) : ordered,
+        postponements: current,
+    };
+};
+
 /** Decides which tasks start where and which runs are preempted for them. */
 export const planRound = (input: RoundInput): Round => {
+    const { ordered, postponements } = orderRound(input);
     const workersById = new Map(input.workers.map(worker => [worker.workerId, worker]));
     const budgets = createCustomerBudgets(input.customerUses ?? new Map());
     const round: Round = {
@@ -156,6 +192,7 @@
         claims: [],
         backfillLimits: [],
         limited: budgets.limited,
+        postponements,
     };
     const { candidates } = input;
     const claims = createClaims({ nowMs: input.nowMs, workersById, candidates, previous: input.claims, budgets });
@@ -230,12 +267,7 @@
 
     let headroomReserved = false;
     let otherClaimsAllocated = false;
-    const beyondShares = findBeyondShares(
-        orderCandidates(input.candidates),
-        input.workers,
-        input.shareUses ?? new Map(),
-    );
-    for (const whole of orderCandidates(input.candidates, beyondShares)) {
+    for (const whole of ordered) {
         if (!whole.guaranteed && !otherClaimsAllocated) {
             // claimed guarantees must not wait for resources that other work has claimed
             otherClaimsAllocated = true;
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -23,6 +23,10 @@
     isUrgentHeadroom: boolean;
     /** Longest remaining time of its runs, by their declared run times; 0 while nothing runs, infinite for long-running ones. */
     busyForMs: number;
+    /** Share of its occupied resources whose runs end; long-running ones do not. @default 0 */
+    endingShare?: number;
+    /** Mean remaining time of the runs that end, by their declared run times, weighted by core equivalents. @default 0 */
+    meanRemainingMs?: number;
     /** Time within which backfilled work must end, since a blocked gang is expected to start there then. */
     backfillWindowMs: number;
     /** It is reserved for a guaranteed gang, so that borrowers are preempted once the guarantee is claimed. */
@@ -109,6 +113,19 @@
     madeAtMs: number;
 }
 
+/** What is known of waiting work that is postponed or was. */
+export interface Postponement {
+    /** Monotonic time at which it was postponed first. */
+    sinceMs: number;
+    /** It is postponed now. */
+    active: boolean;
+    /** It has been postponed for as long as it may be. */
+    returned: boolean;
+}
+
+/** Postponed work by key of its candidate; lost with the planner and rebuilt by the next rounds. */
+export type Postponements = ReadonlyMap<string, Postponement>;
+
 /** Workers on which a blocked gang limits backfill. */
 export interface BackfillLimit {
     /** The blocked gang. */
@@ -130,4 +147,6 @@
     backfillLimits: BackfillLimit[];
     /** Why customers' limits kept candidates, in whole or in part, from being placed; by key. */
     limited: ReadonlyMap<string, WaitReason>;
+    /** Work that is placed after other work of its tier, to pass to the next round. */
+    postponements: Postponements;
 }
--- a/tools/planningMutants.ts
+++ b/tools/planningMutants.ts
@@ -2,6 +2,14 @@
 
 /** Mutants of the planning decisions. */
 export const planningMutants: readonly Mutant[] = [
+    {
+        without: "postponing the work whose delay costs least",
+        file: "planning/round.js",
+        find: "isAnyPostponed ?",
+        replace: "false ?",
+        tests: "overload",
+        fails: "goes after work that loses more for what it takes",
+    },
     {
         without: "the margin on the account of use",
         file: "planning/placement.js",
