--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -65,20 +65,31 @@
 /** Whether a task's run is being stopped, which takes less than a second. */
 const isStopping = ({ run }: TaskState): boolean => run?.phase === RunPhase.Stopping;
 
-/** Accumulates when the runs of a worker end, weighted by their sizes. */
+/** Accumulates when the runs of a worker end, weighted by their sizes; reused for each worker. */
 const createMeanOfEnds = () => {
     let size = 0;
     let endingSize = 0;
+    let preemptibleSize = 0;
     let sumMs = 0;
     return {
-        add: (runSize: number, remainingRunMs: number): void => {
+        reset: (): void => {
+            size =
+                endingSize =
+                preemptibleSize =
+                sumMs =
+                    0;
+        },
+        add: ({ unit: { job, step } }: TaskState, remainingRunMs: number): void => {
+            const runSize = coreEquivalentsOf(occupiedBy(step));
             size += runSize;
             if (Number.isFinite(remainingRunMs)) {
                 endingSize += runSize;
+                preemptibleSize += job.submission.priority > 0 ? runSize : 0;
                 sumMs += runSize * remainingRunMs;
             }
         },
         share: (): number => size === 0 ? 0 : endingSize / size,
+        preemptibleShare: (): number => size === 0 ? 0 : preemptibleSize / size,
         meanMs: (): number => endingSize === 0 ? 0 : sumMs / endingSize,
     };
 };
@@ -86,6 +97,7 @@
 /** Collects the listed workers with their free resources. */
 export const collectWorkers = (context: PlannerContext): WorkerInfo[] => {
     const workers: WorkerInfo[] = [];
+    const ends = createMeanOfEnds();
     for (const session of context.sessions.values()) {
         const { descriptor } = session;
         if (descriptor === undefined) {
@@ -93,7 +105,7 @@
         }
         const ready = isReady(context, session);
         const coolingDown = ready && context.health.isCoolingDown(session.id);
-        const ends = createMeanOfEnds();
+        ends.reset();
         const worker: WorkerInfo = {
             workerId: session.id,
             service: descriptor.service,
@@ -126,11 +138,12 @@
             }
             const remainingRunMs = remainingMs(task, context.timer.nowMs());
             worker.busyForMs = Math.max(worker.busyForMs, remainingRunMs);
-            ends.add(coreEquivalentsOf(occupiedBy(step)), isStopping(task) ? 0 : remainingRunMs);
+            ends.add(task, isStopping(task) ? 0 : remainingRunMs);
             worker.hasServingTask ||= step.targetMs !== undefined;
             worker.hasIdleFillingTask ||= step.fillsIdleCores;
         }
         worker.endingShare = ends.share();
+        worker.preemptibleShare = ends.preemptibleShare();
         worker.meanRemainingMs = ends.meanMs();
         workers.push(worker);
     }
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -39,6 +39,8 @@
 const maxPlanningShare = 0.3;
 /** Maximum pause for that: a round may also seem long because the process was held up, and waiting work has a bound. */
 const maxPauseMs = 500;
+/** Interval at which it is judged whether all waiting work can be completed in time; rounds may be 4 ms apart. */
+const judgeLoadIntervalMs = 50;
 /** Priorities reported in the metric of waiting tasks; queues use 0 to 2. */
 const reportedPriorities = [0, 1, 2];
 
@@ -114,6 +116,7 @@
     const postponementReporter = createPostponementReporter(context);
     let claims: PreemptionClaim[] = [];
     let postponements: Postponements = new Map();
+    let loadJudgedAtMs = Number.NEGATIVE_INFINITY;
     let reservationState = noReservations;
     let cancelScheduled: (() => void) | undefined;
     let startedAtMs: number | undefined;
@@ -174,6 +177,8 @@
         const urgentHeadroom = urgentDemand.expected(nowMs, collectUrgentUse(context), workers);
         const occupants = (): Occupant[] => collectOccupants(context, guarantees);
         const { limits: customerUses, shares: shareUses } = collectCustomerUse(context);
+        const keepsPostponements = nowMs - loadJudgedAtMs < judgeLoadIntervalMs;
+        loadJudgedAtMs = keepsPostponements ? loadJudgedAtMs : nowMs;
         const round = planRound({
             nowMs,
             workers,
@@ -184,6 +189,7 @@
             customerUses,
             shareUses,
             postponements,
+            keepsPostponements,
         });
         claims = round.claims;
         postponements = round.postponements;
--- a/src/planning/order.ts
+++ b/src/planning/order.ts
@@ -57,25 +57,34 @@
  * Sorts waiting work by tier, then by priority, then by latest start.
  *
  * @param beyondShares work that is placed after other work of its tier and priority
- * @param postponements by key, work that is placed after other work of its tier
  */
 export const orderCandidates = (
     candidates: readonly Candidate[],
     beyondShares: ReadonlySet<Candidate> = new Set(),
-    postponements: Postponements = new Map(),
 ): Candidate[] =>
     candidates
-        .map(candidate => ({
-            candidate,
-            tier: tierOf(candidate),
-            isPostponed: postponements.get(candidate.key)?.active === true,
-        }))
+        .map(candidate => ({ candidate, tier: tierOf(candidate) }))
         .sort((left, right) =>
             left.tier - right.tier
-            || Number(left.isPostponed) - Number(right.isPostponed)
             || left.candidate.job.priority - right.candidate.job.priority
             || Number(beyondShares.has(left.candidate)) - Number(beyondShares.has(right.candidate))
             || untilLatestStartMs(left.candidate) - untilLatestStartMs(right.candidate)
             || (left.candidate.key < right.candidate.key ? -1 : 1)
         )
         .map(entry => entry.candidate);
+
+/** Moves postponed work of sorted candidates behind the other work of its tier. */
+export const movePostponedBack = (ordered: readonly Candidate[], postponements: Postponements): Candidate[] => {
+    const moved: Candidate[] = [];
+    let postponed: Candidate[] = [];
+    let tier = Tier.Guaranteed;
+    for (const candidate of ordered) {
+        if (tierOf(candidate) !== tier) {
+            moved.push(...postponed);
+            postponed = [];
+            tier = tierOf(candidate);
+        }
+        (postponements.get(candidate.key)?.active === true ? postponed : moved).push(candidate);
+    }
+    return [...moved, ...postponed];
+};
--- a/src/planning/overload.ts
+++ b/src/planning/overload.ts
@@ -9,7 +9,7 @@
 import { delayLoss, untilDropMs, workToEarn } from "./delayCost.js";
 import { Tier, tierOf } from "./order.js";
 import { addResources, fitCount, occupiedBy } from "./resources.js";
-import { addMigratable, addWorkers, createSupply, resourceNames } from "./supply.js";
+import { addPreemptible, addWorkers, createSupply, resourceNames } from "./supply.js";
 import type { Supply } from "./supply.js";
 import type { Candidate, Postponement, Postponements, WorkerInfo } from "./types.js";
 
@@ -26,19 +26,20 @@
     previous: Postponements;
 }
 
-/** Work of one tier that is due at some time. */
+/** Work that must start before its job's value drops. */
 interface Demand {
     candidate: Candidate;
     tier: Tier;
-    dueMs: number;
-    /** Position of its due time among those of the service. */
-    dueIndex: number;
+    /** Time until all of its tasks must have started. */
+    latestStartMs: number;
+    /** Position of its latest start among those of the service. */
+    index: number;
 }
 
 /** Demand with the cost of its delay. */
 interface PricedDemand extends Demand {
-    /** Loss by resource, for each unit that the job takes until its value is earned. */
-    lossPerUnit: number[];
+    /** Value lost by its delay; more if it is not postponed yet. */
+    loss: number;
     isBeyondShare: boolean;
     /** It has been postponed for as long as it may be. */
     hasReturned: boolean;
@@ -87,18 +88,19 @@
     return resourceNames.every(name => missing[name] <= 0);
 };
 
-/** Collects the work that can be postponed, in order of due times. */
-const collectDemands = (candidates: readonly Candidate[]): Demand[] => {
+/** Collects the work that can be postponed, in order of latest starts. */
+const collectDemands = (candidates: readonly Candidate[], tiers: readonly Tier[]): Demand[] => {
     const demands: Demand[] = [];
-    for (const candidate of candidates) {
-        const tier = tierOf(candidate);
-        const dueMs = untilDropMs(candidate);
-        if (postponableTiers.includes(tier) && !candidate.step.longRunning && dueMs < Number.MAX_SAFE_INTEGER) {
-            demands.push({ candidate, tier, dueMs, dueIndex: 0 });
+    for (const [position, candidate] of candidates.entries()) {
+        const tier = tiers[position];
+        const latestStartMs = untilDropMs(candidate) - candidate.step.estimateMs;
+        const mayExpire = !candidate.step.longRunning && Number.isFinite(latestStartMs);
+        if (postponableTiers.includes(tier) && mayExpire) {
+            demands.push({ candidate, tier, latestStartMs, index: 0 });
         }
     }
-    demands.sort((left, right) => left.dueMs - right.dueMs);
-    demands.forEach((demand, index) => demand.dueIndex = index);
+    demands.sort((left, right) => left.latestStartMs - right.latestStartMs);
+    demands.forEach((demand, index) => demand.index = index);
     return demands;
 };
 
@@ -106,32 +108,54 @@
 const workOn = ({ candidate: { step, taskIndexes } }: Demand, name: keyof TaskResources): number =>
     occupiedBy(step)[name] * taskIndexes.length * step.estimateMs;
 
-/** Whether all work can be completed when it is due. */
+/**
+ * What is available to the work of a tier that must have started by each of the times: what is free until then, and what
+ * is free at that time for as long as the longest of it runs.
+ */
+const availableTo = (
+    demands: readonly Demand[],
+    supply: ReturnType<Supply["read"]>,
+    usableShare: number,
+): Float64Array => {
+    const { untilThen, atThatTime } = supply;
+    const available = new Float64Array(untilThen.length);
+    let longestMs = 0;
+    for (const { candidate, index } of demands) {
+        longestMs = Math.max(longestMs, candidate.step.estimateMs);
+        const first = index * resourceNames.length;
+        for (let at = first; at < first + resourceNames.length; at++) {
+            available[at] = Math.max(0, (untilThen[at] + atThatTime[at] * longestMs) * usableShare);
+        }
+    }
+    return available;
+};
+
+/** Whether all work can start before its job's value drops. */
 const isFeasible = (demands: readonly Demand[], available: Float64Array): boolean =>
     resourceNames.every((name, resource) => {
         let total = 0;
         return demands.every(demand => {
             total += workOn(demand, name);
-            return total <= Math.max(0, available[demand.dueIndex * resourceNames.length + resource]);
+            return total <= available[demand.index * resourceNames.length + resource];
         });
     });
 
 /** Whether a job has been postponed for its objective, the time within which its caller expected it; it returns then. */
 const hasReturned = ({ job }: Candidate, sinceMs: number, nowMs: number): boolean => nowMs - sinceMs > objectiveMs(job);
 
-/** Determines what the delay of work costs; more if it is not postponed yet. */
+/** Determines what the delay of work costs. */
 const priceDemand = (
-    demand: Demand,
+    { candidate, tier, latestStartMs, index }: Demand,
     { previous, nowMs }: OverloadInput,
     beyondShares: ReadonlySet<string>,
 ): PricedDemand => {
-    const { candidate } = demand;
     const postponement = previous.get(candidate.key);
-    const loss = delayLoss(candidate) * (postponement?.active === true ? 1 : exchangeFactor);
-    const work = workToEarn(candidate);
     return {
-        ...demand,
-        lossPerUnit: resourceNames.map(name => loss / work[name]),
+        candidate,
+        tier,
+        latestStartMs,
+        index,
+        loss: delayLoss(candidate) * (postponement?.active === true ? 1 : exchangeFactor),
         isBeyondShare: beyondShares.has(candidate.key),
         hasReturned: postponement !== undefined && hasReturned(candidate, postponement.sinceMs, nowMs),
     };
@@ -144,33 +168,50 @@
     takeCheapest(): PricedDemand | undefined;
 }
 
+/** Demand in a queue, with its loss for each unit that its job takes until its value is earned. */
+interface Priced {
+    demand: PricedDemand;
+    lossPerUnit: number;
+}
+
 const createPostponementQueue = (resource: number, postponed: ReadonlySet<PricedDemand>): PostponementQueue => {
+    const name = resourceNames[resource];
     /** The cheapest last. */
-    const sorted: PricedDemand[] = [];
-    const isCheaper = (left: PricedDemand, right: PricedDemand): boolean =>
-        left.isBeyondShare === right.isBeyondShare
-            ? left.lossPerUnit[resource] < right.lossPerUnit[resource]
-            : left.isBeyondShare;
+    const sorted: Priced[] = [];
+    let added: PricedDemand[] = [];
+    const isCheaper = (left: Priced, right: Priced): boolean =>
+        left.demand.isBeyondShare === right.demand.isBeyondShare
+            ? left.lossPerUnit < right.lossPerUnit
+            : left.demand.isBeyondShare;
+    const insert = (demand: PricedDemand): void => {
+        const priced = { demand, lossPerUnit: demand.loss / workToEarn(demand.candidate, name) };
+        let low = 0;
+        let high = sorted.length;
+        while (low < high) {
+            const middle = (low + high) >>> 1;
+            if (isCheaper(priced, sorted[middle])) {
+                low = middle + 1;
+            }
+            else {
+                high = middle;
+            }
+        }
+        sorted.splice(low, 0, priced);
+    };
     return {
         add: demand => {
-            let low = 0;
-            let high = sorted.length;
-            while (low < high) {
-                const middle = (low + high) >>> 1;
-                if (isCheaper(demand, sorted[middle])) {
-                    low = middle + 1;
-                }
-                else {
-                    high = middle;
-                }
-            }
-            sorted.splice(low, 0, demand);
+            added.push(demand);
         },
         takeCheapest: () => {
-            let cheapest = sorted.pop();
+            // sorted only now, since most resources never run out
+            added.filter(demand => !demand.hasReturned && !postponed.has(demand) && workOn(demand, name) > 0).forEach(
+                insert,
+            );
+            added = [];
+            let cheapest = sorted.pop()?.demand;
             // it may have been taken for another resource
             while (cheapest !== undefined && postponed.has(cheapest)) {
-                cheapest = sorted.pop();
+                cheapest = sorted.pop()?.demand;
             }
             return cheapest;
         },
@@ -178,7 +219,7 @@
 };
 
 /**
- * Weighted Moore-Hodgson: adds work in order of due times, and whenever the total exceeds what is available by then,
+ * Weighted Moore-Hodgson: adds work in order of latest starts, and whenever the total exceeds what is available to it,
  * postpones what loses least for what it takes.
  */
 const postponeCheapest = (demands: readonly PricedDemand[], available: Float64Array): Set<PricedDemand> => {
@@ -189,11 +230,9 @@
         resourceNames.forEach((name, resource) => totals[resource] += sign * workOn(demand, name));
     for (const demand of demands) {
         addTotals(demand, 1);
-        resourceNames.forEach((name, resource) =>
-            !demand.hasReturned && workOn(demand, name) > 0 && queues[resource].add(demand)
-        );
+        queues.forEach(queue => queue.add(demand));
         queues.forEach((queue, resource) => {
-            const limit = Math.max(0, available[demand.dueIndex * resourceNames.length + resource]);
+            const limit = available[demand.index * resourceNames.length + resource];
             let cheapest = totals[resource] > limit ? queue.takeCheapest() : undefined;
             while (cheapest !== undefined) {
                 postponed.add(cheapest);
@@ -215,18 +254,18 @@
 /** Finds the work of one tier and service to postpone. */
 const findPostponedOfTier = (
     demands: readonly Demand[],
-    available: Float64Array,
+    supply: ReturnType<Supply["read"]>,
     input: OverloadInput,
 ): readonly Candidate[] => {
     const wasOverloaded = demands.some(({ candidate }) => input.previous.get(candidate.key)?.active === true);
-    const usable = wasOverloaded ? available.map(amount => amount * recoveredShare) : available;
-    if (isFeasible(demands, usable)) {
+    const available = availableTo(demands, supply, wasOverloaded ? recoveredShare : 1);
+    if (isFeasible(demands, available)) {
         return [];
     }
     // a customer's limit may have left only part of a candidate, so that it is another object
     const beyondShares = new Set([...input.beyondShares].map(({ key }) => key));
     const priced = demands.map(demand => priceDemand(demand, input, beyondShares));
-    const postponed = postponeCheapest(priced, usable);
+    const postponed = postponeCheapest(priced, available);
     addBeyondShares(postponed, priced);
     return [...postponed].map(({ candidate }) => candidate);
 };
@@ -239,16 +278,19 @@
     }
 };
 
-/** What is available to urgent work, which preempts runs that can be resumed. */
-const readWithMigratable = (
+/** What is available to urgent work, which preempts other runs. */
+const readWithPreemptible = (
     supply: Supply,
     workers: readonly WorkerInfo[],
-    dueTimesMs: Float64Array,
-): Float64Array => {
-    const gained = createSupply(dueTimesMs);
-    addMigratable(gained, workers);
-    const gains = gained.read();
-    return supply.read().map((amount, index) => amount + gains[index]);
+    timesMs: Float64Array,
+): ReturnType<Supply["read"]> => {
+    const gained = createSupply(timesMs);
+    addPreemptible(gained, workers);
+    const [own, gains] = [supply.read(), gained.read()];
+    return {
+        untilThen: own.untilThen.map((amount, index) => amount + gains.untilThen[index]),
+        atThatTime: own.atThatTime.map((amount, index) => amount + gains.atThatTime[index]),
+    };
 };
 
 /** Finds the work to postpone in one service, tier by tier. */
@@ -257,9 +299,10 @@
     workers: readonly WorkerInfo[],
     input: OverloadInput,
 ): Candidate[] => {
-    const demands = collectDemands(candidates);
-    const dueTimesMs = Float64Array.from(demands, ({ dueMs }) => dueMs);
-    const supply = createSupply(dueTimesMs);
+    const tiers = candidates.map(tierOf);
+    const demands = collectDemands(candidates, tiers);
+    const timesMs = Float64Array.from(demands, ({ latestStartMs }) => latestStartMs);
+    const supply = createSupply(timesMs);
     addWorkers(supply, workers);
     const postponed: Candidate[] = [];
     const lastTier = demands.reduce((last, { tier }) => Math.max(last, tier), Tier.Guaranteed);
@@ -267,12 +310,14 @@
         const ofTier = demands.filter(demand => demand.tier === tier);
         if (ofTier.length > 0) {
             const available = tier === Tier.Urgent
-                ? readWithMigratable(supply, workers, dueTimesMs)
+                ? readWithPreemptible(supply, workers, timesMs)
                 : supply.read();
             postponed.push(...findPostponedOfTier(ofTier, available, input));
         }
         if (tier < lastTier) {
-            candidates.filter(candidate => tierOf(candidate) === tier).forEach(candidate => occupy(supply, candidate));
+            candidates.filter((_, position) => tiers[position] === tier).forEach(candidate =>
+                occupy(supply, candidate)
+            );
         }
     }
     return postponed;
@@ -301,13 +346,13 @@
     const accepting = input.workers.filter(({ usable, coolingDown }) => usable || coolingDown);
     const workersByService = groupByService(accepting, ({ service }) => service);
     const competing = groupByService(withinLimits(ordered, input.customerUses), ({ job }) => job.service);
-    const postponed = [...competing].flatMap(([service, candidates]) => {
+    const allPostponed = [...competing].flatMap(([service, candidates]) => {
         const workers = workersByService.get(service) ?? [];
-        const canHost = createCapacityCheck(workers);
-        const waiting = candidates.filter(canHost);
-        return fitsNow(waiting, workers) ? [] : findPostponedOf(waiting, workers, input);
+        const postponed = fitsNow(candidates, workers) ? [] : findPostponedOf(candidates, workers, input);
+        const waiting = postponed.length === 0 ? candidates : candidates.filter(createCapacityCheck(workers));
+        return waiting.length === candidates.length ? postponed : findPostponedOf(waiting, workers, input);
     });
-    const postponedKeys = new Set(postponed.map(({ key }) => key));
+    const postponedKeys = new Set(allPostponed.map(({ key }) => key));
     const postponements = new Map<string, Postponement>();
     for (const candidate of postponedKeys.size === 0 && previous.size === 0 ? [] : ordered) {
         const { key } = candidate;
--- a/src/planning/round.ts
+++ b/src/planning/round.ts
@@ -3,7 +3,7 @@
 import type { CustomerUses } from "./customerBudgets.js";
 import { findBeyondShares } from "./customerShares.js";
 import type { ShareUses } from "./customerShares.js";
-import { orderCandidates, Tier, tierOf } from "./order.js";
+import { movePostponedBack, orderCandidates, Tier, tierOf } from "./order.js";
 import { findPostponements } from "./overload.js";
 import { fitsIfEmpty, gangDomains, isMostlyIdle, placeGang, placeTasks, relaxAfterMs } from "./placement.js";
 import { fitCount, occupiedBy, subtractResources } from "./resources.js";
@@ -37,6 +37,8 @@
     shareUses?: ShareUses;
     /** Postponements of the previous round. @default none */
     postponements?: Postponements;
+    /** Whether these are taken over as they are, without judging the load again. @default false */
+    keepsPostponements?: boolean;
 }
 
 /** Number of blocked gangs for which backfill is limited in a round. */
@@ -159,24 +161,17 @@
 };
 
 /** Orders the candidates of a round, and decides which of them are postponed. */
-const orderRound = (
-    { nowMs, candidates, workers, customerUses = new Map(), shareUses = new Map(), postponements = new Map() }:
-        RoundInput,
-): { ordered: Candidate[]; postponements: Postponements; } => {
+const orderRound = (input: RoundInput): { ordered: Candidate[]; postponements: Postponements; } => {
+    const { nowMs, candidates, workers, customerUses = new Map(), shareUses = new Map() } = input;
+    const { postponements = new Map(), keepsPostponements = false } = input;
     const withoutShares = orderCandidates(candidates);
     const beyondShares = findBeyondShares(withoutShares, workers, shareUses);
     const ordered = beyondShares.size === 0 ? withoutShares : orderCandidates(candidates, beyondShares);
-    const current = findPostponements({
-        nowMs,
-        ordered,
-        workers,
-        beyondShares,
-        customerUses,
-        previous: postponements,
-    });
+    const overload = { nowMs, ordered, workers, beyondShares, customerUses, previous: postponements };
+    const current = keepsPostponements ? postponements : findPostponements(overload);
     const isAnyPostponed = [...current.values()].some(({ active }) => active);
     return {
-        ordered: isAnyPostponed ? orderCandidates(candidates, beyondShares, current) : ordered,
+        ordered: isAnyPostponed ? movePostponedBack(ordered, current) : ordered,
         postponements: current,
     };
 };
--- a/src/planning/supply.ts
+++ b/src/planning/supply.ts
@@ -1,4 +1,4 @@
-/** What a service can do by the times at which its waiting work is due. */
+/** What a service can do by the times at which its waiting work must have started. */
 import type { TaskResources } from "../jobs/types.js";
 import { addResources } from "./resources.js";
 import type { WorkerInfo } from "./types.js";
@@ -11,8 +11,8 @@
 export interface Supply {
     /** Adds `count` times the resources from a time on, or takes them if the count is negative. */
     add(resources: TaskResources, count: number, fromMs: number): void;
-    /** What is available by each of the times, in the order of `resourceNames`. */
-    read(): Float64Array;
+    /** Reads, for each of the times and in the order of `resourceNames`, what is available. */
+    read(): { untilThen: Float64Array; atThatTime: Float64Array; };
 }
 
 const findFirstFrom = (sortedMs: Float64Array, fromMs: number): number => {
@@ -31,16 +31,16 @@
 };
 
 /** Creates an empty supply for times in ascending order. It is a sum of lines, each of which begins at some time. */
-export const createSupply = (dueTimesMs: Float64Array): Supply => {
-    const slopes = new Float64Array(dueTimesMs.length * stride);
-    const offsets = new Float64Array(dueTimesMs.length * stride);
+export const createSupply = (timesMs: Float64Array): Supply => {
+    const slopes = new Float64Array(timesMs.length * stride);
+    const offsets = new Float64Array(timesMs.length * stride);
     const addLine = (at: number, slope: number, fromMs: number): void => {
         slopes[at] += slope;
         offsets[at] -= slope * fromMs;
     };
     return {
         add: ({ accelerators, milliCores, memoryMb }, count, fromMs) => {
-            const at = findFirstFrom(dueTimesMs, fromMs) * stride;
+            const at = findFirstFrom(timesMs, fromMs) * stride;
             if (at < slopes.length) {
                 addLine(at, accelerators * count, fromMs);
                 addLine(at + 1, milliCores * count, fromMs);
@@ -48,17 +48,19 @@
             }
         },
         read: () => {
-            const available = new Float64Array(slopes.length);
+            const untilThen = new Float64Array(slopes.length);
+            const atThatTime = new Float64Array(slopes.length);
             for (let resource = 0; resource < stride; resource++) {
                 let slope = 0;
                 let offset = 0;
                 for (let at = resource; at < slopes.length; at += stride) {
                     slope += slopes[at];
                     offset += offsets[at];
-                    available[at] = slope * dueTimesMs[(at - resource) / stride] + offset;
+                    untilThen[at] = slope * timesMs[(at - resource) / stride] + offset;
+                    atThatTime[at] = slope;
                 }
             }
-            return available;
+            return { untilThen, atThatTime };
         },
     };
 };
@@ -85,10 +87,13 @@
     supply.add(free, 1, 0);
 };
 
-/** Adds what urgent work gains by preempting runs that can be resumed: they leave at once, not at their ends. */
-export const addMigratable = (supply: Supply, workers: readonly WorkerInfo[]): void => {
-    for (const { migratable, meanRemainingMs = 0 } of workers) {
-        supply.add(migratable, 1, 0);
-        supply.add(migratable, -1, meanRemainingMs);
+/** Adds what urgent work gains by preempting other runs: they leave at once, not at their ends. */
+export const addPreemptible = (supply: Supply, workers: readonly WorkerInfo[]): void => {
+    const occupied: TaskResources = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+    for (const worker of workers) {
+        const { preemptibleShare = 0, meanRemainingMs = 0 } = worker;
+        setOccupied(occupied, worker);
+        supply.add(occupied, preemptibleShare, 0);
+        supply.add(occupied, -preemptibleShare, meanRemainingMs);
     }
 };
--- a/src/planning/types.ts
+++ b/src/planning/types.ts
@@ -25,6 +25,8 @@
     busyForMs: number;
     /** Share of its occupied resources whose runs end; long-running ones do not. @default 0 */
     endingShare?: number;
+    /** Share of its occupied resources whose runs end and are of priority above 0. @default 0 */
+    preemptibleShare?: number;
     /** Mean remaining time of the runs that end, by their declared run times, weighted by core equivalents. @default 0 */
     meanRemainingMs?: number;
     /** Time within which backfilled work must end, since a blocked gang is expected to start there then. */
--- a/test/overload.test.ts
+++ b/test/overload.test.ts
@@ -58,7 +58,7 @@
     it("relates to the work that is left, so that a step of which most is done takes little", () => {
         const whole = createCandidate("tasks", { taskCount: 40 });
         const rest = { ...whole, taskIndexes: [39] };
-        assert.equal(workToEarn(rest).accelerators * 40, workToEarn(whole).accelerators);
+        assert.equal(workToEarn(rest, "accelerators") * 40, workToEarn(whole, "accelerators"));
         assert.equal(remainingValue(rest), remainingValue(whole));
     });
 
@@ -71,7 +71,7 @@
         ];
         const job = createSubmission("job", steps);
         const candidate = { ...createCandidate("job.0.0"), job, step: steps[0], taskIndexes: [0] };
-        assert.equal(workToEarn(candidate).milliCores, steps[0].resources.milliCores * 3_000);
+        assert.equal(workToEarn(candidate, "milliCores"), steps[0].resources.milliCores * 3_000);
     });
 });
 
@@ -129,10 +129,9 @@
 
     it("is judged for urgent work with what it can preempt", () => {
         const candidates = createWideAndSmall({ priority: 0 });
-        const resumable = { migratable: { milliCores: 64_000, memoryMb: 256_000, accelerators: 8 } };
         const full = [createFullWorker("w0", 60_000), createFullWorker("w1", 60_000)];
         assert.isNotEmpty(findPostponed(candidates, full));
-        assert.deepEqual(findPostponed(candidates, full.map(worker => ({ ...worker, ...resumable }))), []);
+        assert.deepEqual(findPostponed(candidates, full.map(worker => ({ ...worker, preemptibleShare: 1 }))), []);
     });
 
     it("does not include what the workers could never run", () => {
