--- a/src/planning/overload.ts
+++ b/src/planning/overload.ts
@@ -179,9 +179,11 @@
     /** The cheapest last. */
     const sorted: Priced[] = [];
     let added: PricedDemand[] = [];
+    // of equal cost, what must start last is postponed, as without an overload
     const isCheaper = (left: Priced, right: Priced): boolean =>
         left.demand.isBeyondShare === right.demand.isBeyondShare
             ? left.lossPerUnit < right.lossPerUnit
+                || (left.lossPerUnit === right.lossPerUnit && left.demand.index > right.demand.index)
             : left.demand.isBeyondShare;
     const insert = (demand: PricedDemand): void => {
         const priced = { demand, lossPerUnit: demand.loss / workToEarn(demand.candidate, name) };
--- a/test/loads.test.ts
+++ b/test/loads.test.ts
@@ -12,6 +12,10 @@
 const minUrgentShare = 0.9;
 /** Bound on the time from the end of an outage of the table until every local copy is current again. */
 const recoveryMs = 500;
+/** Longest objective in the load: three times a declared time of up to 1.3 times 15 s, and 1 s. */
+const longestObjectiveMs = 3 * 1.3 * 15_000 + 1_000;
+/** Longest time between two judgements of the load: the interval of rounds and that of judgements. */
+const judgedAfterMs = 300;
 
 const replay = async (name: string, seed: number): Promise<Replay> => {
     const load = readLoad(join(loadFolder, `${name}.jsonc`));
@@ -37,6 +41,26 @@
         assert.isAtLeast(urgent?.earnedShare ?? 0, minUrgentShare);
     });
 
+    // guards against work that is postponed for ever, and against a set of postponed work that loses track of a step
+    it("work is postponed on insufficient capacity, for its objective at most", async () => {
+        const { logLines } = await replay("insufficientCapacity", 1);
+        const lines = logLines.filter(({ message }) => /^work (no longer )?postponed$/.test(message));
+        assert.isNotEmpty(lines);
+        const postponed = new Set<unknown>();
+        for (const { message, fields } of lines) {
+            const begins = message === "work postponed";
+            assert.equal(postponed.has(fields.unit), !begins, String(fields.unit));
+            if (begins) {
+                postponed.add(fields.unit);
+            }
+            else {
+                postponed.delete(fields.unit);
+            }
+            assert.isAtMost(Number(fields.postponedMs ?? 0), longestObjectiveMs + judgedAfterMs);
+        }
+        assert.equal(postponed.size, 0);
+    });
+
     it("every copy is current soon after an outage of the table", async () => {
         const { logLines, startedAtMs } = await replay("backlogAfterOutage", 1);
         const outageEndMs = startedAtMs + 19_000;
--- a/tools/planningMutants.ts
+++ b/tools/planningMutants.ts
@@ -58,6 +58,14 @@
         tests: "overload",
         fails: "counts work beyond its customer's share before any other",
     },
+    {
+        without: "postponing what must start last of what costs the same",
+        file: "planning/overload.js",
+        find: "left.demand.index > right.demand.index",
+        replace: "false",
+        tests: "overload",
+        fails: "goes in its order if the delay of each costs the same",
+    },
     {
         without: "leaving out work that no worker can run",
         file: "planning/overload.js",
