--- a/src/execution/roundInput.ts
+++ b/src/execution/roundInput.ts
@@ -80,10 +80,43 @@
     return !staysUnrecorded && !hasMostLikelyLapsed(session, nowMs);
 };
 
+/** Whether a task's run is being stopped, which takes less than a second. */
+const isStopping = ({ run }: TaskState): boolean => run?.phase === RunPhase.Stopping;
+
+/** Accumulates when the runs of a worker end, weighted by their sizes; reused for each worker. */
+const createMeanOfEnds = () => {
+    let size = 0;
+    let endingSize = 0;
+    let preemptibleSize = 0;
+    let sumMs = 0;
+    return {
+        reset: (): void => {
+            size =
+                endingSize =
+                preemptibleSize =
+                sumMs =
+                    0;
+        },
+        add: ({ unit: { job, step } }: TaskState, remainingRunMs: number): void => {
+            const runSize = coreEquivalentsOf(occupiedBy(step));
+            size += runSize;
+            if (Number.isFinite(remainingRunMs)) {
+                endingSize += runSize;
+                preemptibleSize += job.submission.priority > 0 ? runSize : 0;
+                sumMs += runSize * remainingRunMs;
+            }
+        },
+        share: (): number => size === 0 ? 0 : endingSize / size,
+        preemptibleShare: (): number => size === 0 ? 0 : preemptibleSize / size,
+        meanMs: (): number => endingSize === 0 ? 0 : sumMs / endingSize,
+    };
+};
+
 /** Collects the listed workers with their free resources. */
 export const collectWorkers = (context: PlannerContext): WorkerInfo[] => {
     const workers: WorkerInfo[] = [];
     const speedOfRun = createRunSpeeds(context);
+    const ends = createMeanOfEnds();
     for (const session of context.sessions.values()) {
         const { descriptor } = session;
         if (descriptor === undefined) {
@@ -91,6 +124,7 @@
         }
         const ready = isReady(context, session);
         const coolingDown = ready && context.health.isCoolingDown(session.id);
+        ends.reset();
         const worker: WorkerInfo = {
             workerId: session.id,
             service: descriptor.service,
@@ -119,14 +153,19 @@
             if (!isAtWork(task, session, context.timer.nowMs())) {
                 subtractResources(worker.notAtWork, occupiedBy(step), -1);
             }
-            if (isMigratable(task, context.timer.nowMs())) {
+            const migratable = isMigratable(task, context.timer.nowMs());
+            if (migratable) {
                 subtractResources(worker.migratable, occupiedBy(step), -1);
             }
             const leftMs = remainingMs(task, speedOfRun(task, session), context.timer.nowMs());
             worker.busyForMs = Math.max(worker.busyForMs, leftMs);
+            ends.add(task, isStopping(task) ? 0 : leftMs);
             worker.hasServingTask ||= step.targetMs !== undefined;
             worker.hasIdleFillingTask ||= step.fillsIdleCores;
         }
+        worker.endingShare = ends.share();
+        worker.preemptibleShare = ends.preemptibleShare();
+        worker.meanRemainingMs = ends.meanMs();
         workers.push(worker);
     }
     addRackRisk(workers);
@@ -194,6 +233,7 @@
         remainingCriticalPathMs: remainingCriticalPathMs(unit),
         guaranteed: unit.step.after.length === 0 && guarantees.has(unit.job),
         reservedWorkers: guarantees.get(unit.job)?.reservedWorkers,
+        preemptsNothing: unit.holdsPreemptionUntilMs > nowMs,
     };
 };
 
--- a/src/execution/rounds.ts
+++ b/src/execution/rounds.ts
@@ -4,14 +4,15 @@
 import { untilLatestStartMs, workOf } from "../planning/order.js";
 import { isExposed } from "../planning/placement.js";
 import { noReservations } from "../planning/reservations.js";
-import type { Candidate, Occupant, PreemptionClaim, Round, WorkerInfo } from "../planning/types.js";
+import { planRound } from "../planning/round.js";
+import type { Candidate, Occupant, Postponements, PreemptionClaim, Round, WorkerInfo } from "../planning/types.js";
 import { createUrgentDemand } from "../planning/urgentDemand.js";
 import { runGuarded } from "../utils/runGuarded.js";
 import type { PlannerContext } from "./context.js";
 import { collectCustomerUse } from "./customerLimits.js";
 import { allocateGuarantees, guaranteedGangs, reconcileReservations, updateReservations } from "./guarantees.js";
 import type { GuaranteeAllocations } from "./guarantees.js";
-import { planWithHeldPreemption } from "./heldPreemption.js";
+import { createPostponementReporter } from "./postponementReporter.js";
 import { collectCandidates, collectOccupants, collectUrgentUse, collectWorkers } from "./roundInput.js";
 import type { RunMonitor } from "./runMonitor.js";
 import type { RunStarter } from "./runStarter.js";
@@ -39,6 +40,8 @@
 const maxPlanningShare = 0.3;
 /** Maximum pause for that: a round may also seem long because the process was held up, and waiting work has a bound. */
 const maxPauseMs = 500;
+/** Interval at which it is judged whether all waiting work can be completed in time; rounds may be 4 ms apart. */
+const judgeLoadIntervalMs = 50;
 /** Priorities reported in the metric of waiting tasks; queues use 0 to 2. */
 const reportedPriorities = [0, 1, 2];
 
@@ -48,10 +51,6 @@
     return context.jobs.get(key.slice(0, at))?.units.get(key.slice(at + 1));
 };
 
-/** Whether a candidate was moved from a leaving worker just now, so that it preempts nothing, unless it is guaranteed. */
-const holdsPreemption = (context: PlannerContext, { key, guaranteed }: Candidate): boolean =>
-    !guaranteed && (findUnit(context, key)?.holdsPreemptionUntilMs ?? 0) > context.timer.nowMs();
-
 /** Whether the job has ended and none of its runs is left. */
 const isFinished = (job: JobState): boolean => isEnded(job.phase) && activeRuns(job).length === 0;
 
@@ -129,7 +128,10 @@
     const { timer } = context;
     const urgentDemand = createUrgentDemand();
     const waitReporter = createWaitReporter(context);
+    const postponementReporter = createPostponementReporter(context);
     let claims: PreemptionClaim[] = [];
+    let postponements: Postponements = new Map();
+    let loadJudgedAtMs = Number.NEGATIVE_INFINITY;
     let reservationState = noReservations;
     let cancelScheduled: (() => void) | undefined;
     let startedAtMs: number | undefined;
@@ -174,6 +176,10 @@
         if (candidates.length > 0) {
             planCandidates(nowMs, workers ?? collectWorkers(context), candidates, guarantees);
         }
+        else {
+            postponements = new Map();
+        }
+        postponementReporter.onRound(candidates, postponements);
         waitReporter.reportHeldUnits();
     };
 
@@ -186,15 +192,26 @@
         const urgentHeadroom = urgentDemand.expected(nowMs, collectUrgentUse(context), workers);
         const occupants = (): Occupant[] => collectOccupants(context, guarantees);
         const { limits: customerUses, shares: shareUses } = collectCustomerUse(context);
-        const { input, round } = planWithHeldPreemption(
-            { nowMs, workers, candidates, occupants, claims, urgentHeadroom, customerUses, shareUses },
-            candidate => holdsPreemption(context, candidate),
-        );
+        const keepsPostponements = nowMs - loadJudgedAtMs < judgeLoadIntervalMs;
+        loadJudgedAtMs = keepsPostponements ? loadJudgedAtMs : nowMs;
+        const round = planRound({
+            nowMs,
+            workers,
+            candidates,
+            occupants,
+            claims,
+            urgentHeadroom,
+            customerUses,
+            shareUses,
+            postponements,
+            keepsPostponements,
+        });
         claims = round.claims;
+        postponements = round.postponements;
         logPreemptions(context, candidates, round);
-        logRiskyPlacements(context, input.workers, round);
+        logRiskyPlacements(context, workers, round);
         applyRound(context, runStopper, runStarter, round);
-        waitReporter.onRound(input.workers, candidates, round);
+        waitReporter.onRound(workers, candidates, round);
     };
 
     const request = (): void => {
--- a/src/execution/startSender.ts
+++ b/src/execution/startSender.ts
@@ -5,7 +5,7 @@
 import type { WorkerSession } from "./session.js";
 import { createStartOutcomes, isCurrent } from "./startOutcomes.js";
 import type { PlacedTask } from "./startOutcomes.js";
-import { startRetryDelayMs } from "./startRetry.js";
+import { startRetryDelayMs, startTimeoutMs } from "./startRetry.js";
 import type { StartTries } from "./startRetry.js";
 import { isAnswered } from "./types.js";
 import type { OrderAnswer, OrderError, StartOrder } from "./types.js";
@@ -113,7 +113,8 @@
         const firstSentAtMs = timer.nowMs();
         for (let count = 1;; count++) {
             const tries: StartTries = { count, firstSentAtMs, lastSentAtMs: timer.nowMs() };
-            const started = await sendOnce(placed, order, tries);
+            const answerTimeoutMs = task.unit.step.gang ? startTimeoutMs(tries) : undefined;
+            const started = await sendOnce(placed, { ...order, answerTimeoutMs }, tries);
             if (started === undefined || !isCurrent(placed)) {
                 await stopGangIfUnknown(placed, firstSentAtMs);
                 return;
@@ -126,7 +127,10 @@
                 onRefused(placed, started.error, tries);
                 return;
             }
-            worker.recordNoAnswer(started.error.detail);
+            if (answerTimeoutMs === undefined) {
+                // a short wait for an answer does not show that the worker is silent
+                worker.recordNoAnswer(started.error.detail);
+            }
             worker.resumePolling(true);
             const delayMs = task.unit.step.gang ? startRetryDelayMs(tries, timer.nowMs()) : undefined;
             if (delayMs !== undefined && delayMs > 0) {
--- a/src/execution/types.ts
+++ b/src/execution/types.ts
@@ -98,6 +98,8 @@
     gangSize?: number;
     /** Permit for queues whose policy restricts workers. */
     ticket?: string;
+    /** Time after which the order counts as unanswered. @default that of all orders */
+    answerTimeoutMs?: number;
 }
 
 /** Order that renews the lease of the runs, acknowledges ended runs and requests a report. */
--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { createFleetMetrics, createGangCounters, createGateMetrics } from "./decisionMetrics.js";
 
 /** Prometheus metrics of an entry VM. */
 export interface EntryMetrics {
@@ -36,6 +37,8 @@
     recordTermChange(change: "gained" | "lost"): void;
     /** Sets the number of tasks of a priority that wait to be placed. */
     setWaitingTasks(priority: number, count: number): void;
+    /** Sets the number of jobs of a priority that are postponed since not all waiting work can be completed in time. */
+    setPostponedJobs(priority: number, count: number): void;
     /** Sets the number of runs that have been in a phase for longer than recording and ordering take. */
     setOverdueRuns(phase: string, count: number): void;
     /** Sets the number of workers that are taken for slow. */
@@ -54,55 +57,6 @@
 const jobBucketsS = [0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 300, 1_800];
 const msPerSecond = 1_000;
 
-/** Creates the metrics of the gate that refuses submissions while the table is unavailable. */
-const createGateMetrics = (
-    registers: Registry[],
-): Pick<EntryMetrics, "recordUnsentSubmission" | "setSubmissionGateClosed"> => {
-    const unsentSubmissions = new Counter({
-        name: "catkinswitch_unsent_submissions_total",
-        help: "Submissions refused without being sent, as the table answered no operation, by priority.",
-        labelNames: ["priority"],
-        registers,
-    });
-    const submissionGate = new Gauge({
-        name: "catkinswitch_submission_gate_closed",
-        help: "1 while submissions are refused without being sent, as the table answers no operation.",
-        registers,
-    });
-    return {
-        recordUnsentSubmission: priority => unsentSubmissions.inc({ priority }),
-        setSubmissionGateClosed: isClosed => submissionGate.set(isClosed ? 1 : 0),
-    };
-};
-
-/** Creates the counters of decisions that keep gangs and other runs from being lost. */
-const createGangCounters = (
-    registers: Registry[],
-): Pick<EntryMetrics, "recordRepeatedStart" | "recordDepartureMove" | "setWorkersAtRisk"> => {
-    const repeatedStarts = new Counter({
-        name: "catkinswitch_repeated_starts_total",
-        help: "Start orders of gang members that were sent again, by outcome; only on the planner.",
-        labelNames: ["outcome"],
-        registers,
-    });
-    const departureMoves = new Counter({
-        name: "catkinswitch_departure_moves_total",
-        help: "Runs and gangs moved from workers that are about to leave, by whether they resume; only on the planner.",
-        labelNames: ["resumable"],
-        registers,
-    });
-    const workersAtRisk = new Gauge({
-        name: "catkinswitch_workers_at_risk",
-        help: "Workers with a risk, by their recent history or their rack's; only on the planner.",
-        registers,
-    });
-    return {
-        setWorkersAtRisk: count => workersAtRisk.set(count),
-        recordRepeatedStart: outcome => repeatedStarts.inc({ outcome }),
-        recordDepartureMove: resumable => departureMoves.inc({ resumable: String(resumable) }),
-    };
-};
-
 /** Creates the metrics in a new registry. */
 export const createEntryMetrics = (): EntryMetrics => {
     const registry = new Registry();
@@ -192,11 +146,6 @@
         labelNames: ["phase"],
         registers,
     });
-    const slowWorkers = new Gauge({
-        name: "catkinswitch_slow_workers",
-        help: "Workers that are taken for slow compared with the others; only on the planner.",
-        registers,
-    });
     const unplaced = new Counter({
         name: "catkinswitch_unplaced_total",
         help: "Log lines about work that waits although there is room for it, by reason; only on the planner.",
@@ -228,7 +177,7 @@
         recordTermChange: change => terms.inc({ change }),
         setWaitingTasks: (priority, count) => waiting.set({ priority }, count),
         setOverdueRuns: (phase, count) => overdueRuns.set({ phase }, count),
-        setSlowWorkers: count => slowWorkers.set(count),
+        ...createFleetMetrics(registers),
         recordUnplaced: reason => unplaced.inc({ reason }),
         recordPlanningRound: durationMs => planningRounds.observe(durationMs / msPerSecond),
         render: () => registry.metrics(),
--- a/src/planning/order.ts
+++ b/src/planning/order.ts
@@ -1,5 +1,5 @@
 import { coreEquivalentsOf } from "./resources.js";
-import type { Candidate } from "./types.js";
+import type { Candidate, Postponements } from "./types.js";
 
 /** Tiers in which waiting work is placed; lower values first. */
 export enum Tier {
@@ -72,3 +72,19 @@
             || (left.candidate.key < right.candidate.key ? -1 : 1)
         )
         .map(entry => entry.candidate);
+
+/** Moves postponed work of sorted candidates behind the other work of its tier. */
+export const movePostponedBack = (ordered: readonly Candidate[], postponements: Postponements): Candidate[] => {
+    const moved: Candidate[] = [];
+    let postponed: Candidate[] = [];
+    let tier = Tier.Guaranteed;
+    for (const candidate of ordered) {
+        if (tierOf(candidate) !== tier) {
+            moved.push(...postponed);
+            postponed = [];
+            tier = tierOf(candidate);
+        }
+        (postponements.get(candidate.key)?.active === true ? postponed : moved).push(candidate);
+    }
+    return [...moved, ...postponed];
+};
--- a/src/planning/roundPreemption.ts
+++ b/src/planning/roundPreemption.ts
@@ -19,8 +19,8 @@
 
 /** Whether a candidate may preempt other work. */
 export const mayPreemptOthers = (candidate: Candidate): boolean =>
-    candidate.guaranteed || tierOf(candidate) === Tier.Starved
-    || (candidate.job.priority === 0 && tierOf(candidate) <= Tier.Urgent);
+    candidate.guaranteed || (candidate.preemptsNothing !== true && (tierOf(candidate) === Tier.Starved
+        || (candidate.job.priority === 0 && tierOf(candidate) <= Tier.Urgent)));
 
 /** Creates the preemptions of a round, which are added to its evictions and claims. */
 export const createRoundPreemption = (
--- a/test/gangStarts.test.ts
+++ b/test/gangStarts.test.ts
@@ -81,6 +81,14 @@
         });
     }
 
+    // guards against gangs that stood still for the usual timeout of an order, 0.9 s, in which no member works
+    it("is sent again long before the usual timeout, and its worker does not count as silent", async () => {
+        const { fleet } = await startGang(5_000, faultFirst(CallFault.Late));
+        await fleet.timer.advance(400);
+        assert.lengthOf(fleet.spans, memberCount);
+        assert.isEmpty(linesOf(fleet, "worker does not answer"));
+    });
+
     it("carries the same run, checkpoint and lease in each try", async () => {
         const orders: unknown[] = [];
         const { fleet } = await startGang(5_000, faultFirst(CallFault.AnswerLost), (prepared, id) => {
--- a/tools/workerMutants.ts
+++ b/tools/workerMutants.ts
@@ -196,8 +196,8 @@
     },
     {
         without: "keeping work that was moved from preempting",
-        file: "execution/heldPreemption.js",
-        find: "preempting.size === 0",
+        file: "planning/roundPreemption.js",
+        find: "candidate.preemptsNothing !== true",
         replace: "true",
         tests: "departures",
         fails: "preempts nothing until the worker is gone",
