feat: bounds on what uncontrolled clients take from an entry VM process

Cause: readBody kept each chunk as a buffer of its own and read on beyond the limit; nothing bounded all bodies, the time of one, or the connections. Change: one budget for the bodies in progress in a process, each in one growing buffer; a time limit for a body; a bound on the connections of each server, under which those that do least give way; a body over its limit is answered and not read on; the parser's limits are set on purpose. Refusals carry notRun and are counted by cause.

--- a/src/node/entryMetrics.ts
+++ b/src/node/entryMetrics.ts
@@ -1,7 +1,9 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { createClientMetrics } from "./clientMetrics.js";
+import type { ClientMetrics } from "./clientMetrics.js";
 
 /** Prometheus metrics of an entry VM. */
-export interface EntryMetrics {
+export interface EntryMetrics extends ClientMetrics {
     /** Records an answered request of a caller. */
     recordRequest(method: string, status: number, durationMs: number): void;
     /** Counts a refused request; `reason` becomes a label, so it is one of a few fixed texts. */
@@ -148,6 +150,7 @@
         recordRefusal: reason => refusals.inc({ reason }),
         recordLateAnswer: method => lateAnswers.inc({ method }),
         recordBrokenAnswer: closedBy => brokenAnswers.inc({ closed_by: closedBy }),
+        ...createClientMetrics(registers),
         recordConnectionWhileStopping: () => connectionsWhileStopping.inc(),
         watchOpenRequests: count => {
             countOpenRequests = count;
--- a/src/node/operationsHttp.ts
+++ b/src/node/operationsHttp.ts
@@ -2,6 +2,7 @@
 import type { RelayedTable } from "../state/relay.js";
 import { isRelayRequest } from "../state/relayMessages.js";
 import { createJsonServer } from "../utils/http.js";
+import type { RequestIntake } from "../utils/requestIntake.js";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { EntryVm } from "./entryVm.js";
 import { relayPath } from "./relayPeer.js";
@@ -14,14 +15,18 @@
     table: RelayedTable;
     /** Names of the tables on which operations are relayed; a request for another one is refused. */
     relayedTables: ReadonlySet<string>;
+    /** Limits that the servers of the process share. */
+    intake: RequestIntake;
+    maxConnections: number;
 }
 
 /** Largest body of a relayed operation, which is a transaction of the table. */
 const maxBodyBytes = 1_048_576;
 
 /** Creates the HTTP server for operators and other VMs: `/metrics` for Prometheus, `/v1/dump` and the table relay. */
-export const createOperationsServer = ({ vm, metrics, table, relayedTables }: OperationsServerOptions): Server =>
-    createJsonServer(async request => {
+export const createOperationsServer = (options: OperationsServerOptions): Server => {
+    const { vm, metrics, table, relayedTables, intake, maxConnections } = options;
+    return createJsonServer(async request => {
         switch (request.path) {
             case "/metrics":
                 return {
@@ -38,4 +43,5 @@
             default:
                 return { status: 404, body: {} };
         }
-    }, { maxBodyBytes });
+    }, { maxBodyBytes, intake, maxConnections, name: "operations" });
+};
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -1,8 +1,14 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { createConnectionLimit } from "./connectionLimit.js";
+import type { ConnectionLimit } from "./connectionLimit.js";
 import { ClosedBy } from "./openRequests.js";
 import type { OpenRequests } from "./openRequests.js";
+import { startReadingBody, stopReading } from "./readBody.js";
+import { refusalAnswer, RefusalCause } from "./refusals.js";
+import { createDefaultIntake } from "./requestIntake.js";
+import type { RequestIntake } from "./requestIntake.js";
 
 /** An HTTP response with a JSON body; a body that is a string is sent as it is. */
 export interface JsonAnswer {
@@ -33,9 +39,17 @@
     maxBodyBytes?: number;
     /** Registry of the requests in progress. @default none */
     openRequests?: OpenRequests;
+    /** Limits that the servers of a process share. @default limits of its own */
+    intake?: RequestIntake;
+    /** Maximum number of connections; further ones take the places of those that do least. @default unlimited */
+    maxConnections?: number;
+    /** Name in decisions to refuse clients. @default "http" */
+    name?: string;
 }
 
 const defaultMaxBodyBytes = 65_536;
+/** Maximum size of the headers of a request, the documented limit of callers. */
+const maxHeaderBytes = 16_384;
 
 /** An RFC 9457 problem document. */
 export interface ProblemDetails {
@@ -52,31 +66,6 @@
     headers: { "content-type": "application/problem+json", ...headers },
 });
 
-type BodyResult = { kind: "parsed"; body: unknown; } | { kind: "tooLarge"; } | { kind: "malformed"; };
-
-const readBody = async (message: IncomingMessage, maxBodyBytes: number): Promise<BodyResult> => {
-    const chunks: Buffer[] = [];
-    let sizeBytes = 0;
-    for await (const chunk of message) {
-        sizeBytes += (chunk as Buffer).length;
-        if (sizeBytes <= maxBodyBytes) {
-            chunks.push(chunk as Buffer);
-        }
-    }
-    if (sizeBytes > maxBodyBytes) {
-        return { kind: "tooLarge" };
-    }
-    if (sizeBytes === 0) {
-        return { kind: "parsed", body: undefined };
-    }
-    try {
-        return { kind: "parsed", body: JSON.parse(Buffer.concat(chunks).toString("utf8")) };
-    }
-    catch {
-        return { kind: "malformed" };
-    }
-};
-
 /** Response to the newest request of each connection; a caller may send it before the previous one is answered. */
 const newestResponses = new WeakMap<Socket, ServerResponse>();
 
@@ -102,17 +91,12 @@
     response.end(text);
 };
 
-const invalidBodyAnswer = (kind: "tooLarge" | "malformed", maxBodyBytes: number): JsonAnswer => {
-    const extensions = { outcome: "notRun" };
-    return kind === "tooLarge"
-        ? problemAnswer({
-            title: "body too large",
-            status: 413,
-            detail: `at most ${maxBodyBytes} bytes`,
-            ...extensions,
-        })
-        : problemAnswer({ title: "malformed body", status: 400, detail: "the body is not JSON", ...extensions });
-};
+const malformedBodyAnswer = problemAnswer({
+    title: "malformed body",
+    status: 400,
+    detail: "the body is not JSON",
+    outcome: "notRun",
+});
 
 /** Tells who closed the connection of a response that is not complete; `undefined` if the response is complete. */
 const closedByOf = (response: ServerResponse): ClosedBy | undefined => {
@@ -126,13 +110,70 @@
 /** Base of request targets, which are paths. */
 const baseUrl = "http://localhost";
 
+/** What answers the requests of one server. */
+interface RequestContext {
+    handler: JsonHandler;
+    maxBodyBytes: number;
+    openRequests: OpenRequests | undefined;
+    intake: RequestIntake;
+    connections: ConnectionLimit;
+}
+
+/** Answers a request whose body is not read further, and closes its connection. */
+const refuse = (
+    message: IncomingMessage,
+    response: ServerResponse,
+    answer: JsonAnswer,
+    intake: RequestIntake,
+): void => {
+    stopReading(message);
+    // a connection that is destroyed with unread data is reset, and its client may lose the answer
+    message.socket.destroySoon = () => {
+        message.socket.end();
+        intake.destroyLater(message.socket);
+    };
+    writeAnswer(response, answer);
+};
+
+const refusalOfBody = (cause: RefusalCause, maxBodyBytes: number): JsonAnswer =>
+    refusalAnswer(cause, cause === RefusalCause.BodyTooLarge ? `at most ${maxBodyBytes} bytes` : undefined);
+
+/** Reads the body and calls the handler; the request counts as receiving, then as handled until it is answered. */
+const readAndHandle = async (
+    message: IncomingMessage,
+    response: ServerResponse,
+    context: RequestContext,
+    handle: (body: unknown) => Promise<JsonAnswer>,
+): Promise<void> => {
+    const { maxBodyBytes, intake, connections } = context;
+    const reading = startReadingBody(message, { maxBodyBytes, intake, isAnswered: () => response.headersSent });
+    const refuseBody = (cause: RefusalCause): void =>
+        refuse(message, response, refusalOfBody(cause, maxBodyBytes), intake);
+    const request = connections.begin(message.socket, reading, refuseBody);
+    response.once("close", request.end);
+    try {
+        const bodyResult = await reading.result;
+        if (response.headersSent || bodyResult.kind === "brokenOff") {
+            return;
+        }
+        if (bodyResult.kind === "refused") {
+            request.refuse(bodyResult.cause);
+            return;
+        }
+        request.received();
+        writeAnswer(response, bodyResult.kind === "parsed" ? await handle(bodyResult.body) : malformedBodyAnswer);
+    }
+    finally {
+        reading.close();
+    }
+};
+
 const answerRequest = async (
     message: IncomingMessage,
     response: ServerResponse,
-    handler: JsonHandler,
-    maxBodyBytes: number,
-    openRequests: OpenRequests | undefined,
+    context: RequestContext,
 ): Promise<void> => {
+    const { handler, openRequests } = context;
     const abortController = new AbortController();
     const target = message.url ?? "/";
     if (!URL.canParse(target, baseUrl)) {
@@ -149,40 +190,55 @@
         }
         abortController.abort();
     });
-    const bodyResult = await readBody(message, maxBodyBytes);
-    if (response.headersSent) {
-        return;
-    }
-    if (bodyResult.kind !== "parsed") {
-        writeAnswer(response, invalidBodyAnswer(bodyResult.kind, maxBodyBytes));
-        return;
-    }
-    if (openRequest !== undefined) {
-        openRequest.isHandled = true;
-    }
-    const request = {
-        method,
-        path: url.pathname,
-        query: url.searchParams,
-        headers: message.headers,
-        body: bodyResult.body,
-        callerGone: abortController.signal,
-    };
-    writeAnswer(response, await handler(request));
+    await readAndHandle(message, response, context, body => {
+        if (openRequest !== undefined) {
+            openRequest.isHandled = true;
+        }
+        return handler({
+            method,
+            path: url.pathname,
+            query: url.searchParams,
+            headers: message.headers,
+            body,
+            callerGone: abortController.signal,
+        });
+    });
 };
 
+/** Period in which Node.js checks its own limits on time. */
+const connectionsCheckingIntervalMs = 1_000;
+
 /** Creates an HTTP server that parses JSON bodies, responds in JSON and answers an unexpected error with a 500. */
 export const createJsonServer = (handler: JsonHandler, options: JsonServerOptions = {}): Server => {
     const maxBodyBytes = options.maxBodyBytes ?? defaultMaxBodyBytes;
-    return createServer((message, response) => {
+    const intake = options.intake ?? createDefaultIntake(maxBodyBytes);
+    const { headerTimeoutMs, bodyTimeoutMs, inactivityTimeoutMs } = intake.limits;
+    const connections = createConnectionLimit({
+        server: options.name ?? "http",
+        maxConnections: options.maxConnections ?? Infinity,
+        intake,
+    });
+    const context = { handler, maxBodyBytes, openRequests: options.openRequests, intake, connections };
+    const server = createServer({
+        // it bounds trailers and the extensions of chunks, too
+        maxHeaderSize: maxHeaderBytes,
+        headersTimeout: headerTimeoutMs,
+        // the intake refuses a body earlier, with an answer that says that nothing ran
+        requestTimeout: headerTimeoutMs + bodyTimeoutMs + connectionsCheckingIntervalMs,
+        connectionsCheckingInterval: connectionsCheckingIntervalMs,
+    }, (message, response) => {
         newestResponses.set(message.socket, response);
-        answerRequest(message, response, handler, maxBodyBytes, options.openRequests).catch((error: unknown) =>
+        answerRequest(message, response, context).catch((error: unknown) =>
             writeAnswer(
                 response,
                 problemAnswer({ title: "internal error", status: 500, detail: String(error), outcome: "unknown" }),
             )
         );
     });
+    server.timeout = inactivityTimeoutMs;
+    server.on("connection", connections.accept);
+    server.on("clientError", connections.refuseInvalid);
+    return server;
 };
 
 /** Starts listening and resolves with the bound port; rejects when the address cannot be bound. */
--- /dev/null
+++ b/src/utils/readBody.ts
@@ -0,0 +1,163 @@
+import type { IncomingMessage } from "node:http";
+import { RefusalCause } from "./refusals.js";
+import type { RequestIntake } from "./requestIntake.js";
+
+/** Outcome of reading the body of a request. */
+export type BodyResult =
+    | { kind: "parsed"; body: unknown; }
+    | { kind: "malformed"; }
+    /** The body is refused and not read further. */
+    | { kind: "refused"; cause: RefusalCause; }
+    /** The connection was closed, or the request was answered before its body had arrived. */
+    | { kind: "brokenOff"; };
+
+/** A body that is being read. */
+export interface BodyReading {
+    result: Promise<BodyResult>;
+    /** Memory that is reserved for it. */
+    heldBytes(): number;
+    /** Time at which bytes arrived last. */
+    progressedAtMs(): number;
+    /** Returns the memory; called when the request has been handled. */
+    close(): void;
+}
+
+/** Options of {@link startReadingBody}. */
+export interface ReadBodyOptions {
+    maxBodyBytes: number;
+    intake: RequestIntake;
+    /** Whether the request has been answered already, by a stop of the process. */
+    isAnswered: () => boolean;
+}
+
+/** First size of a buffer: most bodies fit. */
+const minCapacityBytes = 4_096;
+
+/** Size of the buffer for `neededBytes`: twice the previous one, at most what the body may need. */
+const nextCapacity = (capacityBytes: number, neededBytes: number, maxBytes: number): number => {
+    const doubled = Math.max(minCapacityBytes, capacityBytes * 2, neededBytes);
+    return Math.max(neededBytes, Math.min(doubled, maxBytes));
+};
+
+const parse = (bytes: Buffer): BodyResult => {
+    if (bytes.length === 0) {
+        return { kind: "parsed", body: undefined };
+    }
+    try {
+        return { kind: "parsed", body: JSON.parse(bytes.toString("utf8")) };
+    }
+    catch {
+        return { kind: "malformed" };
+    }
+};
+
+/** Stops reading from the connection of a request; what has been read still arrives. */
+export const stopReading = (message: IncomingMessage): void => {
+    // a stream that is read resumes its connection
+    message._read = () => {};
+    message.socket.pause();
+};
+
+const resumeReading = (message: IncomingMessage): void => {
+    Reflect.deleteProperty(message, "_read");
+    message.socket.resume();
+};
+
+/** Size that the headers declare; `undefined` for a chunked body. */
+const declaredBytesOf = (message: IncomingMessage): number | undefined => {
+    const header = message.headers["content-length"];
+    return header === undefined ? undefined : Number(header);
+};
+
+/**
+ * Reads the body of a request into one buffer that grows with what has arrived. After a refusal, the data that had been
+ * read from the connection is dropped; the caller of this function stops reading from it.
+ */
+export const startReadingBody = (message: IncomingMessage, options: ReadBodyOptions): BodyReading => {
+    const { maxBodyBytes, intake } = options;
+    const declaredBytes = declaredBytesOf(message);
+    const maxBytes = Math.min(maxBodyBytes, declaredBytes ?? maxBodyBytes);
+    let buffer = Buffer.alloc(0);
+    let sizeBytes = 0;
+    let settle: ((result: BodyResult) => void) | undefined;
+    const result = new Promise<BodyResult>(resolve => {
+        settle = resolve;
+    });
+    const paced = {
+        chunkCount: 0,
+        pause: () => stopReading(message),
+        resume: () => resumeReading(message),
+    };
+    const finish = (outcome: BodyResult): void => {
+        settle?.(outcome);
+        settle = undefined;
+        intake.chunks.remove(paced);
+        buffer = Buffer.alloc(0);
+    };
+    const end = (outcome: BodyResult): void => {
+        account.close();
+        finish(outcome);
+    };
+    const account = intake.bodies.open(cause =>
+        finish({ kind: "refused", cause: cause === "budget" ? RefusalCause.BodyBudget : RefusalCause.BodyTimeout })
+    );
+
+    const append = (chunk: Buffer): void => {
+        const neededBytes = sizeBytes + chunk.length;
+        if (neededBytes > buffer.length) {
+            const capacityBytes = nextCapacity(buffer.length, neededBytes, maxBytes);
+            if (!account.reserve(capacityBytes - buffer.length)) {
+                return;
+            }
+            const grown = Buffer.allocUnsafeSlow(capacityBytes);
+            buffer.copy(grown, 0, 0, sizeBytes);
+            buffer = grown;
+        }
+        chunk.copy(buffer, sizeBytes);
+        sizeBytes = neededBytes;
+    };
+
+    const onData = (chunk: Buffer): void => {
+        if (settle === undefined) {
+            return;
+        }
+        account.recordProgress();
+        intake.chunks.record(paced);
+        if (options.isAnswered()) {
+            end({ kind: "brokenOff" });
+        }
+        else if (sizeBytes + chunk.length > maxBodyBytes) {
+            end({ kind: "refused", cause: RefusalCause.BodyTooLarge });
+        }
+        else {
+            append(chunk);
+        }
+    };
+
+    message.on("data", onData);
+    message.once("end", () => {
+        if (settle !== undefined) {
+            account.complete();
+            finish(parse(buffer.subarray(0, sizeBytes)));
+        }
+    });
+    const breakOff = (): void => {
+        if (settle !== undefined) {
+            end({ kind: "brokenOff" });
+        }
+    };
+    message.once("close", breakOff);
+    message.on("error", breakOff);
+    if ((declaredBytes ?? 0) > maxBodyBytes) {
+        end({ kind: "refused", cause: RefusalCause.BodyTooLarge });
+    }
+    else {
+        intake.watch();
+    }
+    return {
+        result,
+        heldBytes: () => account.heldBytes,
+        progressedAtMs: () => account.progressedAtMs,
+        close: account.close,
+    };
+};
