--- a/src/node/machineLimits.ts
+++ b/src/node/machineLimits.ts
@@ -35,7 +35,7 @@
 const connectionMemoryShare = 1 / 8;
 const connectionKb = 16;
 /** Share of the descriptors for callers on a machine that has fewer than everything else needs. */
-const minCallerShare = 1 / 4;
+const minCallerShare = 1 / 8;
 
 /** Share of the memory for bodies in progress, and the bounds on it. */
 const bodyMemoryShare = 1 / 12;
--- a/src/utils/connectionLimit.ts
+++ b/src/utils/connectionLimit.ts
@@ -152,13 +152,19 @@
         const connection = connections.get(socket) ?? createConnection(socket, intake.nowMs());
         const receiving = { reading, refuse };
         let isReceived = false;
+        /** A later request may have begun on the connection by now. */
+        const stopReceiving = (): void => {
+            if (connection.receiving === receiving) {
+                connection.receiving = undefined;
+            }
+        };
         connection.receiving = receiving;
         connection.requestCount += 1;
         touch(connection);
         return {
             received: () => {
                 isReceived = true;
-                connection.receiving = undefined;
+                stopReceiving();
                 connection.handledCount += 1;
                 touch(connection);
             },
@@ -171,9 +177,7 @@
             },
             end: () => {
                 connection.handledCount -= isReceived ? 1 : 0;
-                if (connection.receiving === receiving) {
-                    connection.receiving = undefined;
-                }
+                stopReceiving();
                 touch(connection);
                 if (connection.use === ConnectionUse.Refused) {
                     socket.end();
