test: mutants of the bounds on clients

The crowds of uncontrolledClients stay within the memory without the budget, since the bound on connections holds them; its own test is in clientLimits.

--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -1,4 +1,5 @@
 /** Mechanisms that can be switched off in a scratch copy of the build, each with the test that must fail without it. */
+import { clientMutants } from "./clientMutants.js";
 import { planningMutants } from "./planningMutants.js";
 import { stopMutants } from "./stopMutants.js";
 import { storageMutants } from "./storageMutants.js";
@@ -23,6 +24,7 @@
     ...planningMutants,
     ...storageMutants,
     ...workerMutants,
+    ...clientMutants,
     {
         without: "restoring reservations from the records under a new planner",
         file: "execution/guarantees.js",
