--- a/test/settings.test.ts
+++ b/test/settings.test.ts
@@ -2,6 +2,7 @@
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { checkEntryVmSettings } from "../platform/settings.js";
 import { checkSchedulerSettings, loadSettings } from "../src/node/settings.js";
 import type { SchedulerSettings } from "../src/node/settings.js";
 
@@ -46,4 +47,25 @@
         const loaded = await loadSettings("/nowhere/settings.jsonc", checkSchedulerSettings);
         assert.equal(loaded.ok ? "" : loaded.error.file, "/nowhere/settings.jsonc");
     });
+
+    // guards against limits that a typing error takes out of force
+    it("of an entry VM name each limit that is no sensible number, with its line", async () => {
+        const wrong = [
+            "maxDescriptors: -1",
+            "bodyTimeoutMs: \"1 s\"",
+            "maxBodyBytesInProgress: 1000",
+            "maxChunksPerS: 1e12",
+        ];
+        const fields = wrong.map(field => `    "${field.replace(": ", "\": ")}`);
+        const directory = await mkdtemp(join(tmpdir(), "catkinswitch-settings-"));
+        const file = join(directory, "entry.jsonc");
+        await writeFile(file, `{\n${fields.join(",\n")}\n}`);
+        const loaded = await loadSettings(file, checkEntryVmSettings);
+        await rm(directory, { recursive: true });
+        const problems = loaded.ok ? [] : loaded.error.problems;
+        wrong.forEach((field, index) => {
+            const name = `line ${index + 2}: ${field.split(":")[0]}: must be`;
+            assert.isTrue(problems.some(problem => problem.startsWith(name)), name);
+        });
+    });
 });
