--- a/src/utils/readBody.ts
+++ b/src/utils/readBody.ts
@@ -149,6 +149,7 @@
     message.resume();
     message.once("end", () => {
         if (settle !== undefined) {
+            // a connection that is paused goes on: Node.js reads the next request after a complete one
             account.complete();
             finish(parse(buffer.subarray(0, sizeBytes)));
         }
--- a/test/clientLimits.test.ts
+++ b/test/clientLimits.test.ts
@@ -95,8 +95,12 @@
     const connections: CallerConnection[] = [];
     const servers: Server[] = [];
 
-    const start = async (handler = answerPath, maxConnections = 100): Promise<() => Promise<CallerConnection>> => {
-        const limits = { ...defaultIntakeLimits, bodyTimeoutMs: 5_000 };
+    const start = async (
+        handler = answerPath,
+        maxConnections = 100,
+        maxChunksPerS = 20_000,
+    ): Promise<() => Promise<CallerConnection>> => {
+        const limits = { ...defaultIntakeLimits, bodyTimeoutMs: 5_000, maxChunksPerS };
         const intake = createRequestIntake({ limits, timer });
         const server = createJsonServer(handler, { maxBodyBytes: 100_000, intake, maxConnections });
         servers.push(server);
@@ -154,6 +158,16 @@
         assert.deepInclude(refusal?.body, { outcome: "notRun" });
     });
 
+    // guards against connections that stay paused after their body has arrived
+    it("answers a request on a connection whose previous body was paused as its end had been read", async () => {
+        const connection = await (await start(answerPath, 100, 100))();
+        const body = "1\r\n1\r\n".repeat(500) + "0\r\n\r\n";
+        const first = await connection.request(head("/first", "transfer-encoding: chunked") + body);
+        assert.deepInclude(first, { status: 200, body: { path: "/first" } });
+        const second = await connection.request(formatRequest("GET", "/second"));
+        assert.deepInclude(second, { status: 200, body: { path: "/second" } });
+    });
+
     it("serves a single body of 50,000 chunks", async () => {
         const connection = await (await start())();
         const body = "1\r\n1\r\n".repeat(50_000) + "0\r\n\r\n";
