fix: work that preempts nothing does not keep like work from preempting in a round

Cause: the cache of shapes that did not fit in a round took work that must not preempt and work that may for the same shape, so that urgent work was not tried once a gang that had been moved from a leaving worker did not fit. Test: test/departures.test.ts, fails without the new part of the shape.

--- a/src/planning/unplaceableCache.ts
+++ b/src/planning/unplaceableCache.ts
@@ -31,6 +31,7 @@
             job.service,
             job.priority,
             guaranteed,
+            candidate.preemptsNothing === true,
             mustAvoid ? [...avoidedWorkers] : [],
             step.maxPerWorker === undefined ? [] : [...runningOn],
         ]);
--- a/test/departures.test.ts
+++ b/test/departures.test.ts
@@ -3,9 +3,11 @@
 import type { DepartingRun } from "../src/execution/departures.js";
 import { EndKind } from "../src/execution/types.js";
 import type { JobSubmission, Step } from "../src/jobs/types.js";
+import { planRound } from "../src/planning/round.js";
 import type { RunSpan } from "../standins/runs/workerModel.js";
 import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import type { Fleet } from "./fixtures/fleet.js";
+import { addOccupant, createCandidate, createRacks, createRoundInput } from "./fixtures/planning.js";
 import { findViolations } from "./fixtures/violations.js";
 
 const settleMs = 1_000;
@@ -173,3 +175,22 @@
         assert.isTrue(again.length === 2 && again.every(({ fromMs }) => fromMs >= goneAtMs), "then it does as before");
     });
 });
+
+// guards against urgent work that waits since work of the same shape, which must not preempt, did not fit
+describe("a gang that preempts nothing in a round", () => {
+    it("does not keep a like gang from preempting", () => {
+        const workers = createRacks(1, 1);
+        const occupants = [addOccupant(workers[0], "running", {
+            priority: 2,
+            resources: { milliCores: 32_000, memoryMb: 64_000, accelerators: 8 },
+            lostCoreMs: 0,
+        })];
+        const options = { taskCount: 2, accelerators: 4, gang: true, priority: 0 };
+        const candidates = [
+            createCandidate("moved", { ...options, preemptsNothing: true, timeToObjectiveMs: 3_000 }),
+            createCandidate("urgent", options),
+        ];
+        const { evictions } = planRound(createRoundInput({ workers, candidates, occupants }));
+        assert.deepEqual(evictions.map(({ forKey }) => forKey), ["urgent"]);
+    });
+});
