refactor: one piece of code for empty resources, their names, finding a task and a run's key

Cause: parts that were written side by side each had their own: three sums of nothing and two lists of the resources' names in planning, three searches for a task by its id, two keys of a run, three constants for the progress of complete work. Change: they call src/planning/resources.ts, src/execution/context.ts and types.ts; behaviour, tests and mutants stay.

--- a/src/execution/context.ts
+++ b/src/execution/context.ts
@@ -1,4 +1,6 @@
+import { taskKey, unitKeyOf } from "../jobs/progress.js";
 import type { JobState, Run, TaskState } from "../jobs/progress.js";
+import type { TaskId } from "../jobs/types.js";
 import type { EntryMetrics } from "../node/entryMetrics.js";
 import type { Log } from "../node/logs.js";
 import { coreEquivalentsOf } from "../planning/resources.js";
@@ -48,6 +50,13 @@
     isTermOver: () => boolean;
 }
 
+/** Finds a task of a stored job; `undefined` if there is none. */
+export const findTask = ({ jobs }: PlannerContext, { jobId, occurrence, step, index }: TaskId): TaskState | undefined =>
+    jobs.get(jobId)?.units.get(unitKeyOf(occurrence, step))?.tasks[index];
+
+/** Key of a run among all runs. */
+export const runKey = (task: TaskId, run: number): string => `${taskKey(task)}#${run}`;
+
 /** Fields of log lines about a run that say what stopping it now would throw away. */
 export const describeRunWork = (task: TaskState, run: Run, nowMs: number) => ({
     priority: task.unit.job.submission.priority,
--- a/src/execution/customerLimits.ts
+++ b/src/execution/customerLimits.ts
@@ -1,16 +1,12 @@
-import { RunPhase, taskIdOf, taskKey, unitKeyOf } from "../jobs/progress.js";
+import { RunPhase, taskIdOf } from "../jobs/progress.js";
 import type { TaskState } from "../jobs/progress.js";
 import type { Step, TaskId, TaskResources } from "../jobs/types.js";
 import type { CustomerUse, CustomerUses } from "../planning/customerBudgets.js";
 import type { ShareUse, ShareUses } from "../planning/customerShares.js";
-import { addResources } from "../planning/resources.js";
+import { addResources, noResources } from "../planning/resources.js";
+import { findTask, runKey } from "./context.js";
 import type { PlannerContext } from "./context.js";
 
-const noResources = (): TaskResources => ({ milliCores: 0, memoryMb: 0, accelerators: 0 });
-
-const findTask = ({ jobs }: PlannerContext, { jobId, occurrence, step, index }: TaskId): TaskState | undefined =>
-    jobs.get(jobId)?.units.get(unitKeyOf(occurrence, step))?.tasks[index];
-
 /** A run that may be active, with the step and the customer of its task. */
 interface ActiveRun {
     customer: string;
@@ -39,7 +35,7 @@
     const found = new Map<string, ActiveRun>();
     const add = (task: TaskState | undefined, id: TaskId, run: number): void => {
         if (task !== undefined && task.run?.number !== run) {
-            found.set(`${taskKey(id)}#${run}`, toActiveRun(task, true));
+            found.set(runKey(id, run), toActiveRun(task, true));
         }
     };
     for (const session of context.sessions.values()) {
--- a/src/execution/departures.ts
+++ b/src/execution/departures.ts
@@ -1,3 +1,5 @@
+import { completePercent } from "./types.js";
+
 /** A run on a worker that is about to leave. */
 export interface DepartingRun {
     /** Time until the worker leaves. */
@@ -23,18 +25,17 @@
 const moveLeadMs = 1_500;
 /** Progress from which the remaining time is taken from the rate of progress, as declared times are often off by half. */
 const reliablePercent = 10;
-const wholePercent = 100;
 
 /**
  * Shortest remaining time of a run by what is known: by its progress, which is reported in whole percents, once that is
  * enough to tell its rate, and by its declared time before.
  */
 export const shortestRemainingMs = (run: Omit<DepartingRun, "untilDepartureMs" | "resumable">): number => {
-    const reachedPercent = Math.min(run.percent + 1, wholePercent);
-    const remainingPercent = wholePercent - reachedPercent;
+    const reachedPercent = Math.min(run.percent + 1, completePercent);
+    const remainingPercent = completePercent - reachedPercent;
     const remainingAtReportMs = run.percent >= reliablePercent
         ? run.workedMs * remainingPercent / reachedPercent
-        : run.estimateMs * remainingPercent / wholePercent;
+        : run.estimateMs * remainingPercent / completePercent;
     return remainingAtReportMs - run.reportAgeMs;
 };
 
--- a/src/execution/reportHandler.ts
+++ b/src/execution/reportHandler.ts
@@ -1,8 +1,7 @@
-import { RunPhase, taskIdOf, taskKey, unitKeyOf } from "../jobs/progress.js";
+import { RunPhase, taskIdOf, taskKey } from "../jobs/progress.js";
 import type { JobState, Run, TaskState } from "../jobs/progress.js";
 import { isEnded } from "../jobs/types.js";
-import type { TaskId } from "../jobs/types.js";
-import { describeRunWork } from "./context.js";
+import { describeRunWork, findTask, runKey } from "./context.js";
 import type { PlannerContext } from "./context.js";
 import type { EndedRunHandler } from "./endedRunHandler.js";
 import { createMissingRunHandler } from "./missingRuns.js";
@@ -21,8 +20,6 @@
     abandonRuns(session: WorkerSession, reason: string, confirmedEnded: boolean): void;
 }
 
-const runKey = (task: TaskId, run: number): string => `${taskKey(task)}#${run}`;
-
 /** Whether other members of a run's gang do not have that run any more, so that it would wait for them until it ends alone. */
 const isLeftByGang = ({ unit }: TaskState, run: Run): boolean =>
     unit.step.gang && !unit.complete && unit.tasks.some(member => member.run?.number !== run.number);
@@ -35,11 +32,8 @@
 ): ReportHandler => {
     const { log, timer, runs } = context;
 
-    const findTask = (id: TaskId): TaskState | undefined =>
-        context.jobs.get(id.jobId)?.units.get(unitKeyOf(id.occurrence, id.step))?.tasks[id.index];
-
     const applyEnd = (session: WorkerSession, end: EndedRun): JobState | undefined => {
-        const task = findTask(end.task);
+        const task = findTask(context, end.task);
         if (task === undefined) {
             log("warn", "ended run of an unknown task", { task: taskKey(end.task), run: end.run, worker: session.id });
             return undefined;
@@ -93,7 +87,7 @@
 
     /** Whether a run on a worker is not, or no longer, a task's current run there. */
     const isOrphaned = (listed: ReportedRun, session: WorkerSession): boolean => {
-        const run = findTask(listed.task)?.run;
+        const run = findTask(context, listed.task)?.run;
         return run === undefined || run.number !== listed.run || run.worker !== session;
     };
 
--- a/src/execution/runMonitor.ts
+++ b/src/execution/runMonitor.ts
@@ -4,6 +4,7 @@
 import { createEvacuation } from "./evacuation.js";
 import type { RunStopper } from "./runStopper.js";
 import type { WorkerSession } from "./session.js";
+import { completePercent } from "./types.js";
 
 /** Stops runs that have to continue on another worker. */
 export interface RunMonitor {
@@ -25,8 +26,6 @@
 const minGangStallMs = 2_500;
 /** Time for which a stalled unit waits rather than run on the same worker again. */
 const mustAvoidMs = 2_000;
-/** Progress of a run whose work is complete. */
-const completePercent = 100;
 
 /** Last change in the progress of a task's run. */
 interface ObservedProgress {
--- a/src/execution/speedRecorder.ts
+++ b/src/execution/speedRecorder.ts
@@ -1,20 +1,19 @@
-import { gangMembersOf, RunPhase, unitKeyOf } from "../jobs/progress.js";
+import { gangMembersOf, RunPhase } from "../jobs/progress.js";
 import type { Run, TaskState, Unit } from "../jobs/progress.js";
-import type { Step, TaskId } from "../jobs/types.js";
+import type { Step } from "../jobs/types.js";
 import { isNearData } from "../planning/placement.js";
 import { runGuarded } from "../utils/runGuarded.js";
+import { findTask } from "./context.js";
 import type { PlannerContext } from "./context.js";
 import type { ReportHandler } from "./reportHandler.js";
 import type { WorkerSession } from "./session.js";
-import { EndKind } from "./types.js";
+import { completePercent, EndKind } from "./types.js";
 import type { EndedRun, ReportedRun, WorkerReport } from "./types.js";
 
 /** Shortest span of an observation; polls and orders take a part of it. */
 const minSpanMs = 800;
 /** Least progress in an observation: it is reported in whole percents. */
 const minPercents = 10;
-/** Progress of a run whose work is complete. */
-const completePercent = 100;
 /** Time without progress after which a span is not used: the run was held up. */
 const minPauseMs = 1_500;
 /** The same as a share of the declared time, for runs of which one percent takes long even on a slow worker. */
@@ -130,16 +129,13 @@
         track.hasEnded = true;
     };
 
-    const findTask = (id: TaskId): TaskState | undefined =>
-        context.jobs.get(id.jobId)?.units.get(unitKeyOf(id.occurrence, id.step))?.tasks[id.index];
-
     /** Calls `action` with the task of a reported run if that is its current one and can be measured. */
     const forCurrent = (
         session: WorkerSession,
         reported: ReportedRun | EndedRun,
         action: (task: TaskState, run: Run) => void,
     ): void => {
-        const task = findTask(reported.task);
+        const task = findTask(context, reported.task);
         const run = task?.run;
         const isCurrent = run?.number === reported.run && run.worker === session && run.phase !== RunPhase.Stopping;
         if (task !== undefined && run !== undefined && isCurrent && isMeasurable(task.unit.step)) {
--- a/src/execution/types.ts
+++ b/src/execution/types.ts
@@ -83,6 +83,9 @@
     endsComplete: boolean;
 }
 
+/** Progress of a run whose work is complete. */
+export const completePercent = 100;
+
 /** Order to start a run of a task. */
 export interface StartOrder {
     task: TaskId;
--- a/src/planning/customerBudgets.ts
+++ b/src/planning/customerBudgets.ts
@@ -3,7 +3,7 @@
  * limit allows, with work of several steps, gangs and claimed guarantees at once.
  */
 import type { JobSubmission, Step, TaskResources } from "../jobs/types.js";
-import { fitCount, subtractResources } from "./resources.js";
+import { fitCount, noResources, resourceNames, subtractResources } from "./resources.js";
 import type { Candidate } from "./types.js";
 import { WaitReason } from "./waitReason.js";
 
@@ -47,8 +47,6 @@
 /** Share of the limit below which other work of the customer starts although one of its gangs is held back. */
 const holdAboveShare = 0.5;
 
-const resourceNames = ["milliCores", "memoryMb", "accelerators"] as const;
-
 const sizeOf = ({ gang, taskCount }: Step): number => gang ? taskCount : 1;
 
 /** Whether a limit allows the smallest part of a step that can start: one task, or all tasks of a gang. */
@@ -110,7 +108,7 @@
         if (use === undefined || remaining === undefined || exceedsMaximum(candidate)) {
             return undefined;
         }
-        const missing: TaskResources = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+        const missing = noResources();
         for (const name of resourceNames) {
             const expected = remaining[name] + use.stopping[name];
             missing[name] = Math.max(0, step.resources[name] * taskIndexes.length - expected);
--- a/src/planning/customerShares.ts
+++ b/src/planning/customerShares.ts
@@ -3,7 +3,7 @@
  * others has to wait.
  */
 import type { TaskResources } from "../jobs/types.js";
-import { addResources } from "./resources.js";
+import { addResources, noResources, resourceNames } from "./resources.js";
 import type { Candidate, WorkerInfo } from "./types.js";
 
 /** What a customer that has a share uses. */
@@ -16,8 +16,6 @@
 /** Weight and use of the customers that have a share, by name. */
 export type ShareUses = ReadonlyMap<string, ShareUse>;
 
-const noResources = (): TaskResources => ({ milliCores: 0, memoryMb: 0, accelerators: 0 });
-
 const sumCapacity = (workers: readonly WorkerInfo[], service: string): TaskResources => {
     const sum = noResources();
     workers.filter(worker => worker.usable && worker.service === service).forEach(({ capacity }) =>
@@ -29,9 +27,7 @@
 /** Largest share of any resource, as in dominant resource fairness; infinite if there is no capacity. */
 const dominantShare = (used: TaskResources, capacity: TaskResources): number =>
     Math.max(
-        ...(["milliCores", "memoryMb", "accelerators"] as const).map(name =>
-            used[name] <= 0 ? 0 : used[name] / capacity[name]
-        ),
+        ...resourceNames.map(name => used[name] <= 0 ? 0 : used[name] / capacity[name]),
     );
 
 /** Sum of the weights of the customers that use a service or wait for it; the others leave their shares to these. */
--- a/src/planning/limitPreemption.ts
+++ b/src/planning/limitPreemption.ts
@@ -1,6 +1,6 @@
 import type { TaskResources } from "../jobs/types.js";
 import { isWithinDisruptionLimit, isWorthwhile, mayPreempt, preemptionCost } from "./preemptionSearch.js";
-import { addResources, coreEquivalentsOf } from "./resources.js";
+import { addResources, coreEquivalentsOf, noResources } from "./resources.js";
 import type { Candidate, Occupant } from "./types.js";
 
 const covers = (freed: TaskResources, shortfall: TaskResources): boolean =>
@@ -23,7 +23,7 @@
     shortfall: TaskResources,
     evicted: ReadonlySet<Occupant>,
 ): Occupant[] => {
-    const freed: TaskResources = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+    const freed = noResources();
     const victims: Occupant[] = [];
     const preemptible = occupants
         .filter(occupant => occupant.customer === candidate.job.customer && !evicted.has(occupant))
--- a/src/planning/overload.ts
+++ b/src/planning/overload.ts
@@ -8,8 +8,8 @@
 import type { CustomerUses } from "./customerBudgets.js";
 import { delayLoss, untilDropMs, workToEarn } from "./delayCost.js";
 import { Tier, tierOf } from "./order.js";
-import { addResources, fitCount, occupiedBy } from "./resources.js";
-import { addPreemptible, addWorkers, createSupply, resourceNames } from "./supply.js";
+import { addResources, fitCount, noResources, occupiedBy, resourceNames } from "./resources.js";
+import { addPreemptible, addWorkers, createSupply } from "./supply.js";
 import type { Supply } from "./supply.js";
 import type { Candidate, Postponement, Postponements, WorkerInfo } from "./types.js";
 
@@ -52,8 +52,6 @@
 /** Factor by which work must be less worth than postponed work to be postponed in its place. */
 const exchangeFactor = 1.25;
 
-const noResources = (): TaskResources => ({ milliCores: 0, memoryMb: 0, accelerators: 0 });
-
 /** The part of the work that its customers' limits allow to start now; the rest competes for nothing. */
 const withinLimits = (ordered: readonly Candidate[], uses: CustomerUses): readonly Candidate[] => {
     if (uses.size === 0) {
--- a/src/planning/resources.ts
+++ b/src/planning/resources.ts
@@ -3,8 +3,14 @@
 /** Cores that one accelerator counts as when lost work is compared. */
 export const coresPerAccelerator = 8;
 
+/** Names of the resources that work is accounted in. */
+export const resourceNames = ["accelerators", "milliCores", "memoryMb"] as const;
+
 const milliCoresPerCore = 1_000;
 
+/** Creates a sum of resources that begins with nothing. */
+export const noResources = (): TaskResources => ({ milliCores: 0, memoryMb: 0, accelerators: 0 });
+
 /** Resources that a task of a step occupies on a worker; tasks that fill idle cores occupy no cores. */
 export const occupiedBy = (step: Step): TaskResources =>
     step.fillsIdleCores ? { ...step.resources, milliCores: 0 } : step.resources;
--- a/src/planning/supply.ts
+++ b/src/planning/supply.ts
@@ -1,10 +1,8 @@
 /** What a service can do by the times at which its waiting work must have started. */
 import type { TaskResources } from "../jobs/types.js";
-import { addResources } from "./resources.js";
+import { addResources, noResources, resourceNames } from "./resources.js";
 import type { WorkerInfo } from "./types.js";
 
-/** Names of the resources that work is accounted in. */
-export const resourceNames = ["accelerators", "milliCores", "memoryMb"] as const;
 const stride = resourceNames.length;
 
 /** Resources times milliseconds that are available by given times. */
@@ -75,8 +73,8 @@
 
 /** Adds what is free on workers and what their runs leave, by declared run times. */
 export const addWorkers = (supply: Supply, workers: readonly WorkerInfo[]): void => {
-    const free: TaskResources = { milliCores: 0, memoryMb: 0, accelerators: 0 };
-    const occupied: TaskResources = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+    const free = noResources();
+    const occupied = noResources();
     for (const worker of workers) {
         addResources(free, worker.free, 1);
         const { endingShare = 0, meanRemainingMs = 0 } = worker;
@@ -89,7 +87,7 @@
 
 /** Adds what urgent work gains by preempting other runs: they leave at once, not at their ends. */
 export const addPreemptible = (supply: Supply, workers: readonly WorkerInfo[]): void => {
-    const occupied: TaskResources = { milliCores: 0, memoryMb: 0, accelerators: 0 };
+    const occupied = noResources();
     for (const worker of workers) {
         const { preemptibleShare = 0, meanRemainingMs = 0 } = worker;
         setOccupied(occupied, worker);
