fix: an acknowledgement of ended runs never reaches a worker's next incarnation after a start

Cause: a worker's next incarnation has the same id and address and numbers its ended runs anew. The session acknowledged an end with a poll that waited for a run to end for up to 1 s, on the belief that the incarnation that had listed it still answers, while starts went to the worker. If that had restarted meanwhile, the next incarnation ran such a start, and forgot its end, whose number the acknowledgement covered. The planner then found neither the run nor its end, and started the task again.

Ruled out: the long poll alone. Without it the acknowledgement still arrives after a start where the poll takes longer than the task. The clock in the answer to a start: it tells the incarnations apart only after the acknowledgement may have been sent.

Change: an acknowledgement and a start are never on their way to a worker together, so that there is nothing yet which the next incarnation could forget. - Starts wait while an acknowledgement is unanswered, which therefore waits for no run to end. New acknowledgements are held back while a start waits or is unanswered, so that a gang's members need not all be free of them at the same moment. - They are held back, too, until each start is known to have reached the incarnation that listed the ends: the worker has listed the run, or its clock in the answer is further than the next incarnation's could be. A full list of ends is acknowledged all the same, as it may hide these runs. - An acknowledgement without an answer may be carried out seconds later. From then on orders carry a higher fencing token, so that the next incarnation refuses it once a start has reached it. A stop that such an order overtook is sent again. - The line "run ended" names the incarnation and the number of the end; "a later incarnation answers" and "an acknowledgement got no answer" are new.

--- a/src/execution/endCursor.ts
+++ b/src/execution/endCursor.ts
@@ -5,6 +5,7 @@
     let listed = 0;
     let acknowledged = 0;
     let confirmed = 0;
+    let listsAll = true;
     return {
         /**
          * Number up to which ended runs are recorded, so that the worker may forget them; 0 once the worker has answered
@@ -13,6 +14,8 @@
         toSend: (): number => acknowledged > confirmed ? acknowledged : 0,
         areRecorded: (): boolean => listed === acknowledged,
         isConfirmed: (): boolean => confirmed === acknowledged,
+        /** Whether the last answer listed all ended runs; the others are listed once these are acknowledged. */
+        listsAll: (): boolean => listsAll,
         /** Records that runs are recorded; returns whether these are more than before. */
         acknowledge: (number: number): boolean => {
             const isMore = number > acknowledged;
@@ -22,6 +25,7 @@
         /** Records the answer to a poll that acknowledged ended runs up to a number. */
         recordAnswer: (sentNumber: number, report: WorkerReport): void => {
             confirmed = Math.max(confirmed, sentNumber);
+            listsAll = report.endsComplete;
             listed = report.ended.reduce((highest, end) => Math.max(highest, end.number), Math.max(listed, sentNumber));
         },
     };
--- a/src/execution/endedRunHandler.ts
+++ b/src/execution/endedRunHandler.ts
@@ -96,7 +96,9 @@
         const work = describeRunWork(task, run, timer.nowMs());
         checkpoints.applyEnd(task, run, end);
         const name = taskKey(taskIdOf(task));
-        log("info", "run ended", { task: name, run: end.run, kind: end.kind, worker: session.id, ...work });
+        const { id: worker, bornMs } = session;
+        const fields = { task: name, run: end.run, kind: end.kind, worker, bornMs, end: end.number };
+        log("info", "run ended", { ...fields, ...work });
         if (unit.step.longRunning) {
             applyLongRunningEnd(task, end, session);
             return;
--- a/src/execution/fenceQueue.ts
+++ b/src/execution/fenceQueue.ts
@@ -13,7 +13,7 @@
 /** Runs to fence on a worker: a stop order ends the run, or prevents its start if the start order arrives later. */
 export const createFenceQueue = (
     timer: TimerService,
-    fencingToken: number,
+    fencingToken: () => number,
     handleOrderError: (error: OrderError, sentAtMs: number) => void,
 ) => {
     const pending = new Map<string, FencedRun>();
@@ -27,7 +27,7 @@
         send: async (client: WorkerClient): Promise<boolean> => {
             for (const [key, { task, run }] of [...pending]) {
                 const sentAtMs = timer.nowMs();
-                const stopped = await client.stop(task, run, fencingToken);
+                const stopped = await client.stop(task, run, fencingToken());
                 if (!stopped.ok) {
                     handleOrderError(stopped.error, sentAtMs);
                     if (stopped.error.kind === "noAnswer" || stopped.error.refusal === Refusal.Unhealthy) {
--- a/src/execution/runStarter.ts
+++ b/src/execution/runStarter.ts
@@ -93,6 +93,16 @@
     return kept;
 };
 
+const groupByWorker = (placed: readonly PlacedTask[]): PlacedTask[][] => {
+    const groups = new Map<WorkerSession, PlacedTask[]>();
+    for (const entry of placed) {
+        const group = groups.get(entry.run.worker) ?? [];
+        group.push(entry);
+        groups.set(entry.run.worker, group);
+    }
+    return [...groups.values()];
+};
+
 /** Creates the part of a planner that sends start orders. */
 export const createRunStarter = (context: PlannerContext, runStopper: RunStopper): RunStarter => {
     const { log, timer, runs, term } = context;
@@ -109,6 +119,34 @@
         context.requestRound();
     };
 
+    const send = (unit: Unit, placed: readonly PlacedTask[]): void => {
+        for (const entry of placed.filter(isCurrent)) {
+            entry.run.phase = RunPhase.Starting;
+            entry.run.orderedAtMs = timer.nowMs();
+            startSender.send(entry, unit.job.submission.spec);
+        }
+    };
+
+    /** Sends the orders once acknowledgements that are on their way to the workers are answered; no others follow until then. */
+    const sendAfterAcknowledgements = (unit: Unit, placed: readonly PlacedTask[], plannedAtMs: number): void => {
+        const pending = placed.flatMap(({ run }) => run.worker.pendingAcknowledgement() ?? []);
+        if (pending.length === 0) {
+            send(unit, placed);
+            return;
+        }
+        const endWaits = placed.map(({ run }) => run.worker.recordStart());
+        void Promise.all(pending).then(() => {
+            const problem = findPlacementProblem(context, unit, placed, plannedAtMs);
+            if (problem === undefined) {
+                send(unit, placed);
+            }
+            else {
+                abandonPlacement(unit, placed, problem);
+            }
+            endWaits.forEach(endWait => endWait());
+        });
+    };
+
     const startRecorded = (unit: Unit, placed: readonly PlacedTask[], plannedAtMs: number): void => {
         const problem = findPlacementProblem(context, unit, placed, plannedAtMs);
         if (problem !== undefined) {
@@ -120,11 +158,8 @@
             void context.record(unit.job);
             context.requestRound();
         }
-        for (const entry of placed.filter(isCurrent)) {
-            entry.run.phase = RunPhase.Starting;
-            entry.run.orderedAtMs = timer.nowMs();
-            startSender.send(entry, unit.job.submission.spec);
-        }
+        const groups = unit.step.gang ? [placed] : groupByWorker(placed);
+        groups.forEach(group => sendAfterAcknowledgements(unit, group, plannedAtMs));
     };
 
     const start = (unit: Unit, assignments: readonly Assignment[]): void => {
--- a/src/execution/runStopper.ts
+++ b/src/execution/runStopper.ts
@@ -20,10 +20,15 @@
     const { log, timer, runs } = context;
 
     const sendStop = async (task: TaskState, run: Run): Promise<void> => {
-        const { client, fencingToken } = run.worker;
+        const { client } = run.worker;
         while (task.run === run && !run.worker.closed && client !== undefined && !context.isTermOver()) {
+            const { fencingToken } = run.worker;
             const stopped = await client.stop(taskIdOf(task), run.number, fencingToken);
             const refusal = !stopped.ok && stopped.error.kind === "refused" ? stopped.error.refusal : undefined;
+            if (refusal === Refusal.Fenced && fencingToken < run.worker.fencingToken) {
+                // a later order of the same session overtook it
+                continue;
+            }
             if (stopped.ok || (refusal !== undefined && refusal !== Refusal.Unhealthy)) {
                 // a healthy worker refuses a stop only if it does not have the run
                 run.orderAnsweredAtMs = timer.nowMs();
--- a/src/execution/session.ts
+++ b/src/execution/session.ts
@@ -3,21 +3,24 @@
 import { createUnexpectedErrorLog } from "../node/unexpectedErrors.js";
 import { runGuarded } from "../utils/runGuarded.js";
 import type { TimerService } from "../utils/timer.js";
+import { createAcknowledgements } from "./acknowledgements.js";
 import { createContactTracker } from "./contactTracker.js";
-import { createEndCursor } from "./endCursor.js";
+import type { ContactTracker } from "./contactTracker.js";
 import { createFenceQueue } from "./fenceQueue.js";
 import type { FencedRun } from "./fenceQueue.js";
 import { createPollPause, pollRetryMs, runPollLoop } from "./pollLoop.js";
 import { createSessionKnowledge } from "./sessionKnowledge.js";
 import type { SessionKnowledge } from "./sessionKnowledge.js";
 import { Refusal } from "./types.js";
-import type { OrderError, WorkerClient, WorkerDescriptor, WorkerReport } from "./types.js";
+import type { HoldOrder, OrderError, WorkerClient, WorkerDescriptor, WorkerReport } from "./types.js";
 import type { WorkerLease } from "./workerLease.js";
 
 /** Callbacks of a worker session. */
 export interface SessionListener {
     /** Whether the worker has runs, started or ordered, or may begin one, so that it has to be polled. */
     isBusy(session: WorkerSession): boolean;
+    /** Whether a start order that was sent under the session may reach the worker's next incarnation, or has. */
+    hasUnconfirmedStarts(session: WorkerSession): boolean;
     /** Called with each report; `sentAtMs` is the monotonic time at which it was requested. */
     onReport(session: WorkerSession, report: WorkerReport, sentAtMs: number): void;
     /** Called once when the lease of the worker's runs has certainly expired while the worker did not answer. */
@@ -42,8 +45,8 @@
     client?: WorkerClient;
     timer: TimerService;
     log: Log;
-    /** Higher than that of any earlier session with the worker. */
-    fencingToken: number;
+    /** Draws a token that is higher than all that orders to the worker have carried. */
+    nextFencingToken: () => number;
     /** Whether the planner may still renew leases. */
     mayRenew: () => boolean;
     /** Whether successors were told that the planner does not extend this worker's lease. */
@@ -66,7 +69,7 @@
     /** The worker as last listed; `undefined` for one that is not listed. */
     descriptor: WorkerDescriptor | undefined;
     readonly client: WorkerClient | undefined;
-    /** Token in all orders of the session. */
+    /** Token in the orders of the session; rises when an acknowledgement gets no answer. */
     readonly fencingToken: number;
     /** Address of the worker; `undefined` if it is not known. */
     readonly address: string | undefined;
@@ -83,6 +86,12 @@
      * low for this one; `sentAtMs` is the monotonic time at which the order was sent.
      */
     recordAnswer(clockMs: number | undefined, sentAtMs: number): void;
+    /** Whether a reading of the worker's clock in an answer that has just arrived certainly comes from this incarnation. */
+    isOwnClock(clockMs: number): boolean;
+    /** Records a start order without an outcome, which keeps acknowledgements back; the returned function records the outcome. */
+    recordStart(): () => void;
+    /** Settles with the outcome of the acknowledgement that is on its way; no start may be sent before. */
+    pendingAcknowledgement(): Promise<void> | undefined;
     /** Records that an order got no answer. */
     recordNoAnswer(reason: string): void;
     /** Stops a run on the worker, or prevents it from starting there, before the lease is renewed again. */
@@ -104,16 +113,16 @@
 
 /** Time for which a poll waits for a run to end; short enough to renew the lease several times before it expires. */
 const longPollMs = 1_000;
-/** Delay between polls while ended runs are not recorded yet. */
+/** Delay between polls while ended runs are not recorded or acknowledged yet. */
 const unrecordedPauseMs = 300;
 /** Delay between polls until the lease may be extended again, which takes a write to the table. */
 const withheldPauseMs = 50;
 
 /** Opens a session: polls the worker for its runs, renews their lease and passes on the reports. */
 export const createWorkerSession = (options: WorkerSessionOptions): WorkerSession => {
-    const { timer, log, client, fencingToken, listener } = options;
+    const { timer, log, client, listener } = options;
+    let fencingToken = options.nextFencingToken();
     const contact = createContactTracker(timer, log, options.id, () => listener.onContactLost(session));
-    const ends = createEndCursor();
     const pollPause = createPollPause(timer);
     const logPollError = createUnexpectedErrorLog(log, "a worker could not be polled");
     const knowledge = createSessionKnowledge(options, contact, {
@@ -121,46 +130,39 @@
         onLeaseExpired: () => listener.onLeaseExpired(session),
     });
     const { lease, recordAnswer } = knowledge;
+    const isInContact = (): boolean => knowledge.isSynced() && contact.silentMs() === 0;
+    const acknowledgements = createAcknowledgements({
+        isInContact,
+        hasUnconfirmedStarts: () => listener.hasUnconfirmedStarts(session),
+        onSendable: () => pollPause.interrupt(false),
+        onUnanswered: acknowledged => {
+            // the worker refuses the acknowledgement after an order with a higher token
+            fencingToken = options.nextFencingToken();
+            log("info", "an acknowledgement got no answer", { worker: options.id, acknowledged, fencingToken });
+        },
+    });
     let closed = false;
     let earlierBornMs: number | undefined;
 
-    const handleOrderError = (error: OrderError, sentAtMs: number): void => {
-        if (closed) {
-            return;
-        }
-        if (error.kind === "noAnswer") {
-            contact.recordNoAnswer(error.detail);
-            return;
-        }
-        if (error.clockMs !== undefined) {
-            recordAnswer(error.clockMs, sentAtMs);
-        }
-        if (error.refusal === Refusal.Fenced) {
-            listener.onFenced(session);
-        }
-        if (error.refusal === Refusal.OtherIncarnation) {
-            listener.onRestarted(session);
-        }
-    };
-
-    const fences = createFenceQueue(timer, fencingToken, handleOrderError);
+    const handleOrderError = createOrderErrorHandler(() => session, contact, listener);
+    const fences = createFenceQueue(timer, () => fencingToken, handleOrderError);
 
     /** Polls the worker once; the first poll renews no lease, since the runs on the worker are not known yet. */
     const poll = async (active: WorkerClient): Promise<boolean> => {
         const sentAtMs = timer.nowMs();
         // a renewal without an answer may have extended the lease, so none is sent until the worker answers again
-        const inContact = knowledge.isSynced() && contact.silentMs() === 0;
+        const inContact = isInContact();
         const isWithheld = options.isLeaseWithheld();
         const mayRenew = inContact && options.mayRenew() && !isWithheld;
         const untilClockMs = mayRenew ? lease.untilClockMs(options.leaseMs(session)) : undefined;
         const recordOutcome = lease.recordLease(untilClockMs ?? 0);
         const skipLongPoll = pollPause.consumeSkipLongPoll();
-        const mayLongPoll = inContact && ends.areRecorded() && listener.isBusy(session) && !skipLongPoll
+        const mayLongPoll = inContact && acknowledgements.areSettled() && listener.isBusy(session) && !skipLongPoll
             && !isWithheld;
-        // like a renewal, an acknowledgement belongs to the incarnation that listed the runs
-        const acknowledged = inContact ? ends.toSend() : 0;
+        const acknowledged = acknowledgements.toSend();
         const waitMs = mayLongPoll ? longPollMs : undefined;
-        const answer = await active.hold({ fencingToken, acknowledged, untilClockMs, waitMs });
+        const order: HoldOrder = { fencingToken, acknowledged, untilClockMs, waitMs };
+        const answer = await (acknowledged > 0 ? acknowledgements.hold(active, order) : active.hold(order));
         recordOutcome(answer);
         if (closed) {
             return true;
@@ -175,11 +177,13 @@
             return false;
         }
         if (answer.value.bornMs > options.bornMs) {
-            listener.onRestarted(session, answer.value.bornMs);
+            const { bornMs, clockMs } = answer.value;
+            log("info", "a later incarnation answers", { worker: options.id, bornMs, clockMs, acknowledged });
+            listener.onRestarted(session, bornMs);
             return true;
         }
-        knowledge.recordReport(answer.value.clockMs);
-        ends.recordAnswer(acknowledged, answer.value);
+        knowledge.recordReport(answer.value.clockMs, sentAtMs);
+        acknowledgements.recordAnswer(acknowledged, answer.value);
         runGuarded(() => listener.onReport(session, answer.value, sentAtMs), logUnexpectedError(log, options.id));
         return true;
     };
@@ -190,11 +194,13 @@
             isClosed: () => closed,
             // a silent worker is polled until it answers, since it is sent no order that would show it
             isIdle: () =>
-                !pollPause.isPollRequested() && knowledge.isSynced() && fences.count() === 0 && ends.isConfirmed()
+                !pollPause.isPollRequested() && knowledge.isSynced() && fences.count() === 0
+                && acknowledgements.isConfirmed()
                 && !listener.isBusy(session)
                 && contact.silentMs() === 0,
             poll: async () => await fences.send(active) && await poll(active),
-            pauseMs: () => ends.areRecorded() ? (options.isLeaseWithheld() ? withheldPauseMs : 0) : unrecordedPauseMs,
+            pauseMs: () =>
+                acknowledgements.isWaiting() ? unrecordedPauseMs : options.isLeaseWithheld() ? withheldPauseMs : 0,
             onPolled: knowledge.checkLeaseExpiry,
             onUnexpected: detail => {
                 logPollError(detail);
@@ -207,13 +213,18 @@
         bornMs: options.bornMs,
         descriptor: options.descriptor,
         client,
-        fencingToken,
+        get fencingToken() {
+            return fencingToken;
+        },
         address: options.descriptor?.address ?? options.address,
         isSynced: knowledge.isSynced,
         lease,
         mayExtendLease: () => options.mayRenew() && !options.isLeaseWithheld(),
         silentMs: contact.silentMs,
         recordAnswer,
+        isOwnClock: knowledge.isOwnClock,
+        recordStart: acknowledgements.recordStart,
+        pendingAcknowledgement: acknowledgements.pending,
         recordNoAnswer: contact.recordNoAnswer,
         fenceRun: (task, number) => {
             fences.add(task, number);
@@ -222,11 +233,7 @@
         pendingFenceCount: fences.count,
         pendingFences: fences.list,
         earlierBornMs: () => earlierBornMs,
-        acknowledge: number => {
-            if (ends.acknowledge(number)) {
-                pollPause.interrupt(false);
-            }
-        },
+        acknowledge: acknowledgements.acknowledge,
         resumePolling: skipLongPoll => pollPause.interrupt(skipLongPoll === true),
         close: () => {
             closed = true;
@@ -254,5 +261,28 @@
     );
 };
 
+/** Creates the function that applies the outcome of a poll or a fence that failed. */
+const createOrderErrorHandler =
+    (session: () => WorkerSession, contact: ContactTracker, listener: SessionListener) =>
+    (error: OrderError, sentAtMs: number): void => {
+        const { closed, recordAnswer } = session();
+        if (closed) {
+            return;
+        }
+        if (error.kind === "noAnswer") {
+            contact.recordNoAnswer(error.detail);
+            return;
+        }
+        if (error.clockMs !== undefined) {
+            recordAnswer(error.clockMs, sentAtMs);
+        }
+        if (error.refusal === Refusal.Fenced) {
+            listener.onFenced(session());
+        }
+        if (error.refusal === Refusal.OtherIncarnation) {
+            listener.onRestarted(session());
+        }
+    };
+
 const logUnexpectedError = (log: Log, worker: string) => (detail: string): void =>
     log("error", "a report could not be taken", { worker, detail });
--- a/src/execution/sessionKnowledge.ts
+++ b/src/execution/sessionKnowledge.ts
@@ -1,6 +1,6 @@
 import type { ContactTracker } from "./contactTracker.js";
 import type { WorkerSessionOptions } from "./session.js";
-import { createWorkerLease } from "./workerLease.js";
+import { createWorkerLease, lateOrderMs } from "./workerLease.js";
 import type { WorkerLease } from "./workerLease.js";
 
 /** Callbacks of {@link createSessionKnowledge}. */
@@ -19,8 +19,10 @@
     isLeaseExpired(): boolean;
     /** Records an answer to an order that was sent at the monotonic time `sentAtMs`, with its reading of the clock. */
     recordAnswer(clockMs: number | undefined, sentAtMs: number): void;
-    /** Records a report of this incarnation of the worker. */
-    recordReport(clockMs: number): void;
+    /** Records a report of this incarnation of the worker, which was requested at the monotonic time `sentAtMs`. */
+    recordReport(clockMs: number, sentAtMs: number): void;
+    /** Whether a reading of the clock in an answer that has just arrived certainly comes from this incarnation of the worker. */
+    isOwnClock(clockMs: number): boolean;
     /** Checks whether the lease has expired without an answer. */
     checkLeaseExpiry(): void;
 }
@@ -35,6 +37,7 @@
     const lease = createWorkerLease({ ...options, leaseMs: options.maxLeaseMs });
     let synced = false;
     let leaseExpired = false;
+    let reportSentAtMs = Number.NEGATIVE_INFINITY;
 
     const recordContact = (): void => {
         contact.recordAnswer();
@@ -60,12 +63,16 @@
             lease.recordNextIncarnation();
             listener.onPossibleRestart();
         },
-        recordReport: clockMs => {
+        recordReport: (clockMs, sentAtMs) => {
             recordContact();
             lease.recordClock(clockMs);
             lease.boundEarlierLeases();
             synced = true;
+            reportSentAtMs = Math.max(reportSentAtMs, sentAtMs);
         },
+        // The next incarnation began after the last report was requested. This VM's clock does not count the time for which
+        // it was suspended; a planner that was suspended for longer has lost its term.
+        isOwnClock: clockMs => clockMs > timer.nowMs() - reportSentAtMs + lateOrderMs,
         checkLeaseExpiry: () => {
             const outOfContact = contact.silentMs() > 0 || options.client === undefined;
             if (!leaseExpired && outOfContact && timer.nowMs() > lease.expiresAtMs()) {
--- a/src/execution/sessionLifecycle.ts
+++ b/src/execution/sessionLifecycle.ts
@@ -81,6 +81,11 @@
 
 /** Lease of a worker with long-running tasks, which are to be started elsewhere soon after it was lost. */
 const longRunningLeaseMs = 5_000;
+
+/** Whether the next incarnation of its worker may have carried out a run's start order, or still may. */
+const isUnconfirmed = ({ phase, firstListedAtMs, startConfirmed }: Run): boolean =>
+    phase !== RunPhase.Recording && firstListedAtMs === undefined && startConfirmed !== true;
+
 const restartedReason = "the worker has started anew";
 
 /** Creates the functions that open and close the worker sessions of a term. */
@@ -105,7 +110,7 @@
             client: called === undefined ? undefined : createGuardedClient(options.createClient(called)),
             timer,
             log: context.log,
-            fencingToken: fencingTokens.next(id),
+            nextFencingToken: () => fencingTokens.next(id),
             mayRenew: options.mayRenew,
             isLeaseWithheld: () => options.isLeaseWithheld(id),
             leaseMs: leaseMsOf,
@@ -115,6 +120,8 @@
             listener: {
                 // a restart has to be noticed before the next incarnation begins a run that was given up
                 isBusy: busy => runs.tasksOn(busy).size > 0 || context.unansweredStarts.givenUpOn(id).length > 0,
+                hasUnconfirmedStarts: active =>
+                    [...runs.tasksOn(active)].some(({ run }) => run !== undefined && isUnconfirmed(run)),
                 onReport: (reporting, report, sentAtMs) => {
                     if (options.isLeaseWithheld(id)) {
                         options.publishLeases();
@@ -197,7 +204,7 @@
             context.runs.clear(task);
         }
         else {
-            context.runs.set(task, { ...run, phase: RunPhase.Unknown, worker: to });
+            context.runs.set(task, { ...run, phase: RunPhase.Unknown, worker: to, startConfirmed: false });
         }
     }
 };
--- a/src/execution/startOutcomes.ts
+++ b/src/execution/startOutcomes.ts
@@ -21,6 +21,7 @@
 
     const onStarted = ({ task, run }: PlacedTask, clockMs: number | undefined, sentAtMs: number): void => {
         task.unit.job.hasStarted = true;
+        run.startConfirmed = clockMs !== undefined && run.worker.isOwnClock(clockMs);
         run.worker.recordAnswer(clockMs, sentAtMs);
         if (run.phase === RunPhase.Starting) {
             run.phase = RunPhase.Running;
--- a/src/execution/startSender.ts
+++ b/src/execution/startSender.ts
@@ -77,7 +77,9 @@
     ): Promise<Result<OrderAnswer, OrderError> | undefined> => {
         const { task, run: { number, worker } } = placed;
         const recordOutcome = worker.lease.recordLease(order.untilClockMs);
+        const endStart = worker.recordStart();
         const started = await worker.client?.start(order);
+        endStart();
         if (started !== undefined) {
             recordOutcome(started);
             if (!isAnswered(started)) {
--- a/src/jobs/progress.ts
+++ b/src/jobs/progress.ts
@@ -21,10 +21,7 @@
     phase: RunPhase;
     /** Monotonic time at which the order to start was sent; until then, at which the task was placed. */
     orderedAtMs: number;
-    /**
-     * Monotonic time of the answer to the latest order (start or stop), infinite before; reports that are requested
-     * later show its effect.
-     */
+    /** Monotonic time of the latest order's answer, infinite before; reports that are requested later show its effect. */
     orderAnsweredAtMs: number;
     /** Completed share of the work in percent, as last reported. */
     percent: number;
@@ -38,6 +35,8 @@
     checkpointedAtMs: number;
     /** Monotonic time at which the worker first listed it as running. */
     firstListedAtMs?: number;
+    /** Whether the answer to the order to start certainly came from the worker's incarnation. @default false */
+    startConfirmed?: boolean;
 }
 
 /** State of one task of a unit. */
--- a/test/session.test.ts
+++ b/test/session.test.ts
@@ -30,6 +30,7 @@
     const restarts: (number | undefined)[] = [];
     const listener: SessionListener = {
         isBusy: () => busy,
+        hasUnconfirmedStarts: () => false,
         onReport: () => {},
         onLeaseExpired: () => {},
         onRestarted: (_session, bornMs) => restarts.push(bornMs),
@@ -42,7 +43,7 @@
         client,
         timer,
         log: () => {},
-        fencingToken: 1,
+        nextFencingToken: () => 1,
         mayRenew: () => true,
         isLeaseWithheld: () => false,
         leaseMs: () => 8_000,
