--- a/test/acknowledgedRestarts.test.ts
+++ b/test/acknowledgedRestarts.test.ts
@@ -1,5 +1,6 @@
 import { assert } from "chai";
 import { JobPhase } from "../src/jobs/types.js";
+import type { RunSpan } from "../standins/runs/workerModel.js";
 import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import type { Fleet } from "./fixtures/fleet.js";
 import { findViolations } from "./fixtures/violations.js";
@@ -133,3 +134,84 @@
         assert.isAbove(lateRuns, 0);
     });
 });
+
+/** Where a worker is in its life, and what is on its way to it, when it restarts. */
+interface StartInFlight {
+    /** Age of the worker when it is sent the first task. */
+    ageMs: number;
+    /** Time that a start takes to reach the worker. */
+    startDelayMs: number;
+    /** Time from the submission of the second task to the end of the first. */
+    submitBeforeMs: number;
+    /** Time from the end of the first task to the restart. */
+    restartAfterMs: number;
+}
+
+/** Restarts a worker just after a task has ended there, while the start of another one is on its way to it. */
+const restartBeforeStart = async (options: StartInFlight): Promise<Fleet> => {
+    const fleet = createFleet({ workerCount: 1 });
+    await fleet.timer.advance(idleMs);
+    fleet.restartWorker("w0");
+    await fleet.timer.advance(options.ageMs);
+    const runMs = 40;
+    await fleet.submit(createSubmission("a0", [createStep()], {}, { workMs: runMs }));
+    await advanceUntil(fleet, () => fleet.spans.length === 1);
+    fleet.listDelayMs = 1_400;
+    fleet.orderDelayMs = (_vm, kind) => kind === "start" ? options.startDelayMs : 0;
+    const endsAtMs = fleet.spans[0].fromMs + runMs;
+    fleet.timer.after(endsAtMs + options.restartAfterMs - fleet.timer.nowMs(), () => fleet.restartWorker("w0"));
+    await fleet.timer.advance(endsAtMs - options.submitBeforeMs - fleet.timer.nowMs());
+    await fleet.submit(createSubmission("b0", [createStep()], {}, { workMs: briefWorkMs }));
+    await fleet.timer.advance(completionMs);
+    return fleet;
+};
+
+describe("a worker that restarts while a start is on its way to it", () => {
+    // guards against the same when the acknowledgement is sent after the start and before the restart is noticed
+    for (const ageMs of [0, 2_000, 60_000]) {
+        it(`${ageMs} ms after another restart, lists the end of what its next incarnation begins`, async () => {
+            let lateRuns = 0;
+            for (const startDelayMs of [10, 20, 60, 90]) {
+                for (const restartAfterMs of [2, 3, 4, 6, 10]) {
+                    for (const submitBeforeMs of [35, 30, 25, 20, 15, 10]) {
+                        const options = { ageMs, startDelayMs, restartAfterMs, submitBeforeMs };
+                        const fleet = await restartBeforeStart(options);
+                        assert.deepEqual(findViolations(fleet.spans), [], JSON.stringify(options));
+                        const restartedAtMs = (fleet.spans[0].toMs ?? 0) + restartAfterMs;
+                        const isLate = ({ task, fromMs }: RunSpan): boolean =>
+                            task.startsWith("b0.") && fromMs > restartedAtMs;
+                        lateRuns += fleet.spans.filter(isLate).length;
+                    }
+                }
+            }
+            assert.isAbove(lateRuns, 0, "the next incarnation has begun some of the tasks");
+        });
+    }
+});
+
+/** Time within which the platform expects the acknowledgement of a listed ended run. */
+const maxUnacknowledgedMs = 4_000;
+
+describe("a worker that is sent starts without a pause", () => {
+    // guards against acknowledgements that wait for a moment without starts, which a busy worker may not have
+    it("is sent acknowledgements in time", async () => {
+        const fleet = createFleet({ workerCount: 1 });
+        await fleet.timer.advance(idleMs);
+        const acknowledgedAtMs: number[] = [];
+        fleet.orderDelayMs = (_vm, kind, _worker, acknowledged) => {
+            if (acknowledged > 0) {
+                acknowledgedAtMs.push(fleet.timer.nowMs());
+            }
+            return kind === "start" ? 30 : 0;
+        };
+        const resources = { milliCores: 1_000, memoryMb: 1_000, accelerators: 0 };
+        const step = createStep({ taskCount: 200, resources });
+        for (let index = 0; index < smallJobCount; index++) {
+            await fleet.submit(createSubmission(`b${index}`, [step], {}, { workMs: 60, unevenShare: 0.9 }));
+        }
+        await assertAllRanOnce(fleet, "no restart");
+        const ends = fleet.spans.map(({ toMs }) => toMs ?? Infinity);
+        const waits = ends.map(atMs => (acknowledgedAtMs.find(sentAtMs => sentAtMs > atMs) ?? Infinity) - atMs);
+        assert.isBelow(Math.max(...waits), maxUnacknowledgedMs);
+    });
+});
--- a/test/runStopper.test.ts
+++ b/test/runStopper.test.ts
@@ -1,6 +1,6 @@
 import { assert } from "chai";
 import { EndKind, Refusal } from "../src/execution/types.js";
-import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
+import { CallFault, createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
 import type { Fleet } from "./fixtures/fleet.js";
 
 /** Token of the first planner's first session with a worker. */
@@ -88,3 +88,28 @@
         assert.deepEqual(fleet.spans.map(({ kind }) => kind), [EndKind.Stopped]);
     });
 });
+
+describe("a stop that is overtaken by an order of the same session with a higher fencing token", () => {
+    // guards against runs of cancelled jobs that worked on: the refusal counted as the end of the run
+    it("is sent again", async () => {
+        const fleet = createFleet({ workerCount: 1 });
+        await fleet.timer.advance(1_000);
+        await fleet.submit(createSubmission("a1", [createStep()], {}, { workMs: 60_000 }));
+        await fleet.submit(createSubmission("a2", [createStep()], {}, { workMs: 1_000 }));
+        let hasLostAnswer = false;
+        fleet.orderFault = (_vm, _kind, _worker, acknowledged) => {
+            const isLost = acknowledged > 0 && !hasLostAnswer;
+            hasLostAnswer ||= isLost;
+            return isLost ? CallFault.AnswerLost : CallFault.None;
+        };
+        fleet.orderDelayMs = (_vm, kind) => kind === "stop" ? 800 : 0;
+        await fleet.timer.advance(1_500);
+        assert.isTrue(hasLostAnswer);
+        void fleet.vms.get("vm1")?.cancel("a1");
+        await fleet.timer.advance(4_000);
+        assert.deepEqual(fleet.spans.map(({ task, kind }) => [task, kind]), [
+            ["a1.0.0.0", EndKind.Stopped],
+            ["a2.0.0.0", EndKind.Done],
+        ]);
+    });
+});
