test: the soak of restarting workers also runs short tasks and restarts workers as a run ends

The soak restarted workers under tasks of 30 s, so that hardly an end was listed, acknowledged and replaced by a start when a worker started again, and it did not find that acknowledgements reach the next incarnation. It now also runs tasks of 5 to 700 ms on three workers, restarts one 1 to 12 ms after a run has ended there, and delays starts or polls by up to 300 ms.

--- a/test/restartSoak.test.ts
+++ b/test/restartSoak.test.ts
@@ -1,14 +1,19 @@
 import { assert } from "chai";
 import { soakRestartsOfProcesses } from "./fixtures/restartProcessSoak.js";
 import { soakRestarts } from "./fixtures/restartSoak.js";
+import type { RestartSoakOptions } from "./fixtures/restartSoak.js";
 
 /** Runs a range of seeds; returns what broke. */
-const soakSeeds = async (firstSeed: number, seedCount: number, delaysStarts: boolean): Promise<string[]> => {
+const soakSeeds = async (
+    firstSeed: number,
+    seedCount: number,
+    options: Omit<RestartSoakOptions, "seed"> = {},
+): Promise<string[]> => {
     const broken: string[] = [];
     let restarts = 0;
     let cancellations = 0;
     for (let seed = firstSeed; seed < firstSeed + seedCount; seed++) {
-        const result = await soakRestarts({ seed, delaysStarts });
+        const result = await soakRestarts({ seed, ...options });
         restarts += result.restarts;
         cancellations += result.cancellations;
         broken.push(...result.problems.map(problem => `seed ${seed}: ${problem}`));
@@ -23,11 +28,11 @@
     this.timeout(60_000);
 
     it("run once each, and no longer than it takes to stop them after a cancellation", async () => {
-        assert.deepEqual(await soakSeeds(75, 40, false), []);
+        assert.deepEqual(await soakSeeds(75, 40), []);
     });
 
     it("run once each although start orders are carried out by an incarnation that began after they were given up", async () => {
-        assert.deepEqual(await soakSeeds(950, 20, true), []);
+        assert.deepEqual(await soakSeeds(950, 20, { delaysStarts: true }), []);
     });
 
     it("run once each with real processes", async () => {
@@ -37,3 +42,12 @@
         assert.deepEqual(problems, []);
     });
 });
+
+// guards against acknowledgements that reach a worker's next incarnation after a start
+describe("short tasks on workers that start again just after a run has ended there", function() {
+    this.timeout(60_000);
+
+    it("run once each", async () => {
+        assert.deepEqual(await soakSeeds(1, 10, { hasShortTasks: true }), []);
+    });
+});
