--- a/src/jobs/queries/jobPhase.ts
+++ b/src/jobs/queries/jobPhase.ts
@@ -1,4 +1,6 @@
+import type { Log } from "../../node/logs.js";
 import type { StateTable } from "../../state/types.js";
+import type { TimerService } from "../../utils/timer.js";
 import { mayAccess } from "../jobAccess.js";
 import type { JobAccess } from "../jobAccess.js";
 import type { PhaseCache } from "../phaseCache.js";
@@ -6,25 +8,70 @@
 import type { JobPhase } from "../types.js";
 import { readJob } from "./readJob.js";
 
-/**
- * Reads a job's phase, from the cache while the table is unavailable; `undefined` if there is no such job that `access` may
- * read.
- */
-export const queryJobPhase = async (
-    state: StateTable,
-    cache: PhaseCache,
+/** Where the phase of a job was read. */
+export enum PhaseSource {
+    Table = "table",
+    Cache = "cache",
+}
+
+/** Dependencies of {@link queryJobPhase}. */
+export interface JobPhaseContext {
+    state: StateTable;
+    timer: TimerService;
+    log: Log;
+    cache: PhaseCache;
+}
+
+/** Options of {@link queryJobPhase}. */
+export interface JobPhaseOptions {
+    /** Who asks. @default anyone */
+    access?: JobAccess;
+    /** Time that the caller waits, from now. @default unlimited */
+    deadlineMs?: number;
+}
+
+interface PhaseReading {
+    phase: JobPhase | "unavailable" | undefined;
+    source: PhaseSource;
+}
+
+const readPhase = async (
+    { state, cache }: JobPhaseContext,
     jobId: string,
-    access?: JobAccess,
-): Promise<JobPhase | "unavailable" | undefined> => {
+    access: JobAccess | undefined,
+): Promise<PhaseReading> => {
     const job = await readJob(state, jobId);
     if (job === "unavailable") {
         const cached = cache.get(jobId);
-        return cached !== undefined && mayAccess(cached.owner, access) ? cached.phase : "unavailable";
+        const isReadable = cached !== undefined && mayAccess(cached.owner, access);
+        return { phase: isReadable ? cached.phase : "unavailable", source: PhaseSource.Cache };
     }
     const phase = phaseOf(job);
     if (job?.submission === undefined || phase === undefined) {
-        return undefined;
+        return { phase: undefined, source: PhaseSource.Table };
     }
     cache.set(jobId, { phase, owner: job.submission });
-    return mayAccess(job.submission, access) ? phase : undefined;
+    return { phase: mayAccess(job.submission, access) ? phase : undefined, source: PhaseSource.Table };
+};
+
+/**
+ * Reads a job's phase, from the cache while the table is unavailable; `undefined` if there is no such job that `access` may
+ * read.
+ */
+export const queryJobPhase = async (
+    context: JobPhaseContext,
+    jobId: string,
+    { access, deadlineMs }: JobPhaseOptions = {},
+): Promise<JobPhase | "unavailable" | undefined> => {
+    const { timer, log } = context;
+    const startedAtMs = timer.nowMs();
+    const { phase, source } = await readPhase(context, jobId, access);
+    log("info", "job phase read", {
+        jobId,
+        phase,
+        source,
+        tookMs: Math.round(timer.nowMs() - startedAtMs),
+        deadlineMs,
+    });
+    return phase;
 };
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -14,6 +14,7 @@
 import { createPhaseCache } from "../jobs/phaseCache.js";
 import type { StoredJob } from "../jobs/projection.js";
 import { queryJobPhase } from "../jobs/queries/jobPhase.js";
+import type { JobPhaseOptions } from "../jobs/queries/jobPhase.js";
 import type { PendingCounts } from "../jobs/queries/pendingJobs.js";
 import { readJob } from "../jobs/queries/readJob.js";
 import { plannerLeaseKey, plannerPart, plannerTable } from "../jobs/rows.js";
@@ -61,8 +62,8 @@
     accept(submission: JobSubmission, deadlineMs: number): Promise<AcceptResult>;
     /** Cancels a job. @default by anyone */
     cancel(jobId: string, access?: JobAccess): Promise<Cancellation>;
-    /** Phase of a job; `undefined` when there is no such job. @default for anyone */
-    phase(jobId: string, access?: JobAccess): Promise<JobPhase | "unavailable" | undefined>;
+    /** Phase of a job; `undefined` when there is no such job. */
+    phase(jobId: string, options?: JobPhaseOptions): Promise<JobPhase | "unavailable" | undefined>;
     /** Stored rows of a job; `undefined` when there is no such job. */
     job(jobId: string): Promise<StoredJob | "unavailable" | undefined>;
     /** Number of jobs that wait in a queue, as last counted by the planner. */
@@ -190,7 +191,7 @@
         accept: (submission, deadlineMs) =>
             acceptJob({ ...context, admission, sentSubmissions }, submission, deadlineMs),
         cancel: (jobId, access) => cancelStoredJob(context, jobId, access),
-        phase: (jobId, access) => queryJobPhase(state, phaseCache, jobId, access),
+        phase: (jobId, phaseOptions) => queryJobPhase({ ...context, cache: phaseCache }, jobId, phaseOptions),
         job: jobId => readJob(state, jobId),
         pending: queue => (planner?.pendingCounts() ?? publishedPending)[queue] ?? 0,
         plannerAgeMs: follower.ageMs,
--- a/test/jobAccess.test.ts
+++ b/test/jobAccess.test.ts
@@ -87,7 +87,7 @@
         assert.equal(await call("GET", "key-hotel"), JobPhase.Running);
         fleet.tableDown = true;
         const read = async (access: JobAccess): Promise<unknown> => {
-            const phase = vm.phase(jobId, access);
+            const phase = vm.phase(jobId, { access });
             await fleet.timer.advance(50);
             return phase;
         };
