test: a job's state that another VM could have read in time, listed as known red

What callers saw: no answer within the time that they wait, or a refusal after it, for a job whose state another VM could read. 15 of 15 cases fail: a read waits for the table's timeout of 1.2 s and for two other VMs, chosen at its beginning, whatever its caller waits.

--- /dev/null
+++ b/test/unansweredReads.test.ts
@@ -0,0 +1,138 @@
+import { assert } from "chai";
+import { createPhaseCache } from "../src/jobs/phaseCache.js";
+import { queryJobPhase } from "../src/jobs/queries/jobPhase.js";
+import { jobRowKey, JobRowKind, jobsTable, partOfJob, progressTable } from "../src/jobs/rows.js";
+import { JobPhase } from "../src/jobs/types.js";
+import { createRelayedTable } from "../src/state/relay.js";
+import type { RelayPeer } from "../src/state/relay.js";
+import { StateErrorKind } from "../src/state/types.js";
+import type { ReadRange, StateTable } from "../src/state/types.js";
+import { fail, succeed } from "../src/utils/result.js";
+import { createVirtualTimer } from "../src/utils/virtualTimer.js";
+import { createTableModel } from "../standins/fleet/tableModel.js";
+import { createStep, createSubmission } from "./fixtures/fleet.js";
+
+/** Timeouts of a call to the table and of a relayed one. */
+const tableTimeoutMs = 1_200;
+const relayTimeoutMs = 900;
+const answerMs = 5;
+/** Time that callers wait for the state of a job; the shorter ones are what is left to callers that ask again. */
+const deadlinesMs = [485, 1_160, 3_000];
+const jobIds = Array.from({ length: 24 }, (_, index) => `00000000000000${(index + 16).toString(16)}`);
+
+/** What a way to the table does. */
+enum Way {
+    Answers,
+    Silent,
+    Refuses,
+}
+
+/** A table that holds jobs that have succeeded. */
+const createTable = () => {
+    const model = createTableModel();
+    for (const jobId of jobIds) {
+        const submission = createSubmission(jobId, [createStep()]);
+        const record = { phase: JobPhase.Succeeded, units: {} };
+        model.commit({
+            part: partOfJob(jobId),
+            conditions: [],
+            writes: [
+                { table: jobsTable, key: jobRowKey(jobId, JobRowKind.Submission), value: submission },
+                { table: progressTable, key: jobRowKey(jobId, JobRowKind.Progress), value: record },
+            ],
+        });
+    }
+    return model;
+};
+
+/** Creates VMs that read the same table, each directly and through other VMs as its ways say. */
+const createVms = () => {
+    const timer = createVirtualTimer();
+    const model = createTable();
+    const log = (): void => {};
+    const read = async (way: Way, range: ReadRange, timeoutMs: number) => {
+        switch (way) {
+            case Way.Answers:
+                await timer.sleep(answerMs);
+                return succeed(model.read(range));
+            case Way.Silent:
+                await timer.sleep(timeoutMs);
+                return fail({ kind: StateErrorKind.NoAnswer as const, detail: "silent" });
+            case Way.Refuses:
+                await timer.sleep(answerMs);
+                return fail({ kind: StateErrorKind.Unavailable as const, detail: "refused" });
+        }
+    };
+    const createVm = (ways: { direct: Way; peers: Way[]; }) => {
+        const unused = async () => fail({ kind: StateErrorKind.Unavailable as const, detail: "not used" });
+        const direct: StateTable = {
+            read: range => read(ways.direct, range, tableTimeoutMs),
+            commit: unused,
+            changes: unused,
+        };
+        const peers = ways.peers.map((_, index): RelayPeer => ({
+            name: `peer${index}`,
+            perform: request => read(ways.peers[index], (request as { range: ReadRange; }).range, relayTimeoutMs),
+        }));
+        const state = createRelayedTable({ direct, timer, log, peers: () => peers });
+        const context = { state, timer, log, cache: createPhaseCache() };
+        return async (jobId: string, deadlineMs: number) => {
+            const startedAtMs = timer.nowMs();
+            const phase = await queryJobPhase(context, jobId, { deadlineMs });
+            return { phase, leftMs: deadlineMs - (timer.nowMs() - startedAtMs) };
+        };
+    };
+    return { timer, createVm };
+};
+
+type Ask = ReturnType<ReturnType<typeof createVms>["createVm"]>;
+
+/** Phases as their callers get them, who all ask at the same moment. */
+const askForAll = async (ask: Ask, ids: readonly string[], deadlineMs: number, advance: (ms: number) => unknown) => {
+    const answers = Promise.all(ids.map(jobId => ask(jobId, deadlineMs)));
+    await advance(2 * deadlineMs + tableTimeoutMs);
+    return (await answers).map(({ phase, leftMs }) => leftMs > 0 ? phase : "too late");
+};
+
+// guards against callers that wait in vain for the state of a job that another VM could have read
+describe("the state of an ended job", () => {
+    for (const deadlineMs of deadlinesMs) {
+        describe(`for a caller that waits ${deadlineMs} ms`, () => {
+            const askVm = async (direct: Way, peers: Way[], ids: readonly string[]) => {
+                const { timer, createVm } = createVms();
+                return askForAll(createVm({ direct, peers }), ids, deadlineMs, timer.advance);
+            };
+
+            it("is read in time beside a silent table and two silent VMs", async () => {
+                const phases = await askVm(Way.Silent, [Way.Silent, Way.Silent, Way.Answers], jobIds.slice(0, 1));
+                assert.deepEqual(phases, [JobPhase.Succeeded]);
+            });
+
+            it("is read in time beside a silent table and two VMs that have no way to it either", async () => {
+                const phases = await askVm(Way.Silent, [Way.Refuses, Way.Refuses, Way.Answers], jobIds.slice(0, 1));
+                assert.deepEqual(phases, [JobPhase.Succeeded]);
+            });
+
+            it("is read in time by all who ask at the same moment beside a silent table and silent VMs", async () => {
+                const phases = await askVm(Way.Silent, [Way.Silent, Way.Silent, Way.Answers], jobIds);
+                assert.deepEqual(phases, jobIds.map(() => JobPhase.Succeeded));
+            });
+
+            it("is refused in time while no way answers", async () => {
+                const phases = await askVm(Way.Silent, [Way.Silent, Way.Silent, Way.Silent], jobIds);
+                assert.deepEqual(phases, jobIds.map(() => "unavailable" as const));
+            });
+
+            it("is answered in time from an earlier read while no way answers", async () => {
+                const { timer, createVm } = createVms();
+                const ways = { direct: Way.Answers, peers: [Way.Answers, Way.Answers] };
+                const ask = createVm(ways);
+                await askForAll(ask, jobIds, deadlineMs, timer.advance);
+                ways.direct = Way.Silent;
+                ways.peers.fill(Way.Silent);
+                const phases = await askForAll(ask, jobIds, deadlineMs, timer.advance);
+                assert.deepEqual(phases, jobIds.map(() => JobPhase.Succeeded));
+            });
+        });
+    }
+});
