fix: a job's state is read within the time that its caller waits

What callers saw: no answer, or a refusal after they had stopped waiting, for jobs whose state another VM could read.

Cause: a read did not know how long its caller waits. It waited for the table's timeout of 1,200 ms and then for two other VMs, 900 ms each, which were chosen when the operation began; what other operations learned meanwhile about silent VMs did not count, and a third VM was never asked. Of 3,000 ms in all, a first VM took 1,200 to 3,000.

The deadline now goes with the read. Its further ways are tried within it, each chosen when it starts, four VMs at most; when three quarters of the caller's time are over, an earlier read of the job answers, or a refusal.

Ruled out as the cheaper way: bounding the timeouts of the calls themselves by the deadline, since a table that is 60 times slower than usual would count as unreachable.

--- a/src/jobs/queries/jobPhase.ts
+++ b/src/jobs/queries/jobPhase.ts
@@ -1,5 +1,6 @@
 import type { Log } from "../../node/logs.js";
 import type { StateTable } from "../../state/types.js";
+import { resolveWithin } from "../../utils/resolveWithin.js";
 import type { TimerService } from "../../utils/timer.js";
 import { mayAccess } from "../jobAccess.js";
 import type { JobAccess } from "../jobAccess.js";
@@ -30,17 +31,21 @@
     deadlineMs?: number;
 }
 
+/** Share of the caller's deadline in which the table is read; the answer still has to reach the caller. */
+const readShareOfDeadline = 0.75;
+
 interface PhaseReading {
     phase: JobPhase | "unavailable" | undefined;
     source: PhaseSource;
 }
 
 const readPhase = async (
-    { state, cache }: JobPhaseContext,
+    { state, timer, cache }: JobPhaseContext,
     jobId: string,
-    access: JobAccess | undefined,
+    { access, deadlineMs }: JobPhaseOptions,
 ): Promise<PhaseReading> => {
-    const job = await readJob(state, jobId);
+    const readMs = deadlineMs === undefined ? undefined : deadlineMs * readShareOfDeadline;
+    const job = await resolveWithin(timer, readMs, readJob(state, jobId, readMs), "unavailable" as const);
     if (job === "unavailable") {
         const cached = cache.get(jobId);
         const isReadable = cached !== undefined && mayAccess(cached.owner, access);
@@ -55,23 +60,23 @@
 };
 
 /**
- * Reads a job's phase, from the cache while the table is unavailable; `undefined` if there is no such job that `access` may
- * read.
+ * Reads a job's phase before its caller's deadline, from the cache while the table does not answer; `undefined` if there
+ * is no such job that `access` may read.
  */
 export const queryJobPhase = async (
     context: JobPhaseContext,
     jobId: string,
-    { access, deadlineMs }: JobPhaseOptions = {},
+    options: JobPhaseOptions = {},
 ): Promise<JobPhase | "unavailable" | undefined> => {
     const { timer, log } = context;
     const startedAtMs = timer.nowMs();
-    const { phase, source } = await readPhase(context, jobId, access);
+    const { phase, source } = await readPhase(context, jobId, options);
     log("info", "job phase read", {
         jobId,
         phase,
         source,
         tookMs: Math.round(timer.nowMs() - startedAtMs),
-        deadlineMs,
+        deadlineMs: options.deadlineMs,
     });
     return phase;
 };
--- a/src/state/race.ts
+++ b/src/state/race.ts
@@ -14,10 +14,17 @@
     onOvertaken(): void;
 }
 
+/** Further attempts of an operation; each is chosen when it starts, by what is known of the ways by then. */
+export interface FurtherAttempts<Value> {
+    isPossible(): boolean;
+    /** Takes the next one; `undefined` when there is none. */
+    take(): Attempt<Value> | undefined;
+}
+
 /** Options of {@link race}. */
 export interface RaceOptions<Value> {
-    /** In the order in which they start; there is at least one. */
-    attempts: Attempt<Value>[];
+    first: Attempt<Value>;
+    further: FurtherAttempts<Value>;
     timer: TimerService;
     /** Time without an answer after which the next attempt starts beside those in progress, once a slot is free. */
     hedgeDelayMs: number;
@@ -41,13 +48,12 @@
     errors.find(error => error.kind === StateErrorKind.NoAnswer) ?? errors[0];
 
 /**
- * Starts the attempts one after the other, the next when one fails or gives no answer for some time, and resolves with
- * the first answer of the table.
+ * Starts attempts one after the other, the next when one fails or gives no answer for some time, and resolves with the
+ * first answer of the table.
  */
 export const race = <Value>(options: RaceOptions<Value>): Promise<Result<Value, StateError>> =>
     new Promise(resolve => {
-        const { attempts, timer, hedgeDelayMs, hedgeSlots, onFurtherAttempt } = options;
-        const waiting = [...attempts];
+        const { first, further, timer, hedgeDelayMs, hedgeSlots, onFurtherAttempt } = options;
         const errors: StateError[] = [];
         /** In the order in which they started. */
         const inProgress = new Set<Attempt<Value>>();
@@ -66,22 +72,21 @@
         };
 
         const startNext = (): void => {
-            const next = waiting.shift();
+            const next = further.take();
             if (next !== undefined) {
                 void start(next);
             }
         };
 
         const hedge = (): void => {
-            if (waiting.length === 0) {
+            cancelHedge = timer.after(hedgeDelayMs, hedge);
+            if (!further.isPossible()) {
                 return;
             }
             if (hasSlot) {
                 startNext();
-                return;
             }
-            cancelHedge = timer.after(hedgeDelayMs, hedge);
-            if (ticket === undefined) {
+            else if (ticket === undefined) {
                 ticket = hedgeSlots.request(() => {
                     hasSlot = true;
                     startNext();
@@ -103,12 +108,12 @@
             if (reply.ok || isAnswered(reply)) {
                 const started = [...inProgress];
                 started.slice(0, started.indexOf(attempt)).forEach(overtaken => overtaken.onOvertaken());
-                settle(reply, attempt !== attempts[0]);
+                settle(reply, attempt !== first);
                 return;
             }
             inProgress.delete(attempt);
             errors.push(reply.error);
-            if (waiting.length > 0) {
+            if (further.isPossible()) {
                 startNext();
             }
             else if (inProgress.size === 0) {
@@ -117,5 +122,5 @@
         };
 
         const removeListener = onFurtherAttempt(attempt => void start(attempt));
-        void start(waiting.shift() as Attempt<Value>);
+        void start(first);
     });
--- a/src/state/relay.ts
+++ b/src/state/relay.ts
@@ -5,7 +5,7 @@
 import { createHedgeDelay } from "./hedgeDelay.js";
 import { createHedgeSlots } from "./hedgeSlots.js";
 import { race } from "./race.js";
-import type { Attempt } from "./race.js";
+import type { Attempt, FurtherAttempts } from "./race.js";
 import { createReachability, isAnswered } from "./reachability.js";
 import type { TablePart } from "./reachability.js";
 import { StateErrorKind } from "./types.js";
@@ -48,6 +48,8 @@
 
 /** Peers tried for one operation: two in case one cannot reach the table either, no more to limit load in an outage. */
 const maxPeersPerOperation = 2;
+/** Peers tried for a read whose caller waits; a third of the VMs may have lost their way to the table at the same time. */
+const maxPeersPerRead = 4;
 /** Time for which a peer that could not perform an operation is not tried again. */
 const peerCooldownMs = 1_500;
 
@@ -76,6 +78,10 @@
 /** Time that the table itself may wait before it answers an operation. */
 const longPollMsOf = (request: RelayRequest): number => request.operation === "changes" ? request.waitMs : 0;
 
+/** Time in which the result of an operation is needed; `undefined` if nobody waits for it. */
+const deadlineMsOf = (request: RelayRequest): number | undefined =>
+    request.operation === "read" ? request.range.deadlineMs : undefined;
+
 /**
  * Creates a table that falls back to relaying through other VMs. A write may be sent both directly and through peers;
  * this is safe because every write is idempotent: it is conditional on the version it replaces or sets the same value.
@@ -116,23 +122,44 @@
         };
     };
 
-    const peerAttempts = (request: RelayRequest): Attempt<RelayValue>[] =>
-        options.peers()
-            .filter(peer => (cooldownUntilMs.get(peer.name) ?? 0) <= timer.nowMs())
-            .slice(0, maxPeersPerOperation)
-            .map(peer => createPeerAttempt(peer, request));
+    /** Attempts through peers, each through the first one that has not failed lately. */
+    const createPeerAttempts = (request: RelayRequest, maxPeers: number): FurtherAttempts<RelayValue> => {
+        const tried = new Set<string>();
+        const findPeer = (): RelayPeer | undefined =>
+            tried.size < maxPeers
+                ? options.peers().find(({ name }) =>
+                    !tried.has(name) && (cooldownUntilMs.get(name) ?? 0) <= timer.nowMs()
+                )
+                : undefined;
+        return {
+            isPossible: () => findPeer() !== undefined,
+            take: () => {
+                const peer = findPeer();
+                if (peer === undefined) {
+                    return undefined;
+                }
+                tried.add(peer.name);
+                return createPeerAttempt(peer, request);
+            },
+        };
+    };
 
     const perform = async (request: RelayRequest): Promise<RelayReply> => {
         const target = tablePartOf(request);
-        const isUnreachable = reachability.isUnreachable(target);
-        const viaPeers = peerAttempts(request);
-        if (isUnreachable && viaPeers.length === 0) {
+        const deadlineMs = deadlineMsOf(request);
+        const maxPeers = deadlineMs === undefined ? maxPeersPerOperation : maxPeersPerRead;
+        // all ways are tried before the deadline
+        const latestHedgeDelayMs = (deadlineMs ?? Number.POSITIVE_INFINITY) / (maxPeers + 1);
+        const viaPeers = createPeerAttempts(request, maxPeers);
+        const first = reachability.isUnreachable(target) ? viaPeers.take() : createDirectAttempt(request);
+        if (first === undefined) {
             return fail({ kind: StateErrorKind.Unavailable, detail: "the own way is closed" });
         }
         return race({
-            attempts: isUnreachable ? viaPeers : [createDirectAttempt(request), ...viaPeers],
+            first,
+            further: viaPeers,
             timer,
-            hedgeDelayMs: longPollMsOf(request) + hedgeDelay.delayMs(),
+            hedgeDelayMs: longPollMsOf(request) + Math.min(hedgeDelay.delayMs(), latestHedgeDelayMs),
             hedgeSlots,
             onFurtherAttempt: listener =>
                 reachability.onceReachable(target, () => listener(createDirectAttempt(request))),
--- a/src/state/types.ts
+++ b/src/state/types.ts
@@ -70,6 +70,8 @@
     from?: string;
     /** End of the range, exclusive. @default the end of the part */
     before?: string;
+    /** Time in which the rows are needed, from now; further ways to the table are tried within it. @default unlimited */
+    deadlineMs?: number;
 }
 
 /** Transactional table service of the platform. */
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -327,7 +327,7 @@
     {
         without: "hedged operations on the table",
         file: "state/relay.js",
-        find: "longPollMsOf(request) + hedgeDelay.delayMs()",
+        find: "longPollMsOf(request) + Math.min(hedgeDelay.delayMs(), latestHedgeDelayMs)",
         replace: "60_000",
         tests: "test/relay",
         fails: "writes to every part through a peer well before its own attempt has timed out",
--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -82,6 +82,22 @@
         tests: "acknowledgements",
         fails: "stay known, are run by the next planner and keep their outcome",
     },
+    {
+        without: "further ways to the table within the time that a caller waits",
+        file: "state/relay.js",
+        find: "(maxPeers + 1)",
+        replace: "0",
+        tests: "unansweredReads",
+        fails: "is read in time by all who ask at the same moment beside a silent table and silent VMs",
+    },
+    {
+        without: "an answer about a job within the time that its caller waits",
+        file: "jobs/queries/jobPhase.js",
+        find: "readMs, readJob(",
+        replace: "undefined, readJob(",
+        tests: "unansweredReads",
+        fails: "is refused in time while no way answers",
+    },
     {
         without: "following jobs from the lowest version of a takeover's reads",
         file: "execution/takeover.js",
