fix: a refused read of a job's state leaves its caller the time to ask another VM

What callers saw: a first VM whose ways to the table had become silent refused after up to three quarters of the 3,000 ms that a caller waits in all. Retry-After asks it to come back after 1 s, so no time was left to ask another VM.

Cause: the time of a read was a share of what the caller waits, without what it waits for by Retry-After. A read now takes half of what is left beside that pause if another VM can use the other half, and its share of the deadline otherwise. The delay between two ways has a lower bound, so that a caller with a deadline of 1 ms does not make a VM try them in a loop.

Evidence: the test of a caller that asks a second VM, after a first one on which a slow table has become silent, fails without the change (the job's state is unavailable) and passes with it.

--- a/src/jobs/queries/jobPhase.ts
+++ b/src/jobs/queries/jobPhase.ts
@@ -29,10 +29,23 @@
     access?: JobAccess;
     /** Time that the caller waits, from now. @default unlimited */
     deadlineMs?: number;
+    /** Time after which a caller without an answer asks another VM. @default it does not */
+    retryAfterMs?: number;
 }
 
 /** Share of the caller's deadline in which the table is read; the answer still has to reach the caller. */
 const readShareOfDeadline = 0.75;
+/** Time in which another VM can read a job, on the slowest machines. */
+const minReadMs = 300;
+
+/** Time in which the table is read: half of what is left beside the caller's pause, so that another VM can read, too. */
+const readMsOf = ({ deadlineMs, retryAfterMs = Number.POSITIVE_INFINITY }: JobPhaseOptions): number | undefined => {
+    if (deadlineMs === undefined) {
+        return undefined;
+    }
+    const readMs = (deadlineMs - retryAfterMs) / 2;
+    return readMs >= minReadMs ? readMs : deadlineMs * readShareOfDeadline;
+};
 
 interface PhaseReading {
     phase: JobPhase | "unavailable" | undefined;
@@ -42,9 +55,10 @@
 const readPhase = async (
     { state, timer, cache }: JobPhaseContext,
     jobId: string,
-    { access, deadlineMs }: JobPhaseOptions,
+    options: JobPhaseOptions,
 ): Promise<PhaseReading> => {
-    const readMs = deadlineMs === undefined ? undefined : deadlineMs * readShareOfDeadline;
+    const { access } = options;
+    const readMs = readMsOf(options);
     const job = await resolveWithin(timer, readMs, readJob(state, jobId, readMs), "unavailable" as const);
     if (job === "unavailable") {
         const cached = cache.get(jobId);
--- a/src/state/relay.ts
+++ b/src/state/relay.ts
@@ -50,6 +50,8 @@
 const maxPeersPerOperation = 2;
 /** Peers tried for a read whose caller waits; a third of the VMs may have lost their way to the table at the same time. */
 const maxPeersPerRead = 4;
+/** Shortest time without an answer after which another way is tried, whatever deadline a caller names. */
+const minHedgeDelayMs = 50;
 /** Time for which a peer that could not perform an operation is not tried again. */
 const peerCooldownMs = 1_500;
 
@@ -149,7 +151,10 @@
         const deadlineMs = deadlineMsOf(request);
         const maxPeers = deadlineMs === undefined ? maxPeersPerOperation : maxPeersPerRead;
         // all ways are tried before the deadline
-        const latestHedgeDelayMs = (deadlineMs ?? Number.POSITIVE_INFINITY) / (maxPeers + 1);
+        const latestHedgeDelayMs = Math.max(
+            minHedgeDelayMs,
+            (deadlineMs ?? Number.POSITIVE_INFINITY) / (maxPeers + 1),
+        );
         const viaPeers = createPeerAttempts(request, maxPeers);
         const first = reachability.isUnreachable(target) ? viaPeers.take() : createDirectAttempt(request);
         if (first === undefined) {
--- a/test/unansweredReads.test.ts
+++ b/test/unansweredReads.test.ts
@@ -16,13 +16,19 @@
 const tableTimeoutMs = 1_200;
 const relayTimeoutMs = 900;
 const answerMs = 5;
+const slowAnswerMs = 250;
 /** Time that callers wait for the state of a job; the shorter ones are what is left to callers that ask again. */
 const deadlinesMs = [485, 1_160, 3_000];
+/** Time after which a caller that was refused asks another VM. */
+const retryAfterMs = 1_000;
+const unreadJobId = "0000000000000001";
 const jobIds = Array.from({ length: 24 }, (_, index) => `00000000000000${(index + 16).toString(16)}`);
 
 /** What a way to the table does. */
 enum Way {
     Answers,
+    /** Answers 60 times slower than usual. */
+    AnswersSlowly,
     Silent,
     Refuses,
 }
@@ -30,7 +36,7 @@
 /** A table that holds jobs that have succeeded. */
 const createTable = () => {
     const model = createTableModel();
-    for (const jobId of jobIds) {
+    for (const jobId of [unreadJobId, ...jobIds]) {
         const submission = createSubmission(jobId, [createStep()]);
         const record = { phase: JobPhase.Succeeded, units: {} };
         model.commit({
@@ -55,6 +61,9 @@
             case Way.Answers:
                 await timer.sleep(answerMs);
                 return succeed(model.read(range));
+            case Way.AnswersSlowly:
+                await timer.sleep(slowAnswerMs);
+                return succeed(model.read(range));
             case Way.Silent:
                 await timer.sleep(timeoutMs);
                 return fail({ kind: StateErrorKind.NoAnswer as const, detail: "silent" });
@@ -78,7 +87,7 @@
         const context = { state, timer, log, cache: createPhaseCache() };
         return async (jobId: string, deadlineMs: number) => {
             const startedAtMs = timer.nowMs();
-            const phase = await queryJobPhase(context, jobId, { deadlineMs });
+            const phase = await queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
             return { phase, leftMs: deadlineMs - (timer.nowMs() - startedAtMs) };
         };
     };
@@ -135,4 +144,24 @@
             });
         });
     }
+
+    it("reaches a caller that asks a second VM after a first one on which a slow table has become silent", async () => {
+        const { timer, createVm } = createVms();
+        const ways = { direct: Way.AnswersSlowly, peers: Array.from({ length: 4 }, () => Way.AnswersSlowly) };
+        const askFirst = createVm(ways);
+        await askForAll(askFirst, jobIds, 3_000, timer.advance);
+        ways.direct = Way.Silent;
+        ways.peers.fill(Way.Silent);
+        const askSecond = createVm({ direct: Way.Silent, peers: [Way.Silent, Way.Answers] });
+        const askBoth = async (jobId: string) => {
+            const { leftMs } = await askFirst(jobId, 3_000);
+            await timer.sleep(retryAfterMs);
+            return askSecond(jobId, leftMs - retryAfterMs);
+        };
+        const asked = askBoth(unreadJobId);
+        await timer.advance(6_000);
+        const { phase, leftMs } = await asked;
+        assert.equal(phase, JobPhase.Succeeded);
+        assert.isAbove(leftMs, 0);
+    });
 });
