fix: the state of a job is refused at once while the table answers no operation of the VM

Cause: whether the table can be reached is learned for each of its parts. A read of a part that was not read during the outage waits for its timeouts, although the submission gate has long known that the table answers nothing. Reads now use that knowledge: the phase that was read earlier is answered, or the read is refused, without an attempt.

Evidence: the new test fails without the change (17 reads of parts that were not read before wait for their ways).

--- a/src/jobs/queries/jobPhase.ts
+++ b/src/jobs/queries/jobPhase.ts
@@ -21,6 +21,8 @@
     timer: TimerService;
     log: Log;
     cache: PhaseCache;
+    /** Whether the table answers no operation of this VM; a read is not attempted then. */
+    isOutage: () => boolean;
 }
 
 /** Options of {@link queryJobPhase}. */
@@ -53,13 +55,15 @@
 }
 
 const readPhase = async (
-    { state, timer, cache }: JobPhaseContext,
+    { state, timer, cache, isOutage }: JobPhaseContext,
     jobId: string,
     options: JobPhaseOptions,
 ): Promise<PhaseReading> => {
     const { access } = options;
     const readMs = readMsOf(options);
-    const job = await resolveWithin(timer, readMs, readJob(state, jobId, readMs), "unavailable" as const);
+    const job = isOutage()
+        ? "unavailable"
+        : await resolveWithin(timer, readMs, readJob(state, jobId, readMs), "unavailable" as const);
     if (job === "unavailable") {
         const cached = cache.get(jobId);
         const isReadable = cached !== undefined && mayAccess(cached.owner, access);
--- a/src/jobs/submissionAdmission.ts
+++ b/src/jobs/submissionAdmission.ts
@@ -39,6 +39,8 @@
      * @param mayWaitMs longest time for which it may wait unsent
      */
     admit(priority: number, mayWaitMs: number): Promise<UnsentRefusal | undefined>;
+    /** Whether the table answers no operation of this VM, directly or relayed. */
+    isOutage(): boolean;
     /** State for operators. */
     dump(): unknown;
     stop(): void;
@@ -131,6 +133,7 @@
             metrics.recordUnsentSubmission(priority);
             return { retryAfterMs: decision.retryAfterMs, outageMs: decision.outageMs };
         },
+        isOutage: () => gate.outageSinceMs !== undefined,
         dump: () => ({
             outageMs: gate.outageSinceMs === undefined ? undefined : Math.round(timer.nowMs() - gate.outageSinceMs),
             refused,
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -191,7 +191,8 @@
         accept: (submission, deadlineMs) =>
             acceptJob({ ...context, admission, sentSubmissions }, submission, deadlineMs),
         cancel: (jobId, access) => cancelStoredJob(context, jobId, access),
-        phase: (jobId, phaseOptions) => queryJobPhase({ ...context, cache: phaseCache }, jobId, phaseOptions),
+        phase: (jobId, phaseOptions) =>
+            queryJobPhase({ ...context, cache: phaseCache, isOutage: admission.isOutage }, jobId, phaseOptions),
         job: jobId => readJob(state, jobId),
         pending: queue => (planner?.pendingCounts() ?? publishedPending)[queue] ?? 0,
         plannerAgeMs: follower.ageMs,
--- a/test/unansweredReads.test.ts
+++ b/test/unansweredReads.test.ts
@@ -2,7 +2,9 @@
 import { createPhaseCache } from "../src/jobs/phaseCache.js";
 import { queryJobPhase } from "../src/jobs/queries/jobPhase.js";
 import { jobRowKey, JobRowKind, jobsTable, partOfJob, progressTable } from "../src/jobs/rows.js";
+import { createSubmissionAdmission } from "../src/jobs/submissionAdmission.js";
 import { JobPhase } from "../src/jobs/types.js";
+import { createEntryMetrics } from "../src/node/entryMetrics.js";
 import { createRelayedTable } from "../src/state/relay.js";
 import type { RelayPeer } from "../src/state/relay.js";
 import { StateErrorKind } from "../src/state/types.js";
@@ -83,8 +85,15 @@
             name: `peer${index}`,
             perform: request => read(ways.peers[index], (request as { range: ReadRange; }).range, relayTimeoutMs),
         }));
-        const state = createRelayedTable({ direct, timer, log, peers: () => peers });
-        const context = { state, timer, log, cache: createPhaseCache() };
+        const admission = createSubmissionAdmission({
+            state: createRelayedTable({ direct, timer, log, peers: () => peers }),
+            timer,
+            log,
+            metrics: createEntryMetrics(),
+            random: () => 0,
+        });
+        const { table: state, isOutage } = admission;
+        const context = { state, timer, log, cache: createPhaseCache(), isOutage };
         return async (jobId: string, deadlineMs: number) => {
             const startedAtMs = timer.nowMs();
             const phase = await queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
@@ -164,4 +173,21 @@
         assert.equal(phase, JobPhase.Succeeded);
         assert.isAbove(leftMs, 0);
     });
+
+    it("is refused at once during an outage, and read again as soon as the table answers", async () => {
+        const { timer, createVm } = createVms();
+        const ways = { direct: Way.Silent, peers: [Way.Silent, Way.Silent] };
+        const ask = createVm(ways);
+        // these parts show the outage, the others are not read before
+        const isReadFirst = (jobId: string): boolean =>
+            [jobIds[0], jobIds[1]].map(partOfJob).includes(partOfJob(jobId));
+        await askForAll(ask, jobIds.filter(isReadFirst), 3_000, timer.advance);
+        const laterIds = jobIds.filter(jobId => !isReadFirst(jobId));
+        const refused = Promise.all(laterIds.map(jobId => ask(jobId, 3_000)));
+        await timer.advance(3_000);
+        assert.deepEqual(await refused, laterIds.map(() => ({ phase: "unavailable", leftMs: 3_000 })));
+        ways.direct = Way.Answers;
+        await timer.advance(tableTimeoutMs + 500);
+        assert.deepEqual(await askForAll(ask, jobIds, 3_000, timer.advance), jobIds.map(() => JobPhase.Succeeded));
+    });
 });
