fix(http): a call without an answer closes the connections that were idle before it

What callers saw: reads of a job's state that end without the table's answer, one timeout of 1.2 s after the other, on a VM whose open connections had fallen silent while new ones worked.

Cause: the pool reuses its newest idle connection. A timeout closed that one alone, so each further connection that had fallen silent with it cost a timeout of its own, and each that was reset a failure of its own. Class of fault: evidence against one member of a group that is not applied to the others it concerns.

Seen failing: "waits for one timeout when its 4 idle connections have fallen silent" and "... 24 ..." counted 4 and 24 timeouts, "uses a new connection after one of its idle connections was reset" got a second failure.

Change: a call without an answer closes the connections whose latest answer is older than the sending of that call. What was answered later has been shown to work and stays. It holds for all clients. The pool to a worker has 4 connections, so at most three more are opened again, and only if they are needed at once; in return the tries of a gang's start, 0.3 s each, do not all go to connections that are silent.

Left: calls that were sent before the first timeout on connections as silent still wait for their own.

--- a/src/utils/httpJsonClient.ts
+++ b/src/utils/httpJsonClient.ts
@@ -1,5 +1,6 @@
 import { Agent, request } from "node:http";
 import type { ClientRequest, OutgoingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
 import { parseJson } from "./parseJson.js";
 
 /** Response to an HTTP call. */
@@ -57,6 +58,22 @@
         timeout: idleTimeoutMs,
         scheduling: "lifo",
     });
+    /** Time of the latest answer on each connection. */
+    const answeredAtMs = new WeakMap<Socket, number>();
+
+    /**
+     * Closes the connections that have been idle since before a call without an answer was sent. The agent reuses the
+     * newest first, so what broke the connection of that call has probably broken these too.
+     */
+    const closeIdleSince = (sentAtMs: number): void =>
+        Object.values(agent.freeSockets)
+            .flatMap(sockets => sockets ?? [])
+            .filter(socket => (answeredAtMs.get(socket) ?? 0) < sentAtMs)
+            .forEach(socket => {
+                // `close` is emitted later, and the agent would reuse the connection until then
+                socket.emit("agentRemove");
+                socket.destroy();
+            });
 
     /** Sends the request; throws on an address, path or header that an HTTP request cannot carry. */
     const send = (options: HttpCall, settle: (outcome: HttpOutcome) => void): ClientRequest => {
@@ -73,6 +90,8 @@
             failWith(error.code ?? error.message, error.code === "ECONNREFUSED");
         });
         clientRequest.on("response", response => {
+            // the response loses its socket when it has ended
+            const { socket } = response;
             const chunks: Buffer[] = [];
             let sizeBytes = 0;
             response.on("data", (chunk: Buffer) => {
@@ -86,6 +105,7 @@
             response.on("error", error => failWith(error.message, false));
             response.on("close", () => failWith("the answer broke off", false));
             response.on("end", () => {
+                answeredAtMs.set(socket, performance.now());
                 const retryAfter = Number(response.headers["retry-after"]);
                 settle({
                     ok: true,
@@ -105,10 +125,15 @@
         new Promise(resolve => {
             let settled = false;
             let clientRequest: ClientRequest | undefined;
+            /** Set once the call has a connection. */
+            let sentAtMs: number | undefined;
             const settle = (outcome: HttpOutcome): void => {
                 if (!settled) {
                     settled = true;
                     clearTimeout(deadline);
+                    if (!outcome.ok && sentAtMs !== undefined) {
+                        closeIdleSince(sentAtMs);
+                    }
                     resolve(outcome);
                 }
             };
@@ -120,6 +145,9 @@
             }, options.timeoutMs);
             try {
                 clientRequest = send(options, settle);
+                clientRequest.once("socket", () => {
+                    sentAtMs = performance.now();
+                });
             }
             catch (error) {
                 failWith(error instanceof Error ? error.message : String(error), true);
--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -122,4 +122,20 @@
         tests: "relayPeer",
         fails: "may have taken effect when the peer's reply is \"{}",
     },
+    {
+        without: "closing the idle connections of an address after a call without an answer",
+        file: "utils/httpJsonClient.js",
+        find: "if (!outcome.ok && sentAtMs !== undefined)",
+        replace: "if (false)",
+        tests: "httpJsonClient",
+        fails: "waits for one timeout when its 4 idle connections have fallen silent",
+    },
+    {
+        without: "keeping the connections that were answered meanwhile",
+        file: "utils/httpJsonClient.js",
+        find: "(answeredAtMs.get(socket) ?? 0) < sentAtMs",
+        replace: "true",
+        tests: "httpJsonClient",
+        fails: "keeps a connection that was answered after the call without an answer was sent",
+    },
 ];
