fix(http): a call whose answer has arrived does not time out

What callers saw: reads that end without the table's answer after the process did not run for a while, although the table had answered in time; the part counted as unreachable and the connection was closed.

Cause: the event loop runs due timers before it reads sockets. After a pause beyond the timeout the call failed first, with its answer in the kernel's buffer.

Seen failing: "returns an answer that arrived before its timeout although the event loop was blocked beyond it" got a failure.

Change: when the timeout of a call is due, what has arrived is read once more before it fails. `readArrived` has a file of its own for that. Nothing that counts from the sending of a request (leases, ages of local copies) changes, as a late answer counts from then.

--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -5,6 +5,7 @@
 import type { ConnectionLimit } from "./connectionLimit.js";
 import { ClosedBy } from "./openRequests.js";
 import type { OpenRequests } from "./openRequests.js";
+import { readArrived } from "./readArrived.js";
 import { startReadingBody, stopReading } from "./readBody.js";
 import { refusalAnswer, RefusalCause } from "./refusals.js";
 import { createDefaultIntake } from "./requestIntake.js";
@@ -261,12 +262,6 @@
         });
     });
 
-/** Resolves after the event loop has accepted the connections and read the data that had arrived. */
-export const readArrived = async (): Promise<void> => {
-    // the first callback may run without polling the sockets again, the second runs one turn of the event loop later
-    await new Promise<void>(resolve => setImmediate(() => setImmediate(resolve)));
-};
-
 /** Turns of the event loop for which a closing server accepts waiting connections: the length of the backlog. */
 const maxAcceptTurns = 511;
 
--- a/src/utils/httpJsonClient.ts
+++ b/src/utils/httpJsonClient.ts
@@ -2,6 +2,7 @@
 import type { ClientRequest, OutgoingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import { parseJson } from "./parseJson.js";
+import { readArrived } from "./readArrived.js";
 
 /** Response to an HTTP call. */
 export interface HttpAnswer {
@@ -139,10 +140,15 @@
             };
             const failWith = (detail: string, notSent: boolean): void =>
                 settle({ ok: false, failure: { detail, notSent } });
-            const deadline = setTimeout(() => {
-                failWith(`no answer within ${options.timeoutMs} ms`, false);
-                clientRequest?.destroy();
-            }, options.timeoutMs);
+            const expire = async (): Promise<void> => {
+                // an answer may have arrived while the event loop was blocked
+                await readArrived();
+                if (!settled) {
+                    failWith(`no answer within ${options.timeoutMs} ms`, false);
+                    clientRequest?.destroy();
+                }
+            };
+            const deadline = setTimeout(() => void expire(), options.timeoutMs);
             try {
                 clientRequest = send(options, settle);
                 clientRequest.once("socket", () => {
--- a/test/httpJsonClient.test.ts
+++ b/test/httpJsonClient.test.ts
@@ -98,4 +98,17 @@
         assert.isTrue((await get("/", answerTimeoutMs)).ok);
         assert.lengthOf(opened, 3, "no connection was opened");
     });
+
+    // guards against timeouts of calls that were answered while this process did not run
+    it("returns an answer that arrived before its timeout although the event loop was blocked beyond it", async () => {
+        await openIdle(1);
+        answer = (_message, response) => {
+            response.end("{}");
+            const blockedUntilMs = performance.now() + 2 * silenceTimeoutMs;
+            while (performance.now() < blockedUntilMs) {
+                // the kernel has the answer, and the client's timer is due
+            }
+        };
+        assert.isTrue((await get("/", silenceTimeoutMs)).ok);
+    });
 });
--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -138,4 +138,12 @@
         tests: "httpJsonClient",
         fails: "keeps a connection that was answered after the call without an answer was sent",
     },
+    {
+        without: "reading what has arrived before a call times out",
+        file: "utils/httpJsonClient.js",
+        find: "await readArrived();",
+        replace: "",
+        tests: "httpJsonClient",
+        fails: "returns an answer that arrived before its timeout",
+    },
 ];
