fix(http): a connection is not closed as idle while a request has arrived on it

What callers saw: a reset without an answer, for a request on a connection that they had kept open. The process saw no request and logged nothing.

Cause: the event loop runs due timers before it reads sockets, and Node.js destroys an idle connection when its timer is due. After a pause of the process the request was in the kernel's buffer, and the close reset it. Class of fault: acting on a limit of time before reading what has arrived, as in calls that timed out although they were answered.

Node 20 closes an idle connection 1 s after the timeout that it is set to, so the test blocks the event loop for longer than both.

Change: when the timeout of a connection is due, what has arrived is read once more, and the connection is closed only if no byte came. This holds for idle connections of all servers and for `inactivityTimeoutMs`; "closes a connection that has been idle for its timeout" guards the other side.

Ruled out as the cause of unanswered reads of documented callers: they keep idle connections for 15 s and wait 3 s, so at 30 s the request that is found is too old to be waited for. It concerns callers that keep connections for longer.

Left: a request that is on the network when the connection is closed, which only the callers' shorter timeout avoids.

--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -212,6 +212,15 @@
     await readAndHandle(message, response, context, handle, onEnd);
 };
 
+/** Closes a connection without activity; a request may have arrived on it while the event loop was blocked. */
+const closeInactive = async (socket: Socket): Promise<void> => {
+    const { bytesRead } = socket;
+    await readArrived();
+    if (socket.bytesRead === bytesRead) {
+        socket.destroy();
+    }
+};
+
 /** Period in which Node.js checks its own limits on time. */
 const connectionsCheckingIntervalMs = 1_000;
 
@@ -249,6 +258,7 @@
     server.timeout = inactivityTimeoutMs;
     server.on("connection", connections.accept);
     server.on("clientError", connections.refuseInvalid);
+    server.on("timeout", socket => void closeInactive(socket));
     return server;
 };
 
--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -5,6 +5,9 @@
 import { formatRequest, openCallerConnection } from "./fixtures/callerConnection.js";
 import type { CallerConnection } from "./fixtures/callerConnection.js";
 
+/** Time for which Node.js keeps an idle connection beyond the timeout that it announces. */
+const keepAliveMarginMs = 1_000;
+
 describe("a JSON server", () => {
     let server: Server;
     let address: string;
@@ -71,4 +74,25 @@
         assert.deepInclude(await connection.nextAnswer(), { body: { path: "/first" }, closes: false });
         assert.deepInclude(await connection.nextAnswer(), { body: { path: "/second" }, closes: true });
     });
+
+    // guards against connections that were closed as idle while their next request had arrived
+    it("answers a request that arrived on an idle connection before it times out", async () => {
+        server.keepAliveTimeout = 200;
+        const connection = track(await openCallerConnection(address));
+        await connection.request(formatRequest("GET", "/first"));
+        const answer = connection.request(formatRequest("GET", "/second"));
+        const blockedUntilMs = performance.now() + server.keepAliveTimeout + 2 * keepAliveMarginMs;
+        while (performance.now() < blockedUntilMs) {
+            // the kernel has the request, and the timer of the idle connection is due
+        }
+        assert.deepInclude(await answer, { status: 200, body: { path: "/second" } });
+    });
+
+    it("closes a connection that has been idle for its timeout", async () => {
+        server.keepAliveTimeout = 50;
+        const connection = track(await openCallerConnection(address));
+        await connection.request(formatRequest("GET", "/first"));
+        assert.isUndefined(await connection.nextAnswer());
+        assert.isFalse(connection.isOpen());
+    });
 });
--- a/tools/stopMutants.ts
+++ b/tools/stopMutants.ts
@@ -43,4 +43,12 @@
         tests: "platformProcesses",
         fails: "keep the newest settings when SIGHUP arrives again",
     },
+    {
+        without: "reading what has arrived before an idle connection is closed",
+        file: "utils/http.js",
+        find: "server.on(\"timeout\", socket => void closeInactive(socket));",
+        replace: "",
+        tests: "http.test",
+        fails: "answers a request that arrived on an idle connection before it times out",
+    },
 ];
