fix: the outcome of a submission or a cancellation reaches its caller before it stops waiting

Retries were bounded by half of the deadline, a write in progress by nothing but its own timeouts, 1.2 s and twice 0.9 s; a cancellation and the read before it by nothing at all.

The caller is now answered when nine tenths of its time are over, with 504 for a submission that may have been stored and 503 for a cancellation. The write goes on, and what the VM remembers of a submission is how its write ends.

--- a/src/jobs/commands/acceptJob.ts
+++ b/src/jobs/commands/acceptJob.ts
@@ -1,6 +1,7 @@
 import type { Log } from "../../node/logs.js";
 import { describeStateError } from "../../state/types.js";
 import type { StateTable } from "../../state/types.js";
+import { resolveWithin } from "../../utils/resolveWithin.js";
 import type { TimerService } from "../../utils/timer.js";
 import { jobRowKey, JobRowKind, jobsTable, partOfJob } from "../rows.js";
 import { toWriteOutcome, WriteOutcome } from "../sentSubmissions.js";
@@ -42,6 +43,8 @@
 const retryPauseMs = 60;
 /** Share of the caller's deadline in which a write without an answer is retried; afterwards the outcome is unknown. */
 const retryShareOfDeadline = 0.5;
+/** Share of the caller's deadline after which the outcome of a write in progress is unknown to it. */
+const answerShareOfDeadline = 0.9;
 
 /** Writes a submission until it is answered or the time is over. */
 const store = async (
@@ -136,15 +139,20 @@
     deadlineMs: number,
 ): Promise<AcceptResult> => {
     const { timer, admission, sentSubmissions } = context;
-    const giveUpAtMs = timer.nowMs() + deadlineMs * retryShareOfDeadline;
+    const startedAtMs = timer.nowMs();
+    const giveUpAtMs = startedAtMs + deadlineMs * retryShareOfDeadline;
     const refusal = await admission.admit(submission.priority, deadlineMs * retryShareOfDeadline);
     if (refusal !== undefined) {
         return answerUnsent(context, submission, refusal);
     }
     const earlier = sentSubmissions.outcomeOf(submission.id);
     const finish = sentSubmissions.begin(submission.id);
-    const outcome = await store(context, submission, giveUpAtMs, earlier !== WriteOutcome.NotStored);
-    finish(outcome);
+    const stored = store(context, submission, giveUpAtMs, earlier !== WriteOutcome.NotStored).then(result => {
+        finish(result);
+        return result;
+    });
+    const answerAtMs = startedAtMs + deadlineMs * answerShareOfDeadline;
+    const outcome = await resolveWithin(timer, answerAtMs - timer.nowMs(), stored, WriteOutcome.Unknown);
     // what was stored before is still there when a repeated write gets no answer
     const isStoredBefore = outcome === WriteOutcome.Unknown && earlier === WriteOutcome.Stored;
     return { acceptance: isStoredBefore ? Acceptance.Accepted : acceptanceOf[outcome] };
--- a/src/jobs/commands/cancelStoredJob.ts
+++ b/src/jobs/commands/cancelStoredJob.ts
@@ -1,4 +1,5 @@
 import { describeStateError, StateErrorKind } from "../../state/types.js";
+import { resolveWithin } from "../../utils/resolveWithin.js";
 import { mayAccess } from "../jobAccess.js";
 import type { JobAccess } from "../jobAccess.js";
 import { phaseOf } from "../projection.js";
@@ -20,13 +21,25 @@
 const maxAttempts = 3;
 const retryPauseMs = 60;
 
-/** Stores the cancellation of a job that `access` may cancel; the planner then stops its runs. */
-export const cancelStoredJob = async (
+/** Options of {@link cancelStoredJob}. */
+export interface CancelOptions {
+    /** Who cancels. @default anyone */
+    access?: JobAccess;
+    /** Time that the caller waits, from now; afterwards a cancellation in progress may still be stored. @default unlimited */
+    deadlineMs?: number;
+}
+
+/** Shares of the caller's deadline in which the job is read, and after which it is answered. */
+const readShareOfDeadline = 0.5;
+const answerShareOfDeadline = 0.9;
+
+const readAndStore = async (
     context: JobCommandContext,
     jobId: string,
-    access?: JobAccess,
+    { access, deadlineMs }: CancelOptions,
 ): Promise<Cancellation> => {
-    const job = await readJob(context.state, jobId);
+    const readMs = deadlineMs === undefined ? undefined : deadlineMs * readShareOfDeadline;
+    const job = await readJob(context.state, jobId, readMs);
     if (job === "unavailable") {
         return Cancellation.Unavailable;
     }
@@ -60,3 +73,19 @@
     }
     return Cancellation.Unavailable;
 };
+
+/** Stores the cancellation of a job that its caller may cancel; the planner then stops its runs. */
+export const cancelStoredJob = (
+    context: JobCommandContext,
+    jobId: string,
+    options: CancelOptions = {},
+): Promise<Cancellation> => {
+    const { deadlineMs } = options;
+    const answerMs = deadlineMs === undefined ? undefined : deadlineMs * answerShareOfDeadline;
+    return resolveWithin(
+        context.timer,
+        answerMs,
+        readAndStore(context, jobId, options),
+        Cancellation.Unavailable,
+    );
+};
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -9,8 +9,7 @@
 import { acceptJob } from "../jobs/commands/acceptJob.js";
 import type { AcceptResult } from "../jobs/commands/acceptJob.js";
 import { cancelStoredJob } from "../jobs/commands/cancelStoredJob.js";
-import type { Cancellation } from "../jobs/commands/cancelStoredJob.js";
-import type { JobAccess } from "../jobs/jobAccess.js";
+import type { Cancellation, CancelOptions } from "../jobs/commands/cancelStoredJob.js";
 import { createPhaseCache } from "../jobs/phaseCache.js";
 import type { StoredJob } from "../jobs/projection.js";
 import { queryJobPhase } from "../jobs/queries/jobPhase.js";
@@ -60,8 +59,8 @@
 export interface EntryVm {
     /** Stores a submission; `deadlineMs` is the time that the caller waits, from now. */
     accept(submission: JobSubmission, deadlineMs: number): Promise<AcceptResult>;
-    /** Cancels a job. @default by anyone */
-    cancel(jobId: string, access?: JobAccess): Promise<Cancellation>;
+    /** Cancels a job. */
+    cancel(jobId: string, options?: CancelOptions): Promise<Cancellation>;
     /** Phase of a job; `undefined` when there is no such job. */
     phase(jobId: string, options?: JobPhaseOptions): Promise<JobPhase | "unavailable" | undefined>;
     /** Stored rows of a job; `undefined` when there is no such job. */
@@ -190,7 +189,7 @@
     return {
         accept: (submission, deadlineMs) =>
             acceptJob({ ...context, admission, sentSubmissions }, submission, deadlineMs),
-        cancel: (jobId, access) => cancelStoredJob(context, jobId, access),
+        cancel: (jobId, cancelOptions) => cancelStoredJob(context, jobId, cancelOptions),
         phase: (jobId, phaseOptions) =>
             queryJobPhase({ ...context, cache: phaseCache, isOutage: admission.isOutage }, jobId, phaseOptions),
         job: jobId => readJob(state, jobId),
--- a/test/jobAccess.test.ts
+++ b/test/jobAccess.test.ts
@@ -93,7 +93,7 @@
         };
         assert.equal(await read({ customer: "hotel" }), JobPhase.Running);
         assert.equal(await read({ customer: "winery" }), "unavailable");
-        const cancelled = vm.cancel(jobId, { customer: "winery" });
+        const cancelled = vm.cancel(jobId, { access: { customer: "winery" } });
         await fleet.timer.advance(50);
         assert.equal(await cancelled, Cancellation.Unavailable);
     });
