fix: an operation that fails late does not close the way to a table that has answered since

What callers saw: reads refused at once (the own way is closed) although the table answered again: with three reads in progress as it had been silent, each that failed closed the way anew, for up to 0.25 s, until the last of them had failed.

Cause: the failure of an operation counted whenever it came, and came 1.2 s after the operation was sent. A probe that was sent and answered meanwhile is newer evidence. An operation overtaken by another on the same way counted, too. Now a failure counts only if no operation that was sent later has been answered. Class: older evidence that overrides newer.

--- a/src/state/reachability.ts
+++ b/src/state/reachability.ts
@@ -20,10 +20,10 @@
 
 /** Tracks which parts of tables cannot be reached directly and probes them until they can. */
 export interface Reachability {
-    /** Records the result of a direct operation. */
-    recordResult(target: TablePart, result: Result<unknown, StateError>): void;
-    /** Records that a part is not reachable directly, although a direct operation on it has not failed yet. */
-    markUnreachable(target: TablePart, reason: string): void;
+    /** Records the result of a direct operation that was sent at the monotonic time `sentAtMs`. */
+    recordResult(target: TablePart, result: Result<unknown, StateError>, sentAtMs: number): void;
+    /** Records that a direct operation that was sent at the monotonic time `sentAtMs` has no answer, although others have. */
+    recordOvertaken(target: TablePart, sentAtMs: number): void;
     isUnreachable(target: TablePart): boolean;
     /** Calls the listener once when the part becomes reachable; returns a function that removes it. */
     onceReachable(target: TablePart, listener: () => void): () => void;
@@ -49,10 +49,14 @@
 export const createReachability = ({ direct, timer, log }: ReachabilityOptions): Reachability => {
     const unreachable = new Map<string, TablePart>();
     const listenersByPart = new Map<string, Set<() => void>>();
+    /** Time at which the latest operation that was answered had been sent, by part. */
+    const answeredSentAtMs = new Map<string, number>();
     let recoveryProbedAtMs = Number.NEGATIVE_INFINITY;
 
-    const probe = async (target: TablePart): Promise<void> =>
-        recordResult(target, await direct.read({ ...target, ...probeRange }));
+    const probe = async (target: TablePart): Promise<void> => {
+        const sentAtMs = timer.nowMs();
+        recordResult(target, await direct.read({ ...target, ...probeRange }), sentAtMs);
+    };
 
     const probeAll = (): void => unreachable.forEach(target => void probe(target));
 
@@ -72,20 +76,24 @@
         }
     };
 
-    const markUnreachable = (target: TablePart, reason: string): void => {
+    /** Marks a part, unless an operation that was sent later has been answered. */
+    const markUnreachable = (target: TablePart, reason: string, sentAtMs: number): void => {
         const { table, part } = target;
-        if (!unreachable.has(keyOf(target))) {
+        const isOutdated = sentAtMs < (answeredSentAtMs.get(keyOf(target)) ?? Number.NEGATIVE_INFINITY);
+        if (!isOutdated && !unreachable.has(keyOf(target))) {
             log("warn", "table part not reachable directly, relaying through peers", { table, part, reason });
             unreachable.set(keyOf(target), { table, part });
         }
     };
 
-    const recordResult = (target: TablePart, result: Result<unknown, StateError>): void => {
+    const recordResult: Reachability["recordResult"] = (target, result, sentAtMs) => {
         if (isAnswered(result)) {
+            const key = keyOf(target);
+            answeredSentAtMs.set(key, Math.max(sentAtMs, answeredSentAtMs.get(key) ?? sentAtMs));
             markReachable(target);
         }
         else if (!result.ok) {
-            markUnreachable(target, describeStateError(result.error));
+            markUnreachable(target, describeStateError(result.error), sentAtMs);
         }
     };
 
@@ -100,7 +108,7 @@
     const unsubscribe = timer.every(probeIntervalMs, probeNext);
     return {
         recordResult,
-        markUnreachable,
+        recordOvertaken: (target, sentAtMs) => markUnreachable(target, "a peer was answered first", sentAtMs),
         isUnreachable: target => unreachable.has(keyOf(target)),
         onceReachable: (target, listener) => {
             const key = keyOf(target);
--- a/src/state/relay.ts
+++ b/src/state/relay.ts
@@ -98,17 +98,23 @@
     const performAndRecord = async (request: RelayRequest): Promise<RelayReply> => {
         const startedAtMs = timer.nowMs();
         const result = await performDirectly(direct, request);
-        reachability.recordResult(tablePartOf(request), result);
+        reachability.recordResult(tablePartOf(request), result, startedAtMs);
         if (request.operation !== "changes" && isAnswered(result)) {
             hedgeDelay.recordAnswer(timer.nowMs() - startedAtMs);
         }
         return result;
     };
 
-    const createDirectAttempt = (request: RelayRequest): Attempt<RelayValue> => ({
-        perform: () => performAndRecord(request),
-        onOvertaken: () => reachability.markUnreachable(tablePartOf(request), "a peer was answered first"),
-    });
+    const createDirectAttempt = (request: RelayRequest): Attempt<RelayValue> => {
+        let sentAtMs = timer.nowMs();
+        return {
+            perform: () => {
+                sentAtMs = timer.nowMs();
+                return performAndRecord(request);
+            },
+            onOvertaken: () => reachability.recordOvertaken(tablePartOf(request), sentAtMs),
+        };
+    };
 
     const createPeerAttempt = (peer: RelayPeer, request: RelayRequest): Attempt<RelayValue> => {
         const startCooldown = (): void => void cooldownUntilMs.set(peer.name, timer.nowMs() + peerCooldownMs);
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -292,6 +292,28 @@
         assert.isAtMost(tookMs, 900);
     });
 
+    // guards against reads that are refused at once although the table has answered since it was silent
+    it("keeps using the table that answers again when operations fail that were sent before", async () => {
+        const timer = createVirtualTimer();
+        let isSilent = true;
+        const direct = createSilenceableTable(timer, createTableModel(), () => isSilent);
+        const table = createRelayedTable({ direct, timer, log: () => {}, peers: () => [] });
+        const read = () => table.read({ table: "jobs", part: "p0" });
+        for (let sent = 0; sent < 3; sent++) {
+            void read();
+            await timer.advance(400);
+        }
+        isSilent = false;
+        // the first read fails and a probe is answered, then the others fail
+        const results: Result<unknown, StateError>[] = [];
+        await timer.advance(300);
+        for (let index = 0; index < 10; index++) {
+            results.push((await timed(timer, read())).value);
+            await timer.advance(50);
+        }
+        assert.deepEqual(results.filter(result => !result.ok), []);
+    });
+
     it("probes all parts when one of them has recovered, without a burst of probes", async () => {
         const timer = createVirtualTimer();
         const model = createTableModel();
