--- a/test/http.test.ts
+++ b/test/http.test.ts
@@ -95,4 +95,17 @@
         assert.isUndefined(await connection.nextAnswer());
         assert.isFalse(connection.isOpen());
     });
+
+    it("closes an idle connection on which one byte arrived as it timed out", async () => {
+        server.keepAliveTimeout = 200;
+        const connection = track(await openCallerConnection(address));
+        await connection.request(formatRequest("GET", "/first"));
+        void connection.send("G");
+        const blockedUntilMs = performance.now() + server.keepAliveTimeout + 2 * keepAliveMarginMs;
+        while (performance.now() < blockedUntilMs) {
+            // the kernel has the byte, and the timer of the idle connection is due
+        }
+        assert.isUndefined(await connection.nextAnswer());
+        assert.isFalse(connection.isOpen());
+    });
 });
--- a/test/relay.test.ts
+++ b/test/relay.test.ts
@@ -338,3 +338,38 @@
         assert.isTrue((await timed(timer, commit(table, "p19"))).value.ok);
     });
 });
+
+// guards against operations that are refused although the own way has just answered
+describe("a VM whose way to the table has recovered", () => {
+    it("keeps its way open when operations that began before the recovery are answered on new connections", async () => {
+        const timer = createVirtualTimer();
+        const silentMs = 1_200;
+        let isSilent = true;
+        const direct: StateTable = {
+            read: async () => {
+                if (isSilent) {
+                    await timer.sleep(silentMs);
+                    return fail({ kind: StateErrorKind.NoAnswer as const, detail: "silent" });
+                }
+                await timer.sleep(5);
+                return succeed({ rows: [], version: 1 });
+            },
+            commit: async () => unavailable,
+            changes: async () => unavailable,
+        };
+        const table = createRelayedTable({ direct, timer, log: () => {}, peers: () => [] });
+        const read = () => table.read({ table: "jobs", part: "p0" });
+        void read();
+        await timer.advance(silentMs - 100);
+        // it is in progress when the first one fails, and when the way recovers
+        const later = read();
+        await timer.advance(150);
+        isSilent = false;
+        // the next probe has answered, and with it the later read
+        await timer.advance(270);
+        assert.isTrue((await later).ok);
+        const next = read();
+        await timer.advance(20);
+        assert.isTrue((await next).ok);
+    });
+});
--- a/test/relayPeer.test.ts
+++ b/test/relayPeer.test.ts
@@ -95,3 +95,43 @@
         });
     }
 });
+
+// guards against reads that wait for a connection which long polls hold
+describe("a read through a peer", () => {
+    let server: Server | undefined;
+
+    afterEach(() => {
+        server?.close();
+        server?.closeAllConnections();
+    });
+
+    /** Long polls of a VM that plans: for the operator's table, the planner's, the workers and the jobs. */
+    const longPolls = 4;
+    const waitMs = 1_000;
+    const quickMs = 300;
+
+    it("is answered while the long polls of a VM that plans wait at the same peer", async () => {
+        server = createServer((message, response) => {
+            let text = "";
+            message.on("data", (chunk: Buffer) => text += chunk.toString());
+            message.on("end", () => {
+                const answer = (): unknown => response.end("{\"ok\":true,\"value\":{\"version\":1,\"rows\":[]}}");
+                if (text.includes("\"changes\"")) {
+                    setTimeout(answer, waitMs);
+                }
+                else {
+                    answer();
+                }
+            });
+        });
+        const port = await listen(server, "127.0.0.1", 0);
+        const [peer] = createRelayPeers(() => [{ name: "b", address: `127.0.0.1:${port}`, cores: 1 }])();
+        for (let poll = 0; poll < longPolls; poll++) {
+            void peer.perform({ operation: "changes", table: `t${poll}`, afterVersion: 1, waitMs });
+        }
+        const startedAtMs = performance.now();
+        const reply = await peer.perform({ operation: "read", range: { table: "jobs", part: "p0" } });
+        assert.isTrue(reply.ok);
+        assert.isBelow(performance.now() - startedAtMs, quickMs);
+    });
+});
--- a/test/unansweredReads.test.ts
+++ b/test/unansweredReads.test.ts
@@ -23,6 +23,8 @@
 const deadlinesMs = [485, 1_160, 3_000];
 /** Time after which a caller that was refused asks another VM. */
 const retryAfterMs = 1_000;
+/** What is left to a caller that cannot ask another VM in time. */
+const lastDeadlineMs = 1_160;
 const unreadJobId = "0000000000000001";
 const jobIds = Array.from({ length: 24 }, (_, index) => `00000000000000${(index + 16).toString(16)}`);
 
@@ -190,4 +192,83 @@
         await timer.advance(tableTimeoutMs + 500);
         assert.deepEqual(await askForAll(ask, jobIds, 3_000, timer.advance), jobIds.map(() => JobPhase.Succeeded));
     });
+
+    it("is read during an outage that ends while its caller waits, if it has no time to ask another VM", async () => {
+        const { timer, createVm } = createVms();
+        const ways = { direct: Way.Silent, peers: [Way.Silent, Way.Silent] };
+        const ask = createVm(ways);
+        await askForAll(ask, jobIds, 3_000, timer.advance);
+        const answered = ask(unreadJobId, lastDeadlineMs);
+        await timer.advance(50);
+        ways.direct = Way.Answers;
+        await timer.advance(lastDeadlineMs);
+        assert.equal((await answered).phase, JobPhase.Succeeded);
+    });
+});
+
+/** A VM that asks a table which answers each read as of its start, after the time that `answerMs` gives it. */
+const createVmOfSlowTable = (jobId: string) => {
+    const timer = createVirtualTimer();
+    const model = createTableModel();
+    const put = (phase: JobPhase) =>
+        model.commit({
+            part: partOfJob(jobId),
+            conditions: [],
+            writes: [
+                {
+                    table: jobsTable,
+                    key: jobRowKey(jobId, JobRowKind.Submission),
+                    value: createSubmission(jobId, [createStep()]),
+                },
+                { table: progressTable, key: jobRowKey(jobId, JobRowKind.Progress), value: { phase, units: {} } },
+            ],
+        });
+    const unused = async () => fail({ kind: StateErrorKind.Unavailable as const, detail: "not used" });
+    const vm = { timer, put, answerMs, isSilent: false };
+    const state: StateTable = {
+        read: async range => {
+            const { isSilent } = vm;
+            const value = model.read(range);
+            await timer.sleep(isSilent ? tableTimeoutMs : vm.answerMs);
+            return isSilent ? fail({ kind: StateErrorKind.NoAnswer, detail: "silent" }) : succeed(value);
+        },
+        commit: unused,
+        changes: unused,
+    };
+    const context = { state, timer, log: (): void => {}, cache: createPhaseCache(), isOutage: () => false };
+    const ask = (deadlineMs: number) => queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
+    return { vm, ask };
+};
+
+// guards against what a read still brings when a later one was answered, or when its caller was refused
+describe("the phase of a job that a VM remembers", () => {
+    it("does not go back when an earlier read is answered after a later one", async () => {
+        const { vm, ask } = createVmOfSlowTable(unreadJobId);
+        vm.put(JobPhase.Running);
+        vm.answerMs = 400;
+        void ask(3_000);
+        await vm.timer.advance(100);
+        vm.put(JobPhase.Succeeded);
+        vm.answerMs = 5;
+        const newer = ask(3_000);
+        await vm.timer.advance(1_000);
+        assert.equal(await newer, JobPhase.Succeeded);
+        vm.isSilent = true;
+        const remembered = ask(3_000);
+        await vm.timer.advance(3_000);
+        assert.equal(await remembered, JobPhase.Succeeded);
+    });
+
+    it("is what a read brought after its caller was refused", async () => {
+        const { vm, ask } = createVmOfSlowTable(unreadJobId);
+        vm.put(JobPhase.Succeeded);
+        vm.answerMs = 1_100;
+        const refused = ask(3_000);
+        await vm.timer.advance(1_150);
+        assert.equal(await refused, "unavailable");
+        vm.isSilent = true;
+        const remembered = ask(1_160);
+        await vm.timer.advance(3_000);
+        assert.equal(await remembered, JobPhase.Succeeded);
+    });
 });
