fix: reads through another VM do not wait for long polls at the same VM

What callers saw: refusals by a VM that plans and is cut off from the table. All its operations go through the same other VM; its four long polls held the four connections, so a read waited for one and failed at 900 ms, unsent.

Long polls now have connections of their own. Found by a review; the test failed before.

--- a/src/node/relayPeer.ts
+++ b/src/node/relayPeer.ts
@@ -10,7 +10,9 @@
 export const relayPath = "/v1/relay";
 /** Timeout of a relayed operation on top of its own wait; the peer's own request would time out soon after. */
 const relayTimeoutMs = 900;
+/** Limits on connections to a peer; long polls have their own, so that no other operation waits for one to end. */
 const maxConnections = 4;
+const maxLongPollConnections = 4;
 const okStatus = 200;
 const minRejectionStatus = 400;
 const minServerErrorStatus = 500;
@@ -27,17 +29,22 @@
     });
 };
 
-/** Creates relay clients for other VMs; one HTTP client for each address is created and reused. */
+/** Creates relay clients for other VMs; two HTTP clients for each address are created and reused. */
 export const createRelayPeers = (others: () => readonly Peer[]): () => RelayPeer[] => {
-    const clients = new Map<string, HttpClient>();
-    const findOrCreateClient = (address: string): HttpClient => {
-        const client = clients.get(address) ?? createHttpClient(address, maxConnections);
-        clients.set(address, client);
-        return client;
+    const createFinder = (connections: number): (address: string) => HttpClient => {
+        const clients = new Map<string, HttpClient>();
+        return address => {
+            const client = clients.get(address) ?? createHttpClient(address, connections);
+            clients.set(address, client);
+            return client;
+        };
     };
+    const findClient = createFinder(maxConnections);
+    const findLongPollClient = createFinder(maxLongPollConnections);
     const perform = async (peer: Peer, request: RelayRequest): Promise<RelayReply> => {
         const waitMs = request.operation === "changes" ? request.waitMs : 0;
-        const outcome = await findOrCreateClient(peer.address).call({
+        const client = (request.operation === "changes" ? findLongPollClient : findClient)(peer.address);
+        const outcome = await client.call({
             method: "POST",
             path: relayPath,
             body: request,
--- a/test/relayPeer.test.ts
+++ b/test/relayPeer.test.ts
@@ -108,7 +108,6 @@
     /** Long polls of a VM that plans: for the operator's table, the planner's, the workers and the jobs. */
     const longPolls = 4;
     const waitMs = 1_000;
-    const quickMs = 300;
 
     it("is answered while the long polls of a VM that plans wait at the same peer", async () => {
         server = createServer((message, response) => {
@@ -126,12 +125,13 @@
         });
         const port = await listen(server, "127.0.0.1", 0);
         const [peer] = createRelayPeers(() => [{ name: "b", address: `127.0.0.1:${port}`, cores: 1 }])();
+        let answeredPolls = 0;
         for (let poll = 0; poll < longPolls; poll++) {
-            void peer.perform({ operation: "changes", table: `t${poll}`, afterVersion: 1, waitMs });
+            void peer.perform({ operation: "changes", table: `t${poll}`, afterVersion: 1, waitMs })
+                .then(() => answeredPolls += 1);
         }
-        const startedAtMs = performance.now();
         const reply = await peer.perform({ operation: "read", range: { table: "jobs", part: "p0" } });
         assert.isTrue(reply.ok);
-        assert.isBelow(performance.now() - startedAtMs, quickMs);
+        assert.equal(answeredPolls, 0, "the read did not wait for a long poll");
     });
 });
