fix: a VM remembers the newest phase that any of its reads brought

What callers saw during an outage: a job as running that had been shown as succeeded, since a read that was answered late replaced what a later one had brought; or a refusal although a read had brought the phase after its caller was refused.

Phases are remembered where a read ends, with the versions of the rows; older rows do not replace newer ones, while a job that is submitted again under its id does.

--- a/src/jobs/phaseCache.ts
+++ b/src/jobs/phaseCache.ts
@@ -5,10 +5,14 @@
 export interface CachedPhase {
     phase: JobPhase;
     owner: JobOwner;
+    /** Versions of the rows that it was read from. */
+    submissionVersion: number;
+    recordVersion: number;
 }
 
 /** Last read phases of jobs, served while the table is unavailable. */
 export interface PhaseCache {
+    /** Remembers a phase, unless a newer one is known. */
     set(jobId: string, cached: CachedPhase): void;
     get(jobId: string): CachedPhase | undefined;
 }
@@ -16,13 +20,23 @@
 /** Capacity; the least recently set phase is evicted first. */
 const maxCachedJobs = 2_000;
 
+/** Whether a phase was read from older rows of the same job; a job that is submitted again has a newer submission. */
+const isOlder = (phase: CachedPhase, than: CachedPhase): boolean =>
+    phase.submissionVersion < than.submissionVersion
+    || (phase.submissionVersion === than.submissionVersion && phase.recordVersion < than.recordVersion);
+
 /** Creates an empty cache. */
 export const createPhaseCache = (): PhaseCache => {
     const phases = new Map<string, CachedPhase>();
     return {
-        set: (jobId, { phase, owner: { customer, queue } }) => {
+        set: (jobId, cached) => {
+            const { customer, queue } = cached.owner;
+            const known = phases.get(jobId);
+            if (known !== undefined && isOlder(cached, known)) {
+                return;
+            }
             phases.delete(jobId);
-            phases.set(jobId, { phase, owner: { customer, queue } });
+            phases.set(jobId, { ...cached, owner: { customer, queue } });
             if (phases.size > maxCachedJobs) {
                 phases.delete(phases.keys().next().value ?? "");
             }
--- a/src/jobs/queries/jobPhase.ts
+++ b/src/jobs/queries/jobPhase.ts
@@ -40,13 +40,13 @@
 /** Time in which another VM can read a job, on the slowest machines. */
 const minReadMs = 300;
 
-/** Time in which the table is read: half of what is left beside the caller's pause, so that another VM can read, too. */
-const readMsOf = ({ deadlineMs, retryAfterMs = Number.POSITIVE_INFINITY }: JobPhaseOptions): number | undefined => {
+/** Plans half of what is left beside the caller's pause, so that another VM can read, too; otherwise most of its time. */
+const planRead = ({ deadlineMs, retryAfterMs = Number.POSITIVE_INFINITY }: JobPhaseOptions): { readMs?: number; } => {
     if (deadlineMs === undefined) {
-        return undefined;
+        return {};
     }
     const readMs = (deadlineMs - retryAfterMs) / 2;
-    return readMs >= minReadMs ? readMs : deadlineMs * readShareOfDeadline;
+    return { readMs: readMs >= minReadMs ? readMs : deadlineMs * readShareOfDeadline };
 };
 
 interface PhaseReading {
@@ -54,27 +54,42 @@
     source: PhaseSource;
 }
 
-const readPhase = async (
-    { state, timer, cache, isOutage }: JobPhaseContext,
+/** Reads a job and remembers its phase, also when its caller has been refused meanwhile. */
+const readAndRemember = async (
+    { state, cache }: JobPhaseContext,
     jobId: string,
-    options: JobPhaseOptions,
-): Promise<PhaseReading> => {
-    const { access } = options;
-    const readMs = readMsOf(options);
-    const job = isOutage()
-        ? "unavailable"
-        : await resolveWithin(timer, readMs, readJob(state, jobId, readMs), "unavailable" as const);
+    { access }: JobPhaseOptions,
+    readMs: number | undefined,
+): Promise<JobPhase | "unavailable" | undefined> => {
+    const job = await readJob(state, jobId, readMs);
     if (job === "unavailable") {
-        const cached = cache.get(jobId);
-        const isReadable = cached !== undefined && mayAccess(cached.owner, access);
-        return { phase: isReadable ? cached.phase : "unavailable", source: PhaseSource.Cache };
+        return "unavailable";
     }
     const phase = phaseOf(job);
     if (job?.submission === undefined || phase === undefined) {
-        return { phase: undefined, source: PhaseSource.Table };
+        return undefined;
+    }
+    const { submission: owner, submissionVersion, recordVersion } = job;
+    cache.set(jobId, { phase, owner, submissionVersion, recordVersion });
+    return mayAccess(owner, access) ? phase : undefined;
+};
+
+const readPhase = async (
+    context: JobPhaseContext,
+    jobId: string,
+    options: JobPhaseOptions,
+): Promise<PhaseReading> => {
+    const { timer, cache, isOutage } = context;
+    const { readMs } = planRead(options);
+    const phase = isOutage()
+        ? "unavailable"
+        : await resolveWithin(timer, readMs, readAndRemember(context, jobId, options, readMs), "unavailable" as const);
+    if (phase !== "unavailable") {
+        return { phase, source: PhaseSource.Table };
     }
-    cache.set(jobId, { phase, owner: job.submission });
-    return { phase: mayAccess(job.submission, access) ? phase : undefined, source: PhaseSource.Table };
+    const cached = cache.get(jobId);
+    const isReadable = cached !== undefined && mayAccess(cached.owner, options.access);
+    return { phase: isReadable ? cached.phase : "unavailable", source: PhaseSource.Cache };
 };
 
 /**
