fix: a caller that cannot ask another VM in time is not refused at once in an outage

What callers saw: a refusal at 0 ms with 1,160 ms left to wait, although the table answered 50 ms later. Refusing at once serves a caller that asks another VM; one without the time for that now gets what a repeated read brings within its deadline.

--- a/src/jobs/queries/jobPhase.ts
+++ b/src/jobs/queries/jobPhase.ts
@@ -39,14 +39,25 @@
 const readShareOfDeadline = 0.75;
 /** Time in which another VM can read a job, on the slowest machines. */
 const minReadMs = 300;
+/** Pause before a read is repeated that could not be performed. */
+const repeatPauseMs = 100;
+
+interface ReadTime {
+    /** @default unlimited */
+    readMs?: number;
+    /** Whether a caller that is refused can ask another VM in time. */
+    isRetryPossible: boolean;
+}
 
 /** Plans half of what is left beside the caller's pause, so that another VM can read, too; otherwise most of its time. */
-const planRead = ({ deadlineMs, retryAfterMs = Number.POSITIVE_INFINITY }: JobPhaseOptions): { readMs?: number; } => {
+const planRead = ({ deadlineMs, retryAfterMs = Number.POSITIVE_INFINITY }: JobPhaseOptions): ReadTime => {
     if (deadlineMs === undefined) {
-        return {};
+        return { isRetryPossible: false };
     }
     const readMs = (deadlineMs - retryAfterMs) / 2;
-    return { readMs: readMs >= minReadMs ? readMs : deadlineMs * readShareOfDeadline };
+    return readMs >= minReadMs
+        ? { readMs, isRetryPossible: true }
+        : { readMs: deadlineMs * readShareOfDeadline, isRetryPossible: false };
 };
 
 interface PhaseReading {
@@ -74,16 +85,39 @@
     return mayAccess(owner, access) ? phase : undefined;
 };
 
+/** Repeats a read that cannot be performed for as long as its caller waits and can ask no other VM. */
+const readRepeatedly = async (
+    context: JobPhaseContext,
+    jobId: string,
+    options: JobPhaseOptions,
+    { readMs, isRetryPossible }: ReadTime,
+): Promise<JobPhase | "unavailable" | undefined> => {
+    const { timer } = context;
+    const endsAtMs = timer.nowMs() + (readMs ?? 0);
+    for (;;) {
+        const phase = await readAndRemember(context, jobId, options, readMs);
+        if (phase !== "unavailable" || isRetryPossible || timer.nowMs() + repeatPauseMs >= endsAtMs) {
+            return phase;
+        }
+        await timer.sleep(repeatPauseMs);
+    }
+};
+
 const readPhase = async (
     context: JobPhaseContext,
     jobId: string,
     options: JobPhaseOptions,
 ): Promise<PhaseReading> => {
     const { timer, cache, isOutage } = context;
-    const { readMs } = planRead(options);
-    const phase = isOutage()
+    const time = planRead(options);
+    const phase = isOutage() && time.isRetryPossible
         ? "unavailable"
-        : await resolveWithin(timer, readMs, readAndRemember(context, jobId, options, readMs), "unavailable" as const);
+        : await resolveWithin(
+            timer,
+            time.readMs,
+            readRepeatedly(context, jobId, options, time),
+            "unavailable" as const,
+        );
     if (phase !== "unavailable") {
         return { phase, source: PhaseSource.Table };
     }
