--- a/src/jobs/commands/cancelStoredJob.ts
+++ b/src/jobs/commands/cancelStoredJob.ts
@@ -6,6 +6,7 @@
 import { readJob } from "../queries/readJob.js";
 import { jobRowKey, JobRowKind, jobsTable, partOfJob } from "../rows.js";
 import { isEnded } from "../types.js";
+import type { JobPhase } from "../types.js";
 import type { JobCommandContext } from "./acceptJob.js";
 
 /** Outcome of a request to cancel a job. */
@@ -13,8 +14,10 @@
     /** The cancellation is stored, or the job had ended already. */
     Done = "done",
     NoSuchJob = "noSuchJob",
-    /** The table could not be read or written; the caller should retry. */
+    /** The table could not be read or written, and the cancellation will not be stored; the caller should retry. */
     Unavailable = "unavailable",
+    /** A write got no answer; it may have taken effect or still do so. */
+    Unknown = "unknown",
 }
 
 /** Attempts to store a cancellation; each takes up to the timeout of the table's client. */
@@ -25,33 +28,19 @@
 export interface CancelOptions {
     /** Who cancels. @default anyone */
     access?: JobAccess;
-    /** Time that the caller waits, from now; afterwards a cancellation in progress may still be stored. @default unlimited */
+    /** Time that the caller waits, from now; a write that has been sent by then may still take effect. @default unlimited */
     deadlineMs?: number;
 }
 
-/** Shares of the caller's deadline in which the job is read, and after which it is answered. */
-const readShareOfDeadline = 0.5;
+/** Shares of the caller's deadline in which the job is read, so that another VM can be asked, and the answer is given. */
+const readShareOfDeadline = 0.35;
 const answerShareOfDeadline = 0.9;
 
-const readAndStore = async (
-    context: JobCommandContext,
-    jobId: string,
-    { access, deadlineMs }: CancelOptions,
-): Promise<Cancellation> => {
-    const readMs = deadlineMs === undefined ? undefined : deadlineMs * readShareOfDeadline;
-    const job = await readJob(context.state, jobId, readMs);
-    if (job === "unavailable") {
-        return Cancellation.Unavailable;
-    }
-    const phase = phaseOf(job);
-    if (job?.submission === undefined || phase === undefined || !mayAccess(job.submission, access)) {
-        return Cancellation.NoSuchJob;
-    }
-    if (isEnded(phase)) {
-        return Cancellation.Done;
-    }
+/** Writes a cancellation until it is answered or the time is over. */
+const store = async (context: JobCommandContext, jobId: string, phase: JobPhase, giveUpAtMs: number) => {
     const cancellationRow = { table: jobsTable, key: jobRowKey(jobId, JobRowKind.Cancellation) };
-    for (let attempt = 1; attempt <= maxAttempts; attempt++) {
+    let outcome = Cancellation.Unavailable;
+    for (let attempt = 1; attempt <= maxAttempts && context.timer.nowMs() <= giveUpAtMs; attempt++) {
         const written = await context.state.commit({
             part: partOfJob(jobId),
             conditions: [],
@@ -66,26 +55,41 @@
             attempt,
             reason: describeStateError(written.error),
         });
-        if (written.error.kind === StateErrorKind.Unavailable && attempt > 1) {
+        if (written.error.kind !== StateErrorKind.Unavailable) {
+            outcome = Cancellation.Unknown;
+        }
+        else if (attempt > 1) {
             break;
         }
         await context.timer.sleep(retryPauseMs);
     }
-    return Cancellation.Unavailable;
+    return outcome;
 };
 
 /** Stores the cancellation of a job that its caller may cancel; the planner then stops its runs. */
-export const cancelStoredJob = (
+export const cancelStoredJob = async (
     context: JobCommandContext,
     jobId: string,
-    options: CancelOptions = {},
+    { access, deadlineMs }: CancelOptions = {},
 ): Promise<Cancellation> => {
-    const { deadlineMs } = options;
-    const answerMs = deadlineMs === undefined ? undefined : deadlineMs * answerShareOfDeadline;
-    return resolveWithin(
-        context.timer,
-        answerMs,
-        readAndStore(context, jobId, options),
-        Cancellation.Unavailable,
-    );
+    const { state, timer } = context;
+    const startedAtMs = timer.nowMs();
+    const readMs = deadlineMs === undefined ? undefined : deadlineMs * readShareOfDeadline;
+    const job = await resolveWithin(timer, readMs, readJob(state, jobId, readMs), "unavailable" as const);
+    if (job === "unavailable") {
+        return Cancellation.Unavailable;
+    }
+    const phase = phaseOf(job);
+    if (job?.submission === undefined || phase === undefined || !mayAccess(job.submission, access)) {
+        return Cancellation.NoSuchJob;
+    }
+    if (isEnded(phase)) {
+        return Cancellation.Done;
+    }
+    if (deadlineMs === undefined) {
+        return store(context, jobId, phase, Number.POSITIVE_INFINITY);
+    }
+    const answerAtMs = startedAtMs + deadlineMs * answerShareOfDeadline;
+    const stored = store(context, jobId, phase, answerAtMs);
+    return resolveWithin(timer, answerAtMs - timer.nowMs(), stored, Cancellation.Unknown);
 };
--- a/src/node/schedulerHttp.ts
+++ b/src/node/schedulerHttp.ts
@@ -87,7 +87,8 @@
     const answerJob = async (request: JsonRequest, jobId: string): Promise<JsonAnswer> => {
         const cancellation = request.method === "DELETE" ? await vm.cancel(jobId) : Cancellation.Done;
         const storedJob = await vm.job(jobId);
-        if (cancellation === Cancellation.Unavailable || storedJob === "unavailable") {
+        const isCancellationOpen = cancellation === Cancellation.Unavailable || cancellation === Cancellation.Unknown;
+        if (isCancellationOpen || storedJob === "unavailable") {
             return problemAnswer({ title: "unavailable", status: 503, detail: "the platform does not answer" });
         }
         const view = toJobView(storedJob);
