fix(intake): values of complete bodies stay within the memory of the machine

Callers saw an entry VM's process end: complete bodies inside the limits, held while the table did not answer, ran the heap out.

The body budget counts bytes of text until the request is answered, but the parsed value is held beside it, and takes 22 times the size for empty objects and 29 times for nested arrays (250 KB each, measured by the heap in use). The budget of the smallest machine could so become more than its memory.

Bodies over 8 KB now wait as text, within the budget, until those that are handled take less than a sixteenth of it. One is always handled, so that a single body of the largest size does not wait. A connection that is closed gives its turn back.

--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -6,7 +6,7 @@
 import { ClosedBy } from "./openRequests.js";
 import type { OpenRequests } from "./openRequests.js";
 import { readArrived } from "./readArrived.js";
-import { startReadingBody, stopReading } from "./readBody.js";
+import { parseBody, startReadingBody, stopReading } from "./readBody.js";
 import { refusalAnswer, RefusalCause } from "./refusals.js";
 import { createDefaultIntake } from "./requestIntake.js";
 import type { RequestIntake } from "./requestIntake.js";
@@ -139,6 +139,28 @@
 const refusalOfBody = (cause: RefusalCause, maxBodyBytes: number): JsonAnswer =>
     refusalAnswer(cause, cause === RefusalCause.BodyTooLarge ? `at most ${maxBodyBytes} bytes` : undefined);
 
+/** Parses a body when it is its turn, and calls the handler; `undefined` if the request was answered meanwhile. */
+const parseAndHandle = async (
+    bytes: Buffer,
+    response: ServerResponse,
+    intake: RequestIntake,
+    handle: (body: unknown) => Promise<JsonAnswer>,
+): Promise<JsonAnswer | undefined> => {
+    const turn = intake.parsing.add(bytes.length);
+    response.once("close", turn.end);
+    try {
+        await turn.ready;
+        if (response.headersSent || response.destroyed || response.req.socket.destroyed) {
+            return undefined;
+        }
+        const parsed = parseBody(bytes);
+        return parsed.kind === "parsed" ? await handle(parsed.body) : malformedBodyAnswer;
+    }
+    finally {
+        turn.end();
+    }
+};
+
 /** Reads the body and calls the handler; the request counts as receiving, then as handled until it is answered. */
 const readAndHandle = async (
     message: IncomingMessage,
@@ -167,7 +189,10 @@
         if (!await request.received() || response.headersSent) {
             return;
         }
-        writeAnswer(response, bodyResult.kind === "parsed" ? await handle(bodyResult.body) : malformedBodyAnswer);
+        const answer = await parseAndHandle(bodyResult.bytes, response, intake, handle);
+        if (answer !== undefined) {
+            writeAnswer(response, answer);
+        }
     }
     finally {
         reading.close();
--- a/src/utils/readBody.ts
+++ b/src/utils/readBody.ts
@@ -4,8 +4,7 @@
 
 /** Outcome of reading the body of a request. */
 export type BodyResult =
-    | { kind: "parsed"; body: unknown; }
-    | { kind: "malformed"; }
+    | { kind: "received"; bytes: Buffer; }
     /** The body is refused and not read further. */
     | { kind: "refused"; cause: RefusalCause; }
     /** The connection was closed, or the request was answered before its body had arrived. */
@@ -42,7 +41,11 @@
     return Math.max(neededBytes, Math.min(grown, maxBytes));
 };
 
-const parse = (bytes: Buffer): BodyResult => {
+/** Value of a body, which is `undefined` if there is none. */
+export type ParsedBody = { kind: "parsed"; body: unknown; } | { kind: "malformed"; };
+
+/** Parses a body that has arrived. */
+export const parseBody = (bytes: Buffer): ParsedBody => {
     if (bytes.length === 0) {
         return { kind: "parsed", body: undefined };
     }
@@ -151,7 +154,7 @@
         if (settle !== undefined) {
             // a connection that is paused goes on: Node.js reads the next request after a complete one
             account.complete();
-            finish(parse(buffer.subarray(0, sizeBytes)));
+            finish({ kind: "received", bytes: buffer.subarray(0, sizeBytes) });
         }
     });
     const breakOff = (): void => {
--- a/src/utils/requestIntake.ts
+++ b/src/utils/requestIntake.ts
@@ -3,6 +3,8 @@
 import type { BodyBudget, BudgetDecision } from "./bodyBudget.js";
 import { createChunkPacer } from "./chunkPacer.js";
 import type { ChunkPacer } from "./chunkPacer.js";
+import { createParseQueue } from "./parseQueue.js";
+import type { ParseQueue } from "./parseQueue.js";
 import { RefusalCause } from "./refusals.js";
 import type { Refusal } from "./refusals.js";
 import { createTimerService } from "./timer.js";
@@ -37,6 +39,7 @@
     readonly limits: IntakeLimits;
     readonly bodies: BodyBudget;
     readonly chunks: ChunkPacer;
+    readonly parsing: ParseQueue;
     nowMs(): number;
     /** Notes that there is a body or a refused connection, so that limits on time are checked. */
     watch(): void;
@@ -61,6 +64,9 @@
     maxPipelinedRequests: 1_024,
 };
 
+/** Share of the memory of bodies that may be parsed at a time: a value takes up to 29 times the size of its text. */
+const parsedShare = 1 / 16;
+
 /** Name of all servers of a process in decisions that concern all of them. */
 const allServers = "all";
 const sweepPeriodMs = 500;
@@ -116,6 +122,7 @@
         limits,
         bodies,
         chunks: createChunkPacer({ timer, maxChunksPerS: limits.maxChunksPerS }),
+        parsing: createParseQueue({ maxParsedBytes: limits.maxBodyBytesInProgress * parsedShare }),
         nowMs: timer.nowMs,
         watch,
         destroyLater: socket => {
