--- a/test/uncontrolledClientsParsing.test.ts
+++ b/test/uncontrolledClientsParsing.test.ts
@@ -143,3 +143,38 @@
         assert.deepEqual(handled, ["/1", "/small", "/2", "/3"]);
     });
 });
+
+describe("a JSON server with pipelined requests", () => {
+    let server: Server | undefined;
+    let connection: CallerConnection | undefined;
+
+    afterEach(() => {
+        connection?.destroy();
+        server?.closeAllConnections();
+        server?.close();
+    });
+
+    // guards against an event loop that is held by all requests that one read of a connection contains
+    it("handles few of them in a turn of the event loop", async () => {
+        const requestCount = 400;
+        const maxInTurn = 64;
+        let inTurn = 0;
+        let mostInTurn = 0;
+        server = createJsonServer(async () => {
+            if (inTurn === 0) {
+                setImmediate(() => {
+                    inTurn = 0;
+                });
+            }
+            inTurn += 1;
+            mostInTurn = Math.max(mostInTurn, inTurn);
+            return { status: 200, body: {} };
+        });
+        connection = await openCallerConnection(`127.0.0.1:${await listen(server, "127.0.0.1", 0)}`);
+        await connection?.send(formatRequest("GET", "/").repeat(requestCount));
+        for (let answered = 0; answered < requestCount; answered++) {
+            assert.deepInclude(await connection?.nextAnswer(), { status: 200 });
+        }
+        assert.isAtMost(mostInTurn, maxInTurn);
+    });
+});
