fix(intake): pipelined requests leave the event loop to others

Callers got no answer for a minute and more while clients pipelined requests, and the planner handed over.

One read of a connection contains some hundred requests. Eight are handled at a time, but each that ended started the next one within the same turn of the event loop, so that a read was handled as a whole, one connection after the other, and the bound on waiting requests hardly ever found any.

Waiting requests now start in later turns, at most 32 in each for a server. What further connections send counts while it waits, so that the bound closes those that wait for most answers.

--- a/src/utils/requestQueue.ts
+++ b/src/utils/requestQueue.ts
@@ -26,9 +26,37 @@
 /** Requests of one connection that are handled at a time; their answers are sent in order, so more gain little. */
 const maxTurns = 8;
 
+/** Waiting requests of a server that are handled in a turn of the event loop; one read may contain hundreds. */
+const maxStartsInTurn = 32;
+
+/** Creates a function that runs tasks, a few in each turn of the event loop. */
+const createTurnSpreader = (): (task: () => void) => void => {
+    const tasks: (() => void)[] = [];
+    let isScheduled = false;
+
+    const schedule = (): void => {
+        if (!isScheduled && tasks.length > 0) {
+            isScheduled = true;
+            setImmediate(run);
+        }
+    };
+
+    const run = (): void => {
+        isScheduled = false;
+        tasks.splice(0, maxStartsInTurn).forEach(task => task());
+        schedule();
+    };
+
+    return task => {
+        tasks.push(task);
+        schedule();
+    };
+};
+
 /** Creates a server's queues. */
 export const createRequestQueues = (): RequestQueues => {
     let pipelinedCount = 0;
+    const startInLaterTurn = createTurnSpreader();
 
     const create = (): RequestQueue => {
         const requests = new Set<QueuedRequest>();
@@ -41,7 +69,7 @@
                 turnCount -= 1;
             }
             else {
-                next(true);
+                startInLaterTurn(() => next(true));
             }
         };
 
