fix: a crowd of bodies in very small chunks no longer takes the turns of the event loop

Callers saw: beside 400 connections with chunks of one byte, 60,000 each, an ordinary request waited 15 to 20 s on a new connection and 9 s on an open one, a health check 10 s; the process could not read the table meanwhile. Cause: one turn of the event loop reads all connections that are ready, 64 KB each, some 10,900 chunks and tens of ms, before timers, the table, the listener's backlog and other callers have theirs. The pacer pauses a connection only after it was read. Change: when a turn has read more than maxChunksPerTurn (4,000) chunks, all connections rest for 50 ms, also new ones. A pause within a read keeps libuv from reading the others that are ready in the same turn. Afterwards ordinary connections go first, those of each server and answered and new ones in turn. A stop ends the rests before it closes idle connections and before it answers what is open. Nothing is refused; a body that is paused or refused for another reason stays so. Ruled out: an order by age alone, which left those who connected in the middle of the crowd behind its newer part (health check 19.6 s). Without its mechanism each of the two new mutants fails.

--- a/src/utils/chunkPacer.ts
+++ b/src/utils/chunkPacer.ts
@@ -26,6 +26,10 @@
 const freeChunkCount = 256;
 /** Bytes that count as another chunk: 64 KB take some 0.8 ms with the garbage that they leave, a chunk 3 µs. */
 const bytesPerChunk = 256;
+
+/** Chunks as which a chunk counts by its size. */
+export const countChunks = (bytes: number): number => 1 + bytes / bytesPerChunk;
+
 /** Time between two checks whether paused bodies may go on. */
 const tickMs = 50;
 const msPerSecond = 1_000;
@@ -78,7 +82,7 @@
     return {
         record: (body, bytes) => {
             const count = counts.get(body) ?? { total: 0, sinceResume: 0 };
-            const cost = 1 + bytes / bytesPerChunk;
+            const cost = countChunks(bytes);
             counts.set(body, count);
             count.total += cost;
             count.sinceResume += cost;
--- a/src/utils/connectionLimit.ts
+++ b/src/utils/connectionLimit.ts
@@ -141,6 +141,25 @@
     connection.changedAtMs = nowMs;
 };
 
+/** Adds a connection to those that share the turns of the event loop. */
+const shareTurns = (socket: Socket, server: string, { turns }: RequestIntake): void => {
+    // Node.js resumes connections by this method, too
+    socket.resume = () => {
+        turns.resume(socket);
+        return socket;
+    };
+    socket.pause = () => {
+        turns.pause(socket);
+        return socket;
+    };
+    // Node.js resumes a new connection in the next tick, whether it was paused or not
+    process.nextTick(() => {
+        if (!socket.destroyed) {
+            turns.add(socket, server);
+        }
+    });
+};
+
 /** Creates the bound on the connections of a server. */
 export const createConnectionLimit = ({ server, maxConnections, intake }: ConnectionLimitOptions): ConnectionLimit => {
     const connections = new Map<Socket, Connection>();
@@ -175,8 +194,10 @@
         }
         if (!socket.destroyed) {
             connections.set(socket, connection);
+            shareTurns(socket, server, intake);
             socket.once("close", () => {
                 connections.delete(socket);
+                intake.turns.remove(socket);
                 // the responses to pipelined requests do not notice it
                 connection.queue.close();
                 connection.ends.forEach(end => end());
@@ -214,6 +235,7 @@
             connection.handledCount -= isReceived ? 1 : 0;
             stopReceiving();
             touch(connection);
+            intake.turns.recordAnswer(socket);
             onEnd();
             if (connection.use === ConnectionUse.Refused) {
                 socket.end();
--- a/src/utils/http.ts
+++ b/src/utils/http.ts
@@ -250,6 +250,8 @@
 /** Period in which Node.js checks its own limits on time. */
 const connectionsCheckingIntervalMs = 1_000;
 
+const intakes = new WeakMap<Server, RequestIntake>();
+
 /** Creates an HTTP server that parses JSON bodies, responds in JSON and answers an unexpected error with a 500. */
 export const createJsonServer = (handler: JsonHandler, options: JsonServerOptions = {}): Server => {
     const maxBodyBytes = options.maxBodyBytes ?? defaultMaxBodyBytes;
@@ -281,6 +283,7 @@
             )
         );
     });
+    intakes.set(server, intake);
     server.timeout = inactivityTimeoutMs;
     server.on("connection", connections.accept);
     server.on("clientError", connections.refuseInvalid);
@@ -319,6 +322,7 @@
 export const closeGracefully = async (server: Server): Promise<void> => {
     // closing resets connections in the backlog and idle ones with unread data, and a busy event loop leaves both
     await acceptBacklog(server);
+    await intakes.get(server)?.turns.readArrived();
     await new Promise<void>(resolve => {
         server.close(() => resolve());
         server.closeIdleConnections();
--- a/src/utils/readBody.ts
+++ b/src/utils/readBody.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { countChunks } from "./chunkPacer.js";
 import { RefusalCause } from "./refusals.js";
 import type { RequestIntake } from "./requestIntake.js";
 
@@ -128,6 +129,7 @@
         }
         account.recordProgress();
         intake.chunks.record(paced, chunk.length);
+        intake.turns.recordChunks(message.socket, countChunks(chunk.length));
         if (options.isAnswered()) {
             end({ kind: "brokenOff" });
         }
--- a/src/utils/requestIntake.ts
+++ b/src/utils/requestIntake.ts
@@ -1,10 +1,12 @@
-import type { Socket } from "node:net";
+import { Socket } from "node:net";
 import { createBodyBudget } from "./bodyBudget.js";
 import type { BodyBudget, BudgetDecision } from "./bodyBudget.js";
 import { createChunkPacer } from "./chunkPacer.js";
 import type { ChunkPacer } from "./chunkPacer.js";
 import { createParseQueue } from "./parseQueue.js";
 import type { ParseQueue } from "./parseQueue.js";
+import { createReadTurns } from "./readTurns.js";
+import type { ReadTurns } from "./readTurns.js";
 import { RefusalCause } from "./refusals.js";
 import type { Refusal } from "./refusals.js";
 import { createTimerService } from "./timer.js";
@@ -22,6 +24,8 @@
     inactivityTimeoutMs: number;
     /** Chunks of bodies that are read in a second on average; 256 bytes count as another one. Larger bodies wait. */
     maxChunksPerS: number;
+    /** Chunks of bodies after which a turn of the event loop reads no further connection. */
+    maxChunksPerTurn: number;
     /** Limit on the requests of a server that wait for the answer to an earlier one on their connection. */
     maxPipelinedRequests: number;
 }
@@ -40,6 +44,7 @@
     readonly bodies: BodyBudget;
     readonly chunks: ChunkPacer;
     readonly parsing: ParseQueue;
+    readonly turns: ReadTurns<Socket>;
     nowMs(): number;
     /** Notes that there is a body or a refused connection, so that limits on time are checked. */
     watch(): void;
@@ -60,6 +65,8 @@
     inactivityTimeoutMs: 0,
     // 5 MB; all bodies of ordinary callers together are some KB a second
     maxChunksPerS: 20_000,
+    // 1 MB, or a single connection with chunks of a few bytes, which is read on 50 ms later
+    maxChunksPerTurn: 4_000,
     // 5 KB each, or 40 KB with the largest headers
     maxPipelinedRequests: 1_024,
 };
@@ -123,6 +130,13 @@
         bodies,
         chunks: createChunkPacer({ timer, maxChunksPerS: limits.maxChunksPerS }),
         parsing: createParseQueue({ maxParsedBytes: limits.maxBodyBytesInProgress * parsedShare, timer }),
+        turns: createReadTurns<Socket>({
+            timer,
+            maxChunksPerTurn: limits.maxChunksPerTurn,
+            // the methods of the connections themselves lead to the turns
+            pause: socket => void Socket.prototype.pause.call(socket),
+            resume: socket => void Socket.prototype.resume.call(socket),
+        }),
         nowMs: timer.nowMs,
         watch,
         destroyLater: socket => {
--- a/test/readTurns.test.ts
+++ b/test/readTurns.test.ts
@@ -2,6 +2,7 @@
 import type { Server } from "node:http";
 import type { PacedBody } from "../src/utils/chunkPacer.js";
 import { createJsonServer, listen } from "../src/utils/http.js";
+import { createReadTurns } from "../src/utils/readTurns.js";
 import { createRequestIntake, defaultIntakeLimits } from "../src/utils/requestIntake.js";
 import type { RequestIntake } from "../src/utils/requestIntake.js";
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
@@ -38,6 +39,65 @@
 
 const nextTurn = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
+describe("the bound on what is read in a turn of the event loop", () => {
+    const timer = createVirtualTimer();
+    let events: string[];
+
+    const createTurns = () =>
+        createReadTurns<string>({
+            timer,
+            maxChunksPerTurn: 1_000,
+            pause: name => events.push(`pause ${name}`),
+            resume: name => events.push(`resume ${name}`),
+        });
+
+    beforeEach(() => {
+        events = [];
+    });
+
+    // guards against ordinary callers who wait behind those who take most
+    it("reads the newest connections of each kind first after a rest, and those with most chunks last", async () => {
+        const turns = createTurns();
+        ["most", "more", "answered", "older", "newer"].forEach(name => turns.add(name, "callers"));
+        turns.add("check", "readiness");
+        turns.recordAnswer("answered");
+        turns.recordChunks("more", 400);
+        turns.recordChunks("most", 700);
+        assert.sameMembers(
+            events.splice(0),
+            ["most", "more", "answered", "older", "newer", "check"].map(name => `pause ${name}`),
+        );
+        await timer.advance(60);
+        assert.deepEqual(events.slice(3), ["older", "more", "most"].map(name => `resume ${name}`));
+        assert.sameMembers(events.slice(0, 3), ["newer", "answered", "check"].map(name => `resume ${name}`));
+    });
+
+    // guards against refused connections that are read on after a rest, and new ones that are read during it
+    it("leaves a connection paused that is not to be read, and pauses a new one until the rest ends", async () => {
+        const turns = createTurns();
+        ["large", "refused"].forEach(name => turns.add(name, "callers"));
+        turns.recordChunks("large", 2_000);
+        turns.pause("refused");
+        turns.add("new", "callers");
+        assert.equal(events.at(-1), "pause new");
+        turns.resume("new");
+        assert.equal(events.at(-1), "pause new");
+        events = [];
+        await timer.advance(60);
+        assert.deepEqual(events, ["resume new", "resume large"]);
+    });
+
+    // guards against stops that reset connections whose requests have arrived
+    it("ends a rest when a stop reads what has arrived", async () => {
+        const turns = createTurns();
+        turns.add("large", "callers");
+        turns.recordChunks("large", 2_000);
+        events = [];
+        await turns.readArrived();
+        assert.deepEqual(events, ["resume large"]);
+    });
+});
+
 describe("turns of the event loop beside many bodies in very small chunks", () => {
     const timer = createVirtualTimer();
     const connections: CallerConnection[] = [];
--- a/tools/clientMutants.ts
+++ b/tools/clientMutants.ts
@@ -59,4 +59,20 @@
         tests: "clientLimits",
         fails: "lets bodies in very small chunks wait for each other",
     },
+    {
+        without: "the bound on what is read in a turn of the event loop",
+        file: "utils/readTurns.js",
+        find: "chunksInTurn > maxChunksPerTurn && endRest === undefined",
+        replace: "false",
+        tests: "readTurns",
+        fails: "do not read a crowd that is ready at once in one turn",
+    },
+    {
+        without: "reading ordinary connections first after a rest",
+        file: "utils/readTurns.js",
+        find: "inOrder().forEach(",
+        replace: "[...entries.values()].filter(entry => entry.isRead).forEach(",
+        tests: "readTurns",
+        fails: "reads the newest connections of each kind first after a rest",
+    },
 ];
