--- a/src/jobs/queries/jobPhase.ts
+++ b/src/jobs/queries/jobPhase.ts
@@ -21,7 +21,7 @@
     timer: TimerService;
     log: Log;
     cache: PhaseCache;
-    /** Whether the table answers no operation of this VM; a read is not attempted then. */
+    /** Whether the table answers no operation of this VM; callers that can ask another VM are refused at once then. */
     isOutage: () => boolean;
 }
 
