--- a/src/jobs/commands/acceptJob.ts
+++ b/src/jobs/commands/acceptJob.ts
@@ -43,8 +43,8 @@
 const retryPauseMs = 60;
 /** Share of the caller's deadline in which a write without an answer is retried; afterwards the outcome is unknown. */
 const retryShareOfDeadline = 0.5;
-/** Share of the caller's deadline after which the outcome of a write in progress is unknown to it. */
-const answerShareOfDeadline = 0.9;
+/** Share of the caller's deadline after which it is told that the outcome of a write in progress is unknown. */
+export const answerShareOfDeadline = 0.9;
 
 /** Writes a submission until it is answered or the time is over. */
 const store = async (
--- a/src/jobs/commands/cancelStoredJob.ts
+++ b/src/jobs/commands/cancelStoredJob.ts
@@ -7,6 +7,7 @@
 import { jobRowKey, JobRowKind, jobsTable, partOfJob } from "../rows.js";
 import { isEnded } from "../types.js";
 import type { JobPhase } from "../types.js";
+import { answerShareOfDeadline } from "./acceptJob.js";
 import type { JobCommandContext } from "./acceptJob.js";
 
 /** Outcome of a request to cancel a job. */
@@ -32,9 +33,8 @@
     deadlineMs?: number;
 }
 
-/** Shares of the caller's deadline in which the job is read, so that another VM can be asked, and the answer is given. */
+/** Share of the caller's deadline in which the job is read, so that a refused caller can ask another VM. */
 const readShareOfDeadline = 0.35;
-const answerShareOfDeadline = 0.9;
 
 /** Writes a cancellation until it is answered or the time is over. */
 const store = async (context: JobCommandContext, jobId: string, phase: JobPhase, giveUpAtMs: number) => {
