test: the mutant of answers within a caller's time names the code as it is

The fix of callers that cannot ask another VM moved the read into a repetition, so the entry's text no longer occurred and show-failing could not take the mechanism out. It and the two other entries about ways to the table fail as expected.

--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -93,8 +93,8 @@
     {
         without: "an answer about a job within the time that its caller waits",
         file: "jobs/queries/jobPhase.js",
-        find: "readMs, readJob(",
-        replace: "undefined, readJob(",
+        find: "time.readMs, readRepeatedly(",
+        replace: "undefined, readRepeatedly(",
         tests: "unansweredReads",
         fails: "is refused in time while no way answers",
     },
