feat(logs): reads say what their VM knew of the job's part, and a job's end is logged once it is recorded

The log could not tell hypotheses on unanswered job reads apart: whether a refused read began on a VM that knew the part to be silent, and whether the end that the planner logs was in the table by then. "job phase read" gets part, unreachable and isOutage, and "job end recorded" follows "job ended" once the record is written. No decision changes.

--- a/src/execution/endedRunHandler.ts
+++ b/src/execution/endedRunHandler.ts
@@ -31,6 +31,14 @@
     const { log, timer, health } = context;
     const checkpoints = createTaskCheckpoints();
 
+    /** From the second line on, the job's end cannot change, whoever plans. */
+    const logWhenRecorded = async (job: JobState): Promise<void> => {
+        if (await context.record(job)) {
+            const { submission, phase, recordVersion: version } = job;
+            log("info", "job end recorded", { jobId: submission.id, phase, version, term: context.term });
+        }
+    };
+
     const endJob = (job: JobState, phase: JobPhase, reason: string): void => {
         if (isEnded(job.phase)) {
             return;
@@ -46,7 +54,7 @@
         activeRuns(job).filter(({ task }) => !task.done).forEach(({ task, run }) =>
             runStopper.stop(task, run, `job ${phase}`)
         );
-        void context.record(job);
+        void logWhenRecorded(job);
     };
 
     const completeUnit = (unit: Unit): void => {
--- a/src/jobs/queries/jobPhase.ts
+++ b/src/jobs/queries/jobPhase.ts
@@ -1,4 +1,5 @@
 import type { Log } from "../../node/logs.js";
+import type { TablePart } from "../../state/reachability.js";
 import type { StateTable } from "../../state/types.js";
 import { resolveWithin } from "../../utils/resolveWithin.js";
 import type { TimerService } from "../../utils/timer.js";
@@ -6,6 +7,7 @@
 import type { JobAccess } from "../jobAccess.js";
 import type { PhaseCache } from "../phaseCache.js";
 import { phaseOf } from "../projection.js";
+import { jobsTable, partOfJob, progressTable } from "../rows.js";
 import type { JobPhase } from "../types.js";
 import { readJob } from "./readJob.js";
 
@@ -23,6 +25,8 @@
     cache: PhaseCache;
     /** Whether the table answers no operation of this VM; callers that can ask another VM are refused at once then. */
     isOutage: () => boolean;
+    /** Whether this VM knows that it cannot reach a part of a table directly. */
+    isUnreachable: (part: TablePart) => boolean;
 }
 
 /** Options of {@link queryJobPhase}. */
@@ -126,6 +130,16 @@
     return { phase: isReadable ? cached.phase : "unavailable", source: PhaseSource.Cache };
 };
 
+/** Fields of the log line that say what this VM knew of the job's part of the tables when the read began. */
+const describeWays = ({ isOutage, isUnreachable }: JobPhaseContext, jobId: string) => {
+    const part = partOfJob(jobId);
+    return {
+        part,
+        unreachable: [jobsTable, progressTable].filter(table => isUnreachable({ table, part })),
+        isOutage: isOutage(),
+    };
+};
+
 /**
  * Reads a job's phase before its caller's deadline, from the cache while the table does not answer; `undefined` if there
  * is no such job that `access` may read.
@@ -137,9 +151,11 @@
 ): Promise<JobPhase | "unavailable" | undefined> => {
     const { timer, log } = context;
     const startedAtMs = timer.nowMs();
+    const knownBefore = describeWays(context, jobId);
     const { phase, source } = await readPhase(context, jobId, options);
     log("info", "job phase read", {
         jobId,
+        ...knownBefore,
         phase,
         source,
         tookMs: Math.round(timer.nowMs() - startedAtMs),
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -24,6 +24,7 @@
 import type { OperatorSource } from "../queues/types.js";
 import { createTableFollower } from "../state/follower.js";
 import type { TableFollower } from "../state/follower.js";
+import type { TablePart } from "../state/reachability.js";
 import type { StateRow, StateTable } from "../state/types.js";
 import { createEventLoopDelayMonitor } from "../utils/eventLoopDelay.js";
 import type { Random } from "../utils/random.js";
@@ -35,6 +36,8 @@
 export interface EntryVmOptions {
     vm: string;
     state: StateTable;
+    /** Whether a part of a table is known not to be reachable directly. @default none is */
+    isUnreachable?: (part: TablePart) => boolean;
     timer: TimerService;
     log: Log;
     operator: OperatorSource;
@@ -94,7 +97,7 @@
 
 /** Starts an entry VM and its part in the election of the planner. */
 export const startEntryVm = (options: EntryVmOptions): EntryVm => {
-    const { timer, log, operator, directory, metrics, random = Math.random } = options;
+    const { timer, log, operator, directory, metrics, random = Math.random, isUnreachable = () => false } = options;
     const admission = createSubmissionAdmission({ state: options.state, timer, log, metrics, random });
     const state = admission.table;
     const sentSubmissions = options.sentSubmissions ?? createSentSubmissions(timer, options.retainMs);
@@ -191,7 +194,11 @@
             acceptJob({ ...context, admission, sentSubmissions }, submission, deadlineMs),
         cancel: (jobId, cancelOptions) => cancelStoredJob(context, jobId, cancelOptions),
         phase: (jobId, phaseOptions) =>
-            queryJobPhase({ ...context, cache: phaseCache, isOutage: admission.isOutage }, jobId, phaseOptions),
+            queryJobPhase(
+                { ...context, cache: phaseCache, isOutage: admission.isOutage, isUnreachable },
+                jobId,
+                phaseOptions,
+            ),
         job: jobId => readJob(state, jobId),
         pending: queue => (planner?.pendingCounts() ?? publishedPending)[queue] ?? 0,
         plannerAgeMs: follower.ageMs,
--- a/src/state/relay.ts
+++ b/src/state/relay.ts
@@ -43,6 +43,8 @@
 export interface RelayedTable extends StateTable {
     /** Performs an operation for another VM, directly only: a relayed operation is never relayed again. */
     performForPeer(request: RelayRequest): Promise<RelayReply>;
+    /** Whether a part is known not to be reachable directly. */
+    isUnreachable(part: TablePart): boolean;
     stop(): void;
 }
 
@@ -185,6 +187,7 @@
                     fail({ kind: StateErrorKind.Unavailable, detail: "the relaying VM has no way either" }),
                 )
                 : performAndRecord(request),
+        isUnreachable: reachability.isUnreachable,
         stop: reachability.stop,
     };
 };
--- a/test/unansweredReads.test.ts
+++ b/test/unansweredReads.test.ts
@@ -87,15 +87,17 @@
             name: `peer${index}`,
             perform: request => read(ways.peers[index], (request as { range: ReadRange; }).range, relayTimeoutMs),
         }));
+        const relayed = createRelayedTable({ direct, timer, log, peers: () => peers });
         const admission = createSubmissionAdmission({
-            state: createRelayedTable({ direct, timer, log, peers: () => peers }),
+            state: relayed,
             timer,
             log,
             metrics: createEntryMetrics(),
             random: () => 0,
         });
         const { table: state, isOutage } = admission;
-        const context = { state, timer, log, cache: createPhaseCache(), isOutage };
+        const { isUnreachable } = relayed;
+        const context = { state, timer, log, cache: createPhaseCache(), isOutage, isUnreachable };
         return async (jobId: string, deadlineMs: number) => {
             const startedAtMs = timer.nowMs();
             const phase = await queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
@@ -235,7 +237,9 @@
         commit: unused,
         changes: unused,
     };
-    const context = { state, timer, log: (): void => {}, cache: createPhaseCache(), isOutage: () => false };
+    const log = (): void => {};
+    const never = (): boolean => false;
+    const context = { state, timer, log, cache: createPhaseCache(), isOutage: never, isUnreachable: never };
     const ask = (deadlineMs: number) => queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
     return { vm, ask };
 };
