fix: a job's phase that the table does not answer is asked of the VMs that plan or did so before

What callers saw: a job's state was refused with 503 on each VM that they asked, until their time was over, while one part of the table was silent for all VMs.

Class: knowledge of the whole that one component has and its neighbours do not ask for.

Ruled out: other ways to the table (the part is silent for all), the caller's deadline (three tries of one caller, 1,009, 945 and 97 ms).

Change: the planner remembers the phase of each job that it reads or has written, also once its term is over. From the moment on in which a read is in doubt, an end that the VM remembers is answered, else the VMs that hold the term, or held it, are asked over the operations port. They tell ends, which are final once they are in the table, and other phases only while their term is confirmed. In normal operation nothing is sent.

--- a/src/execution/planner.ts
+++ b/src/execution/planner.ts
@@ -1,4 +1,6 @@
 import { objectiveMs } from "../jobs/objective.js";
+import { toCachedPhase } from "../jobs/phaseCache.js";
+import type { CachedPhase } from "../jobs/phaseCache.js";
 import { activeRuns } from "../jobs/progress.js";
 import type { JobState } from "../jobs/progress.js";
 import { createJobProjection } from "../jobs/projection.js";
@@ -64,6 +66,8 @@
     isLeaseWithheld: (workerId: string) => boolean;
     /** Publishes which leases the planner does not extend; resolves with whether that is in force. */
     publishLeases: () => Promise<boolean>;
+    /** Called with the phase of each job that the table holds, when it was read or written. */
+    onPhaseStored: (jobId: string, phase: CachedPhase) => void;
     /** Time after its end for which a job stays stored. */
     retainMs: number;
     /** Called when the term is found to have ended. */
@@ -109,6 +113,13 @@
 const isSameSubmission = (known: JobState | undefined, { submissionVersion }: StoredJob): boolean =>
     known !== undefined && known.submissionVersion >= submissionVersion;
 
+const reportStoredPhase = ({ onPhaseStored }: PlannerOptions, jobId: string, stored: StoredJob): void => {
+    const phase = toCachedPhase(stored);
+    if (phase !== undefined) {
+        onPhaseStored(jobId, phase);
+    }
+};
+
 /**
  * Estimates the time since a job was accepted, by a VM whose wall clock may differ. A job that the follower found was
  * stored after the follower's previous request.
@@ -173,6 +184,7 @@
         const ageMs = estimateAgeMs(submission, timer.wallClockMs(), follower?.ageMs());
         const job = restoreWaitingJob(submission, stored, { findSession: sessions.findOrOpen, timer, ageMs });
         context.jobs.set(jobId, job);
+        reportStoredPhase(options, jobId, stored);
         context.openJobs.add(job);
         activeRuns(job).forEach(({ task, run }) => context.runs.set(task, run));
         if (isEnded(job.phase)) {
--- a/src/execution/recorder.ts
+++ b/src/execution/recorder.ts
@@ -1,3 +1,4 @@
+import type { CachedPhase } from "../jobs/phaseCache.js";
 import { toJobRecord } from "../jobs/progress.js";
 import type { JobState } from "../jobs/progress.js";
 import { fitRow, sizeOfRecord } from "../jobs/recordSize.js";
@@ -18,6 +19,8 @@
     term: number;
     /** Version of the term row by part, as written at the start of the term. */
     termVersions: ReadonlyMap<string, number>;
+    /** Called with the phase of each job that was written. */
+    onPhaseStored: (jobId: string, phase: CachedPhase) => void;
     /** Called when the table shows that a later term has begun. */
     onFenced: (detail: string) => void;
 }
@@ -82,6 +85,13 @@
     batch.jobs.forEach(({ resolvers }) => resolvers.forEach(resolve => resolve(recorded)));
 };
 
+const finishBatch = (batch: Batch, { onPhaseStored }: RecorderOptions): void => {
+    for (const { job: { submission, submissionVersion, recordVersion }, record: { phase } } of batch.jobs) {
+        onPhaseStored(submission.id, { phase, owner: submission, submissionVersion, recordVersion });
+    }
+    resolveBatch(batch, true);
+};
+
 /** The next record of a job; `undefined`, logged, if an unexpected error keeps it from being built. */
 const buildRecord = (job: JobState, { term, log }: RecorderOptions): JobRecord | undefined =>
     runGuarded(
@@ -159,7 +169,7 @@
                 batch.jobs.forEach(({ job }) => {
                     job.recordVersion = written.value.version;
                 });
-                resolveBatch(batch, true);
+                finishBatch(batch, options);
                 return;
             }
             const conflict = toConflict(written.error);
@@ -171,7 +181,7 @@
                 dropDeletedJobs(batch, conflict.rows);
                 updateVersions(batch, conflict.rows);
                 if (isWritten(batch, conflict.rows, term)) {
-                    resolveBatch(batch, true);
+                    finishBatch(batch, options);
                     return;
                 }
                 continue;
--- a/src/jobs/phaseCache.ts
+++ b/src/jobs/phaseCache.ts
@@ -1,7 +1,9 @@
 import type { JobOwner } from "./jobAccess.js";
+import { phaseOf } from "./projection.js";
+import type { StoredJob } from "./projection.js";
 import type { JobPhase } from "./types.js";
 
-/** Phase of a job as last read, with the job's owner. */
+/** Phase of a job as last read or written, with the job's owner. */
 export interface CachedPhase {
     phase: JobPhase;
     owner: JobOwner;
@@ -10,7 +12,18 @@
     recordVersion: number;
 }
 
-/** Last read phases of jobs, served while the table is unavailable. */
+/** Phase of a job by its rows; `undefined` if the job does not exist. */
+export const toCachedPhase = (job: StoredJob | undefined): CachedPhase | undefined => {
+    const phase = phaseOf(job);
+    return job?.submission === undefined || phase === undefined ? undefined : {
+        phase,
+        owner: job.submission,
+        submissionVersion: job.submissionVersion,
+        recordVersion: job.recordVersion,
+    };
+};
+
+/** Last known phases of jobs, served while the table is unavailable. */
 export interface PhaseCache {
     /** Remembers a phase, unless a newer one is known. */
     set(jobId: string, cached: CachedPhase): void;
--- a/src/jobs/queries/jobPhase.ts
+++ b/src/jobs/queries/jobPhase.ts
@@ -1,20 +1,25 @@
 import type { Log } from "../../node/logs.js";
 import type { TablePart } from "../../state/reachability.js";
 import type { StateTable } from "../../state/types.js";
+import { firstDefined } from "../../utils/firstDefined.js";
 import { resolveWithin } from "../../utils/resolveWithin.js";
 import type { TimerService } from "../../utils/timer.js";
 import { mayAccess } from "../jobAccess.js";
 import type { JobAccess } from "../jobAccess.js";
-import type { PhaseCache } from "../phaseCache.js";
-import { phaseOf } from "../projection.js";
+import { toCachedPhase } from "../phaseCache.js";
+import type { CachedPhase, PhaseCache } from "../phaseCache.js";
 import { jobsTable, partOfJob, progressTable } from "../rows.js";
+import { isEnded } from "../types.js";
 import type { JobPhase } from "../types.js";
 import { readJob } from "./readJob.js";
 
 /** Where the phase of a job was read. */
 export enum PhaseSource {
     Table = "table",
+    /** What this VM remembers. */
     Cache = "cache",
+    /** What a VM told that plans, or did so before. */
+    Planner = "planner",
 }
 
 /** Dependencies of {@link queryJobPhase}. */
@@ -27,6 +32,8 @@
     isOutage: () => boolean;
     /** Whether this VM knows that it cannot reach a part of a table directly. */
     isUnreachable: (part: TablePart) => boolean;
+    /** Asks the VMs that plan, or did so before, for a phase; `undefined` if none of them knows it or answers in time. */
+    askPlanners: (jobId: string, timeoutMs: number) => Promise<CachedPhase | undefined>;
 }
 
 /** Options of {@link queryJobPhase}. */
@@ -43,6 +50,12 @@
 const readShareOfDeadline = 0.75;
 /** Time in which another VM can read a job, on the slowest machines. */
 const minReadMs = 300;
+/** Time after which a read of the table is in doubt: a table 60 times slower than usual answers within it ... */
+const doubtAfterMs = 300;
+/** ... and another VM, where this one does not reach the part directly. */
+const relayedDoubtAfterMs = 100;
+/** Share of a read's time after which it is in doubt at the latest. */
+const doubtShareOfRead = 0.3;
 /** Pause before a read is repeated that could not be performed. */
 const repeatPauseMs = 100;
 
@@ -64,8 +77,9 @@
         : { readMs: deadlineMs * readShareOfDeadline, isRetryPossible: false };
 };
 
+/** A phase that was found; `undefined` if there is no such job that the caller may read. */
 interface PhaseReading {
-    phase: JobPhase | "unavailable" | undefined;
+    phase: JobPhase | undefined;
     source: PhaseSource;
 }
 
@@ -75,18 +89,17 @@
     jobId: string,
     { access }: JobPhaseOptions,
     readMs: number | undefined,
-): Promise<JobPhase | "unavailable" | undefined> => {
+): Promise<PhaseReading | undefined> => {
     const job = await readJob(state, jobId, readMs);
     if (job === "unavailable") {
-        return "unavailable";
-    }
-    const phase = phaseOf(job);
-    if (job?.submission === undefined || phase === undefined) {
         return undefined;
     }
-    const { submission: owner, submissionVersion, recordVersion } = job;
-    cache.set(jobId, { phase, owner, submissionVersion, recordVersion });
-    return mayAccess(owner, access) ? phase : undefined;
+    const stored = toCachedPhase(job);
+    if (stored === undefined) {
+        return { phase: undefined, source: PhaseSource.Table };
+    }
+    cache.set(jobId, stored);
+    return { phase: mayAccess(stored.owner, access) ? stored.phase : undefined, source: PhaseSource.Table };
 };
 
 /** Repeats a read that cannot be performed for as long as its caller waits and can ask no other VM. */
@@ -95,39 +108,80 @@
     jobId: string,
     options: JobPhaseOptions,
     { readMs, isRetryPossible }: ReadTime,
-): Promise<JobPhase | "unavailable" | undefined> => {
+): Promise<PhaseReading | undefined> => {
     const { timer } = context;
     const endsAtMs = timer.nowMs() + (readMs ?? 0);
     for (;;) {
-        const phase = await readAndRemember(context, jobId, options, readMs);
-        if (phase !== "unavailable" || isRetryPossible || timer.nowMs() + repeatPauseMs >= endsAtMs) {
-            return phase;
+        const reading = await readAndRemember(context, jobId, options, readMs);
+        if (reading !== undefined || isRetryPossible || timer.nowMs() + repeatPauseMs >= endsAtMs) {
+            return reading;
         }
         await timer.sleep(repeatPauseMs);
     }
 };
 
+const toReading = (
+    known: CachedPhase | undefined,
+    source: PhaseSource,
+    { access }: JobPhaseOptions,
+): PhaseReading | undefined =>
+    known !== undefined && mayAccess(known.owner, access) ? { phase: known.phase, source } : undefined;
+
+/** Finds a phase without the table: how the job ended, if this VM remembers that, or else what planners know. */
+const recall = async (
+    { cache, askPlanners }: JobPhaseContext,
+    jobId: string,
+    options: JobPhaseOptions,
+    timeoutMs: number,
+): Promise<PhaseReading | undefined> => {
+    const remembered = cache.get(jobId);
+    if (remembered !== undefined && isEnded(remembered.phase)) {
+        return toReading(remembered, PhaseSource.Cache, options);
+    }
+    const known = await askPlanners(jobId, timeoutMs);
+    if (known !== undefined) {
+        cache.set(jobId, known);
+    }
+    return toReading(known, PhaseSource.Planner, options);
+};
+
+/** Time after which a read of the table is in doubt, so that the phase is looked for elsewhere beside it. */
+const chooseDoubtAfterMs = (
+    { isOutage, isUnreachable }: JobPhaseContext,
+    jobId: string,
+    { readMs = Number.POSITIVE_INFINITY, isRetryPossible }: ReadTime,
+): number => {
+    if (isOutage() && isRetryPossible) {
+        return 0;
+    }
+    const part = partOfJob(jobId);
+    const isRelayed = [jobsTable, progressTable].some(table => isUnreachable({ table, part }));
+    return Math.min(isRelayed ? relayedDoubtAfterMs : doubtAfterMs, readMs * doubtShareOfRead);
+};
+
 const readPhase = async (
     context: JobPhaseContext,
     jobId: string,
     options: JobPhaseOptions,
-): Promise<PhaseReading> => {
+): Promise<PhaseReading | undefined> => {
     const { timer, cache, isOutage } = context;
     const time = planRead(options);
-    const phase = isOutage() && time.isRetryPossible
-        ? "unavailable"
-        : await resolveWithin(
-            timer,
-            time.readMs,
-            readRepeatedly(context, jobId, options, time),
-            "unavailable" as const,
-        );
-    if (phase !== "unavailable") {
-        return { phase, source: PhaseSource.Table };
+    const doubtMs = chooseDoubtAfterMs(context, jobId, time);
+    const isTableRead = !(isOutage() && time.isRetryPossible);
+    const fromTable = isTableRead ? readRepeatedly(context, jobId, options, time) : Promise.resolve(undefined);
+    const early = await resolveWithin(timer, doubtMs, fromTable, undefined);
+    if (early !== undefined) {
+        return early;
     }
-    const cached = cache.get(jobId);
-    const isReadable = cached !== undefined && mayAccess(cached.owner, options.access);
-    return { phase: isReadable ? cached.phase : "unavailable", source: PhaseSource.Cache };
+    const restMs = isTableRead && time.readMs !== undefined ? time.readMs - doubtMs : minReadMs;
+    const elsewhere = recall(context, jobId, options, restMs);
+    const late = await resolveWithin(
+        timer,
+        time.readMs === undefined ? undefined : restMs,
+        firstDefined([fromTable, elsewhere]),
+        undefined,
+    );
+    return late ?? toReading(cache.get(jobId), PhaseSource.Cache, options);
 };
 
 /** Fields of the log line that say what this VM knew of the job's part of the tables when the read began. */
@@ -141,8 +195,8 @@
 };
 
 /**
- * Reads a job's phase before its caller's deadline, from the cache while the table does not answer; `undefined` if there
- * is no such job that `access` may read.
+ * Reads a job's phase before its caller's deadline, from what VMs remember while the table does not answer; `undefined`
+ * if there is no such job that `access` may read.
  */
 export const queryJobPhase = async (
     context: JobPhaseContext,
@@ -152,12 +206,13 @@
     const { timer, log } = context;
     const startedAtMs = timer.nowMs();
     const knownBefore = describeWays(context, jobId);
-    const { phase, source } = await readPhase(context, jobId, options);
+    const reading = await readPhase(context, jobId, options);
+    const phase = reading === undefined ? "unavailable" : reading.phase;
     log("info", "job phase read", {
         jobId,
         ...knownBefore,
         phase,
-        source,
+        source: reading?.source,
         tookMs: Math.round(timer.nowMs() - startedAtMs),
         deadlineMs: options.deadlineMs,
     });
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -10,7 +10,7 @@
 import type { AcceptResult } from "../jobs/commands/acceptJob.js";
 import { cancelStoredJob } from "../jobs/commands/cancelStoredJob.js";
 import type { Cancellation, CancelOptions } from "../jobs/commands/cancelStoredJob.js";
-import { createPhaseCache } from "../jobs/phaseCache.js";
+import type { CachedPhase } from "../jobs/phaseCache.js";
 import type { StoredJob } from "../jobs/projection.js";
 import { queryJobPhase } from "../jobs/queries/jobPhase.js";
 import type { JobPhaseOptions } from "../jobs/queries/jobPhase.js";
@@ -31,6 +31,8 @@
 import type { TimerService } from "../utils/timer.js";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { Log } from "./logs.js";
+import { createPhaseKnowledge } from "./phaseKnowledge.js";
+import type { AskForPhase } from "./phasePeer.js";
 
 /** Options of {@link startEntryVm}. */
 export interface EntryVmOptions {
@@ -47,6 +49,8 @@
     maxLeaseMs: number;
     /** Time for which the rows of an ended job are retained. */
     retainMs: number;
+    /** Asks another VM for what it knows of a job's phase. @default none knows any */
+    askForPhase?: AskForPhase;
     /** Processing power of this VM relative to the strongest VM, 0 to 1. */
     relativePower: () => number;
     /** Mean event loop delay of this process in milliseconds. @default measured */
@@ -66,6 +70,11 @@
     cancel(jobId: string, options?: CancelOptions): Promise<Cancellation>;
     /** Phase of a job; `undefined` when there is no such job. */
     phase(jobId: string, options?: JobPhaseOptions): Promise<JobPhase | "unavailable" | undefined>;
+    /**
+     * What this VM can tell other VMs of a job's phase without the table: how the job ended, as far as it remembers it,
+     * and of the other jobs what it has recorded as the planner.
+     */
+    knownPhase(jobId: string): CachedPhase | undefined;
     /** Stored rows of a job; `undefined` when there is no such job. */
     job(jobId: string): Promise<StoredJob | "unavailable" | undefined>;
     /** Number of jobs that wait in a queue, as last counted by the planner. */
@@ -103,7 +112,11 @@
     const sentSubmissions = options.sentSubmissions ?? createSentSubmissions(timer, options.retainMs);
     const eventLoopDelay = createEventLoopDelayMonitor(timer);
     const eventLoopDelayMs = options.eventLoopDelayMs ?? eventLoopDelay.meanMs;
-    const phaseCache = createPhaseCache();
+    const phases = createPhaseKnowledge({
+        vm: options.vm,
+        askForPhase: options.askForPhase ?? (async () => undefined),
+        isPlanning: () => (planner?.planningMs() ?? 0) > 0 && election.mayOrder(),
+    });
     let publishedPending: PendingCounts = {};
     let planner: Planner | undefined;
     let hasSteppedDown = false;
@@ -111,7 +124,9 @@
     const onRow = (row: StateRow): void => {
         if (row.part === plannerPart && row.key === plannerLeaseKey) {
             election.observe(row);
-            publishedPending = asLease(row)?.pending ?? publishedPending;
+            const lease = asLease(row);
+            publishedPending = lease?.pending ?? publishedPending;
+            phases.observePlanner(lease?.holder ?? "");
         }
     };
 
@@ -143,6 +158,7 @@
             inheritedLeases,
             isLeaseWithheld: workerId => election.isLeaseWithheld(workerId),
             publishLeases: election.renewNow,
+            onPhaseStored: phases.cache.set,
             onFenced: reason => election.markLost(reason),
         });
     };
@@ -194,11 +210,8 @@
             acceptJob({ ...context, admission, sentSubmissions }, submission, deadlineMs),
         cancel: (jobId, cancelOptions) => cancelStoredJob(context, jobId, cancelOptions),
         phase: (jobId, phaseOptions) =>
-            queryJobPhase(
-                { ...context, cache: phaseCache, isOutage: admission.isOutage, isUnreachable },
-                jobId,
-                phaseOptions,
-            ),
+            queryJobPhase({ ...context, ...phases, isOutage: admission.isOutage, isUnreachable }, jobId, phaseOptions),
+        knownPhase: phases.tell,
         job: jobId => readJob(state, jobId),
         pending: queue => (planner?.pendingCounts() ?? publishedPending)[queue] ?? 0,
         plannerAgeMs: follower.ageMs,
--- a/src/node/machineLimits.ts
+++ b/src/node/machineLimits.ts
@@ -21,7 +21,7 @@
 const tableDescriptors = 24;
 /** Connections of a planner to 250 workers, 4 to each. */
 const workerDescriptors = 1_000;
-/** Connections to 45 other entry VMs, 4 to each; the further ones for long polls go to few of them at a time. */
+/** Connections to 45 other entry VMs, 4 to each; the further ones, for long polls and for phases of jobs, go to few. */
 const peerDescriptors = 180;
 /** Connections of the load balancer's health checks, which ask once a second. */
 const maxReadinessConnections = 32;
--- a/src/node/operationsHttp.ts
+++ b/src/node/operationsHttp.ts
@@ -5,6 +5,7 @@
 import type { RequestIntake } from "../utils/requestIntake.js";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { EntryVm } from "./entryVm.js";
+import { isPhaseRequest, phasePath } from "./phasePeer.js";
 import { relayPath } from "./relayPeer.js";
 
 /** Options of {@link createOperationsServer}. */
@@ -23,7 +24,7 @@
 /** Largest body of a relayed operation, which is a transaction of the table. */
 const maxBodyBytes = 1_048_576;
 
-/** Creates the HTTP server for operators and other VMs: `/metrics` for Prometheus, `/v1/dump` and the table relay. */
+/** Creates the HTTP server for operators and other VMs: `/metrics` for Prometheus, `/v1/dump`, the table relay and phases of jobs. */
 export const createOperationsServer = (options: OperationsServerOptions): Server => {
     const { vm, metrics, table, relayedTables, intake, maxConnections } = options;
     return createJsonServer(async request => {
@@ -40,6 +41,10 @@
                 return isRelayRequest(request.body, relayedTables)
                     ? { status: 200, body: await table.performForPeer(request.body) }
                     : { status: 400, body: { detail: "not an operation that VMs relay" } };
+            case phasePath:
+                return isPhaseRequest(request.body)
+                    ? { status: 200, body: vm.knownPhase(request.body.jobId) ?? {} }
+                    : { status: 400, body: { detail: "jobId must be a text" } };
             default:
                 return { status: 404, body: {} };
         }
--- a/src/node/relayPeer.ts
+++ b/src/node/relayPeer.ts
@@ -2,9 +2,9 @@
 import type { RelayPeer, RelayReply, RelayRequest } from "../state/relay.js";
 import { isRelayReply } from "../state/relayMessages.js";
 import { StateErrorKind } from "../state/types.js";
-import { createHttpClient } from "../utils/httpJsonClient.js";
-import type { HttpAnswer, HttpClient } from "../utils/httpJsonClient.js";
+import type { HttpAnswer } from "../utils/httpJsonClient.js";
 import { fail } from "../utils/result.js";
+import { createPeerClients } from "./peerClients.js";
 
 /** Path under which a VM performs table operations for another VM. */
 export const relayPath = "/v1/relay";
@@ -31,16 +31,8 @@
 
 /** Creates relay clients for other VMs; two HTTP clients for each address are created and reused. */
 export const createRelayPeers = (others: () => readonly Peer[]): () => RelayPeer[] => {
-    const createFinder = (connections: number): (address: string) => HttpClient => {
-        const clients = new Map<string, HttpClient>();
-        return address => {
-            const client = clients.get(address) ?? createHttpClient(address, connections);
-            clients.set(address, client);
-            return client;
-        };
-    };
-    const findClient = createFinder(maxConnections);
-    const findLongPollClient = createFinder(maxLongPollConnections);
+    const findClient = createPeerClients(maxConnections);
+    const findLongPollClient = createPeerClients(maxLongPollConnections);
     const perform = async (peer: Peer, request: RelayRequest): Promise<RelayReply> => {
         const waitMs = request.operation === "changes" ? request.waitMs : 0;
         const client = (request.operation === "changes" ? findLongPollClient : findClient)(peer.address);
--- a/test/endedJobReads.test.ts
+++ b/test/endedJobReads.test.ts
@@ -91,8 +91,10 @@
         });
     }
 
-    it("is answered after the term was handed over, and the next planner's process was killed", async () => {
-        const { fleet, silence, ask } = await createFleetOfEndedJobs();
+    /** A fleet whose planner has handed its term over since the jobs ended. */
+    const createFleetAfterHandover = async () => {
+        const parts = await createFleetOfEndedJobs();
+        const { fleet, silence } = parts;
         const former = fleet.planner() ?? "";
         fleet.relativePowerOf = vm => vm === former ? 0.1 : 1;
         await fleet.timer.advance(settledMs);
@@ -100,10 +102,21 @@
         assert.notEqual(next, former);
         const asked = [...fleet.vms.keys()].find(name => name !== former && name !== next) ?? "";
         silence(plannerPart, ...jobParts);
+        return { ...parts, former, next, asked };
+    };
+
+    it("is answered after the term was handed over, and the next planner's process was killed", async () => {
+        const { fleet, ask, next, asked } = await createFleetAfterHandover();
         fleet.killVm(next);
         assert.deepEqual(await ask(asked, [jobId], 3_000), [JobPhase.Succeeded]);
     });
 
+    it("is answered after the term was handed over, and the former planner's process was killed", async () => {
+        const { fleet, ask, former, asked } = await createFleetAfterHandover();
+        fleet.killVm(former);
+        assert.deepEqual(await ask(asked, [jobId], 3_000), [JobPhase.Succeeded]);
+    });
+
     it("is not told to another customer", async () => {
         const { silence, bystander, ask } = await createFleetOfEndedJobs();
         silence(...jobParts);
--- a/test/recorder.test.ts
+++ b/test/recorder.test.ts
@@ -66,6 +66,8 @@
         /** Answers a commit in place of the table. */
         intercept: (): CommitResult | undefined => undefined,
         recorder: undefined as Recorder | undefined,
+        /** Phases that the recorder has reported as stored. */
+        storedPhases: new Map<string, JobPhase>(),
         createJob: (submission: JobSubmission, record?: JobRecord): JobState =>
             restoreJob(submission, { record, submissionVersion: 0, recordVersion: 0, cancelled: false }, {
                 findSession: (id, bornMs) => ({ id, bornMs }) as WorkerSession,
@@ -102,6 +104,7 @@
         log: () => {},
         term,
         termVersions,
+        onPhaseStored: (jobId, { phase }) => fixture.storedPhases.set(jobId, phase),
         onFenced: () => {
             fixture.fenced = true;
         },
@@ -250,6 +253,23 @@
         assert.equal((fixture.storedRecord(other.submission.id) as { sequence: number; }).sequence, 2);
     });
 
+    it("reports a phase as stored once the table has it, also if the answer was lost", async () => {
+        const fixture = createTerm();
+        const submission = createSubmission(idsOfOnePart(1)[0], [createStep()]);
+        const job = fixture.createJob(submission, { ...createRecord(1), phase: JobPhase.Succeeded });
+        const lost: CommitResult = fail({ kind: StateErrorKind.NoAnswer, detail: "lost" });
+        fixture.intercept = () => lost;
+        await fixture.record([job]);
+        assert.isFalse(fixture.storedPhases.has(submission.id), "no write has taken effect");
+        fixture.intercept = () => {
+            fixture.intercept = () => undefined;
+            fixture.model.commit(fixture.commits[fixture.commits.length - 1]);
+            return lost;
+        };
+        await fixture.timer.advance(1_000);
+        assert.equal(fixture.storedPhases.get(submission.id), JobPhase.Succeeded);
+    });
+
     it("pauses before it repeats a write that was refused without the rows it conflicts with", async () => {
         const fixture = createTerm();
         const [job] = idsOfOnePart(1).map(id => fixture.createJob(createSubmission(id, [createStep()])));
--- a/test/unansweredReads.test.ts
+++ b/test/unansweredReads.test.ts
@@ -97,7 +97,7 @@
         });
         const { table: state, isOutage } = admission;
         const { isUnreachable } = relayed;
-        const context = { state, timer, log, cache: createPhaseCache(), isOutage, isUnreachable };
+        const context = { state, timer, log, cache: createPhaseCache(), isOutage, isUnreachable, askPlanners };
         return async (jobId: string, deadlineMs: number) => {
             const startedAtMs = timer.nowMs();
             const phase = await queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
@@ -107,6 +107,9 @@
     return { timer, createVm };
 };
 
+/** No planner is there to be asked. */
+const askPlanners = async () => undefined;
+
 type Ask = ReturnType<ReturnType<typeof createVms>["createVm"]>;
 
 /** Phases as their callers get them, who all ask at the same moment. */
@@ -239,7 +242,15 @@
     };
     const log = (): void => {};
     const never = (): boolean => false;
-    const context = { state, timer, log, cache: createPhaseCache(), isOutage: never, isUnreachable: never };
+    const context = {
+        state,
+        timer,
+        log,
+        cache: createPhaseCache(),
+        isOutage: never,
+        isUnreachable: never,
+        askPlanners,
+    };
     const ask = (deadlineMs: number) => queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
     return { vm, ask };
 };
--- a/tools/mutants.ts
+++ b/tools/mutants.ts
@@ -1,6 +1,7 @@
 /** Mechanisms that can be switched off in a scratch copy of the build, each with the test that must fail without it. */
 import { clientMutants } from "./clientMutants.js";
 import { planningMutants } from "./planningMutants.js";
+import { readMutants } from "./readMutants.js";
 import { stopMutants } from "./stopMutants.js";
 import { storageMutants } from "./storageMutants.js";
 import { submissionMutants } from "./submissionMutants.js";
@@ -27,6 +28,7 @@
     ...submissionMutants,
     ...workerMutants,
     ...clientMutants,
+    ...readMutants,
     {
         without: "restoring reservations from the records under a new planner",
         file: "execution/guarantees.js",
