test: a former planner tells its own callers that a job runs whose end was shown

Seen on (npm test -- phaseKnowledge): the end of a job was shown by another VM; its part of the table is then silent and the VM that planned last is killed. The VM that planned before shows the job as running, which it recorded in its own term; on it remembered only what its own callers had read. Other VMs are not told this ("is not answered from the memory of a VM whose term has ended").

--- a/test/phaseKnowledge.test.ts
+++ b/test/phaseKnowledge.test.ts
@@ -146,6 +146,18 @@
         assert.isAtMost(own.tookMs, told.tookMs);
     });
 
+    it("is not what a VM recorded in a term that has ended, told to its own callers after the job's end was shown", async () => {
+        const { fleet, silent, ask, submit, others, planner, handOver } = await createFleetOfParts();
+        await submit(20_000);
+        await fleet.timer.advance(1_000);
+        const former = await handOver(30_000);
+        const next = planner();
+        assert.deepInclude(await ask(others(former, next)[0]), { phase: JobPhase.Succeeded });
+        silent.add(partOfJob(jobId));
+        fleet.killVm(next);
+        assert.notEqual((await ask(former)).phase, JobPhase.Running);
+    });
+
     it("is still found after VMs held the term that never came to plan", async () => {
         const { fleet, silent, ask, submit, others, planner, handOver } = await createFleetOfParts();
         await submit(500);
