fix: without the table only a final phase is answered early, and nothing from a term that has ended

Cause: one cache held what callers read and what the planner stored, and nothing said what is certain of either. Class: knowledge used beyond the time or the question for which it holds.

Change: phases carry the time of the recorded end. One is final within nine tenths of the retention after it; only such a phase is answered before the read's time is over. What the planner stored is kept apart and, if it is not final, used only while its term is confirmed. A cancellation, which changes no version, is not replaced by an older phase; a job that the table no longer has is forgotten.

--- a/src/execution/recorder.ts
+++ b/src/execution/recorder.ts
@@ -86,8 +86,9 @@
 };
 
 const finishBatch = (batch: Batch, { onPhaseStored }: RecorderOptions): void => {
-    for (const { job: { submission, submissionVersion, recordVersion }, record: { phase } } of batch.jobs) {
-        onPhaseStored(submission.id, { phase, owner: submission, submissionVersion, recordVersion });
+    for (const { job: { submission, submissionVersion, recordVersion }, record } of batch.jobs) {
+        const { phase, endedAtMs } = record;
+        onPhaseStored(submission.id, { phase, owner: submission, submissionVersion, recordVersion, endedAtMs });
     }
     resolveBatch(batch, true);
 };
--- a/src/jobs/phaseCache.ts
+++ b/src/jobs/phaseCache.ts
@@ -1,6 +1,7 @@
 import type { JobOwner } from "./jobAccess.js";
 import { phaseOf } from "./projection.js";
 import type { StoredJob } from "./projection.js";
+import { isEnded } from "./types.js";
 import type { JobPhase } from "./types.js";
 
 /** Phase of a job as last read or written, with the job's owner. */
@@ -10,6 +11,8 @@
     /** Versions of the rows that it was read from. */
     submissionVersion: number;
     recordVersion: number;
+    /** Wall-clock time of the job's end as the planner recorded it. @default no end is recorded */
+    endedAtMs?: number;
 }
 
 /** Phase of a job by its rows; `undefined` if the job does not exist. */
@@ -20,6 +23,7 @@
         owner: job.submission,
         submissionVersion: job.submissionVersion,
         recordVersion: job.recordVersion,
+        endedAtMs: job.record?.endedAtMs,
     };
 };
 
@@ -28,15 +32,24 @@
     /** Remembers a phase, unless a newer one is known. */
     set(jobId: string, cached: CachedPhase): void;
     get(jobId: string): CachedPhase | undefined;
+    forget(jobId: string): void;
 }
 
 /** Capacity; the least recently set phase is evicted first. */
 const maxCachedJobs = 2_000;
 
-/** Whether a phase was read from older rows of the same job; a job that is submitted again has a newer submission. */
-const isOlder = (phase: CachedPhase, than: CachedPhase): boolean =>
-    phase.submissionVersion < than.submissionVersion
-    || (phase.submissionVersion === than.submissionVersion && phase.recordVersion < than.recordVersion);
+/**
+ * Whether a phase was read from older rows of the same job; a job that is submitted again has a newer submission. A
+ * cancellation changes neither version.
+ */
+export const isOlderPhase = (phase: CachedPhase, than: CachedPhase): boolean => {
+    if (phase.submissionVersion !== than.submissionVersion) {
+        return phase.submissionVersion < than.submissionVersion;
+    }
+    return phase.recordVersion === than.recordVersion
+        ? !isEnded(phase.phase) && isEnded(than.phase)
+        : phase.recordVersion < than.recordVersion;
+};
 
 /** Creates an empty cache. */
 export const createPhaseCache = (): PhaseCache => {
@@ -45,7 +58,7 @@
         set: (jobId, cached) => {
             const { customer, queue } = cached.owner;
             const known = phases.get(jobId);
-            if (known !== undefined && isOlder(cached, known)) {
+            if (known !== undefined && isOlderPhase(cached, known)) {
                 return;
             }
             phases.delete(jobId);
@@ -55,5 +68,6 @@
             }
         },
         get: jobId => phases.get(jobId),
+        forget: jobId => void phases.delete(jobId),
     };
 };
--- a/src/jobs/queries/jobPhase.ts
+++ b/src/jobs/queries/jobPhase.ts
@@ -9,7 +9,6 @@
 import { toCachedPhase } from "../phaseCache.js";
 import type { CachedPhase, PhaseCache } from "../phaseCache.js";
 import { jobsTable, partOfJob, progressTable } from "../rows.js";
-import { isEnded } from "../types.js";
 import type { JobPhase } from "../types.js";
 import { readJob } from "./readJob.js";
 
@@ -32,6 +31,10 @@
     isOutage: () => boolean;
     /** Whether this VM knows that it cannot reach a part of a table directly. */
     isUnreachable: (part: TablePart) => boolean;
+    /** What this VM is sure of without the table: how a job ended, and other phases while it plans. */
+    tell: (jobId: string) => CachedPhase | undefined;
+    /** Whether a phase cannot change any more. */
+    isFinal: (phase: CachedPhase) => boolean;
     /** Asks the VMs that plan, or did so before, for a phase; `undefined` if none of them knows it or answers in time. */
     askPlanners: (jobId: string, timeoutMs: number) => Promise<CachedPhase | undefined>;
 }
@@ -56,6 +59,8 @@
 const relayedDoubtAfterMs = 100;
 /** Share of a read's time after which it is in doubt at the latest. */
 const doubtShareOfRead = 0.3;
+/** Time for which other VMs are asked if the caller's time is unlimited. */
+const maxRecallMs = 900;
 /** Pause before a read is repeated that could not be performed. */
 const repeatPauseMs = 100;
 
@@ -96,6 +101,7 @@
     }
     const stored = toCachedPhase(job);
     if (stored === undefined) {
+        cache.forget(jobId);
         return { phase: undefined, source: PhaseSource.Table };
     }
     cache.set(jobId, stored);
@@ -127,33 +133,31 @@
 ): PhaseReading | undefined =>
     known !== undefined && mayAccess(known.owner, access) ? { phase: known.phase, source } : undefined;
 
-/** Finds a phase without the table: how the job ended, if this VM remembers that, or else what planners know. */
-const recall = async (
-    { cache, askPlanners }: JobPhaseContext,
+/** Finds a final phase without the table; one that is not final is remembered for a read that the table does not answer. */
+const recallFinal = async (
+    { cache, tell, isFinal, askPlanners }: JobPhaseContext,
     jobId: string,
     options: JobPhaseOptions,
     timeoutMs: number,
 ): Promise<PhaseReading | undefined> => {
-    const remembered = cache.get(jobId);
-    if (remembered !== undefined && isEnded(remembered.phase)) {
-        return toReading(remembered, PhaseSource.Cache, options);
+    const own = tell(jobId);
+    if (own !== undefined) {
+        return isFinal(own) ? toReading(own, PhaseSource.Cache, options) : undefined;
     }
-    const known = await askPlanners(jobId, timeoutMs);
-    if (known !== undefined) {
-        cache.set(jobId, known);
+    const told = await askPlanners(jobId, timeoutMs);
+    if (told === undefined) {
+        return undefined;
     }
-    return toReading(known, PhaseSource.Planner, options);
+    cache.set(jobId, told);
+    return isFinal(told) ? toReading(told, PhaseSource.Planner, options) : undefined;
 };
 
 /** Time after which a read of the table is in doubt, so that the phase is looked for elsewhere beside it. */
 const chooseDoubtAfterMs = (
-    { isOutage, isUnreachable }: JobPhaseContext,
+    { isUnreachable }: JobPhaseContext,
     jobId: string,
-    { readMs = Number.POSITIVE_INFINITY, isRetryPossible }: ReadTime,
+    { readMs = Number.POSITIVE_INFINITY }: ReadTime,
 ): number => {
-    if (isOutage() && isRetryPossible) {
-        return 0;
-    }
     const part = partOfJob(jobId);
     const isRelayed = [jobsTable, progressTable].some(table => isUnreachable({ table, part }));
     return Math.min(isRelayed ? relayedDoubtAfterMs : doubtAfterMs, readMs * doubtShareOfRead);
@@ -164,24 +168,20 @@
     jobId: string,
     options: JobPhaseOptions,
 ): Promise<PhaseReading | undefined> => {
-    const { timer, cache, isOutage } = context;
+    const { timer, isOutage } = context;
     const time = planRead(options);
+    if (isOutage() && time.isRetryPossible) {
+        return resolveWithin(timer, minReadMs, recallFinal(context, jobId, options, minReadMs), undefined);
+    }
     const doubtMs = chooseDoubtAfterMs(context, jobId, time);
-    const isTableRead = !(isOutage() && time.isRetryPossible);
-    const fromTable = isTableRead ? readRepeatedly(context, jobId, options, time) : Promise.resolve(undefined);
+    const fromTable = readRepeatedly(context, jobId, options, time);
     const early = await resolveWithin(timer, doubtMs, fromTable, undefined);
     if (early !== undefined) {
         return early;
     }
-    const restMs = isTableRead && time.readMs !== undefined ? time.readMs - doubtMs : minReadMs;
-    const elsewhere = recall(context, jobId, options, restMs);
-    const late = await resolveWithin(
-        timer,
-        time.readMs === undefined ? undefined : restMs,
-        firstDefined([fromTable, elsewhere]),
-        undefined,
-    );
-    return late ?? toReading(cache.get(jobId), PhaseSource.Cache, options);
+    const restMs = time.readMs === undefined ? undefined : time.readMs - doubtMs;
+    const elsewhere = recallFinal(context, jobId, options, restMs ?? maxRecallMs);
+    return resolveWithin(timer, restMs, firstDefined([fromTable, elsewhere]), undefined);
 };
 
 /** Fields of the log line that say what this VM knew of the job's part of the tables when the read began. */
@@ -206,7 +206,8 @@
     const { timer, log } = context;
     const startedAtMs = timer.nowMs();
     const knownBefore = describeWays(context, jobId);
-    const reading = await readPhase(context, jobId, options);
+    const reading = await readPhase(context, jobId, options)
+        ?? toReading(context.tell(jobId) ?? context.cache.get(jobId), PhaseSource.Cache, options);
     const phase = reading === undefined ? "unavailable" : reading.phase;
     log("info", "job phase read", {
         jobId,
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -114,6 +114,8 @@
     const eventLoopDelayMs = options.eventLoopDelayMs ?? eventLoopDelay.meanMs;
     const phases = createPhaseKnowledge({
         vm: options.vm,
+        timer,
+        retainMs: options.retainMs,
         askForPhase: options.askForPhase ?? (async () => undefined),
         isPlanning: () => (planner?.planningMs() ?? 0) > 0 && election.mayOrder(),
     });
@@ -158,7 +160,7 @@
             inheritedLeases,
             isLeaseWithheld: workerId => election.isLeaseWithheld(workerId),
             publishLeases: election.renewNow,
-            onPhaseStored: phases.cache.set,
+            onPhaseStored: phases.recordStored,
             onFenced: reason => election.markLost(reason),
         });
     };
--- a/src/node/phaseKnowledge.ts
+++ b/src/node/phaseKnowledge.ts
@@ -1,14 +1,17 @@
 import { createRecentPlanners } from "../execution/recentPlanners.js";
-import { createPhaseCache } from "../jobs/phaseCache.js";
+import { createPhaseCache, isOlderPhase } from "../jobs/phaseCache.js";
 import type { CachedPhase, PhaseCache } from "../jobs/phaseCache.js";
-import { isEnded } from "../jobs/types.js";
 import { firstDefined } from "../utils/firstDefined.js";
+import type { TimerService } from "../utils/timer.js";
 import type { AskForPhase } from "./phasePeer.js";
 
 /** Options of {@link createPhaseKnowledge}. */
 export interface PhaseKnowledgeOptions {
     /** Name of this VM. */
     vm: string;
+    timer: Pick<TimerService, "nowMs" | "wallClockMs">;
+    /** Time after its end for which a job stays stored. */
+    retainMs: number;
     /** Asks another VM for what it knows of a job's phase. */
     askForPhase: AskForPhase;
     /** Whether this VM plans and its term was confirmed recently. */
@@ -17,28 +20,47 @@
 
 /** What VMs know of the phases of jobs without reading the table. */
 export interface PhaseKnowledge {
-    /** Phases that this VM read, or stored as the planner. */
+    /** Phases that callers read through this VM, or that planners told it. */
     cache: PhaseCache;
+    /** Records a phase that this VM stored or read as the planner. */
+    recordStored(jobId: string, phase: CachedPhase): void;
     /** Records who holds the planner's term, as the lease says. */
     observePlanner(holder: string): void;
     /** Asks the VMs that plan, or did so before; `undefined` if none of them knows the phase or answers in time. */
     askPlanners(jobId: string, timeoutMs: number): Promise<CachedPhase | undefined>;
-    /** What this VM tells others: a phase that is final, or one that is current as this VM plans. */
+    /** What this VM is sure of: a phase that is final, or one that is current as this VM plans. */
     tell(jobId: string): CachedPhase | undefined;
+    /** Whether a phase cannot change any more: the job's end is in the table, and its rows are not deleted yet. */
+    isFinal(phase: CachedPhase): boolean;
 }
 
+/** Share of the retention time in which rows are certainly there; the clocks of VMs differ. */
+const safeShareOfRetention = 0.9;
+
 /** Creates the knowledge of a VM that has read nothing yet. */
-export const createPhaseKnowledge = ({ vm, askForPhase, isPlanning }: PhaseKnowledgeOptions): PhaseKnowledge => {
+export const createPhaseKnowledge = (options: PhaseKnowledgeOptions): PhaseKnowledge => {
+    const { vm, timer, retainMs, askForPhase, isPlanning } = options;
     const cache = createPhaseCache();
+    const stored = createPhaseCache();
     const recentPlanners = createRecentPlanners(vm);
+
+    const isFinal = ({ endedAtMs }: CachedPhase): boolean =>
+        endedAtMs !== undefined && timer.wallClockMs() - endedAtMs < retainMs * safeShareOfRetention;
+
     return {
         cache,
+        recordStored: stored.set,
         observePlanner: recentPlanners.observe,
         askPlanners: (jobId, timeoutMs) =>
             firstDefined(recentPlanners.names().map(name => askForPhase(name, jobId, timeoutMs))),
         tell: jobId => {
-            const known = cache.get(jobId);
-            return known !== undefined && (isEnded(known.phase) || isPlanning()) ? known : undefined;
+            const read = cache.get(jobId);
+            const recorded = stored.get(jobId);
+            const isRead = read !== undefined && (recorded === undefined || isOlderPhase(recorded, read));
+            const newest = isRead ? read : recorded;
+            const isCurrent = !isRead && isPlanning();
+            return newest !== undefined && (isCurrent || isFinal(newest)) ? newest : undefined;
         },
+        isFinal,
     };
 };
--- a/src/node/phasePeer.ts
+++ b/src/node/phasePeer.ts
@@ -15,11 +15,14 @@
 const isVersion = (value: unknown): boolean => Number.isSafeInteger(value) && Number(value) >= 0;
 
 const isKnownPhase = (body: unknown): body is CachedPhase => {
-    const { phase, owner, submissionVersion, recordVersion } = (body ?? {}) as Partial<Record<string, unknown>>;
+    const { phase, owner, submissionVersion, recordVersion, endedAtMs } = (body ?? {}) as Partial<
+        Record<string, unknown>
+    >;
     const { customer, queue } = (owner ?? {}) as Partial<Record<string, unknown>>;
     return Object.values<unknown>(JobPhase).includes(phase)
         && typeof queue === "string" && (customer === undefined || typeof customer === "string")
-        && isVersion(submissionVersion) && isVersion(recordVersion);
+        && isVersion(submissionVersion) && isVersion(recordVersion)
+        && (endedAtMs === undefined || typeof endedAtMs === "number");
 };
 
 /** Whether the parsed body of a request asks for a job's phase. */
--- a/test/phaseKnowledge.test.ts
+++ b/test/phaseKnowledge.test.ts
@@ -194,8 +194,10 @@
 
     it("is not waited for again during an outage, once the VMs that planned have not answered", async () => {
         const timer = createVirtualTimer();
-        const { cache, observePlanner, askPlanners } = createPhaseKnowledge({
+        const { observePlanner, ...knowledge } = createPhaseKnowledge({
             vm: "a",
+            timer,
+            retainMs: retainedMs,
             askForPhase: async (_vm, _jobId, timeoutMs) => {
                 await timer.sleep(timeoutMs);
                 return undefined;
@@ -208,10 +210,9 @@
             state: { commit: unused, read: unused, changes: unused },
             timer,
             log: () => {},
-            cache,
+            ...knowledge,
             isOutage: () => true,
             isUnreachable: () => true,
-            askPlanners,
         };
         const measure = async (): Promise<number> => {
             const startedAtMs = timer.nowMs();
--- a/test/unansweredReads.test.ts
+++ b/test/unansweredReads.test.ts
@@ -1,16 +1,17 @@
 import { assert } from "chai";
-import { createPhaseCache } from "../src/jobs/phaseCache.js";
 import { queryJobPhase } from "../src/jobs/queries/jobPhase.js";
 import { jobRowKey, JobRowKind, jobsTable, partOfJob, progressTable } from "../src/jobs/rows.js";
 import { createSubmissionAdmission } from "../src/jobs/submissionAdmission.js";
 import { JobPhase } from "../src/jobs/types.js";
 import { createEntryMetrics } from "../src/node/entryMetrics.js";
+import { createPhaseKnowledge } from "../src/node/phaseKnowledge.js";
 import { createRelayedTable } from "../src/state/relay.js";
 import type { RelayPeer } from "../src/state/relay.js";
 import { StateErrorKind } from "../src/state/types.js";
 import type { ReadRange, StateTable } from "../src/state/types.js";
 import { fail, succeed } from "../src/utils/result.js";
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
+import type { VirtualTimer } from "../src/utils/virtualTimer.js";
 import { createTableModel } from "../standins/fleet/tableModel.js";
 import { createStep, createSubmission } from "./fixtures/fleet.js";
 
@@ -97,7 +98,7 @@
         });
         const { table: state, isOutage } = admission;
         const { isUnreachable } = relayed;
-        const context = { state, timer, log, cache: createPhaseCache(), isOutage, isUnreachable, askPlanners };
+        const context = { state, timer, log, isOutage, isUnreachable, ...createKnowledge(timer) };
         return async (jobId: string, deadlineMs: number) => {
             const startedAtMs = timer.nowMs();
             const phase = await queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
@@ -107,8 +108,15 @@
     return { timer, createVm };
 };
 
-/** No planner is there to be asked. */
-const askPlanners = async () => undefined;
+/** What a VM knows that has seen no planner. */
+const createKnowledge = (timer: VirtualTimer) =>
+    createPhaseKnowledge({
+        vm: "vm0",
+        timer,
+        retainMs: 60_000,
+        askForPhase: async () => undefined,
+        isPlanning: () => false,
+    });
 
 type Ask = ReturnType<ReturnType<typeof createVms>["createVm"]>;
 
@@ -246,10 +254,9 @@
         state,
         timer,
         log,
-        cache: createPhaseCache(),
         isOutage: never,
         isUnreachable: never,
-        askPlanners,
+        ...createKnowledge(timer),
     };
     const ask = (deadlineMs: number) => queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
     return { vm, ask };
--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -93,8 +93,8 @@
     {
         without: "an answer about a job within the time that its caller waits",
         file: "jobs/queries/jobPhase.js",
-        find: "time.readMs === undefined ? undefined : restMs",
-        replace: "undefined",
+        find: "resolveWithin(timer, restMs,",
+        replace: "resolveWithin(timer, undefined,",
         tests: "unansweredReads",
         fails: "is refused in time while no way answers",
     },
