fix: a VM that gave no answer about a phase is not asked again for as long as a caller waits

Cause: the answer "not known" and no answer were the same to the asking VM. Class: what one read has learned is not used by the next one.

Change: an answer says whether the phase is known; a VM without a valid answer is left out for 3 s. VMs of the fleet in tests can be silent to each other.

--- a/src/node/operationsHttp.ts
+++ b/src/node/operationsHttp.ts
@@ -43,7 +43,7 @@
                     : { status: 400, body: { detail: "not an operation that VMs relay" } };
             case phasePath:
                 return isPhaseRequest(request.body)
-                    ? { status: 200, body: vm.knownPhase(request.body.jobId) ?? {} }
+                    ? { status: 200, body: { known: vm.knownPhase(request.body.jobId) } }
                     : { status: 400, body: { detail: "jobId must be a text" } };
             default:
                 return { status: 404, body: {} };
--- a/src/node/phaseKnowledge.ts
+++ b/src/node/phaseKnowledge.ts
@@ -24,8 +24,8 @@
     cache: PhaseCache;
     /** Records a phase that this VM stored or read as the planner. */
     recordStored(jobId: string, phase: CachedPhase): void;
-    /** Records who holds the planner's term, as the lease says. */
-    observePlanner(holder: string): void;
+    /** Records which VM planned last, as the lease says. */
+    observePlanner(name: string): void;
     /** Asks the VMs that plan, or did so before; `undefined` if none of them knows the phase or answers in time. */
     askPlanners(jobId: string, timeoutMs: number): Promise<CachedPhase | undefined>;
     /** What this VM is sure of: a phase that is final, or one that is current as this VM plans. */
@@ -37,22 +37,36 @@
 /** Share of the retention time in which rows are certainly there; the clocks of VMs differ. */
 const safeShareOfRetention = 0.9;
 
+/** Time for which a VM that gave no answer is not asked again, so that a caller waits for it on its first try alone. */
+const cooldownMs = 3_000;
+
 /** Creates the knowledge of a VM that has read nothing yet. */
 export const createPhaseKnowledge = (options: PhaseKnowledgeOptions): PhaseKnowledge => {
     const { vm, timer, retainMs, askForPhase, isPlanning } = options;
     const cache = createPhaseCache();
     const stored = createPhaseCache();
+    const cooldownUntilMs = new Map<string, number>();
     const recentPlanners = createRecentPlanners(vm);
 
     const isFinal = ({ endedAtMs }: CachedPhase): boolean =>
         endedAtMs !== undefined && timer.wallClockMs() - endedAtMs < retainMs * safeShareOfRetention;
 
+    const isAnswering = (name: string): boolean => (cooldownUntilMs.get(name) ?? 0) <= timer.nowMs();
+
+    const ask = async (name: string, jobId: string, timeoutMs: number): Promise<CachedPhase | undefined> => {
+        const answer = await askForPhase(name, jobId, timeoutMs);
+        if (answer === undefined) {
+            cooldownUntilMs.set(name, timer.nowMs() + cooldownMs);
+        }
+        return answer?.known;
+    };
+
     return {
         cache,
         recordStored: stored.set,
         observePlanner: recentPlanners.observe,
         askPlanners: (jobId, timeoutMs) =>
-            firstDefined(recentPlanners.names().map(name => askForPhase(name, jobId, timeoutMs))),
+            firstDefined(recentPlanners.names().filter(isAnswering).map(name => ask(name, jobId, timeoutMs))),
         tell: jobId => {
             const read = cache.get(jobId);
             const recorded = stored.get(jobId);
--- a/src/node/phasePeer.ts
+++ b/src/node/phasePeer.ts
@@ -9,13 +9,19 @@
 const maxConnections = 2;
 const okStatus = 200;
 
-/** Asks another VM for a job's phase; resolves with `undefined` if it does not know it or does not answer in time. */
-export type AskForPhase = (vm: string, jobId: string, timeoutMs: number) => Promise<CachedPhase | undefined>;
+/** Answer of a VM that was asked for a job's phase. */
+export interface PhaseAnswer {
+    /** @default it does not know the job's phase */
+    known?: CachedPhase;
+}
+
+/** Asks another VM for a job's phase; resolves with `undefined` if it gives no valid answer in time. */
+export type AskForPhase = (vm: string, jobId: string, timeoutMs: number) => Promise<PhaseAnswer | undefined>;
 
 const isVersion = (value: unknown): boolean => Number.isSafeInteger(value) && Number(value) >= 0;
 
-const isKnownPhase = (body: unknown): body is CachedPhase => {
-    const { phase, owner, submissionVersion, recordVersion, endedAtMs } = (body ?? {}) as Partial<
+const isCachedPhase = (value: unknown): boolean => {
+    const { phase, owner, submissionVersion, recordVersion, endedAtMs } = (value ?? {}) as Partial<
         Record<string, unknown>
     >;
     const { customer, queue } = (owner ?? {}) as Partial<Record<string, unknown>>;
@@ -25,6 +31,12 @@
         && (endedAtMs === undefined || typeof endedAtMs === "number");
 };
 
+const isPhaseAnswer = (body: unknown): body is PhaseAnswer => {
+    const answer = body as { known?: unknown; } | null | undefined;
+    return typeof answer === "object" && answer !== null
+        && (answer.known === undefined || isCachedPhase(answer.known));
+};
+
 /** Whether the parsed body of a request asks for a job's phase. */
 export const isPhaseRequest = (body: unknown): body is { jobId: string; } =>
     typeof (body as { jobId?: unknown; } | undefined)?.jobId === "string";
@@ -43,7 +55,7 @@
             body: { jobId },
             timeoutMs,
         });
-        return outcome.ok && outcome.answer.status === okStatus && isKnownPhase(outcome.answer.body)
+        return outcome.ok && outcome.answer.status === okStatus && isPhaseAnswer(outcome.answer.body)
             ? outcome.answer.body
             : undefined;
     };
--- a/test/phasePeer.test.ts
+++ b/test/phasePeer.test.ts
@@ -51,12 +51,12 @@
         createPhaseClient(() => [{ name: "b", address, cores: 1 }])(vm, id, askMs);
 
     it("tells what it knows", async () => {
-        assert.deepEqual(await ask(await startVm()), known);
+        assert.deepEqual(await ask(await startVm()), { known });
     });
 
     it("tells nothing of a job that it does not know, and rejects what asks for no job", async () => {
         const address = await startVm();
-        assert.isUndefined(await ask(address, "00000000000000b2"));
+        assert.deepEqual(await ask(address, "00000000000000b2"), {});
         const call = { method: "POST" as const, path: phasePath, body: { jobId: 7 }, timeoutMs: askMs };
         const outcome = await createHttpClient(address, 1).call(call);
         assert.equal(outcome.ok && outcome.answer.status, 400);
@@ -64,13 +64,14 @@
 
     for (
         const [title, body] of Object.entries({
-            "names no phase": { ...known, phase: "lost" },
-            "names no owner": { ...known, owner: {} },
-            "has no versions": { phase: known.phase, owner: known.owner },
+            "names no phase": { known: { ...known, phase: "lost" } },
+            "names no owner": { known: { ...known, owner: {} } },
+            "has no versions": { known: { phase: known.phase, owner: known.owner } },
+            "names no time of the end": { known: { ...known, endedAtMs: "now" } },
             "is no object": "succeeded",
         })
     ) {
-        it(`counts as not knowing it if its answer ${title}`, async () => {
+        it(`gives no valid answer if that ${title}`, async () => {
             const address = await listenOn(
                 createJsonServer(async () => ({ status: 200, body }), { maxBodyBytes: 999 }),
             );
@@ -78,7 +79,7 @@
         });
     }
 
-    it("counts as not knowing it if it is not listed, refuses connections, or does not answer in time", async () => {
+    it("gives no answer if it is not listed, refuses connections, or does not answer in time", async () => {
         const address = await startVm();
         assert.isUndefined(await ask(address, jobId, "c"));
         assert.isUndefined(await ask("127.0.0.1:1"));
