fix: the lease names the VM that planned last, which knows what its successor cannot read yet

VMs asked the holders of the term, but a holder whose takeover cannot be completed, as a part is silent, knows nothing; three of these pushed out the VM that knows, and a VM that had just started had never heard of it. Class: asking by role in place of by knowledge.

Change: the lease row carries the name of the VM that planned last, through holders that do not come to plan; VMs ask those that they have seen there. A row without the field names its holder, as before.

--- a/src/execution/plannerElection.ts
+++ b/src/execution/plannerElection.ts
@@ -23,6 +23,8 @@
     followerAgeMs: () => number;
     /** Whether this VM may acquire the term. */
     isCandidate: () => boolean;
+    /** Whether this VM has planned in its term. */
+    hasPlanned: () => boolean;
     /** Number of waiting jobs by queue, published to the other VMs; `undefined` while it is unknown. */
     pendingCounts: () => PendingCounts | undefined;
     /** Bounds on the leases that the planner does not renew; `undefined` while it knows no more than it inherited. */
@@ -110,6 +112,7 @@
     };
 
     const published = (): PublishedState & { leases: LeaseBounds; } => ({
+        lastPlanner: options.hasPlanned() ? vm : observed.lease()?.lastPlanner,
         pending: options.pendingCounts() ?? observed.lease()?.pending,
         overloadAgeMs: candidacy.overloadAgeMs(),
         leases: publication.present(),
@@ -161,11 +164,10 @@
         }
         const request = confirmation.startRequest();
         const previous = asLease(read.row);
-        const { term: previousTerm = 0, holder: previousHolder, pending, overloadAgeMs } = previous ?? {};
         const inherited = publication.inherit(read.row, observed.changedAtMs(), vm);
         // the row may have been overwritten by another writer, and workers refuse a term lower than they have seen
-        const term = Math.max(previousTerm, observed.highestTerm()) + 1;
-        const lease = { holder: vm, term, beat: 1, pending, overloadAgeMs, leases: inherited.remaining() };
+        const term = Math.max(previous?.term ?? 0, observed.highestTerm()) + 1;
+        const lease = { ...previous, holder: vm, term, beat: 1, leases: inherited.remaining() };
         const written = await writeLease(state, read.row?.version ?? 0, lease);
         if (!written.ok) {
             log("info", "term not gained", { term, reason: describeStateError(written.error) });
@@ -175,9 +177,9 @@
             return;
         }
         heldTerm = { term, version: written.value.version, beat: 1 };
-        candidacy.recordAcquired(overloadAgeMs);
+        candidacy.recordAcquired(previous?.overloadAgeMs);
         request.confirm();
-        log("info", "term gained", { term, previous: previousHolder, silentMs: observed.silentMs() });
+        log("info", "term gained", { term, previous: previous?.holder, silentMs: observed.silentMs() });
         publication.begin(inherited, lease.leases);
         options.onGained(term, inherited);
     };
--- a/src/execution/plannerLease.ts
+++ b/src/execution/plannerLease.ts
@@ -13,6 +13,8 @@
     term: number;
     /** Number of renewals, so that every renewal changes the row. */
     beat: number;
+    /** Name of the VM that planned last: the holder, or an earlier one while the holder takes over. @default unknown */
+    lastPlanner?: string;
     /** Number of waiting jobs by queue, as of the renewal. @default unknown */
     pending?: PendingCounts;
     /** Time since a VM last handed the term over because it was overloaded. @default none did */
@@ -22,7 +24,7 @@
 }
 
 /** What the lease tells the other VMs besides who holds it. */
-export type PublishedState = Pick<PlannerLease, "pending" | "overloadAgeMs" | "leases">;
+export type PublishedState = Pick<PlannerLease, "lastPlanner" | "pending" | "overloadAgeMs" | "leases">;
 
 /** The term that this VM holds, as last written. */
 export interface HeldTerm {
@@ -37,7 +39,7 @@
 
 /** Decodes the lease row; `undefined` if there is none, or another writer's value that is no lease. */
 export const asLease = (row: StateRow | undefined): PlannerLease | undefined => {
-    const { holder, term, beat, pending, overloadAgeMs, leases } = (row?.value ?? {}) as Partial<
+    const { holder, term, beat, lastPlanner, pending, overloadAgeMs, leases } = (row?.value ?? {}) as Partial<
         Record<string, unknown>
     >;
     if (typeof holder !== "string" || !Number.isSafeInteger(term) || !Number.isSafeInteger(beat)) {
@@ -47,6 +49,7 @@
         holder,
         term: Number(term),
         beat: Number(beat),
+        lastPlanner: typeof lastPlanner === "string" ? lastPlanner : undefined,
         pending: isPendingCounts(pending) ? pending : undefined,
         overloadAgeMs: typeof overloadAgeMs === "number" ? overloadAgeMs : undefined,
         leases: decodeLeaseBounds(leases),
--- a/src/execution/recentPlanners.ts
+++ b/src/execution/recentPlanners.ts
@@ -1,8 +1,8 @@
-/** The VMs that were seen to hold the planner's term, by this VM's local copy of the lease. */
+/** The VMs that were seen to plan, by this VM's local copy of the lease. */
 export interface RecentPlanners {
-    /** Records the holder of the lease; empty while nobody holds it. */
-    observe(holder: string): void;
-    /** Names of the other VMs that held it, the latest first. */
+    /** Records the VM that planned last; empty if there is none. */
+    observe(name: string): void;
+    /** Names of the other VMs that planned, the latest first. */
     names(): readonly string[];
 }
 
@@ -13,9 +13,9 @@
 export const createRecentPlanners = (vm: string): RecentPlanners => {
     let planners: readonly string[] = [];
     return {
-        observe: holder => {
-            if (holder !== "" && holder !== vm && holder !== planners[0]) {
-                planners = [holder, ...planners.filter(name => name !== holder)].slice(0, maxPlanners);
+        observe: name => {
+            if (name !== "" && name !== vm && name !== planners[0]) {
+                planners = [name, ...planners.filter(other => other !== name)].slice(0, maxPlanners);
             }
         },
         names: () => planners,
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -23,7 +23,7 @@
 import type { JobPhase, JobSubmission } from "../jobs/types.js";
 import type { OperatorSource } from "../queues/types.js";
 import { createTableFollower } from "../state/follower.js";
-import type { TableFollower } from "../state/follower.js";
+import type { TableFollower, TableFollowerOptions } from "../state/follower.js";
 import type { TablePart } from "../state/reachability.js";
 import type { StateRow, StateTable } from "../state/types.js";
 import { createEventLoopDelayMonitor } from "../utils/eventLoopDelay.js";
@@ -104,11 +104,25 @@
 /** Time after which the event loop delay shows how planning goes, and no longer the burst of work of a takeover. */
 const minPlanningMs = 3_000;
 
+const followPlannerTable = (
+    context: Pick<TableFollowerOptions, "state" | "timer" | "log">,
+    onRow: (row: StateRow) => void,
+): TableFollower =>
+    createTableFollower({
+        ...context,
+        table: plannerTable,
+        parts: [plannerPart],
+        waitMs: () => waitMs,
+        pauseMs: () => pauseMs,
+        onRows: rows => rows.forEach(onRow),
+    });
+
 /** Starts an entry VM and its part in the election of the planner. */
 export const startEntryVm = (options: EntryVmOptions): EntryVm => {
     const { timer, log, operator, directory, metrics, random = Math.random, isUnreachable = () => false } = options;
     const admission = createSubmissionAdmission({ state: options.state, timer, log, metrics, random });
     const state = admission.table;
+    const context = { state, timer, log };
     const sentSubmissions = options.sentSubmissions ?? createSentSubmissions(timer, options.retainMs);
     const eventLoopDelay = createEventLoopDelayMonitor(timer);
     const eventLoopDelayMs = options.eventLoopDelayMs ?? eventLoopDelay.meanMs;
@@ -117,18 +131,20 @@
         timer,
         retainMs: options.retainMs,
         askForPhase: options.askForPhase ?? (async () => undefined),
-        isPlanning: () => (planner?.planningMs() ?? 0) > 0 && election.mayOrder(),
+        isPlanning: () => planningMs() > 0 && election.mayOrder(),
     });
     let publishedPending: PendingCounts = {};
     let planner: Planner | undefined;
     let hasSteppedDown = false;
 
+    const planningMs = (): number => planner?.planningMs() ?? 0;
+
     const onRow = (row: StateRow): void => {
         if (row.part === plannerPart && row.key === plannerLeaseKey) {
             election.observe(row);
             const lease = asLease(row);
             publishedPending = lease?.pending ?? publishedPending;
-            phases.observePlanner(lease?.holder ?? "");
+            phases.observePlanner(lease?.lastPlanner ?? lease?.holder ?? "");
         }
     };
 
@@ -137,8 +153,9 @@
         if (options.relativePower() < minPlannerPower) {
             return HandoverReason.StrongerVm;
         }
-        const isPlanning = (planner?.planningMs() ?? 0) > minPlanningMs;
-        return isPlanning && eventLoopDelayMs() > maxEventLoopDelayMs ? HandoverReason.Overloaded : undefined;
+        return planningMs() > minPlanningMs && eventLoopDelayMs() > maxEventLoopDelayMs
+            ? HandoverReason.Overloaded
+            : undefined;
     };
 
     const onGained = (term: number, inheritedLeases: InheritedLeases): void => {
@@ -172,17 +189,7 @@
         directory.stop();
     };
 
-    const follower: TableFollower = createTableFollower({
-        state,
-        timer,
-        log,
-        table: plannerTable,
-        parts: [plannerPart],
-        waitMs: () => waitMs,
-        pauseMs: () => pauseMs,
-        onRows: rows => rows.forEach(onRow),
-    });
-
+    const follower = followPlannerTable(context, onRow);
     const election = createPlannerElection({
         state,
         timer,
@@ -193,6 +200,7 @@
         relativePower: options.relativePower,
         handoverReason,
         takeoverMs: () => planner?.takeoverMs() ?? 0,
+        hasPlanned: () => planningMs() > 0,
         pendingCounts: () => planner?.pendingCounts(),
         leaseBounds: () => planner?.leaseBounds(),
         onLeasesPublished: () => planner?.onLeasesPublished(),
@@ -205,14 +213,13 @@
 
     directory.onChange(() => planner?.onInputsChanged());
     operator.onChange(() => planner?.onInputsChanged());
-    const context = { state, timer, log };
+    const phaseContext = { ...context, ...phases, isOutage: admission.isOutage, isUnreachable };
 
     return {
         accept: (submission, deadlineMs) =>
             acceptJob({ ...context, admission, sentSubmissions }, submission, deadlineMs),
         cancel: (jobId, cancelOptions) => cancelStoredJob(context, jobId, cancelOptions),
-        phase: (jobId, phaseOptions) =>
-            queryJobPhase({ ...context, ...phases, isOutage: admission.isOutage, isUnreachable }, jobId, phaseOptions),
+        phase: (jobId, phaseOptions) => queryJobPhase(phaseContext, jobId, phaseOptions),
         knownPhase: phases.tell,
         job: jobId => readJob(state, jobId),
         pending: queue => (planner?.pendingCounts() ?? publishedPending)[queue] ?? 0,
--- a/test/plannerElection.test.ts
+++ b/test/plannerElection.test.ts
@@ -30,6 +30,7 @@
     relativePower: () => 1,
     handoverReason: () => undefined,
     takeoverMs: () => 0,
+    hasPlanned: () => false,
     pendingCounts: () => undefined,
     leaseBounds: () => undefined,
     onLeasesPublished: () => {},
