--- a/src/jobs/queries/jobPhase.ts
+++ b/src/jobs/queries/jobPhase.ts
@@ -7,36 +7,29 @@
 import { mayAccess } from "../jobAccess.js";
 import type { JobAccess } from "../jobAccess.js";
 import { toCachedPhase } from "../phaseCache.js";
-import type { CachedPhase, PhaseCache } from "../phaseCache.js";
+import type { CachedPhase } from "../phaseCache.js";
 import { jobsTable, partOfJob, progressTable } from "../rows.js";
 import type { JobPhase } from "../types.js";
 import { readJob } from "./readJob.js";
+import { recallPhase } from "./recallPhase.js";
+import type { PhaseRecall } from "./recallPhase.js";
 
 /** Where the phase of a job was read. */
 export enum PhaseSource {
     Table = "table",
-    /** What this VM remembers. */
-    Cache = "cache",
-    /** What a VM told that plans, or did so before. */
-    Planner = "planner",
+    /** What this VM remembers, or was told by one that plans or did so before. */
+    Memory = "memory",
 }
 
 /** Dependencies of {@link queryJobPhase}. */
-export interface JobPhaseContext {
+export interface JobPhaseContext extends PhaseRecall {
     state: StateTable;
     timer: TimerService;
     log: Log;
-    cache: PhaseCache;
     /** Whether the table answers no operation of this VM; callers that can ask another VM are refused at once then. */
     isOutage: () => boolean;
     /** Whether this VM knows that it cannot reach a part of a table directly. */
     isUnreachable: (part: TablePart) => boolean;
-    /** What this VM is sure of without the table: how a job ended, and other phases while it plans. */
-    tell: (jobId: string) => CachedPhase | undefined;
-    /** Whether a phase cannot change any more. */
-    isFinal: (phase: CachedPhase) => boolean;
-    /** Asks the VMs that plan, or did so before, for a phase; `undefined` if none of them knows it or answers in time. */
-    askPlanners: (jobId: string, timeoutMs: number) => Promise<CachedPhase | undefined>;
 }
 
 /** Options of {@link queryJobPhase}. */
@@ -126,30 +119,20 @@
     }
 };
 
-const toReading = (
-    known: CachedPhase | undefined,
-    source: PhaseSource,
-    { access }: JobPhaseOptions,
-): PhaseReading | undefined =>
-    known !== undefined && mayAccess(known.owner, access) ? { phase: known.phase, source } : undefined;
+const toReading = (known: CachedPhase | undefined, { access }: JobPhaseOptions): PhaseReading | undefined =>
+    known !== undefined && mayAccess(known.owner, access)
+        ? { phase: known.phase, source: PhaseSource.Memory }
+        : undefined;
 
 /** Finds a final phase without the table; one that is not final is remembered for a read that the table does not answer. */
 const recallFinal = async (
-    { cache, tell, isFinal, askPlanners }: JobPhaseContext,
+    context: JobPhaseContext,
     jobId: string,
     options: JobPhaseOptions,
     timeoutMs: number,
 ): Promise<PhaseReading | undefined> => {
-    const own = tell(jobId);
-    if (own !== undefined) {
-        return isFinal(own) ? toReading(own, PhaseSource.Cache, options) : undefined;
-    }
-    const told = await askPlanners(jobId, timeoutMs);
-    if (told === undefined) {
-        return undefined;
-    }
-    cache.set(jobId, told);
-    return isFinal(told) ? toReading(told, PhaseSource.Planner, options) : undefined;
+    const known = await recallPhase(context, jobId, timeoutMs);
+    return known !== undefined && context.isFinal(known) ? toReading(known, options) : undefined;
 };
 
 /** Time after which a read of the table is in doubt, so that the phase is looked for elsewhere beside it. */
@@ -207,7 +190,7 @@
     const startedAtMs = timer.nowMs();
     const knownBefore = describeWays(context, jobId);
     const reading = await readPhase(context, jobId, options)
-        ?? toReading(context.tell(jobId) ?? context.cache.get(jobId), PhaseSource.Cache, options);
+        ?? toReading(context.tell(jobId) ?? context.cache.get(jobId), options);
     const phase = reading === undefined ? "unavailable" : reading.phase;
     log("info", "job phase read", {
         jobId,
--- a/src/node/phaseKnowledge.ts
+++ b/src/node/phaseKnowledge.ts
@@ -1,6 +1,7 @@
 import { createRecentPlanners } from "../execution/recentPlanners.js";
 import { createPhaseCache, isOlderPhase } from "../jobs/phaseCache.js";
-import type { CachedPhase, PhaseCache } from "../jobs/phaseCache.js";
+import type { CachedPhase } from "../jobs/phaseCache.js";
+import type { PhaseRecall } from "../jobs/queries/recallPhase.js";
 import { firstDefined } from "../utils/firstDefined.js";
 import type { TimerService } from "../utils/timer.js";
 import type { AskForPhase } from "./phasePeer.js";
@@ -19,19 +20,11 @@
 }
 
 /** What VMs know of the phases of jobs without reading the table. */
-export interface PhaseKnowledge {
-    /** Phases that callers read through this VM, or that planners told it. */
-    cache: PhaseCache;
+export interface PhaseKnowledge extends PhaseRecall {
     /** Records a phase that this VM stored or read as the planner. */
     recordStored(jobId: string, phase: CachedPhase): void;
     /** Records which VM planned last, as the lease says. */
     observePlanner(name: string): void;
-    /** Asks the VMs that plan, or did so before; `undefined` if none of them knows the phase or answers in time. */
-    askPlanners(jobId: string, timeoutMs: number): Promise<CachedPhase | undefined>;
-    /** What this VM is sure of: a phase that is final, or one that is current as this VM plans. */
-    tell(jobId: string): CachedPhase | undefined;
-    /** Whether a phase cannot change any more: the job's end is in the table, and its rows are not deleted yet. */
-    isFinal(phase: CachedPhase): boolean;
 }
 
 /** Share of the retention time in which rows are certainly there; the clocks of VMs differ. */
