fix: the cancellation of a job that has ended is acknowledged while its part of the table is silent

Callers got 503 after 1.05 s on each VM, although the planner knew that the job had ended and there was nothing to cancel. Shown by endedJobReads, which failed before; a job that runs, or another customer's, is refused as before. VMs are asked after the read has failed, for 0.3 s at most.

--- a/src/jobs/commands/cancelStoredJob.ts
+++ b/src/jobs/commands/cancelStoredJob.ts
@@ -4,6 +4,8 @@
 import type { JobAccess } from "../jobAccess.js";
 import { phaseOf } from "../projection.js";
 import { readJob } from "../queries/readJob.js";
+import { recallPhase } from "../queries/recallPhase.js";
+import type { PhaseRecall } from "../queries/recallPhase.js";
 import { jobRowKey, JobRowKind, jobsTable, partOfJob } from "../rows.js";
 import { isEnded } from "../types.js";
 import type { JobPhase } from "../types.js";
@@ -36,6 +38,9 @@
 /** Share of the caller's deadline in which the job is read, so that a refused caller can ask another VM. */
 const readShareOfDeadline = 0.35;
 
+/** Time in which another VM tells what it knows, on the slowest machines. */
+const maxRecallMs = 300;
+
 /** Writes a cancellation until it is answered or the time is over. */
 const store = async (context: JobCommandContext, jobId: string, phase: JobPhase, giveUpAtMs: number) => {
     const cancellationRow = { table: jobsTable, key: jobRowKey(jobId, JobRowKind.Cancellation) };
@@ -68,7 +73,7 @@
 
 /** Stores the cancellation of a job that its caller may cancel; the planner then stops its runs. */
 export const cancelStoredJob = async (
-    context: JobCommandContext,
+    context: JobCommandContext & PhaseRecall,
     jobId: string,
     { access, deadlineMs }: CancelOptions = {},
 ): Promise<Cancellation> => {
@@ -77,7 +82,9 @@
     const readMs = deadlineMs === undefined ? undefined : deadlineMs * readShareOfDeadline;
     const job = await resolveWithin(timer, readMs, readJob(state, jobId, readMs), "unavailable" as const);
     if (job === "unavailable") {
-        return Cancellation.Unavailable;
+        const known = await recallPhase(context, jobId, Math.min(maxRecallMs, (readMs ?? maxRecallMs) / 2));
+        const hasEnded = known !== undefined && context.isFinal(known) && mayAccess(known.owner, access);
+        return hasEnded ? Cancellation.Done : Cancellation.Unavailable;
     }
     const phase = phaseOf(job);
     if (job?.submission === undefined || phase === undefined || !mayAccess(job.submission, access)) {
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -213,12 +213,13 @@
 
     directory.onChange(() => planner?.onInputsChanged());
     operator.onChange(() => planner?.onInputsChanged());
-    const phaseContext = { ...context, ...phases, isOutage: admission.isOutage, isUnreachable };
+    const jobContext = { ...context, ...phases };
+    const phaseContext = { ...jobContext, isOutage: admission.isOutage, isUnreachable };
 
     return {
         accept: (submission, deadlineMs) =>
-            acceptJob({ ...context, admission, sentSubmissions }, submission, deadlineMs),
-        cancel: (jobId, cancelOptions) => cancelStoredJob(context, jobId, cancelOptions),
+            acceptJob({ ...jobContext, admission, sentSubmissions }, submission, deadlineMs),
+        cancel: (jobId, cancelOptions) => cancelStoredJob(jobContext, jobId, cancelOptions),
         phase: (jobId, phaseOptions) => queryJobPhase(phaseContext, jobId, phaseOptions),
         knownPhase: phases.tell,
         job: jobId => readJob(state, jobId),
--- a/test/endedJobReads.test.ts
+++ b/test/endedJobReads.test.ts
@@ -1,4 +1,5 @@
 import { assert } from "chai";
+import { Cancellation } from "../src/jobs/commands/cancelStoredJob.js";
 import { jobParts, partOfJob, plannerPart } from "../src/jobs/rows.js";
 import { JobPhase } from "../src/jobs/types.js";
 import { StateErrorKind } from "../src/state/types.js";
@@ -154,3 +155,38 @@
         assert.deepEqual(await ask(asked, [jobId], 3_000), ["unavailable"]);
     });
 });
+
+// guards against callers that are told that the outcome is open although VMs in touch know it
+describe("while the job's part of the table is silent", () => {
+    const writeMs = 3_000;
+    const resolveAfter = async <Value>({ fleet }: SilentParts, promise: Promise<Value> | undefined) => {
+        await fleet.timer.advance(writeMs);
+        return promise;
+    };
+
+    it("the cancellation of a job that has ended is acknowledged", async () => {
+        const parts = await createFleetOfEndedJobs();
+        parts.silence(...jobParts);
+        const vm = parts.fleet.vms.get(parts.bystander());
+        const cancelled = vm?.cancel(jobId, { access: { customer }, deadlineMs: writeMs });
+        assert.equal(await resolveAfter(parts, cancelled), Cancellation.Done);
+    });
+
+    it("the cancellation of another customer's job is not acknowledged", async () => {
+        const parts = await createFleetOfEndedJobs();
+        parts.silence(...jobParts);
+        const vm = parts.fleet.vms.get(parts.bystander());
+        const cancelled = vm?.cancel(jobId, { access: { customer: "winery" }, deadlineMs: writeMs });
+        assert.equal(await resolveAfter(parts, cancelled), Cancellation.Unavailable);
+    });
+
+    it("the cancellation of a job that runs is not acknowledged", async () => {
+        const parts = await createFleetOfSilentParts();
+        await parts.fleet.submit(createSubmission(jobId, [createStep()], {}, { workMs: 60_000 }));
+        await parts.fleet.timer.advance(500);
+        parts.silence(...jobParts);
+        const vm = parts.fleet.vms.get(parts.bystander());
+        const cancelled = vm?.cancel(jobId, { access: { customer }, deadlineMs: writeMs });
+        assert.equal(await resolveAfter(parts, cancelled), Cancellation.Unavailable);
+    });
+});
--- a/test/unansweredReads.test.ts
+++ b/test/unansweredReads.test.ts
@@ -4,16 +4,15 @@
 import { createSubmissionAdmission } from "../src/jobs/submissionAdmission.js";
 import { JobPhase } from "../src/jobs/types.js";
 import { createEntryMetrics } from "../src/node/entryMetrics.js";
-import { createPhaseKnowledge } from "../src/node/phaseKnowledge.js";
 import { createRelayedTable } from "../src/state/relay.js";
 import type { RelayPeer } from "../src/state/relay.js";
 import { StateErrorKind } from "../src/state/types.js";
 import type { ReadRange, StateTable } from "../src/state/types.js";
 import { fail, succeed } from "../src/utils/result.js";
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
-import type { VirtualTimer } from "../src/utils/virtualTimer.js";
 import { createTableModel } from "../standins/fleet/tableModel.js";
 import { createStep, createSubmission } from "./fixtures/fleet.js";
+import { createLoneKnowledge } from "./fixtures/phaseKnowledge.js";
 
 /** Timeouts of a call to the table and of a relayed one. */
 const tableTimeoutMs = 1_200;
@@ -98,7 +97,7 @@
         });
         const { table: state, isOutage } = admission;
         const { isUnreachable } = relayed;
-        const context = { state, timer, log, isOutage, isUnreachable, ...createKnowledge(timer) };
+        const context = { state, timer, log, isOutage, isUnreachable, ...createLoneKnowledge(timer) };
         return async (jobId: string, deadlineMs: number) => {
             const startedAtMs = timer.nowMs();
             const phase = await queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
@@ -108,16 +107,6 @@
     return { timer, createVm };
 };
 
-/** What a VM knows that has seen no planner. */
-const createKnowledge = (timer: VirtualTimer) =>
-    createPhaseKnowledge({
-        vm: "vm0",
-        timer,
-        retainMs: 60_000,
-        askForPhase: async () => undefined,
-        isPlanning: () => false,
-    });
-
 type Ask = ReturnType<ReturnType<typeof createVms>["createVm"]>;
 
 /** Phases as their callers get them, who all ask at the same moment. */
@@ -256,7 +245,7 @@
         log,
         isOutage: never,
         isUnreachable: never,
-        ...createKnowledge(timer),
+        ...createLoneKnowledge(timer),
     };
     const ask = (deadlineMs: number) => queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
     return { vm, ask };
--- a/test/unansweredWrites.test.ts
+++ b/test/unansweredWrites.test.ts
@@ -11,6 +11,7 @@
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
 import { createTableModel } from "../standins/fleet/tableModel.js";
 import { createStep, createSubmission } from "./fixtures/fleet.js";
+import { createLoneKnowledge } from "./fixtures/phaseKnowledge.js";
 
 /** Time in which the table and two other VMs, one after the other, give no answer. */
 const silenceMs = 3_000;
@@ -36,7 +37,7 @@
     };
     const sentSubmissions = createSentSubmissions(timer, 60_000);
     const admission = createSubmissionAdmission({ state, timer, log, metrics: createEntryMetrics(), random: () => 0 });
-    const context = { state, timer, log, admission, sentSubmissions };
+    const context = { state, timer, log, admission, sentSubmissions, ...createLoneKnowledge(timer) };
     /** Resolves with the result if it comes while the caller waits. */
     const awaitAsCaller = async <Value>(result: Promise<Value>): Promise<Value | "too late"> => {
         let outcome: Value | "too late" = "too late";
@@ -73,7 +74,7 @@
         commit: async transaction => model.commit(transaction),
         changes: async () => fail({ kind: StateErrorKind.Unavailable, detail: "not used" }),
     };
-    return { timer, model, context: { state, timer, log: (): void => {} } };
+    return { timer, model, context: { state, timer, log: (): void => {}, ...createLoneKnowledge(timer) } };
 };
 
 // guards against callers that wait in vain for the outcome of a write
