fix: a submission that a planner knows to be stored is acknowledged while its part of the table is silent

The cause of unanswered reads, elsewhere: a submission that its caller sends again, as the first answer was lost, ended as unknown (504) on every VM but the one that had sent it, although the planner had the job. From half of the caller's time on without an answer the planners are asked; a job of the same customer and queue under the id counts as stored. Shown by endedJobReads, which failed before.

Not done for submissions that are refused unsent during an outage: each first submission would ask in vain.

--- a/src/jobs/commands/acceptJob.ts
+++ b/src/jobs/commands/acceptJob.ts
@@ -1,8 +1,11 @@
 import type { Log } from "../../node/logs.js";
 import { describeStateError } from "../../state/types.js";
 import type { StateTable } from "../../state/types.js";
+import { firstDefined } from "../../utils/firstDefined.js";
 import { resolveWithin } from "../../utils/resolveWithin.js";
 import type { TimerService } from "../../utils/timer.js";
+import { recallPhase } from "../queries/recallPhase.js";
+import type { PhaseRecall } from "../queries/recallPhase.js";
 import { jobRowKey, JobRowKind, jobsTable, partOfJob } from "../rows.js";
 import { toWriteOutcome, WriteOutcome } from "../sentSubmissions.js";
 import type { SentSubmissions } from "../sentSubmissions.js";
@@ -34,7 +37,7 @@
 }
 
 /** Dependencies of {@link acceptJob}. */
-export interface AcceptContext extends JobCommandContext {
+export interface AcceptContext extends JobCommandContext, PhaseRecall {
     admission: SubmissionAdmission;
     sentSubmissions: SentSubmissions;
 }
@@ -127,6 +130,35 @@
     }
 };
 
+/** Finds out without the table whether a submission of the same customer is stored under the id. */
+const recallStored = async (
+    context: AcceptContext,
+    { id, customer, queue }: JobSubmission,
+    timeoutMs: number,
+): Promise<WriteOutcome | undefined> => {
+    const known = await recallPhase(context, id, timeoutMs);
+    return known?.owner.customer === customer && known?.owner.queue === queue ? WriteOutcome.StoredEarlier : undefined;
+};
+
+/** Awaits the outcome of writes; from `doubtAtMs` on it is also looked for where jobs are known without the table. */
+const awaitOutcome = async (
+    context: AcceptContext,
+    submission: JobSubmission,
+    stored: Promise<WriteOutcome>,
+    doubtAtMs: number,
+    answerAtMs: number,
+): Promise<WriteOutcome> => {
+    const { timer } = context;
+    const early = await resolveWithin(timer, doubtAtMs - timer.nowMs(), stored, WriteOutcome.Unknown);
+    if (early !== WriteOutcome.Unknown) {
+        return early;
+    }
+    const restMs = answerAtMs - timer.nowMs();
+    const known = stored.then(outcome => outcome === WriteOutcome.Unknown ? undefined : outcome);
+    const outcomes = firstDefined([known, recallStored(context, submission, restMs)]);
+    return await resolveWithin(timer, restMs, outcomes, undefined) ?? WriteOutcome.Unknown;
+};
+
 /**
  * Stores a submission; its customer is answered only afterwards. A submission whose id is already stored counts as
  * accepted. One that the table would not answer is refused without being sent.
@@ -152,7 +184,7 @@
         return result;
     });
     const answerAtMs = startedAtMs + deadlineMs * answerShareOfDeadline;
-    const outcome = await resolveWithin(timer, answerAtMs - timer.nowMs(), stored, WriteOutcome.Unknown);
+    const outcome = await awaitOutcome(context, submission, stored, giveUpAtMs, answerAtMs);
     // what was stored before is still there when a repeated write gets no answer
     const isStoredBefore = outcome === WriteOutcome.Unknown && earlier === WriteOutcome.Stored;
     return { acceptance: isStoredBefore ? Acceptance.Accepted : acceptanceOf[outcome] };
--- a/test/endedJobReads.test.ts
+++ b/test/endedJobReads.test.ts
@@ -1,4 +1,5 @@
 import { assert } from "chai";
+import { Acceptance } from "../src/jobs/commands/acceptJob.js";
 import { Cancellation } from "../src/jobs/commands/cancelStoredJob.js";
 import { jobParts, partOfJob, plannerPart } from "../src/jobs/rows.js";
 import { JobPhase } from "../src/jobs/types.js";
@@ -189,4 +190,27 @@
         const cancelled = vm?.cancel(jobId, { access: { customer }, deadlineMs: writeMs });
         assert.equal(await resolveAfter(parts, cancelled), Cancellation.Unavailable);
     });
+
+    for (const owner of [customer, "winery"]) {
+        const isOwner = owner === customer;
+        it(`a submission of ${isOwner ? "the same" : "another"} customer under a stored id ${isOwner ? "is" : "is not"} acknowledged`, async () => {
+            const parts = await createFleetOfEndedJobs();
+            parts.silence(...jobParts);
+            const vm = parts.fleet.vms.get(parts.bystander());
+            const repeated = createSubmission(jobId, [createStep()], { customer: owner });
+            const accepted = await resolveAfter(parts, vm?.accept(repeated, writeMs));
+            assert.equal(accepted?.acceptance, isOwner ? Acceptance.Accepted : Acceptance.Unknown);
+        });
+    }
+
+    it("a submission under an id that nobody knows is not acknowledged", async () => {
+        const parts = await createFleetOfEndedJobs();
+        parts.silence(...jobParts);
+        const vm = parts.fleet.vms.get(parts.bystander());
+        const accepted = await resolveAfter(
+            parts,
+            vm?.accept(createSubmission("00000000000000b2", [createStep()]), writeMs),
+        );
+        assert.equal(accepted?.acceptance, Acceptance.Unknown);
+    });
 });
