fix: a VM that hears from no other one asks its callers for no pause

What callers saw: no answer about a job in five tries, or one in the last milliseconds, while the table was calm and VMs of the same zone were in touch.

Cause: fewer than half of a zone's VMs are ready then, so the platform spreads callers over all of them. A VM that is cut off has to refuse, since a key may have been taken away, and asked for a pause of a second; five tries fill the caller's 3 s with pauses. Class: a refusal that speaks for all VMs, by one that knows only about itself.

Ruled out: to answer from memory (keys), to leave rotation (the VM did, the platform falls back on all VMs), to know the phase (it is refused before).

--- a/src/node/relayPeer.ts
+++ b/src/node/relayPeer.ts
@@ -29,8 +29,11 @@
     });
 };
 
-/** Creates relay clients for other VMs; two HTTP clients for each address are created and reused. */
-export const createRelayPeers = (others: () => readonly Peer[]): () => RelayPeer[] => {
+/**
+ * Creates relay clients for other VMs; two HTTP clients for each address are created and reused. `onAnswer` is called
+ * when another VM has answered, whatever the answer is.
+ */
+export const createRelayPeers = (others: () => readonly Peer[], onAnswer = (): void => {}): () => RelayPeer[] => {
     const findClient = createPeerClients(maxConnections);
     const findLongPollClient = createPeerClients(maxLongPollConnections);
     const perform = async (peer: Peer, request: RelayRequest): Promise<RelayReply> => {
@@ -46,6 +49,7 @@
             const kind = outcome.failure.notSent ? StateErrorKind.Unavailable : StateErrorKind.NoAnswer;
             return fail({ kind, detail: `${peer.name}: ${outcome.failure.detail}` });
         }
+        onAnswer();
         return decodeReply(peer.name, request, outcome.answer);
     };
     return () => others().map(peer => ({ name: peer.name, perform: request => perform(peer, request) }));
--- a/test/relayPeer.test.ts
+++ b/test/relayPeer.test.ts
@@ -25,15 +25,29 @@
     });
 
     /** A peer that gives every request the same answer. */
-    const createPeerAnswering = async (status: number, text: string) => {
+    const createPeerAnswering = async (status: number, text: string, onAnswer?: () => void) => {
         server = createServer((message, response) => {
             message.resume();
             message.on("end", () => response.writeHead(status).end(text));
         });
         const port = await listen(server, "127.0.0.1", 0);
-        return createRelayPeers(() => [{ name: "b", address: `127.0.0.1:${port}`, cores: 1 }]);
+        return createRelayPeers(() => [{ name: "b", address: `127.0.0.1:${port}`, cores: 1 }], onAnswer);
     };
 
+    it("counts as contact with the peer, whatever it answers, and not without an answer", async () => {
+        let answers = 0;
+        const count = (): void => {
+            answers += 1;
+        };
+        const refusal = "{\"ok\":false,\"error\":{\"kind\":\"unavailable\",\"detail\":\"no way\"}}";
+        const [peer] = (await createPeerAnswering(200, refusal, count))();
+        await peer.perform({ operation: "commit", transaction });
+        assert.equal(answers, 1);
+        const [absent] = createRelayPeers(() => [{ name: "c", address: "127.0.0.1:1", cores: 1 }], count)();
+        await absent.perform({ operation: "commit", transaction });
+        assert.equal(answers, 1);
+    });
+
     const commitThrough = async (status: number, text: string): Promise<RelayReply> => {
         const [peer] = (await createPeerAnswering(status, text))();
         return peer.perform({ operation: "commit", transaction });
--- a/tools/readMutants.ts
+++ b/tools/readMutants.ts
@@ -82,4 +82,12 @@
         tests: "endedJobReads",
         fails: "a submission of the same customer under a stored id is acknowledged",
     },
+    {
+        without: "no pause for callers of a VM that is isolated",
+        file: "../platform/callers.js",
+        find: "options.isIsolated() ? 0 : undefined",
+        replace: "undefined",
+        tests: "isolatedVms",
+        fails: "is answered with half of its time left if these are isolated",
+    },
 ];
