fix: a VM counts as isolated by calls without an answer, not by having called nobody

Right after the table has fallen silent for all VMs, none has called another one yet, and each would have taken itself for isolated and asked its callers for no pause. Cause: absence of evidence used as evidence.

--- a/src/node/relayPeer.ts
+++ b/src/node/relayPeer.ts
@@ -30,10 +30,13 @@
 };
 
 /**
- * Creates relay clients for other VMs; two HTTP clients for each address are created and reused. `onAnswer` is called
- * when another VM has answered, whatever the answer is.
+ * Creates relay clients for other VMs; two HTTP clients for each address are created and reused. `onCall` is called
+ * after each call with whether the other VM has answered, whatever it answered.
  */
-export const createRelayPeers = (others: () => readonly Peer[], onAnswer = (): void => {}): () => RelayPeer[] => {
+export const createRelayPeers = (
+    others: () => readonly Peer[],
+    onCall: (peer: string, isAnswered: boolean) => void = () => {},
+): () => RelayPeer[] => {
     const findClient = createPeerClients(maxConnections);
     const findLongPollClient = createPeerClients(maxLongPollConnections);
     const perform = async (peer: Peer, request: RelayRequest): Promise<RelayReply> => {
@@ -45,11 +48,11 @@
             body: request,
             timeoutMs: relayTimeoutMs + waitMs,
         });
+        onCall(peer.name, outcome.ok);
         if (!outcome.ok) {
             const kind = outcome.failure.notSent ? StateErrorKind.Unavailable : StateErrorKind.NoAnswer;
             return fail({ kind, detail: `${peer.name}: ${outcome.failure.detail}` });
         }
-        onAnswer();
         return decodeReply(peer.name, request, outcome.answer);
     };
     return () => others().map(peer => ({ name: peer.name, perform: request => perform(peer, request) }));
--- a/src/state/peerContact.ts
+++ b/src/state/peerContact.ts
@@ -2,28 +2,36 @@
 
 /** Whether other VMs answer this one. */
 export interface PeerContact {
-    /** Records that another VM has answered. */
-    recordAnswer(): void;
-    /** Whether there are other VMs and none of them has answered lately. */
+    /** Records whether another VM has answered a call of this one. */
+    recordCall(peer: string, isAnswered: boolean): void;
+    /** Whether other VMs have been called lately and none has answered since. */
     isIsolated(): boolean;
 }
 
-/**
- * Time without an answer after which a VM that relays counts as isolated: one that does not reach the table asks another
- * VM several times a second, and the same one again after 1.5 s.
- */
-const isolatedAfterMs = 2_500;
+/** Other VMs that have not answered: one alone may have failed itself. */
+const minSilentPeers = 2;
+/** Time for which a call without an answer counts. A VM that does not reach the table calls other VMs all the time. */
+const evidenceMs = 5_000;
 
-/** Creates the contact of a VM that has had no answer yet. */
+/** Creates the contact of a VM that has called no other one yet. */
 export const createPeerContact = (
     { nowMs }: Pick<TimerService, "nowMs">,
     others: () => readonly unknown[],
 ): PeerContact => {
-    let answeredAtMs = Number.NEGATIVE_INFINITY;
+    /** Time of the latest call without an answer, by VM; emptied by an answer. */
+    const silentAtMs = new Map<string, number>();
     return {
-        recordAnswer: () => {
-            answeredAtMs = nowMs();
+        recordCall: (peer, isAnswered) => {
+            if (isAnswered) {
+                silentAtMs.clear();
+            }
+            else {
+                silentAtMs.set(peer, nowMs());
+            }
+        },
+        isIsolated: () => {
+            const silent = [...silentAtMs.values()].filter(atMs => nowMs() - atMs < evidenceMs).length;
+            return silent > 0 && silent >= Math.min(minSilentPeers, others().length);
         },
-        isIsolated: () => others().length > 0 && nowMs() - answeredAtMs > isolatedAfterMs,
     };
 };
--- a/test/relayPeer.test.ts
+++ b/test/relayPeer.test.ts
@@ -25,27 +25,28 @@
     });
 
     /** A peer that gives every request the same answer. */
-    const createPeerAnswering = async (status: number, text: string, onAnswer?: () => void) => {
+    const createPeerAnswering = async (
+        status: number,
+        text: string,
+        onCall?: (peer: string, isAnswered: boolean) => void,
+    ) => {
         server = createServer((message, response) => {
             message.resume();
             message.on("end", () => response.writeHead(status).end(text));
         });
         const port = await listen(server, "127.0.0.1", 0);
-        return createRelayPeers(() => [{ name: "b", address: `127.0.0.1:${port}`, cores: 1 }], onAnswer);
+        return createRelayPeers(() => [{ name: "b", address: `127.0.0.1:${port}`, cores: 1 }], onCall);
     };
 
-    it("counts as contact with the peer, whatever it answers, and not without an answer", async () => {
-        let answers = 0;
-        const count = (): void => {
-            answers += 1;
-        };
+    it("says whether the peer has answered, whatever it answered", async () => {
+        const calls: [peer: string, isAnswered: boolean][] = [];
+        const record = (peer: string, isAnswered: boolean): void => void calls.push([peer, isAnswered]);
         const refusal = "{\"ok\":false,\"error\":{\"kind\":\"unavailable\",\"detail\":\"no way\"}}";
-        const [peer] = (await createPeerAnswering(200, refusal, count))();
+        const [peer] = (await createPeerAnswering(200, refusal, record))();
         await peer.perform({ operation: "commit", transaction });
-        assert.equal(answers, 1);
-        const [absent] = createRelayPeers(() => [{ name: "c", address: "127.0.0.1:1", cores: 1 }], count)();
+        const [absent] = createRelayPeers(() => [{ name: "c", address: "127.0.0.1:1", cores: 1 }], record)();
         await absent.perform({ operation: "commit", transaction });
-        assert.equal(answers, 1);
+        assert.deepEqual(calls, [["b", true], ["c", false]]);
     });
 
     const commitThrough = async (status: number, text: string): Promise<RelayReply> => {
