--- a/tools/readMutants.ts
+++ b/tools/readMutants.ts
@@ -90,4 +90,12 @@
         tests: "isolatedVms",
         fails: "is answered with half of its time left if these are isolated",
     },
+    {
+        without: "closing the listener of a VM that is cut off",
+        file: "node/listenerGate.js",
+        find: "isCutOff() && isListening()",
+        replace: "false",
+        tests: "listenerGate",
+        fails: "is closed while the VM is cut off",
+    },
 ];
