fix: a planner that cannot confirm its term tells what it recorded, if nobody knows better

What callers saw: no answer about jobs that had not ended when parts of the table fell silent for 30 s, the part of the planner's lease among them.

Cause: a phase that is not final was told only while the planner's term was confirmed. Nobody can take the term over while its part is silent for all, and an answer that may be seconds old is what callers get from every VM that has read the job before.

Change: a VM that plans tells what it recorded until it knows that its term has ended. Where several VMs are asked, an end that one of them knows comes before all else, then the newest phase; a planner that has not heard of its successor does not hide what that one knows. As before, such a phase is answered only once the table had its time.

--- a/src/jobs/queries/recallPhase.ts
+++ b/src/jobs/queries/recallPhase.ts
@@ -4,27 +4,20 @@
 export interface PhaseRecall {
     /** Phases that callers read through this VM, or that planners told it. */
     cache: PhaseCache;
-    /** What this VM is sure of: how a job ended, and other phases while it plans. */
+    /** What this VM tells others: how a job ended, and other phases as it recorded them while it plans. */
     tell: (jobId: string) => CachedPhase | undefined;
     /** Whether a phase cannot change any more. */
     isFinal: (phase: CachedPhase) => boolean;
-    /** Asks the VMs that plan, or did so before, for a phase; `undefined` if none of them knows it or answers in time. */
+    /**
+     * Asks the VMs that plan, or did so before, and remembers what they tell. Resolves with the first phase that is final,
+     * or with the newest once all have answered; `undefined` if none of them knows any.
+     */
     askPlanners: (jobId: string, timeoutMs: number) => Promise<CachedPhase | undefined>;
 }
 
-/** Finds a phase that this VM or a planner is sure of; the job is in the table then. */
+/** Finds a phase that this VM or another one tells; the job is in the table then. */
 export const recallPhase = async (
-    { cache, tell, askPlanners }: PhaseRecall,
+    { tell, askPlanners }: PhaseRecall,
     jobId: string,
     timeoutMs: number,
-): Promise<CachedPhase | undefined> => {
-    const own = tell(jobId);
-    if (own !== undefined) {
-        return own;
-    }
-    const told = await askPlanners(jobId, timeoutMs);
-    if (told !== undefined) {
-        cache.set(jobId, told);
-    }
-    return told;
-};
+): Promise<CachedPhase | undefined> => tell(jobId) ?? askPlanners(jobId, timeoutMs);
--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -72,7 +72,7 @@
     phase(jobId: string, options?: JobPhaseOptions): Promise<JobPhase | "unavailable" | undefined>;
     /**
      * What this VM can tell other VMs of a job's phase without the table: how the job ended, as far as it remembers it,
-     * and of the other jobs what it has recorded as the planner.
+     * and of the other jobs what it has recorded while it plans.
      */
     knownPhase(jobId: string): CachedPhase | undefined;
     /** Stored rows of a job; `undefined` when there is no such job. */
@@ -131,7 +131,7 @@
         timer,
         retainMs: options.retainMs,
         askForPhase: options.askForPhase ?? (async () => undefined),
-        isPlanning: () => planningMs() > 0 && election.mayOrder(),
+        isPlanning: () => planningMs() > 0,
     });
     let publishedPending: PendingCounts = {};
     let planner: Planner | undefined;
--- a/src/node/phaseKnowledge.ts
+++ b/src/node/phaseKnowledge.ts
@@ -15,7 +15,7 @@
     retainMs: number;
     /** Asks another VM for what it knows of a job's phase. */
     askForPhase: AskForPhase;
-    /** Whether this VM plans and its term was confirmed recently. */
+    /** Whether this VM plans and does not know that its term has ended. */
     isPlanning: () => boolean;
 }
 
@@ -33,6 +33,13 @@
 /** Time for which a VM that gave no answer is not asked again, so that a caller waits for it on its first try alone. */
 const cooldownMs = 3_000;
 
+const findNewest = (phases: readonly (CachedPhase | undefined)[]): CachedPhase | undefined =>
+    phases.filter(phase => phase !== undefined)
+        .reduce<CachedPhase | undefined>(
+            (newest, phase) => newest !== undefined && isOlderPhase(phase, newest) ? newest : phase,
+            undefined,
+        );
+
 /** Creates the knowledge of a VM that has read nothing yet. */
 export const createPhaseKnowledge = (options: PhaseKnowledgeOptions): PhaseKnowledge => {
     const { vm, timer, retainMs, askForPhase, isPlanning } = options;
@@ -51,6 +58,10 @@
         if (answer === undefined) {
             cooldownUntilMs.set(name, timer.nowMs() + cooldownMs);
         }
+        // also for a read whose time is over before the other VMs have answered
+        if (answer?.known !== undefined) {
+            cache.set(jobId, answer.known);
+        }
         return answer?.known;
     };
 
@@ -58,15 +69,21 @@
         cache,
         recordStored: stored.set,
         observePlanner: recentPlanners.observe,
-        askPlanners: (jobId, timeoutMs) =>
-            firstDefined(recentPlanners.names().filter(isAnswering).map(name => ask(name, jobId, timeoutMs))),
+        askPlanners: async (jobId, timeoutMs) => {
+            const asked = recentPlanners.names().filter(isAnswering).map(name => ask(name, jobId, timeoutMs));
+            const final = asked.map(async answer => {
+                const known = await answer;
+                return known !== undefined && isFinal(known) ? known : undefined;
+            });
+            return await firstDefined(final) ?? findNewest(await Promise.all(asked));
+        },
         tell: jobId => {
             const read = cache.get(jobId);
             const recorded = stored.get(jobId);
             const isRead = read !== undefined && (recorded === undefined || isOlderPhase(recorded, read));
             const newest = isRead ? read : recorded;
-            const isCurrent = !isRead && isPlanning();
-            return newest !== undefined && (isCurrent || isFinal(newest)) ? newest : undefined;
+            const isOfTerm = !isRead && isPlanning();
+            return newest !== undefined && (isOfTerm || isFinal(newest)) ? newest : undefined;
         },
         isFinal,
     };
--- a/test/phaseKnowledge.test.ts
+++ b/test/phaseKnowledge.test.ts
@@ -1,4 +1,5 @@
 import { assert } from "chai";
+import type { CachedPhase } from "../src/jobs/phaseCache.js";
 import { queryJobPhase } from "../src/jobs/queries/jobPhase.js";
 import { jobParts, partOfJob } from "../src/jobs/rows.js";
 import { JobPhase } from "../src/jobs/types.js";
@@ -224,4 +225,51 @@
         await measure();
         assert.isBelow(await measure(), refusedAtOnceMs);
     });
+
+    describe("when several VMs that planned are asked", () => {
+        const owner = { customer: "hotel", queue: "bookings" };
+        const createPhase = (phase: JobPhase, recordVersion: number): CachedPhase => ({
+            phase,
+            owner,
+            submissionVersion: 1,
+            recordVersion,
+            endedAtMs: phase === JobPhase.Succeeded ? 0 : undefined,
+        });
+
+        /** Asks for a phase that each VM tells after a time; returns what is known then and what is remembered. */
+        const askAll = async (answers: Record<string, [answerMs: number, known: CachedPhase]>) => {
+            const timer = createVirtualTimer();
+            const { observePlanner, askPlanners, cache } = createPhaseKnowledge({
+                vm: "asking",
+                timer,
+                retainMs: retainedMs,
+                askForPhase: async vm => {
+                    const [answerMs, known] = answers[vm];
+                    await timer.sleep(answerMs);
+                    return { known };
+                },
+                isPlanning: () => false,
+            });
+            Object.keys(answers).forEach(observePlanner);
+            const asked = askPlanners(jobId, deadlineMs);
+            await timer.advance(deadlineMs);
+            return { told: (await asked)?.phase, remembered: cache.get(jobId)?.phase };
+        };
+
+        it("is the end that one of them knows, although another one answers first that the job runs", async () => {
+            const known = await askAll({
+                former: [2, createPhase(JobPhase.Running, 5)],
+                next: [200, createPhase(JobPhase.Succeeded, 9)],
+            });
+            assert.deepEqual(known, { told: JobPhase.Succeeded, remembered: JobPhase.Succeeded });
+        });
+
+        it("is the newest of those that are not final, in whatever order they come", async () => {
+            const newer = createPhase(JobPhase.Running, 9);
+            const older = createPhase(JobPhase.Queued, 5);
+            const newest = { told: JobPhase.Running, remembered: JobPhase.Running };
+            assert.deepEqual(await askAll({ former: [2, older], next: [200, newer] }), newest);
+            assert.deepEqual(await askAll({ former: [200, older], next: [2, newer] }), newest);
+        });
+    });
 });
--- a/tools/readMutants.ts
+++ b/tools/readMutants.ts
@@ -29,10 +29,10 @@
     {
         without: "telling a phase that is not final only while planning",
         file: "node/phaseKnowledge.js",
-        find: "isCurrent || isFinal(newest)",
+        find: "isOfTerm || isFinal(newest)",
         replace: "true",
         tests: "endedJobReads",
-        fails: "is not answered from the memory of a VM whose term has ended",
+        fails: "is not answered from the memory of a VM whose term was handed over",
     },
     {
         without: "waiting for the table before a phase that is not final is answered",
