--- a/standins/fleet/main.ts
+++ b/standins/fleet/main.ts
@@ -5,6 +5,7 @@
 import { Refusal } from "../../src/execution/types.js";
 import type { OrderError } from "../../src/execution/types.js";
 import type { TaskId } from "../../src/jobs/types.js";
+import type { TablePart } from "../../src/state/tablePart.js";
 import { StateErrorKind } from "../../src/state/types.js";
 import type { StateRow, StateTransaction } from "../../src/state/types.js";
 import { listen } from "../../src/utils/http.js";
@@ -27,6 +28,8 @@
     tableDown: boolean;
     /** Leaves every request to the table without an answer. */
     tableSilent: boolean;
+    /** Parts of tables whose reads and transactions get no answer; a transaction of them takes no effect. */
+    silentParts: TablePart[];
     /** Number of next transactions that take effect but get no answer. */
     loseAnswers: number;
 }
@@ -51,7 +54,7 @@
 const table = createTableModel();
 const spans: RunSpan[] = [];
 const workers = new Map<string, FleetWorker>();
-const switches: Switches = { tableDown: false, tableSilent: false, loseAnswers: 0 };
+const switches: Switches = { tableDown: false, tableSilent: false, silentParts: [], loseAnswers: 0 };
 
 const readBody = async (request: IncomingMessage): Promise<JsonBody> => {
     const chunks: Buffer[] = [];
@@ -147,6 +150,23 @@
     return { status: 200, body: { ver: written.value.version, "now-ms": timer.nowMs() } };
 };
 
+const isSilent = ({ table, part }: TablePart): boolean =>
+    switches.silentParts.some(silent => silent.table === table && silent.part === part);
+
+/** Parts of tables that a request reads or writes; a feed concerns all parts. */
+const partsOf = (url: URL, body: JsonBody): TablePart[] => {
+    switch (url.pathname) {
+        case "/-/rows-tx": {
+            const { part, conditions, writes } = decodeTransaction(body);
+            return [...conditions, ...writes].map(({ table }) => ({ table, part }));
+        }
+        case "/-/rows-get":
+            return [{ table: url.searchParams.get("table") ?? "", part: url.searchParams.get("part") ?? "" }];
+        default:
+            return [];
+    }
+};
+
 const handleTable = async (request: IncomingMessage, url: URL): Promise<Reply | undefined> => {
     const body = await readBody(request);
     if (url.pathname === "/control/switches") {
@@ -171,7 +191,7 @@
         table.commit({ part: "", conditions: [], writes: [{ table: "op", key: String(body.key), value: body.value }] });
         return { status: 200, body: {} };
     }
-    if (switches.tableSilent) {
+    if (switches.tableSilent || partsOf(url, body).some(isSilent)) {
         return never();
     }
     if (switches.tableDown) {
