--- a/src/node/entryVm.ts
+++ b/src/node/entryVm.ts
@@ -10,7 +10,7 @@
 import type { AcceptResult } from "../jobs/commands/acceptJob.js";
 import { cancelStoredJob } from "../jobs/commands/cancelStoredJob.js";
 import type { Cancellation, CancelOptions } from "../jobs/commands/cancelStoredJob.js";
-import { createPhaseCache } from "../jobs/phaseCache.js";
+import type { CachedPhase } from "../jobs/phaseCache.js";
 import type { StoredJob } from "../jobs/projection.js";
 import { queryJobPhase } from "../jobs/queries/jobPhase.js";
 import type { JobPhaseOptions } from "../jobs/queries/jobPhase.js";
@@ -23,7 +23,7 @@
 import type { JobPhase, JobSubmission } from "../jobs/types.js";
 import type { OperatorSource } from "../queues/types.js";
 import { createTableFollower } from "../state/follower.js";
-import type { TableFollower } from "../state/follower.js";
+import type { TableFollower, TableFollowerOptions } from "../state/follower.js";
 import type { TablePart } from "../state/reachability.js";
 import type { StateRow, StateTable } from "../state/types.js";
 import { createEventLoopDelayMonitor } from "../utils/eventLoopDelay.js";
@@ -31,6 +31,8 @@
 import type { TimerService } from "../utils/timer.js";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { Log } from "./logs.js";
+import { createPhaseKnowledge } from "./phaseKnowledge.js";
+import type { AskForPhase } from "./phasePeer.js";
 
 /** Options of {@link startEntryVm}. */
 export interface EntryVmOptions {
@@ -47,6 +49,8 @@
     maxLeaseMs: number;
     /** Time for which the rows of an ended job are retained. */
     retainMs: number;
+    /** Asks another VM for what it knows of a job's phase. @default none knows any */
+    askForPhase?: AskForPhase;
     /** Processing power of this VM relative to the strongest VM, 0 to 1. */
     relativePower: () => number;
     /** Mean event loop delay of this process in milliseconds. @default measured */
@@ -66,6 +70,11 @@
     cancel(jobId: string, options?: CancelOptions): Promise<Cancellation>;
     /** Phase of a job; `undefined` when there is no such job. */
     phase(jobId: string, options?: JobPhaseOptions): Promise<JobPhase | "unavailable" | undefined>;
+    /**
+     * What this VM can tell other VMs of a job's phase without the table: how the job ended, as far as it remembers it,
+     * and of the other jobs what it has recorded as the planner.
+     */
+    knownPhase(jobId: string): CachedPhase | undefined;
     /** Stored rows of a job; `undefined` when there is no such job. */
     job(jobId: string): Promise<StoredJob | "unavailable" | undefined>;
     /** Number of jobs that wait in a queue, as last counted by the planner. */
@@ -95,23 +104,47 @@
 /** Time after which the event loop delay shows how planning goes, and no longer the burst of work of a takeover. */
 const minPlanningMs = 3_000;
 
+const followPlannerTable = (
+    context: Pick<TableFollowerOptions, "state" | "timer" | "log">,
+    onRow: (row: StateRow) => void,
+): TableFollower =>
+    createTableFollower({
+        ...context,
+        table: plannerTable,
+        parts: [plannerPart],
+        waitMs: () => waitMs,
+        pauseMs: () => pauseMs,
+        onRows: rows => rows.forEach(onRow),
+    });
+
 /** Starts an entry VM and its part in the election of the planner. */
 export const startEntryVm = (options: EntryVmOptions): EntryVm => {
     const { timer, log, operator, directory, metrics, random = Math.random, isUnreachable = () => false } = options;
     const admission = createSubmissionAdmission({ state: options.state, timer, log, metrics, random });
     const state = admission.table;
+    const context = { state, timer, log };
     const sentSubmissions = options.sentSubmissions ?? createSentSubmissions(timer, options.retainMs);
     const eventLoopDelay = createEventLoopDelayMonitor(timer);
     const eventLoopDelayMs = options.eventLoopDelayMs ?? eventLoopDelay.meanMs;
-    const phaseCache = createPhaseCache();
+    const phases = createPhaseKnowledge({
+        vm: options.vm,
+        timer,
+        retainMs: options.retainMs,
+        askForPhase: options.askForPhase ?? (async () => undefined),
+        isPlanning: () => planningMs() > 0 && election.mayOrder(),
+    });
     let publishedPending: PendingCounts = {};
     let planner: Planner | undefined;
     let hasSteppedDown = false;
 
+    const planningMs = (): number => planner?.planningMs() ?? 0;
+
     const onRow = (row: StateRow): void => {
         if (row.part === plannerPart && row.key === plannerLeaseKey) {
             election.observe(row);
-            publishedPending = asLease(row)?.pending ?? publishedPending;
+            const lease = asLease(row);
+            publishedPending = lease?.pending ?? publishedPending;
+            phases.observePlanner(lease?.lastPlanner ?? lease?.holder ?? "");
         }
     };
 
@@ -120,8 +153,9 @@
         if (options.relativePower() < minPlannerPower) {
             return HandoverReason.StrongerVm;
         }
-        const isPlanning = (planner?.planningMs() ?? 0) > minPlanningMs;
-        return isPlanning && eventLoopDelayMs() > maxEventLoopDelayMs ? HandoverReason.Overloaded : undefined;
+        return planningMs() > minPlanningMs && eventLoopDelayMs() > maxEventLoopDelayMs
+            ? HandoverReason.Overloaded
+            : undefined;
     };
 
     const onGained = (term: number, inheritedLeases: InheritedLeases): void => {
@@ -143,6 +177,7 @@
             inheritedLeases,
             isLeaseWithheld: workerId => election.isLeaseWithheld(workerId),
             publishLeases: election.renewNow,
+            onPhaseStored: phases.recordStored,
             onFenced: reason => election.markLost(reason),
         });
     };
@@ -154,17 +189,7 @@
         directory.stop();
     };
 
-    const follower: TableFollower = createTableFollower({
-        state,
-        timer,
-        log,
-        table: plannerTable,
-        parts: [plannerPart],
-        waitMs: () => waitMs,
-        pauseMs: () => pauseMs,
-        onRows: rows => rows.forEach(onRow),
-    });
-
+    const follower = followPlannerTable(context, onRow);
     const election = createPlannerElection({
         state,
         timer,
@@ -175,6 +200,7 @@
         relativePower: options.relativePower,
         handoverReason,
         takeoverMs: () => planner?.takeoverMs() ?? 0,
+        hasPlanned: () => planningMs() > 0,
         pendingCounts: () => planner?.pendingCounts(),
         leaseBounds: () => planner?.leaseBounds(),
         onLeasesPublished: () => planner?.onLeasesPublished(),
@@ -187,18 +213,15 @@
 
     directory.onChange(() => planner?.onInputsChanged());
     operator.onChange(() => planner?.onInputsChanged());
-    const context = { state, timer, log };
+    const jobContext = { ...context, ...phases };
+    const phaseContext = { ...jobContext, isOutage: admission.isOutage, isUnreachable };
 
     return {
         accept: (submission, deadlineMs) =>
-            acceptJob({ ...context, admission, sentSubmissions }, submission, deadlineMs),
-        cancel: (jobId, cancelOptions) => cancelStoredJob(context, jobId, cancelOptions),
-        phase: (jobId, phaseOptions) =>
-            queryJobPhase(
-                { ...context, cache: phaseCache, isOutage: admission.isOutage, isUnreachable },
-                jobId,
-                phaseOptions,
-            ),
+            acceptJob({ ...jobContext, admission, sentSubmissions }, submission, deadlineMs),
+        cancel: (jobId, cancelOptions) => cancelStoredJob(jobContext, jobId, cancelOptions),
+        phase: (jobId, phaseOptions) => queryJobPhase(phaseContext, jobId, phaseOptions),
+        knownPhase: phases.tell,
         job: jobId => readJob(state, jobId),
         pending: queue => (planner?.pendingCounts() ?? publishedPending)[queue] ?? 0,
         plannerAgeMs: follower.ageMs,
--- a/test/unansweredReads.test.ts
+++ b/test/unansweredReads.test.ts
@@ -1,5 +1,4 @@
 import { assert } from "chai";
-import { createPhaseCache } from "../src/jobs/phaseCache.js";
 import { queryJobPhase } from "../src/jobs/queries/jobPhase.js";
 import { jobRowKey, JobRowKind, jobsTable, partOfJob, progressTable } from "../src/jobs/rows.js";
 import { createSubmissionAdmission } from "../src/jobs/submissionAdmission.js";
@@ -13,6 +12,7 @@
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
 import { createTableModel } from "../standins/fleet/tableModel.js";
 import { createStep, createSubmission } from "./fixtures/fleet.js";
+import { createLoneKnowledge } from "./fixtures/phaseKnowledge.js";
 
 /** Timeouts of a call to the table and of a relayed one. */
 const tableTimeoutMs = 1_200;
@@ -97,7 +97,7 @@
         });
         const { table: state, isOutage } = admission;
         const { isUnreachable } = relayed;
-        const context = { state, timer, log, cache: createPhaseCache(), isOutage, isUnreachable };
+        const context = { state, timer, log, isOutage, isUnreachable, ...createLoneKnowledge(timer) };
         return async (jobId: string, deadlineMs: number) => {
             const startedAtMs = timer.nowMs();
             const phase = await queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
@@ -239,7 +239,14 @@
     };
     const log = (): void => {};
     const never = (): boolean => false;
-    const context = { state, timer, log, cache: createPhaseCache(), isOutage: never, isUnreachable: never };
+    const context = {
+        state,
+        timer,
+        log,
+        isOutage: never,
+        isUnreachable: never,
+        ...createLoneKnowledge(timer),
+    };
     const ask = (deadlineMs: number) => queryJobPhase(context, jobId, { deadlineMs, retryAfterMs });
     return { vm, ask };
 };
