fix(state): operations on one part of a table hold at most three connections to it

Cause: calls to a part that does not answer hold a connection each until their timeout of 1.2 s, and the 24 connections were shared by all parts. Reads of 14 jobs in three silent parts (28 calls) left none to the other parts.

Change: a limit for each part of each table on direct operations in progress. Three, since with a third of the 18 parts silent 18 connections are held, long polls for changes hold 3, and the 3 that are left carry 750 operations a second at 4 ms. Up to six while some of them are known to be lost, because the part has answered a later one. Further operations wait in order for 0.6 s at most, half of an operation's time (a slow table answers in 0.5 s), and fail then as not sent, so that such a write is known not to have run. One that this VM held back says nothing about the table and does not close the way to the part.

Ruled out: a larger number of connections; six parts with 20 reads each take any.

Remains: an operation may take 1.8 s in all, 0.6 s unsent, in place of 1.2 s.

--- /dev/null
+++ b/src/state/partLimit.ts
@@ -0,0 +1,124 @@
+import { fail } from "../utils/result.js";
+import type { Result } from "../utils/result.js";
+import type { TimerService } from "../utils/timer.js";
+import { isAnswered } from "./reachability.js";
+import { keyOfPart } from "./tablePart.js";
+import type { TablePart } from "./tablePart.js";
+import { StateErrorKind } from "./types.js";
+import type { StateError, StateTable } from "./types.js";
+
+/** An operation that was sent and has no result yet. */
+interface SentOperation {
+    sentAtMs: number;
+}
+
+/** Operations on one part of one table. */
+interface PartOperations {
+    inProgress: Set<SentOperation>;
+    /** Starts of operations that are not sent yet, in order. */
+    waiting: Set<() => void>;
+    /** Time at which the latest operation that was answered had been sent. */
+    answeredSentAtMs: number;
+}
+
+/**
+ * Operations of a part in progress at a time. With a third of the 18 parts of tables silent they hold 18 of the 24
+ * connections to the table and long polls 3; the 3 that are left serve 750 operations a second at 4 ms each.
+ */
+const maxInProgress = 3;
+/** The same with operations that were lost before the part answered a later one: these no longer delay others. */
+const maxWithLost = 2 * maxInProgress;
+/** Time for which an operation waits to be sent: a slow table answers in 0.5 s, and an operation has 1.2 s in all. */
+const maxWaitMs = 600;
+
+/** Limits how many connections to the table the operations on one part hold while it does not answer. */
+export const createPartLimitedTable = (table: StateTable, timer: TimerService): StateTable => {
+    const parts = new Map<string, PartOperations>();
+
+    const mayStart = ({ inProgress, answeredSentAtMs }: PartOperations): boolean => {
+        const current = [...inProgress].filter(({ sentAtMs }) => sentAtMs >= answeredSentAtMs);
+        return current.length < maxInProgress && inProgress.size < maxWithLost;
+    };
+
+    const begin = (part: PartOperations): SentOperation => {
+        const operation = { sentAtMs: timer.nowMs() };
+        part.inProgress.add(operation);
+        return operation;
+    };
+
+    const startWaiting = (part: PartOperations): void => {
+        for (const start of part.waiting) {
+            if (!mayStart(part)) {
+                return;
+            }
+            part.waiting.delete(start);
+            start();
+        }
+    };
+
+    /** Resolves when the operation is to be sent; `undefined` if its time is over before. */
+    const enter = (part: PartOperations): Promise<SentOperation | undefined> =>
+        new Promise(resolve => {
+            if (mayStart(part)) {
+                resolve(begin(part));
+                return;
+            }
+            const start = (): void => {
+                cancelExpiry();
+                resolve(begin(part));
+            };
+            const cancelExpiry = timer.after(maxWaitMs, () => {
+                part.waiting.delete(start);
+                resolve(undefined);
+            });
+            part.waiting.add(start);
+        });
+
+    const openPart = (key: string): PartOperations => {
+        const part = parts.get(key) ?? {
+            inProgress: new Set(),
+            waiting: new Set(),
+            answeredSentAtMs: Number.NEGATIVE_INFINITY,
+        };
+        parts.set(key, part);
+        return part;
+    };
+
+    const perform = async <Value>(
+        target: TablePart,
+        send: () => Promise<Result<Value, StateError>>,
+    ): Promise<Result<Value, StateError>> => {
+        const key = keyOfPart(target);
+        const part = openPart(key);
+        const operation = await enter(part);
+        if (operation === undefined) {
+            const detail = "not sent: operations on the part have no answer";
+            return fail({ kind: StateErrorKind.Unavailable, detail, isHeldBack: true });
+        }
+        try {
+            const result = await send();
+            if (isAnswered(result)) {
+                part.answeredSentAtMs = Math.max(part.answeredSentAtMs, operation.sentAtMs);
+            }
+            return result;
+        }
+        finally {
+            part.inProgress.delete(operation);
+            startWaiting(part);
+            if (part.inProgress.size === 0) {
+                parts.delete(key);
+            }
+        }
+    };
+
+    return {
+        commit: transaction =>
+            perform(
+                { table: transaction.writes[0]?.table ?? "", part: transaction.part },
+                () => table.commit(transaction),
+            ),
+        read: range => perform(range, () => table.read(range)),
+        // concerns all parts
+        changes: table.changes,
+    };
+};
--- a/src/state/reachability.ts
+++ b/src/state/reachability.ts
@@ -51,6 +51,9 @@
 export const isAnswered = (result: Result<unknown, StateError>): boolean =>
     result.ok || result.error.kind === StateErrorKind.Conflict || result.error.kind === StateErrorKind.HistoryLost;
 
+const isHeldBack = (error: StateError): boolean =>
+    error.kind === StateErrorKind.Unavailable && error.isHeldBack === true;
+
 /** Creates a tracker that assumes every part to be reachable until an operation on it fails. */
 export const createReachability = ({ direct, timer, log }: ReachabilityOptions): Reachability => {
     const unreachable = new Map<string, TablePart>();
@@ -118,7 +121,7 @@
                 probeAll();
             }
         }
-        else if (!result.ok) {
+        else if (!result.ok && !isHeldBack(result.error)) {
             markUnreachable(target, describeStateError(result.error), sentAtMs);
         }
     };
--- a/src/state/types.ts
+++ b/src/state/types.ts
@@ -50,7 +50,12 @@
 
 /** Failure of an operation on the table. */
 export type StateError =
-    | { kind: StateErrorKind.Unavailable; detail: string; }
+    | {
+        kind: StateErrorKind.Unavailable;
+        detail: string;
+        /** Whether this VM did not send the request, which says nothing about the table. @default false */
+        isHeldBack?: boolean;
+    }
     | { kind: StateErrorKind.NoAnswer; detail: string; }
     | { kind: StateErrorKind.Conflict; rows: StateRow[]; }
     | { kind: StateErrorKind.HistoryLost; };
--- a/test/silentParts.test.ts
+++ b/test/silentParts.test.ts
@@ -18,10 +18,13 @@
 /** One of each silent part. */
 const firstSilentIds = silentParts.map(part => silentIds.find(jobId => partOfJob(jobId) === part) ?? "");
 const answeredIds = jobIds.filter(jobId => !silentParts.includes(partOfJob(jobId)));
-const body = {
-    spec: JSON.stringify({ workMs: 100 }),
-    steps: [{ count: 1, cpu: 4_000, "mem-mb": 1_024, gpu: 1, "estimate-ms": 100 }],
-};
+const createBody = (workMs: number): unknown => ({
+    spec: JSON.stringify({ workMs }),
+    steps: [{ count: 1, cpu: 4_000, "mem-mb": 1_024, gpu: 1, "estimate-ms": workMs }],
+});
+/** Jobs that do not end: only the table tells their phase before a read's time is over. */
+const openJobIds = Array.from({ length: 32 }, (_, index) => (index + 256).toString(16).padStart(16, "0"));
+const openStates: readonly unknown[] = ["queued", "running"];
 
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
 
@@ -44,6 +47,11 @@
         return { states, slowestMs };
     };
 
+    const submitAll = (vm: EntryVmProcess, ids: readonly string[], workMs: number) =>
+        Promise.all(
+            ids.map(jobId => processes.request(vm, "POST", `/bookings/${jobId}`, { body: createBody(workMs) })),
+        );
+
     /** Parts of tables that a VM has found to be unreachable. */
     const findUnreachable = (vm: EntryVmProcess): string[] => {
         const lines = vm.lines.filter(line =>
@@ -65,7 +73,7 @@
     beforeEach(async () => {
         processes = await startPlatformProcesses();
         const submitter = await processes.startVm("a");
-        await Promise.all(jobIds.map(jobId => processes.request(submitter, "POST", `/bookings/${jobId}`, { body })));
+        await submitAll(submitter, jobIds, 100);
         const haveEnded = async (): Promise<boolean> => (await askAll(submitter, jobIds)).states.every(isSucceeded);
         await waitUntil(haveEnded, 8_000, "all jobs have succeeded");
         // these have not read the jobs
@@ -124,4 +132,17 @@
         await waiting;
         assert.deepEqual(states.filter(state => !isSucceeded(state)), []);
     });
+
+    it("read the jobs of other parts at once while many wait for theirs that have just fallen silent and go on", async () => {
+        const [vm, submitter] = vms;
+        await submitAll(submitter, openJobIds, 600_000);
+        const isSilent = (jobId: string): boolean => silentParts.includes(partOfJob(jobId));
+        await processes.silenceParts(silentTableParts);
+        const waiting = askAll(vm, openJobIds.filter(isSilent));
+        await sleep(20);
+        const { states, slowestMs } = await askAll(vm, openJobIds.filter(jobId => !isSilent(jobId)));
+        await waiting;
+        assert.deepEqual(states.filter(state => !openStates.includes(state)), []);
+        assert.isBelow(slowestMs, lastDeadlineMs);
+    });
 });
--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -178,4 +178,12 @@
         tests: "httpJsonClient",
         fails: "returns an answer that arrived before its timeout",
     },
+    {
+        without: "a limit on the connections to the table that one of its parts holds",
+        file: "state/partLimit.js",
+        find: "current.length < maxInProgress && inProgress.size < maxWithLost",
+        replace: "true",
+        tests: "partLimit",
+        fails: "leave connections to other parts while a third of 18 parts is silent",
+    },
 ];
