fix(state): probes of parts of the table have connections of their own

Cause: a probe finds out whether a part answers, and waited for what it was to find out: behind the lost operations of its part, which hold that part's three places for 1.2 s, or for one of the 24 connections, of which lost probes took up to 19 from the operations on other parts.

A probe's answer tells the limit that what was sent before is lost, so that reads that wait are sent at once. `createRelayedTable` takes them as `probes`, by default the direct table.

--- a/src/state/partLimit.ts
+++ b/src/state/partLimit.ts
@@ -2,6 +2,7 @@
 import type { Result } from "../utils/result.js";
 import type { TimerService } from "../utils/timer.js";
 import { isAnswered } from "./reachability.js";
+import type { TableProbes } from "./reachability.js";
 import { keyOfPart } from "./tablePart.js";
 import type { TablePart } from "./tablePart.js";
 import { StateErrorKind } from "./types.js";
@@ -31,8 +32,14 @@
 /** Time for which an operation waits to be sent: a slow table answers in 0.5 s, and an operation has 1.2 s in all. */
 const maxWaitMs = 600;
 
+/** A table with limited operations on its parts. */
+export interface PartLimitedTable extends StateTable {
+    /** Creates probes that are not limited; what they show of a part makes room for its operations. */
+    observeProbes(probes: TableProbes): TableProbes;
+}
+
 /** Limits how many connections to the table the operations on one part hold while it does not answer. */
-export const createPartLimitedTable = (table: StateTable, timer: TimerService): StateTable => {
+export const createPartLimitedTable = (table: StateTable, timer: TimerService): PartLimitedTable => {
     const parts = new Map<string, PartOperations>();
 
     const mayStart = ({ inProgress, answeredSentAtMs }: PartOperations): boolean => {
@@ -84,6 +91,12 @@
         return part;
     };
 
+    const recordResult = (part: PartOperations, result: Result<unknown, StateError>, sentAtMs: number): void => {
+        if (isAnswered(result)) {
+            part.answeredSentAtMs = Math.max(part.answeredSentAtMs, sentAtMs);
+        }
+    };
+
     const perform = async <Value>(
         target: TablePart,
         send: () => Promise<Result<Value, StateError>>,
@@ -97,9 +110,7 @@
         }
         try {
             const result = await send();
-            if (isAnswered(result)) {
-                part.answeredSentAtMs = Math.max(part.answeredSentAtMs, operation.sentAtMs);
-            }
+            recordResult(part, result, operation.sentAtMs);
             return result;
         }
         finally {
@@ -120,5 +131,17 @@
         read: range => perform(range, () => table.read(range)),
         // concerns all parts
         changes: table.changes,
+        observeProbes: probes => ({
+            read: async range => {
+                const sentAtMs = timer.nowMs();
+                const result = await probes.read(range);
+                const part = parts.get(keyOfPart(range));
+                if (part !== undefined) {
+                    recordResult(part, result, sentAtMs);
+                    startWaiting(part);
+                }
+                return result;
+            },
+        }),
     };
 };
--- a/src/state/reachability.ts
+++ b/src/state/reachability.ts
@@ -10,10 +10,13 @@
 
 export type { TablePart } from "./tablePart.js";
 
+/** Reads parts of tables to find out whether they answer. */
+export type TableProbes = Pick<StateTable, "read">;
+
 /** Options of {@link createReachability}. */
 export interface ReachabilityOptions {
-    /** Access to the table without a relay. */
-    direct: StateTable;
+    /** Reads the table without a relay, for probes. */
+    probes: TableProbes;
     timer: TimerService;
     log: Log;
 }
@@ -55,7 +58,7 @@
     error.kind === StateErrorKind.Unavailable && error.isHeldBack === true;
 
 /** Creates a tracker that assumes every part to be reachable until an operation on it fails. */
-export const createReachability = ({ direct, timer, log }: ReachabilityOptions): Reachability => {
+export const createReachability = ({ probes, timer, log }: ReachabilityOptions): Reachability => {
     const unreachable = new Map<string, TablePart>();
     const listenersByPart = new Map<string, Set<() => void>>();
     /** Time at which the latest operation that was answered had been sent, by part. */
@@ -69,7 +72,7 @@
             // the next round begins with the parts that were probed least recently
             unreachable.set(key, target);
         }
-        recordResult(target, await direct.read({ ...target, ...probeRange }), sentAtMs);
+        recordResult(target, await probes.read({ ...target, ...probeRange }), sentAtMs);
     };
 
     const answerWaits = createAnswerWaits({
--- a/src/state/relay.ts
+++ b/src/state/relay.ts
@@ -9,6 +9,7 @@
 import { race } from "./race.js";
 import type { Attempt, FurtherAttempts } from "./race.js";
 import { createReachability, isAnswered } from "./reachability.js";
+import type { TableProbes } from "./reachability.js";
 import type { TablePart } from "./tablePart.js";
 import { StateErrorKind } from "./types.js";
 import type { ReadRange, RowsAt, StateError, StateTable, StateTransaction } from "./types.js";
@@ -35,6 +36,8 @@
 export interface RelayedTableOptions {
     /** Access to the table without a relay. */
     direct: StateTable;
+    /** The same over connections that no lost operation holds. @default `direct` */
+    probes?: TableProbes;
     timer: TimerService;
     log: Log;
     /** Other VMs, in the order in which they are tried. */
@@ -98,7 +101,7 @@
  */
 export const createRelayedTable = (options: RelayedTableOptions): RelayedTable => {
     const { direct: table, timer } = options;
-    const reachability = createReachability(options);
+    const reachability = createReachability({ ...options, probes: options.probes ?? table });
     const hedgeDelay = createHedgeDelay();
     const hedgeSlots = createHedgeSlots();
     const cooldownUntilMs = new Map<string, number>();
--- a/test/partLimit.test.ts
+++ b/test/partLimit.test.ts
@@ -47,7 +47,7 @@
     };
     const writeAll = (part: string, count: number) =>
         Promise.all(Array.from({ length: count }, (_, index) => write(part, `k${index}`)));
-    return { timer, silent, conditions, sent, most, table, write, writeAll };
+    return { timer, silent, conditions, sent, most, unlimited, table, write, writeAll };
 };
 
 // guards against parts of the table that do not answer and take the connections of others
@@ -137,3 +137,54 @@
         assert.equal(most.inProgress, 10);
     });
 });
+
+// guards against probes that wait for what they are to find out, or take the connections of other parts
+describe("probes of a part of the table", () => {
+    const deadlineMs = 1_000;
+    const returnMs = 500;
+    /** Time within which a read is answered once its part is back. */
+    const maxAnswerMs = 200;
+    const target = { table: "jobs", part: "p0" };
+
+    const createRelayed = () => {
+        const { timer, silent, sent, unlimited, table } = createDirectTable();
+        const probed: string[] = [];
+        const probes = table.observeProbes({
+            read: range => {
+                probed.push(range.part);
+                return unlimited.read(range);
+            },
+        });
+        const relayed = createRelayedTable({ direct: table, probes, timer, log: () => {}, peers: () => [] });
+        timer.every(50, () => void relayed.read({ table: "jobs", part: "answered" }));
+        return { timer, silent, sent, probed, relayed };
+    };
+
+    it("let reads that wait be answered at once, although those sent before are lost", async () => {
+        const { timer, silent, relayed } = createRelayed();
+        await timer.advance(1_000);
+        silent.add(target.part);
+        const reads = Array.from({ length: 20 }, async () => {
+            const read = await relayed.read({ ...target, deadlineMs });
+            return { isAnswered: read.ok, atMs: timer.nowMs() };
+        });
+        await timer.advance(returnMs);
+        silent.clear();
+        const returnedAtMs = timer.nowMs();
+        await timer.advance(maxOperationMs);
+        const late = (await Promise.all(reads)).filter(read =>
+            !read.isAnswered || read.atMs - returnedAtMs > maxAnswerMs
+        );
+        assert.deepEqual(late, []);
+    });
+
+    it("have connections of their own", async () => {
+        const { timer, silent, sent, probed, relayed } = createRelayed();
+        silent.add(target.part);
+        void relayed.read(target);
+        await timer.advance(4_000);
+        const onPart = sent.filter(({ part }) => part === target.part);
+        assert.isAbove(probed.length, 4);
+        assert.equal(onPart.length, probed.length + 1);
+    });
+});
--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -186,4 +186,12 @@
         tests: "partLimit",
         fails: "leave connections to other parts while a third of 18 parts is silent",
     },
+    {
+        without: "connections of their own for probes of the table",
+        file: "state/relay.js",
+        find: "probes: options.probes ?? table",
+        replace: "probes: table",
+        tests: "partLimit",
+        fails: "let reads that wait be answered at once, although those sent before are lost",
+    },
 ];
