fix(state): a read whose ways have all failed waits only while other parts answer

Change: such a read goes on waiting while another part has answered an operation of this VM directly that was sent within the last 1.2 s, a call's timeout; this is checked when all ways have failed and every 0.1 s after that. Long polls for changes, which wait 0.5 to 1 s, keep a VM without callers in contact.

Only direct answers count: the return of a part is seen by direct probes alone.

Tests on virtual time: refused within 50 ms by a VM that no part answers, answered within 200 ms of the return of its part by one that other parts answer, refused within 1.35 s when these fall silent as the read begins.

--- a/src/state/race.ts
+++ b/src/state/race.ts
@@ -33,10 +33,15 @@
     hedgeSlots: HedgeSlots;
     /** Time from the start for which the operation waits for a further attempt to become possible when all have failed. */
     waitForMs: number;
+    /** Whether such an attempt is to be expected; asked when all have failed, and from time to time after that. */
+    isWaitOfUse: () => boolean;
     /** Calls the listener when a further attempt has become possible; returns a function that removes it. */
     onFurtherAttempt: (listener: (attempt: Attempt<Value>) => void) => () => void;
 }
 
+/** Time between two checks whether an operation whose attempts have all failed is to go on waiting. */
+const waitCheckMs = 100;
+
 /** Performs an attempt; one that fails unexpectedly has an unknown outcome, and the others go on. */
 const performGuarded = async <Value>(attempt: Attempt<Value>): Promise<Result<Value, StateError>> => {
     try {
@@ -66,6 +71,7 @@
         /** Whether the operation goes on when all attempts have failed. */
         let isWaiting = waitForMs > 0;
         let cancelHedge = (): void => {};
+        let cancelCheck = (): void => {};
         /** Set from the first request for a slot on; an operation takes one, however many ways it is attempted. */
         let ticket: HedgeTicket | undefined;
         let hasSlot = false;
@@ -73,6 +79,7 @@
         const settle = (reply: Result<Value, StateError>, wonByHedge: boolean): void => {
             settled = true;
             cancelHedge();
+            cancelCheck();
             cancelEndOfWait();
             ticket?.release(wonByHedge);
             removeListener();
@@ -133,7 +140,14 @@
         };
 
         const failUnlessWaiting = (): void => {
-            if (inProgress.size === 0 && !isWaiting) {
+            cancelCheck();
+            if (inProgress.size > 0) {
+                return;
+            }
+            if (isWaiting && options.isWaitOfUse()) {
+                cancelCheck = timer.after(waitCheckMs, failUnlessWaiting);
+            }
+            else {
                 settle(fail(combineErrors(errors)), false);
             }
         };
--- a/src/state/reachability.ts
+++ b/src/state/reachability.ts
@@ -31,6 +31,8 @@
     /** Records that a direct operation that was sent at the monotonic time `sentAtMs` has no answer, although others have. */
     recordOvertaken(target: TablePart, sentAtMs: number): void;
     isUnreachable(target: TablePart): boolean;
+    /** Whether another part than this one has lately answered this VM directly. */
+    isInContactBeside(target: TablePart): boolean;
     /** Calls the listener once when the part becomes reachable; returns a function that removes it. */
     onceReachable(target: TablePart, listener: () => void): () => void;
     /** Probes a part for an operation that waits for its answer, reachable or not; returns a function that ends this. */
@@ -47,6 +49,8 @@
 const maxProbesAtOnce = 4;
 /** Minimum time between rounds of probes that follow a part's recovery, of which an outage's end brings many. */
 const minRecoveryProbeIntervalMs = 50;
+/** Time within which an operation that was answered was sent, while this VM is in contact: the timeout of a call. */
+const contactMs = 1_200;
 /** Range of keys that holds no rows, read by probes. */
 const probeRange = { from: "~", before: "~~" };
 
@@ -140,6 +144,10 @@
         recordResult,
         recordOvertaken: (target, sentAtMs) => markUnreachable(target, "a peer was answered first", sentAtMs),
         isUnreachable: target => unreachable.has(keyOfPart(target)),
+        isInContactBeside: target =>
+            [...answeredSentAtMs].some(([key, sentAtMs]) =>
+                key !== keyOfPart(target) && timer.nowMs() - sentAtMs <= contactMs
+            ),
         onceReachable: (target, listener) => {
             const key = keyOfPart(target);
             const listeners = listenersByPart.get(key) ?? new Set();
--- a/src/state/relay.ts
+++ b/src/state/relay.ts
@@ -188,6 +188,8 @@
             hedgeForMs: deadlineMs ?? Number.POSITIVE_INFINITY,
             hedgeSlots,
             waitForMs: deadlineMs ?? 0,
+            // a VM that reaches nothing refuses: another one can serve the caller
+            isWaitOfUse: () => reachability.isInContactBeside(target),
             onFurtherAttempt: listener =>
                 deadlineMs === undefined
                     ? reachability.onceReachable(target, () => listener(direct.create()))
--- a/test/readsAfterSilence.test.ts
+++ b/test/readsAfterSilence.test.ts
@@ -188,6 +188,59 @@
     }
 });
 
+// guards against waiting for a part on a VM that cannot see its return, while another VM could serve the caller
+describe("a read of a job whose ways have all failed", () => {
+    const readMs = 1_000;
+    const longReadMs = 3_000;
+    /** Time in which a VM that knows no way refuses. */
+    const maxRefusalMs = 50;
+    /** Time in which one refuses that was answered until the read began: a call's timeout, and checks 100 ms apart. */
+    const maxNoticeMs = tableTimeoutMs + 150;
+    const ids = silentJobIds.slice(0, 1);
+
+    const createVmsWithoutWay = async (parts: readonly string[]) => {
+        const vms = createVms();
+        await vms.timer.advance(1_000);
+        parts.forEach(part => vms.silent.add(part));
+        await vms.learnSilence(Known.AllAsked);
+        return vms;
+    };
+
+    it("is refused at once by a VM that no part answers", async () => {
+        const { timer, readAll } = await createVmsWithoutWay(jobParts);
+        const startedAtMs = timer.nowMs();
+        const answers = readAll(ids, readMs);
+        await timer.advance(readMs);
+        const [answer] = await answers;
+        assert.equal(answer.phase, "refused");
+        assert.isAtMost(answer.atMs - startedAtMs, maxRefusalMs);
+    });
+
+    it("waits on a VM that other parts answer, and is answered once its part is back", async () => {
+        const { timer, silent, readAll } = await createVmsWithoutWay(silentParts);
+        const answers = readAll(ids, readMs);
+        await timer.advance(readMs / 2);
+        silent.clear();
+        const returnedAtMs = timer.nowMs();
+        await timer.advance(readMs);
+        const [answer] = await answers;
+        assert.isTrue(isSucceeded(answer));
+        assert.isAtLeast(answer.atMs, returnedAtMs);
+        assert.isAtMost(answer.atMs - returnedAtMs, maxAnswerMs);
+    });
+
+    it("is refused when the other parts fall silent, too, while it waits", async () => {
+        const { timer, silent, readAll } = await createVmsWithoutWay(silentParts);
+        const startedAtMs = timer.nowMs();
+        const answers = readAll(ids, longReadMs);
+        jobParts.forEach(part => silent.add(part));
+        await timer.advance(longReadMs);
+        const [answer] = await answers;
+        assert.equal(answer.phase, "refused");
+        assert.isAtMost(answer.atMs - startedAtMs, maxNoticeMs);
+    });
+});
+
 // guards against load that waiting reads add to a table that cannot carry it
 describe("reads of jobs that wait for an answer", () => {
     /** Share of the requests that a slow table may get twice. */
--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -194,4 +194,12 @@
         tests: "partLimit",
         fails: "let reads that wait be answered at once, although those sent before are lost",
     },
+    {
+        without: "refusing a read whose ways have all failed on a VM that no part of the table answers",
+        file: "state/race.js",
+        find: "isWaiting && options.isWaitOfUse()",
+        replace: "isWaiting",
+        tests: "readsAfterSilence",
+        fails: "is refused at once by a VM that no part answers",
+    },
 ];
