--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -44,8 +44,8 @@
     },
     {
         without: "storing records that are too large without their checkpoints",
-        file: "execution/recorder.js",
-        find: "checkpoints: {}",
+        file: "jobs/recordSize.js",
+        find: ", checkpoints: {}",
         replace: "",
         tests: "recorder",
         fails: "stores a job with as many tasks as are accepted",
