fix: one silent planner does not keep what another one knows from a submission, or from a read

Found by the review, by tests that failed (phasesOfSeveralPlanners, two of three): since phases that are not final wait for the answers of all VMs that planned, a submission that the planner has ended as unknown beside a silent former one; and a planner that cannot confirm its term told its own callers that a job runs without asking the one that has ended it. Class: waiting for all where one is enough, and asking one where all count.

Change: a submission takes the first phase that any VM tells; a read the first that is final, or the newest of all, its VM's own included.

submissionsWithoutTable asked for "unknown" for a submission without an answer that is repeated while the table refuses everything. That is asked for now, and beside it the old expectation of a VM whose planner does not answer.

--- a/src/jobs/commands/acceptJob.ts
+++ b/src/jobs/commands/acceptJob.ts
@@ -4,7 +4,7 @@
 import { firstDefined } from "../../utils/firstDefined.js";
 import { resolveWithin } from "../../utils/resolveWithin.js";
 import type { TimerService } from "../../utils/timer.js";
-import { recallPhase } from "../queries/recallPhase.js";
+import { recallAnyPhase } from "../queries/recallPhase.js";
 import type { PhaseRecall } from "../queries/recallPhase.js";
 import { jobRowKey, JobRowKind, jobsTable, partOfJob } from "../rows.js";
 import { toWriteOutcome, WriteOutcome } from "../sentSubmissions.js";
@@ -136,7 +136,7 @@
     { id, customer, queue }: JobSubmission,
     timeoutMs: number,
 ): Promise<WriteOutcome | undefined> => {
-    const known = await recallPhase(context, id, timeoutMs);
+    const known = await recallAnyPhase(context, id, timeoutMs);
     return known?.owner.customer === customer && known?.owner.queue === queue ? WriteOutcome.StoredEarlier : undefined;
 };
 
--- a/src/node/phaseKnowledge.ts
+++ b/src/node/phaseKnowledge.ts
@@ -2,7 +2,6 @@
 import { createPhaseCache, isOlderPhase } from "../jobs/phaseCache.js";
 import type { CachedPhase } from "../jobs/phaseCache.js";
 import type { PhaseRecall } from "../jobs/queries/recallPhase.js";
-import { firstDefined } from "../utils/firstDefined.js";
 import type { TimerService } from "../utils/timer.js";
 import type { AskForPhase } from "./phasePeer.js";
 
@@ -33,13 +32,6 @@
 /** Time for which a VM that gave no answer is not asked again, so that a caller waits for it on its first try alone. */
 const cooldownMs = 3_000;
 
-const findNewest = (phases: readonly (CachedPhase | undefined)[]): CachedPhase | undefined =>
-    phases.filter(phase => phase !== undefined)
-        .reduce<CachedPhase | undefined>(
-            (newest, phase) => newest !== undefined && isOlderPhase(phase, newest) ? newest : phase,
-            undefined,
-        );
-
 /** Creates the knowledge of a VM that has read nothing yet. */
 export const createPhaseKnowledge = (options: PhaseKnowledgeOptions): PhaseKnowledge => {
     const { vm, timer, retainMs, askForPhase, isPlanning } = options;
@@ -69,14 +61,8 @@
         cache,
         recordStored: stored.set,
         observePlanner: recentPlanners.observe,
-        askPlanners: async (jobId, timeoutMs) => {
-            const asked = recentPlanners.names().filter(isAnswering).map(name => ask(name, jobId, timeoutMs));
-            const final = asked.map(async answer => {
-                const known = await answer;
-                return known !== undefined && isFinal(known) ? known : undefined;
-            });
-            return await firstDefined(final) ?? findNewest(await Promise.all(asked));
-        },
+        askPlanners: (jobId, timeoutMs) =>
+            recentPlanners.names().filter(isAnswering).map(name => ask(name, jobId, timeoutMs)),
         tell: jobId => {
             const read = cache.get(jobId);
             const recorded = stored.get(jobId);
--- a/test/phaseKnowledge.test.ts
+++ b/test/phaseKnowledge.test.ts
@@ -1,6 +1,7 @@
 import { assert } from "chai";
 import type { CachedPhase } from "../src/jobs/phaseCache.js";
 import { queryJobPhase } from "../src/jobs/queries/jobPhase.js";
+import { recallPhase } from "../src/jobs/queries/recallPhase.js";
 import { jobParts, partOfJob } from "../src/jobs/rows.js";
 import { JobPhase } from "../src/jobs/types.js";
 import { createPhaseKnowledge } from "../src/node/phaseKnowledge.js";
@@ -239,7 +240,7 @@
         /** Asks for a phase that each VM tells after a time; returns what is known then and what is remembered. */
         const askAll = async (answers: Record<string, [answerMs: number, known: CachedPhase]>) => {
             const timer = createVirtualTimer();
-            const { observePlanner, askPlanners, cache } = createPhaseKnowledge({
+            const { observePlanner, ...knowledge } = createPhaseKnowledge({
                 vm: "asking",
                 timer,
                 retainMs: retainedMs,
@@ -251,9 +252,9 @@
                 isPlanning: () => false,
             });
             Object.keys(answers).forEach(observePlanner);
-            const asked = askPlanners(jobId, deadlineMs);
+            const asked = recallPhase(knowledge, jobId, deadlineMs);
             await timer.advance(deadlineMs);
-            return { told: (await asked)?.phase, remembered: cache.get(jobId)?.phase };
+            return { told: (await asked)?.phase, remembered: knowledge.cache.get(jobId)?.phase };
         };
 
         it("is the end that one of them knows, although another one answers first that the job runs", async () => {
--- a/test/submissionsWithoutTable.test.ts
+++ b/test/submissionsWithoutTable.test.ts
@@ -270,7 +270,26 @@
 
 describe("a submission that was sent without an answer", () => {
     // guards against a refusal as not run of a submission that an earlier, unanswered write stored
-    it("is not refused when it is repeated at once while the table refuses everything", async () => {
+    it("is not refused when it is repeated while the table refuses everything and no planner answers", async () => {
+        const fleet = await createStartedFleet();
+        fleet.commitFault = (_vm, { writes }) =>
+            writes.some(({ key }) => key === "a1/job") ? CallFault.AnswerLost : CallFault.None;
+        fleet.silentVms.add(fleet.planner() ?? "");
+        const vm = [...fleet.vms.keys()].find(name => name !== fleet.planner()) ?? "";
+        const first = submitTo(fleet, vm, "a1");
+        await fleet.timer.advance(100);
+        fleet.tableDown = true;
+        const [again, other] = [submitTo(fleet, vm, "a1"), submitTo(fleet, vm, "a2")];
+        await fleet.timer.advance(4_000);
+        assert.equal(other.acceptance, Acceptance.NotRun);
+        assert.deepEqual([first.acceptance, again.acceptance], [Acceptance.Unknown, Acceptance.Unknown]);
+        fleet.tableDown = false;
+        fleet.commitFault = () => CallFault.None;
+        await fleet.timer.advance(maxOpeningMs);
+        assert.isTrue(await isStored(fleet, "a1"));
+    });
+
+    it("is acknowledged, also when it is repeated, while the table refuses everything and the planner has it", async () => {
         const fleet = await createStartedFleet();
         fleet.commitFault = (_vm, { writes }) =>
             writes.some(({ key }) => key === "a1/job") ? CallFault.AnswerLost : CallFault.None;
@@ -280,7 +299,7 @@
         const [again, other] = [submitTo(fleet, "vm0", "a1"), submitTo(fleet, "vm0", "a2")];
         await fleet.timer.advance(4_000);
         assert.equal(other.acceptance, Acceptance.NotRun);
-        assert.deepEqual([first.acceptance, again.acceptance], [Acceptance.Unknown, Acceptance.Unknown]);
+        assert.deepEqual([first.acceptance, again.acceptance], [Acceptance.Accepted, Acceptance.Accepted]);
         fleet.tableDown = false;
         fleet.commitFault = () => CallFault.None;
         await fleet.timer.advance(maxOpeningMs);
