fix: an operation that is held back is not judged as sent, and a part that is slow is not held back

A read that had not been sent and was answered by another VM closed the way to a healthy part, and one was taken for lost once a probe was answered: 20 reads became 40 calls. A part that answers in 0.5 s was held at 6 operations a second, with 21 connections free: 34 of 100 reads were answered, and a write took up to 2.7 s. Class: acting on what did not happen.

Change: a table tells when it holds an operation back and when it sends it. Writes go before reads. Nothing is held back while fewer than ten operations are in progress on all parts; for that, connections to the table rise from 24 to 32, so that a third of silent parts leaves four beside the long polls.

--- a/src/node/machineLimits.ts
+++ b/src/node/machineLimits.ts
@@ -17,8 +17,8 @@
 
 /** Descriptors for files, pipes and listeners. */
 const fileDescriptors = 200;
-/** Connections to the platform's table: 24 for operations, 20 for probes of its parts. */
-const tableDescriptors = 44;
+/** Connections to the platform's table: 32 for operations, 20 for probes of its parts. */
+const tableDescriptors = 52;
 /** Connections of a planner to 250 workers, 4 to each. */
 const workerDescriptors = 1_000;
 /** Connections to 45 other entry VMs, 4 to each; the further ones, for long polls and for phases of jobs, go to few. */
--- a/src/state/laterAnswer.ts
+++ b/src/state/laterAnswer.ts
@@ -6,7 +6,7 @@
 /** Direct attempts of one operation. */
 export interface DirectAttempts<Value> {
     create(): Attempt<Value>;
-    /** Monotonic time at which the latest one was sent; negative infinity before the first. */
+    /** Monotonic time at which the latest one was sent; negative infinity before the first, infinity if it is held back. */
     latestSentAtMs(): number;
 }
 
--- a/src/state/partLimit.ts
+++ b/src/state/partLimit.ts
@@ -6,7 +6,7 @@
 import { keyOfPart } from "./tablePart.js";
 import type { TablePart } from "./tablePart.js";
 import { StateErrorKind } from "./types.js";
-import type { StateError, StateTable } from "./types.js";
+import type { SendObserver, StateError, StateTable } from "./types.js";
 
 /** An operation that was sent and has no result yet. */
 interface SentOperation {
@@ -16,20 +16,23 @@
 /** Operations on one part of one table. */
 interface PartOperations {
     inProgress: Set<SentOperation>;
-    /** Starts of operations that are not sent yet, in order. */
-    waiting: Set<() => void>;
+    /** Starts of operations that are not sent yet, in order; the planner's writes do not wait for reads. */
+    waitingWrites: Set<() => void>;
+    waitingReads: Set<() => void>;
     /** Time at which the latest operation that was answered had been sent. */
     answeredSentAtMs: number;
 }
 
 /**
- * Operations of a part in progress at a time. With a third of the 18 parts of tables silent they hold 18 of the 24
- * connections to the table and long polls 3; the 3 that are left serve 750 operations a second at 4 ms each.
+ * Operations of a part in progress at a time. With a third of the 18 parts of tables silent, operations and long polls hold
+ * 28 of the 32 connections to the table at most; the 4 that are left serve 1,000 operations a second at 4 ms each.
  */
 const maxInProgress = 3;
-/** The same with operations that were lost before the part answered a later one: these no longer delay others. */
-const maxWithLost = 2 * maxInProgress;
-/** Time for which an operation waits to be sent: a slow table answers in 0.5 s, and an operation has 1.2 s in all. */
+/** Operations on all parts below which none is held back: there are connections enough for a part that is slow. */
+const minSent = 10;
+/** Limit of a part including operations that are known to be lost, because the part has answered a later one. */
+const maxWithLost = minSent + maxInProgress;
+/** Time for which an operation waits to be sent, on top of the 1.2 s of its call; a slow table answers in 0.5 s. */
 const maxWaitMs = 600;
 
 /** A table with limited operations on its parts. */
@@ -42,7 +45,12 @@
 export const createPartLimitedTable = (table: StateTable, timer: TimerService): PartLimitedTable => {
     const parts = new Map<string, PartOperations>();
 
+    const sentCount = (): number => [...parts.values()].reduce((sum, { inProgress }) => sum + inProgress.size, 0);
+
     const mayStart = ({ inProgress, answeredSentAtMs }: PartOperations): boolean => {
+        if (sentCount() < minSent) {
+            return true;
+        }
         const current = [...inProgress].filter(({ sentAtMs }) => sentAtMs >= answeredSentAtMs);
         return current.length < maxInProgress && inProgress.size < maxWithLost;
     };
@@ -54,37 +62,45 @@
     };
 
     const startWaiting = (part: PartOperations): void => {
-        for (const start of part.waiting) {
+        for (const start of [...part.waitingWrites, ...part.waitingReads]) {
             if (!mayStart(part)) {
                 return;
             }
-            part.waiting.delete(start);
             start();
         }
     };
 
     /** Resolves when the operation is to be sent; `undefined` if its time is over before. */
-    const enter = (part: PartOperations): Promise<SentOperation | undefined> =>
+    const enter = (
+        part: PartOperations,
+        isWrite: boolean,
+        observer: SendObserver | undefined,
+    ): Promise<SentOperation | undefined> =>
         new Promise(resolve => {
             if (mayStart(part)) {
                 resolve(begin(part));
                 return;
             }
+            const waiting = isWrite ? part.waitingWrites : part.waitingReads;
             const start = (): void => {
                 cancelExpiry();
+                waiting.delete(start);
+                observer?.onSent();
                 resolve(begin(part));
             };
             const cancelExpiry = timer.after(maxWaitMs, () => {
-                part.waiting.delete(start);
+                waiting.delete(start);
                 resolve(undefined);
             });
-            part.waiting.add(start);
+            waiting.add(start);
+            observer?.onHeldBack();
         });
 
     const openPart = (key: string): PartOperations => {
         const part = parts.get(key) ?? {
             inProgress: new Set(),
-            waiting: new Set(),
+            waitingWrites: new Set(),
+            waitingReads: new Set(),
             answeredSentAtMs: Number.NEGATIVE_INFINITY,
         };
         parts.set(key, part);
@@ -99,11 +115,13 @@
 
     const perform = async <Value>(
         target: TablePart,
+        isWrite: boolean,
+        observer: SendObserver | undefined,
         send: () => Promise<Result<Value, StateError>>,
     ): Promise<Result<Value, StateError>> => {
         const key = keyOfPart(target);
         const part = openPart(key);
-        const operation = await enter(part);
+        const operation = await enter(part, isWrite, observer);
         if (operation === undefined) {
             const detail = "not sent: operations on the part have no answer";
             return fail({ kind: StateErrorKind.Unavailable, detail, isHeldBack: true });
@@ -115,7 +133,7 @@
         }
         finally {
             part.inProgress.delete(operation);
-            startWaiting(part);
+            parts.forEach(startWaiting);
             if (part.inProgress.size === 0) {
                 parts.delete(key);
             }
@@ -123,12 +141,11 @@
     };
 
     return {
-        commit: transaction =>
-            perform(
-                { table: transaction.writes[0]?.table ?? "", part: transaction.part },
-                () => table.commit(transaction),
-            ),
-        read: range => perform(range, () => table.read(range)),
+        commit: (transaction, observer) => {
+            const target = { table: transaction.writes[0]?.table ?? "", part: transaction.part };
+            return perform(target, true, observer, () => table.commit(transaction));
+        },
+        read: (range, observer) => perform(range, false, observer, () => table.read(range)),
         // concerns all parts
         changes: table.changes,
         observeProbes: probes => ({
--- a/src/state/relay.ts
+++ b/src/state/relay.ts
@@ -12,7 +12,7 @@
 import type { TableProbes } from "./reachability.js";
 import type { TablePart } from "./tablePart.js";
 import { StateErrorKind } from "./types.js";
-import type { ReadRange, RowsAt, StateError, StateTable, StateTransaction } from "./types.js";
+import type { ReadRange, RowsAt, SendObserver, StateError, StateTable, StateTransaction } from "./types.js";
 
 /** Table operation that one VM performs on behalf of another. */
 export type RelayRequest =
@@ -71,12 +71,12 @@
     }
 };
 
-const performDirectly = (table: StateTable, request: RelayRequest): Promise<RelayReply> => {
+const performDirectly = (table: StateTable, request: RelayRequest, observer?: SendObserver): Promise<RelayReply> => {
     switch (request.operation) {
         case "commit":
-            return table.commit(request.transaction);
+            return table.commit(request.transaction, observer);
         case "read":
-            return table.read(request.range);
+            return table.read(request.range, observer);
         case "changes":
             return table.changes(request.table, request.afterVersion, request.waitMs);
     }
@@ -106,12 +106,24 @@
     const hedgeSlots = createHedgeSlots();
     const cooldownUntilMs = new Map<string, number>();
 
-    const performAndRecord = async (request: RelayRequest): Promise<RelayReply> => {
-        const startedAtMs = timer.nowMs();
-        const result = await performDirectly(table, request);
-        reachability.recordResult(tablePartOf(request), result, startedAtMs);
+    /** Performs an operation; `onSendTime` is called with when it is sent, infinity while it is held back. */
+    const performAndRecord = async (
+        request: RelayRequest,
+        onSendTime: (sentAtMs: number) => void = () => {},
+    ): Promise<RelayReply> => {
+        let sentAtMs = timer.nowMs();
+        const setSentAtMs = (atMs: number): void => {
+            sentAtMs = atMs;
+            onSendTime(atMs);
+        };
+        onSendTime(sentAtMs);
+        const result = await performDirectly(table, request, {
+            onHeldBack: () => setSentAtMs(Number.POSITIVE_INFINITY),
+            onSent: () => setSentAtMs(timer.nowMs()),
+        });
+        reachability.recordResult(tablePartOf(request), result, sentAtMs);
         if (request.operation !== "changes" && isAnswered(result)) {
-            hedgeDelay.recordAnswer(timer.nowMs() - startedAtMs);
+            hedgeDelay.recordAnswer(timer.nowMs() - sentAtMs);
         }
         return result;
     };
@@ -122,12 +134,16 @@
             create: () => {
                 let sentAtMs = timer.nowMs();
                 return {
-                    perform: () => {
-                        sentAtMs = timer.nowMs();
-                        latestSentAtMs = sentAtMs;
-                        return performAndRecord(request);
+                    perform: () =>
+                        performAndRecord(request, atMs => {
+                            sentAtMs = atMs;
+                            latestSentAtMs = atMs;
+                        }),
+                    onOvertaken: () => {
+                        if (Number.isFinite(sentAtMs)) {
+                            reachability.recordOvertaken(tablePartOf(request), sentAtMs);
+                        }
                     },
-                    onOvertaken: () => reachability.recordOvertaken(tablePartOf(request), sentAtMs),
                 };
             },
             latestSentAtMs: () => latestSentAtMs,
--- a/src/state/types.ts
+++ b/src/state/types.ts
@@ -79,12 +79,18 @@
     deadlineMs?: number;
 }
 
+/** Learns when an operation is sent, by a table that may hold it back; one without a call is sent at once. */
+export interface SendObserver {
+    onHeldBack(): void;
+    onSent(): void;
+}
+
 /** Transactional table service of the platform. */
 export interface StateTable {
     /** Commits a transaction; resolves with its version. */
-    commit(transaction: StateTransaction): Promise<Result<{ version: number; }, StateError>>;
+    commit(transaction: StateTransaction, observer?: SendObserver): Promise<Result<{ version: number; }, StateError>>;
     /** Reads a whole range of one part; each page of it is a consistent snapshot, the range as a whole is not. */
-    read(range: ReadRange): Promise<Result<RowsAt, StateError>>;
+    read(range: ReadRange, observer?: SendObserver): Promise<Result<RowsAt, StateError>>;
     /** Resolves with the changes of all parts after a version; waits up to `waitMs` for the first one. */
     changes(table: string, afterVersion: number, waitMs: number): Promise<Result<RowsAt, StateError>>;
 }
