--- a/src/node/relayPeer.ts
+++ b/src/node/relayPeer.ts
@@ -8,7 +8,7 @@
 
 /** Path under which a VM performs table operations for another VM. */
 export const relayPath = "/v1/relay";
-/** Timeout of a relayed operation on top of its own wait; the peer's own request would time out soon after. */
+/** Timeout of a relayed operation on top of its own wait; the peer may be at it longer, then its outcome is unknown. */
 const relayTimeoutMs = 900;
 /** Limits on connections to a peer; long polls have their own, so that no other operation waits for one to end. */
 const maxConnections = 4;
