--- a/test/endedJobReads.test.ts
+++ b/test/endedJobReads.test.ts
@@ -3,12 +3,10 @@
 import { Cancellation } from "../src/jobs/commands/cancelStoredJob.js";
 import { jobParts, partOfJob, plannerPart } from "../src/jobs/rows.js";
 import { JobPhase } from "../src/jobs/types.js";
-import { StateErrorKind } from "../src/state/types.js";
-import type { StateError, StateTable } from "../src/state/types.js";
-import { fail } from "../src/utils/result.js";
-import type { Result } from "../src/utils/result.js";
+import type { StateTable } from "../src/state/types.js";
 import type { VirtualTimer } from "../src/utils/virtualTimer.js";
 import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
+import { silenceParts } from "./fixtures/silentParts.js";
 
 /** Timeout of a call to the table. */
 const tableTimeoutMs = 1_200;
@@ -18,30 +16,14 @@
 const customer = "hotel";
 const jobIds = Array.from({ length: 24 }, (_, index) => `00000000000000${(index + 16).toString(16)}`);
 const jobId = jobIds[0];
-/** Time in which the jobs end, and after which the planner has lost its term if the table does not answer. */
+/** Time in which the jobs end, and after which a planner without the table has not confirmed its term for long. */
 const settledMs = 8_000;
 
 /** A fleet on which no operation on the parts in `silent` is answered, whichever VM sends it. */
 const createFleetOfSilentParts = async () => {
     const silent = new Set<string | undefined>();
-    const wrapTable = (_vm: string, direct: StateTable, timer: VirtualTimer): StateTable => {
-        const perform = async <Value>(
-            part: string | undefined,
-            operation: () => Promise<Result<Value, StateError>>,
-        ): Promise<Result<Value, StateError>> => {
-            if (!silent.has(part)) {
-                return operation();
-            }
-            await timer.sleep(tableTimeoutMs);
-            return fail({ kind: StateErrorKind.NoAnswer, detail: "silent" });
-        };
-        return {
-            commit: transaction => perform(transaction.part, () => direct.commit(transaction)),
-            read: range => perform(range.part, () => direct.read(range)),
-            changes: (table, afterVersion, waitMs) =>
-                perform(undefined, () => direct.changes(table, afterVersion, waitMs)),
-        };
-    };
+    const wrapTable = (_vm: string, direct: StateTable, timer: VirtualTimer): StateTable =>
+        silenceParts(direct, silent, timer);
     const fleet = createFleet({ wrapTable, workerCount: 8 });
     await fleet.timer.advance(1_000);
     const silence = (...parts: (string | undefined)[]): void => parts.forEach(part => silent.add(part));
--- a/test/phaseKnowledge.test.ts
+++ b/test/phaseKnowledge.test.ts
@@ -6,14 +6,13 @@
 import { JobPhase } from "../src/jobs/types.js";
 import { createPhaseKnowledge } from "../src/node/phaseKnowledge.js";
 import { StateErrorKind } from "../src/state/types.js";
-import type { StateError, StateTable } from "../src/state/types.js";
+import type { StateTable } from "../src/state/types.js";
 import { fail } from "../src/utils/result.js";
-import type { Result } from "../src/utils/result.js";
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
 import type { VirtualTimer } from "../src/utils/virtualTimer.js";
 import { createFleet, createStep, createSubmission } from "./fixtures/fleet.js";
+import { silenceParts } from "./fixtures/silentParts.js";
 
-const tableTimeoutMs = 1_200;
 const deadlineMs = 3_000;
 const retryAfterMs = 1_000;
 const access = { customer: "hotel" };
@@ -32,30 +31,18 @@
     const silent = new Set<string | undefined>();
     const slow = new Set<string | undefined>();
     const wrapTable = (_vm: string, direct: StateTable, timer: VirtualTimer): StateTable => {
-        const perform = async <Value>(
-            part: string | undefined,
-            operation: () => Promise<Result<Value, StateError>>,
-        ): Promise<Result<Value, StateError>> => {
-            if (!silent.has(part)) {
-                return operation();
-            }
-            await timer.sleep(tableTimeoutMs);
-            return fail({ kind: StateErrorKind.NoAnswer, detail: "silent" });
+        const slowDown = async <Value>(isSlow: () => boolean, operation: () => Promise<Value>): Promise<Value> => {
+            const result = await operation();
+            await timer.sleep(isSlow() ? slowReadMs : 0);
+            return result;
         };
-        return {
-            commit: transaction => perform(transaction.part, () => direct.commit(transaction)),
-            read: range =>
-                perform(range.part, async () => {
-                    const result = await direct.read(range);
-                    await timer.sleep(slow.has(range.part) ? slowReadMs : 0);
-                    return result;
-                }),
-            changes: async (table, afterVersion, waitMs) => {
-                const result = await perform(undefined, () => direct.changes(table, afterVersion, waitMs));
-                await timer.sleep(slow.size > 0 ? slowReadMs : 0);
-                return result;
-            },
+        const slowTable: StateTable = {
+            ...direct,
+            read: range => slowDown(() => slow.has(range.part), () => direct.read(range)),
+            changes: (table, afterVersion, waitMs) =>
+                slowDown(() => slow.size > 0, () => direct.changes(table, afterVersion, waitMs)),
         };
+        return silenceParts(slowTable, silent, timer);
     };
     const fleet = createFleet({ wrapTable, workerCount: 8, vmCount: 5 });
     await fleet.timer.advance(1_000);
