refactor: operations that wait for a part are not copied when another one ends

Each operation that ended copied all that waited, on its part and on every other, and counted those in progress anew; thousands wait in a crowd. The sets are walked in place and the count is kept. Order and bounds stay: partLimit and unsentOperations pass. It did not mend the process that ends beside pipelined requests, for which it was tried first.

--- a/src/state/partLimit.ts
+++ b/src/state/partLimit.ts
@@ -45,10 +45,10 @@
 export const createPartLimitedTable = (table: StateTable, timer: TimerService): PartLimitedTable => {
     const parts = new Map<string, PartOperations>();
 
-    const sentCount = (): number => [...parts.values()].reduce((sum, { inProgress }) => sum + inProgress.size, 0);
+    let sentCount = 0;
 
     const mayStart = ({ inProgress, answeredSentAtMs }: PartOperations): boolean => {
-        if (sentCount() < minSent) {
+        if (sentCount < minSent) {
             return true;
         }
         const current = [...inProgress].filter(({ sentAtMs }) => sentAtMs >= answeredSentAtMs);
@@ -58,15 +58,19 @@
     const begin = (part: PartOperations): SentOperation => {
         const operation = { sentAtMs: timer.nowMs() };
         part.inProgress.add(operation);
+        sentCount += 1;
         return operation;
     };
 
     const startWaiting = (part: PartOperations): void => {
-        for (const start of [...part.waitingWrites, ...part.waitingReads]) {
-            if (!mayStart(part)) {
-                return;
+        // not copied: thousands may wait, and each operation that ends comes here
+        for (const waiting of [part.waitingWrites, part.waitingReads]) {
+            for (const start of waiting) {
+                if (!mayStart(part)) {
+                    return;
+                }
+                start();
             }
-            start();
         }
     };
 
@@ -133,6 +137,7 @@
         }
         finally {
             part.inProgress.delete(operation);
+            sentCount -= 1;
             parts.forEach(startWaiting);
             if (part.inProgress.size === 0) {
                 parts.delete(key);
