fix: a read that its VM held back does not wait for its part to answer

Cause: reads over the limit of their part failed as not sent and then, as the other parts answered, waited on for most of their callers' time, each with its timers, while further ones came. Class: two bounds that each rely on the other to end what is over them.

--- a/src/state/race.ts
+++ b/src/state/race.ts
@@ -3,7 +3,7 @@
 import type { Result } from "../utils/result.js";
 import type { TimerService } from "../utils/timer.js";
 import type { HedgeSlots, HedgeTicket } from "./hedgeSlots.js";
-import { isAnswered } from "./reachability.js";
+import { isAnswered, isHeldBack } from "./reachability.js";
 import { StateErrorKind } from "./types.js";
 import type { StateError } from "./types.js";
 
@@ -139,12 +139,13 @@
             }
         };
 
+        // a read that this VM held back is one of many, and waits for no lost request
         const failUnlessWaiting = (): void => {
             cancelCheck();
             if (inProgress.size > 0) {
                 return;
             }
-            if (isWaiting && options.isWaitOfUse()) {
+            if (isWaiting && !errors.some(isHeldBack) && options.isWaitOfUse()) {
                 cancelCheck = timer.after(waitCheckMs, failUnlessWaiting);
             }
             else {
--- a/src/state/reachability.ts
+++ b/src/state/reachability.ts
@@ -58,7 +58,8 @@
 export const isAnswered = (result: Result<unknown, StateError>): boolean =>
     result.ok || result.error.kind === StateErrorKind.Conflict || result.error.kind === StateErrorKind.HistoryLost;
 
-const isHeldBack = (error: StateError): boolean =>
+/** Whether this VM did not send the operation, as others of its part had no answer yet. */
+export const isHeldBack = (error: StateError): boolean =>
     error.kind === StateErrorKind.Unavailable && error.isHeldBack === true;
 
 /** Creates a tracker that assumes every part to be reachable until an operation on it fails. */
--- a/test/unsentOperations.test.ts
+++ b/test/unsentOperations.test.ts
@@ -3,7 +3,7 @@
 import { createRelayedTable } from "../src/state/relay.js";
 import type { RelayPeer } from "../src/state/relay.js";
 import { StateErrorKind } from "../src/state/types.js";
-import type { StateTable } from "../src/state/types.js";
+import type { ReadRange, StateTable } from "../src/state/types.js";
 import { fail, succeed } from "../src/utils/result.js";
 import { createVirtualTimer } from "../src/utils/virtualTimer.js";
 
@@ -11,13 +11,13 @@
 const timeoutMs = 1_200;
 const rowsAt = { rows: [], version: 1 };
 
-/** A VM whose direct operations on parts take `answerMs`, beside peers that answer at once. */
-const createVm = (answerMs: number, peers: readonly RelayPeer[] = []) => {
+/** A VM whose direct operations on `target` take `answerMs`, beside peers that answer at once. */
+const createVm = (answerMs: number, peers: readonly RelayPeer[] = [], otherPartsAnswerMs = answerMs) => {
     const timer = createVirtualTimer();
     const reads: string[] = [];
     const unused = async () => fail({ kind: StateErrorKind.Unavailable as const, detail: "not used" });
-    const send = async () => {
-        await timer.sleep(answerMs);
+    const send = async ({ part }: ReadRange) => {
+        await timer.sleep(part === target.part ? answerMs : otherPartsAnswerMs);
         return succeed(rowsAt);
     };
     const unlimited: StateTable = {
@@ -28,7 +28,7 @@
         changes: unused,
         read: range => {
             reads.push(range.from ?? "");
-            return send();
+            return send(range);
         },
     };
     const direct = createPartLimitedTable(unlimited, timer);
@@ -72,6 +72,27 @@
     });
 });
 
+// guards against a crowd of reads that wait although their VM has no place for them
+describe("a read that was held back until its time to be sent was over", () => {
+    const longAnswerMs = 5_000;
+    const deadlineMs = 2_000;
+    /** Time unsent, and until the next check of what waits. */
+    const maxRefusalMs = 800;
+
+    it("is refused then, although its caller waits on and other parts answer", async () => {
+        const { timer, direct, relayed } = createVm(longAnswerMs, [], 4);
+        const others = Array.from({ length: 10 }, () => direct.read(target));
+        timer.every(50, () => void relayed.read({ table: "jobs", part: "answered" }));
+        await timer.advance(100);
+        const startedAtMs = timer.nowMs();
+        const refusedAtMs = relayed.read({ ...target, deadlineMs }).then(() => timer.nowMs());
+        await timer.advance(deadlineMs + longAnswerMs);
+        assert.isAtMost(await refusedAtMs - startedAtMs, maxRefusalMs);
+        await Promise.all(others);
+        relayed.stop();
+    });
+});
+
 // guards against a limit on a part that holds back operations although the part answers all of them
 describe("operations on one part of a table that answers in 0.5 s", () => {
     const slowAnswerMs = 500;
--- a/tools/storageMutants.ts
+++ b/tools/storageMutants.ts
@@ -202,4 +202,12 @@
         tests: "readsAfterSilence",
         fails: "is refused at once by a VM that no part answers",
     },
+    {
+        without: "ending a read that this VM held back in place of letting it wait for its part",
+        file: "state/race.js",
+        find: "!errors.some(isHeldBack) && ",
+        replace: "",
+        tests: "unsentOperations",
+        fails: "is refused then, although its caller waits on and other parts answer",
+    },
 ];
